--- /dev/null
+++ b/components/backend/src/sql.rs
@@ -0,0 +1,138 @@
+//! A [`Probe`](crate::Probe) that asks by SQL functions over the PostgreSQL
+//! protocol.
+//!
+//! Each function returns one row of [`COLUMNS`], as text.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage, SimpleQueryRow};
+
+use crate::probe::Failure;
+
+/// Columns of a status row, in order.
+pub const COLUMNS: [&str; 10] = [
+    "server",
+    "incarnation",
+    "term",
+    "log_term",
+    "received",
+    "applied",
+    "role",
+    "silence_ms",
+    "history",
+    "version",
+];
+
+/// User that probes log in as; servers keep connections free for it.
+pub const USER: &str = "trefoil_probe";
+
+/// Time beyond a request's own wait after which a server counts as silent.
+pub const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A probe over one connection.
+pub struct Probe {
+    client: Client,
+    driver: tokio::task::JoinHandle<()>,
+    timeout: Duration,
+}
+
+impl std::fmt::Debug for Probe {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Probe").field("timeout", &self.timeout).finish_non_exhaustive()
+    }
+}
+
+impl Drop for Probe {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Probe {
+    /// Connects to a server. `timeout` bounds the connection and, beyond its
+    /// own wait, each request.
+    ///
+    /// # Errors
+    /// [`Failure::Refused`] when nothing listens, [`Failure::Timeout`], or
+    /// [`Failure::Broken`].
+    pub async fn connect(address: SocketAddr, timeout: Duration) -> Result<Self, Report<Failure>> {
+        let mut config = tokio_postgres::Config::new();
+        config.host(address.ip().to_string()).port(address.port());
+        config.user(USER).dbname(USER).application_name("trefoillink");
+        let connected = tokio::time::timeout(timeout, config.connect(NoTls)).await;
+        let (client, connection) = connected
+            .change_context(Failure::Timeout)?
+            .map_err(|error| Report::new(reason(&error)).attach(error.to_string()))?;
+        let driver = tokio::spawn(async move { drop(connection.await) });
+        Ok(Self { client, driver, timeout })
+    }
+
+    async fn ask(&self, query: String, wait: Duration) -> Result<Status, Report<Failure>> {
+        let asked = self.client.simple_query(&query);
+        let rows = tokio::time::timeout(wait + self.timeout, asked)
+            .await
+            .change_context(Failure::Timeout)?
+            .map_err(|error| Report::new(reason(&error)).attach(error.to_string()))?;
+        let row = rows.iter().find_map(|message| match message {
+            SimpleQueryMessage::Row(row) => Some(row),
+            _ => None,
+        });
+        read(row.ok_or(Failure::Malformed)?)
+    }
+}
+
+fn reason(error: &tokio_postgres::Error) -> Failure {
+    let source = std::error::Error::source(error);
+    let io = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    match io.map(std::io::Error::kind) {
+        Some(std::io::ErrorKind::ConnectionRefused) => Failure::Refused,
+        _ if error.as_db_error().is_some() => Failure::Rejected,
+        _ => Failure::Broken,
+    }
+}
+
+fn read(row: &SimpleQueryRow) -> Result<Status, Report<Failure>> {
+    let number = |column: &str| -> Result<u64, Report<Failure>> {
+        text(row, column)?.parse().change_context(Failure::Malformed)
+    };
+    Ok(Status {
+        server: Name::new(text(row, "server")?).change_context(Failure::Malformed)?,
+        incarnation: number("incarnation")?,
+        term: Term(number("term")?),
+        log_term: Term(number("log_term")?),
+        received: Position(number("received")?),
+        applied: Position(number("applied")?),
+        role: text(row, "role")?.parse().change_context(Failure::Malformed)?,
+        silence: Duration::from_millis(number("silence_ms")?),
+        history: text(row, "history")?
+            .parse::<History>()
+            .map_err(|report| report.change_context(Failure::Malformed))?,
+        version: number("version")?,
+    })
+}
+
+fn text<'a>(row: &'a SimpleQueryRow, column: &str) -> Result<&'a str, Report<Failure>> {
+    let value = row.try_get(column).change_context(Failure::Malformed)?;
+    value.ok_or_else(|| Report::new(Failure::Malformed))
+}
+
+impl crate::Probe for Probe {
+    async fn status(&mut self, after: u64, wait: Duration) -> Result<Status, Report<Failure>> {
+        let query = format!("SELECT * FROM trefoil_status({after}, {})", wait.as_millis());
+        self.ask(query, wait).await
+    }
+
+    async fn fence(&mut self, term: Term) -> Result<Status, Report<Failure>> {
+        self.ask(format!("SELECT * FROM trefoil_fence({})", term.0), Duration::ZERO).await
+    }
+
+    async fn promote(&mut self, term: Term) -> Result<Status, Report<Failure>> {
+        self.ask(format!("SELECT * FROM trefoil_promote({})", term.0), Duration::ZERO).await
+    }
+
+    async fn follow(&mut self, term: Term, primary: SocketAddr) -> Result<Status, Report<Failure>> {
+        let query = format!("SELECT * FROM trefoil_follow({}, '{primary}')", term.0);
+        self.ask(query, Duration::ZERO).await
+    }
+}
--- /dev/null
+++ b/components/keeper/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder head, replaced by the area's own.
--- /dev/null
+++ b/components/telemetry/src/health.rs
@@ -0,0 +1,27 @@
+//! Whether a process lives and whether it can take work.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Readiness of a process, shared between its tasks.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    ready: Arc<AtomicBool>,
+}
+
+impl Health {
+    /// Makes the health of a process that is not ready yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets whether the process takes new work; returns what it was before.
+    pub fn set_ready(&self, ready: bool) -> bool {
+        self.ready.swap(ready, Ordering::AcqRel)
+    }
+
+    /// Whether the process takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,9 @@
+//! Logs, metrics and health, alike in every program.
+
+pub mod health;
+pub mod log;
+pub mod web;
+
+pub use health::Health;
+pub use log::{Format, Level, logger};
+pub use web::Failure;
--- /dev/null
+++ b/components/wire/src/quorum.rs
@@ -0,0 +1,1 @@
+//! Control members among themselves.
--- /dev/null
+++ b/programs/trefoil-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
