--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder head, replaced by the area's own.
+//! Declarations: what operators write, checked, and asked by the system.
+//!
+//! - [`model`]: the declarations as types, and their canonical text.
+//! - [`policy`]: the questions that the data path asks of them.
+
+pub mod model;
+pub mod policy;
+
+pub use model::{Class, Declarations, Group, Kind, Labels, Limits, Objective, Selector, Service};
+pub use policy::Rule;
