--- a/components/config/src/policy.rs
+++ b/components/config/src/policy.rs
@@ -50,12 +50,11 @@
     /// [`Rule::UNDECLARED`], as does a statement that none matches.
     pub fn rule(&self, service: &str, group: &str, tag: Option<&str>, statement: &str) -> Rule {
         let kinds = || self.selecting(service, group).flat_map(|selector| &selector.kinds);
-        let found = match tag {
-            Some(tag) => kinds().find(|(name, _)| name.as_str() == tag),
-            None => {
-                let statement = normalize(statement);
-                kinds().find(|(_, kind)| begins(kind, &statement))
-            }
+        let found = if let Some(tag) = tag {
+            kinds().find(|(name, _)| name.as_str() == tag)
+        } else {
+            let statement = normalize(statement);
+            kinds().find(|(_, kind)| begins(kind, &statement))
         };
         found.map_or(Rule::UNDECLARED, |(name, kind)| Rule::new(name, kind))
     }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,1 +1,7 @@
-//! Placeholder head, replaced by the area's own.
+//! The host of an entry: callers on one side, backend servers on the other.
+//!
+//! - [`view`]: what this entry knows of the control log, and its lease.
+
+pub mod view;
+
+pub use view::View;
