--- /dev/null
+++ b/components/config/src/check.rs
@@ -0,0 +1,144 @@
+//! Whether declarations make sense as a whole.
+
+use std::fmt;
+
+use base::name::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::model::{Class, Declarations, Measure, Selector, Service};
+
+/// Most servers that a group may declare.
+pub const MAX_SERVERS: u32 = 15;
+
+/// What is wrong with declarations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fault {
+    /// They can't be read.
+    Syntax {
+        /// What the reader says.
+        text: String,
+    },
+    /// A value is not allowed.
+    Value {
+        /// Names of the tables and the key, outermost first.
+        path: Vec<String>,
+        /// What is allowed.
+        allowed: Allowed,
+    },
+}
+
+/// What a value must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Allowed {
+    /// From 1 to [`MAX_SERVERS`].
+    Servers,
+    /// At least 1.
+    Positive,
+    /// From 0 to 1.
+    Share,
+    /// The name of a declared group.
+    DeclaredGroup,
+    /// Only measures with a limit take one, and they need it.
+    Limit,
+    /// Only reads accept an age or have patience.
+    ReadOnly,
+    /// A beginning of a statement, not empty.
+    Statement,
+}
+
+impl fmt::Display for Allowed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Servers => write!(f, "a whole number from 1 to {MAX_SERVERS} is allowed"),
+            Self::Positive => f.write_str("a whole number of at least 1 is allowed"),
+            Self::Share => f.write_str("a number from 0 to 1 is allowed"),
+            Self::DeclaredGroup => f.write_str("only the names of declared groups are allowed"),
+            Self::Limit => f.write_str(
+                "a limit of at least 1 is needed by `latency`, `failover-gap` and `read-age`, \
+                 and `answered` takes none",
+            ),
+            Self::ReadOnly => f.write_str("this is allowed for the class `read` only"),
+            Self::Statement => f.write_str("the beginning of a statement is allowed, not empty"),
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Syntax { text } => f.write_str(text),
+            Self::Value { path, allowed } => write!(f, "{}: {allowed}", path.join(".")),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+#[derive(Default)]
+struct Faults(Vec<Fault>);
+
+impl Faults {
+    fn check(&mut self, right: bool, path: &[&str], allowed: Allowed) {
+        if !right {
+            let path = path.iter().map(|&part| part.to_owned()).collect();
+            self.0.push(Fault::Value { path, allowed });
+        }
+    }
+}
+
+impl Declarations {
+    /// All that is wrong with them.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut faults = Faults::default();
+        for (name, group) in &self.groups {
+            let right = (1..=MAX_SERVERS).contains(&group.servers);
+            faults.check(right, &["groups", name.as_str(), "servers"], Allowed::Servers);
+        }
+        for (name, service) in &self.services {
+            check_service(&mut faults, name, service);
+        }
+        for (name, selector) in &self.selectors {
+            self.check_selector(&mut faults, name, selector);
+        }
+        faults.0
+    }
+
+    fn check_selector(&self, faults: &mut Faults, name: &Name, selector: &Selector) {
+        for group in &selector.groups {
+            let right = self.groups.contains_key(group);
+            faults.check(right, &["selectors", name.as_str(), "groups"], Allowed::DeclaredGroup);
+        }
+        for (kind_name, kind) in &selector.kinds {
+            let path = |key| ["selectors", name.as_str(), "kinds", kind_name.as_str(), key];
+            let read = kind.class == Class::Read;
+            faults.check(read || kind.age_ms == 0, &path("age_ms"), Allowed::ReadOnly);
+            faults.check(read || kind.patience_ms == 0, &path("patience_ms"), Allowed::ReadOnly);
+            let blank = |statement: &String| statement.trim().is_empty();
+            let right = !kind.statements.iter().any(blank);
+            faults.check(right, &path("statements"), Allowed::Statement);
+        }
+    }
+}
+
+fn check_service(faults: &mut Faults, name: &Name, service: &Service) {
+    let name = name.as_str();
+    let limits = &service.limits;
+    let limit = |key| ["services", name, "limits", key];
+    faults.check(service.weight > 0, &["services", name, "weight"], Allowed::Positive);
+    faults.check(limits.queue > 0, &limit("queue"), Allowed::Positive);
+    faults.check(limits.deadline_ms > 0, &limit("deadline_ms"), Allowed::Positive);
+    faults.check(limits.idle_transaction_ms > 0, &limit("idle_transaction_ms"), Allowed::Positive);
+    faults.check(is_share(limits.retry_share), &limit("retry_share"), Allowed::Share);
+    for (index, objective) in service.objectives.iter().enumerate() {
+        let index = index.to_string();
+        let path = |key| ["services", name, "objectives", index.as_str(), key];
+        faults.check(is_share(objective.target), &path("target"), Allowed::Share);
+        let limited = objective.measure != Measure::Answered;
+        let right = limited == (objective.within_ms > 0);
+        faults.check(right, &path("within_ms"), Allowed::Limit);
+    }
+}
+
+fn is_share(value: f64) -> bool {
+    (0.0..=1.0).contains(&value)
+}
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,10 +1,15 @@
 //! Declarations: what operators write, checked, and asked by the system.
 //!
 //! - [`model`]: the declarations as types, and their canonical text.
+//! - [`check`]: whether they make sense as a whole.
+//! - [`text`]: their canonical text.
 //! - [`policy`]: the questions that the data path asks of them.
 
+pub mod check;
 pub mod model;
 pub mod policy;
+pub mod text;
 
+pub use check::{Allowed, Fault};
 pub use model::{Class, Declarations, Group, Kind, Labels, Limits, Objective, Selector, Service};
 pub use policy::Rule;
--- /dev/null
+++ b/components/control/src/apply.rs
@@ -0,0 +1,330 @@
+//! How one command of the log changes the state.
+
+use std::collections::btree_map::Entry as Slot;
+use std::fmt;
+use std::sync::Arc;
+
+use base::prelude::*;
+use config::Declarations;
+use wire::log::command::Body;
+use wire::log::{self, Command};
+
+use crate::changes::Answer;
+use crate::state::{Entry, Group, Phase, Server, State};
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It took effect.
+    Applied,
+    /// It said what was known.
+    Unchanged,
+    /// A change of the declarations, with the first answer that its id got.
+    Answered(Answer),
+    /// It has no effect.
+    Refused(Refusal),
+}
+
+/// Why a command has no effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Refusal {
+    /// Its index was applied before.
+    Index,
+    /// A name, address or part of it can't be read.
+    Malformed,
+    /// A later incarnation is known.
+    Incarnation,
+    /// The same incarnation is known at another address.
+    Address,
+    /// All seats of the group are taken.
+    Seats,
+    /// The server has a seat in another group.
+    Group,
+    /// The group, server or entry is not known.
+    Unknown,
+    /// The leases have changed since.
+    Generation,
+    /// The shares of a server would pass its limit.
+    Limit,
+    /// A later term is open or established, or another failover is.
+    Term,
+}
+
+impl std::error::Error for Refusal {}
+
+impl State {
+    /// Applies the command at an index. An index that is not above the last
+    /// one changes nothing.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        if index <= self.index {
+            return Outcome::Refused(Refusal::Index);
+        }
+        self.index = index;
+        let applied = match &command.body {
+            Some(Body::Configure(configure)) => Ok(self.configure(index, configure)),
+            Some(Body::Announce(announce)) => self.announce(announce),
+            Some(Body::Expire(expire)) => self.expire(expire),
+            Some(Body::Join(join)) => self.join(join),
+            Some(Body::Part(part)) => self.part(index, part),
+            Some(Body::Assign(assign)) => self.assign(index, assign),
+            Some(Body::Intend(intend)) => self.intend(intend),
+            Some(Body::Choose(choose)) => self.choose(choose),
+            Some(Body::Establish(establish)) => self.establish(establish),
+            Some(Body::Drain(drain)) => self.drain(drain),
+            None => Ok(Outcome::Unchanged),
+        };
+        applied.unwrap_or_else(Outcome::Refused)
+    }
+
+    fn configure(&mut self, index: u64, configure: &log::Configure) -> Outcome {
+        if let Some(answer) = self.changes.get(&configure.change) {
+            return Outcome::Answered(answer.clone());
+        }
+        let answer = self.change(index, configure);
+        self.changes.insert(configure.change.clone(), answer.clone());
+        Outcome::Answered(answer)
+    }
+
+    fn change(&mut self, index: u64, configure: &log::Configure) -> Answer {
+        if configure.base != self.version {
+            return Answer::Conflict { version: self.version };
+        }
+        let declarations = match Declarations::parse(&configure.content) {
+            Ok(declarations) => declarations,
+            Err(faults) => return Answer::Invalid(faults),
+        };
+        self.version += 1;
+        self.declarations = Arc::new(declarations);
+        self.seat();
+        Answer::Accepted { version: self.version, index }
+    }
+
+    /// Makes each declared group known and fills its seats.
+    fn seat(&mut self) {
+        for (name, declared) in &self.declarations.groups {
+            let group = self.groups.entry(name.clone()).or_default();
+            let seats = declared.servers as usize;
+            group.shrink(seats, |seat| self.servers.get(seat).is_none_or(|server| server.expired));
+            for (server, known) in &self.servers {
+                let wants = known.group == *name && !known.expired;
+                if wants && group.seats.len() < seats && !group.seats.contains(server) {
+                    group.seats.push(server.clone());
+                }
+            }
+        }
+    }
+
+    fn announce(&mut self, announce: &log::Announce) -> Result<Outcome, Refusal> {
+        let (name, server) = Server::read(announce).ok_or(Refusal::Malformed)?;
+        if let Some(known) = self.servers.get(&name) {
+            if known.incarnation > server.incarnation {
+                return Err(Refusal::Incarnation);
+            }
+            if known.incarnation == server.incarnation && known.address != server.address {
+                return Err(Refusal::Address);
+            }
+            if *known == server {
+                return Ok(Outcome::Unchanged);
+            }
+        }
+        self.take_seat(&name, &server)?;
+        self.servers.insert(name, server);
+        Ok(Outcome::Applied)
+    }
+
+    fn take_seat(&mut self, name: &Name, server: &Server) -> Result<(), Refusal> {
+        let elsewhere =
+            |(group, known): (&Name, &Group)| *group != server.group && known.seats.contains(name);
+        if self.groups.iter().any(elsewhere) {
+            return Err(Refusal::Group);
+        }
+        let Some(declared) = self.declarations.groups.get(&server.group) else {
+            return Ok(());
+        };
+        let group = self.groups.entry(server.group.clone()).or_default();
+        if group.seats.contains(name) {
+            return Ok(());
+        }
+        if group.seats.len() >= declared.servers as usize {
+            return Err(Refusal::Seats);
+        }
+        group.seats.push(name.clone());
+        Ok(())
+    }
+
+    fn expire(&mut self, expire: &log::Expire) -> Result<Outcome, Refusal> {
+        let server = self.servers.get_mut(expire.server.as_str()).ok_or(Refusal::Unknown)?;
+        if server.incarnation != expire.incarnation {
+            return Err(Refusal::Incarnation);
+        }
+        server.expired = true;
+        let group = self.groups.get(&server.group);
+        let seated = group.is_some_and(|g| g.seats.iter().any(|s| s.as_str() == expire.server));
+        if !seated {
+            self.servers.remove(expire.server.as_str());
+        }
+        Ok(Outcome::Applied)
+    }
+
+    fn join(&mut self, join: &log::Join) -> Result<Outcome, Refusal> {
+        let (name, mut entry) = Entry::read(join).ok_or(Refusal::Malformed)?;
+        entry.draining = self.drained.contains(&name);
+        match self.entries.entry(name) {
+            Slot::Occupied(known) if known.get().incarnation > entry.incarnation => {
+                Err(Refusal::Incarnation)
+            }
+            Slot::Occupied(known) if *known.get() == entry => Ok(Outcome::Unchanged),
+            Slot::Occupied(known) if known.get().incarnation == entry.incarnation => {
+                Err(Refusal::Address)
+            }
+            Slot::Occupied(mut known) => {
+                known.insert(entry);
+                Ok(Outcome::Applied)
+            }
+            Slot::Vacant(free) => {
+                free.insert(entry);
+                Ok(Outcome::Applied)
+            }
+        }
+    }
+
+    /// Takes all leases of the incarnation, and of earlier ones, and forgets
+    /// the entry unless it started again since.
+    fn part(&mut self, index: u64, part: &log::Part) -> Result<Outcome, Refusal> {
+        let mut found = false;
+        for group in self.groups.values_mut() {
+            let held = group.leases.len();
+            group
+                .leases
+                .retain(|lease| lease.entry != part.entry || lease.incarnation > part.incarnation);
+            if group.leases.len() < held {
+                group.generation += 1;
+                group.assigned = index;
+                found = true;
+            }
+        }
+        let known = self.entries.get(part.entry.as_str());
+        if known.is_some_and(|entry| entry.incarnation <= part.incarnation) {
+            self.entries.remove(part.entry.as_str());
+            found = true;
+        }
+        if found { Ok(Outcome::Applied) } else { Err(Refusal::Unknown) }
+    }
+
+    fn assign(&mut self, index: u64, assign: &log::Assign) -> Result<Outcome, Refusal> {
+        let group = self.groups.get(assign.group.as_str()).ok_or(Refusal::Unknown)?;
+        if group.generation != assign.base {
+            return Err(Refusal::Generation);
+        }
+        let twice =
+            |at: usize| assign.leases[..at].iter().any(|l| l.entry == assign.leases[at].entry);
+        if (0..assign.leases.len()).any(twice) {
+            return Err(Refusal::Malformed);
+        }
+        self.check_limits(assign)?;
+        let group = self.groups.get_mut(assign.group.as_str()).ok_or(Refusal::Unknown)?;
+        group.leases = assign.leases.iter().cloned().collect();
+        group.generation += 1;
+        group.assigned = index;
+        Ok(Outcome::Applied)
+    }
+
+    fn check_limits(&self, assign: &log::Assign) -> Result<(), Refusal> {
+        let shares = || assign.leases.iter().flat_map(|lease| &lease.shares);
+        for share in shares() {
+            let server = self.servers.get(share.server.as_str()).ok_or(Refusal::Unknown)?;
+            let same = || shares().filter(|other| other.server == share.server);
+            let connections: u64 = same().map(|other| u64::from(other.connections)).sum();
+            let slots: u64 = same().map(|other| u64::from(other.slots)).sum();
+            if connections > u64::from(server.grantable()) || slots > u64::from(server.slots) {
+                return Err(Refusal::Limit);
+            }
+        }
+        Ok(())
+    }
+
+    fn intend(&mut self, intend: &log::Intend) -> Result<Outcome, Refusal> {
+        let group = self.groups.get_mut(intend.group.as_str()).ok_or(Refusal::Unknown)?;
+        if Term(intend.term) <= group.term {
+            return Err(Refusal::Term);
+        }
+        group.term = Term(intend.term);
+        group.phase = Phase::Intended;
+        Ok(Outcome::Applied)
+    }
+
+    fn choose(&mut self, choose: &log::Choose) -> Result<Outcome, Refusal> {
+        let group = self.groups.get_mut(choose.group.as_str()).ok_or(Refusal::Unknown)?;
+        if Term(choose.term) != group.term || group.phase != Phase::Intended {
+            return Err(Refusal::Term);
+        }
+        let seat = group.seats.iter().find(|seat| seat.as_str() == choose.server);
+        let server = seat.cloned().ok_or(Refusal::Unknown)?;
+        let start = choose.start.map(Mark::from).ok_or(Refusal::Malformed)?;
+        group.phase = Phase::Chosen { server, start };
+        Ok(Outcome::Applied)
+    }
+
+    fn establish(&mut self, establish: &log::Establish) -> Result<Outcome, Refusal> {
+        let group = self.groups.get_mut(establish.group.as_str()).ok_or(Refusal::Unknown)?;
+        let term = Term(establish.term);
+        let seat = group.seats.iter().find(|seat| seat.as_str() == establish.server);
+        let server = seat.cloned().ok_or(Refusal::Unknown)?;
+        if term < group.term {
+            return Err(Refusal::Term);
+        }
+        if term == group.term {
+            match &group.phase {
+                Phase::Chosen { server: chosen, start } if *chosen == server => {
+                    group.history.begin(term, start.position);
+                }
+                Phase::Settled if group.primary.as_ref() == Some(&server) => {
+                    return Ok(Outcome::Unchanged);
+                }
+                Phase::Settled if group.primary.is_none() => {}
+                _ => return Err(Refusal::Term),
+            }
+        }
+        group.term = term;
+        group.phase = Phase::Settled;
+        group.primary = Some(server);
+        Ok(Outcome::Applied)
+    }
+
+    fn drain(&mut self, drain: &log::Drain) -> Result<Outcome, Refusal> {
+        let name = Name::new(&drain.entry).map_err(|_malformed| Refusal::Malformed)?;
+        let changed =
+            if drain.on { self.drained.insert(name.clone()) } else { self.drained.remove(&name) };
+        if let Some(entry) = self.entries.get_mut(&name) {
+            entry.draining = drain.on;
+        }
+        Ok(if changed { Outcome::Applied } else { Outcome::Unchanged })
+    }
+}
+
+impl Group {
+    /// Drops seats beyond `seats`, those of servers that are gone first.
+    fn shrink(&mut self, seats: usize, gone: impl Fn(&Name) -> bool) {
+        while self.seats.len() > seats {
+            let last = self.seats.len() - 1;
+            let drop = self.seats.iter().rposition(&gone).unwrap_or(last);
+            self.seats.remove(drop);
+        }
+    }
+}
+
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted { version, .. } => write!(f, "accepted as version {version}"),
+            Self::Conflict { version } => write!(f, "the current version is {version}"),
+            Self::Invalid(faults) => {
+                for (at, fault) in faults.iter().enumerate() {
+                    write!(f, "{}{fault}", if at > 0 { "; " } else { "" })?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/control/src/image.rs
@@ -0,0 +1,255 @@
+//! The whole state as bytes, for a member's snapshot and for an entry that is
+//! too far behind.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::sync::Arc;
+
+use base::prelude::*;
+use config::{Declarations, Fault};
+use wire::Message;
+use wire::log;
+
+use crate::changes::{Answer, Changes};
+use crate::state::{Entry, Group, Phase, Server, State};
+
+/// Bytes that are no image.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the bytes are no image of the control state")
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Image {
+    #[prost(uint64, tag = "1")]
+    index: u64,
+    #[prost(uint64, tag = "2")]
+    version: u64,
+    #[prost(string, tag = "3")]
+    declarations: String,
+    #[prost(message, repeated, tag = "4")]
+    groups: Vec<GroupImage>,
+    #[prost(message, repeated, tag = "5")]
+    servers: Vec<ServerImage>,
+    #[prost(message, repeated, tag = "6")]
+    entries: Vec<log::Join>,
+    #[prost(string, repeated, tag = "7")]
+    drained: Vec<String>,
+    #[prost(message, repeated, tag = "8")]
+    changes: Vec<ChangeImage>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct GroupImage {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(string, repeated, tag = "2")]
+    seats: Vec<String>,
+    #[prost(uint64, tag = "3")]
+    term: u64,
+    #[prost(bool, tag = "4")]
+    intended: bool,
+    #[prost(message, optional, tag = "5")]
+    chosen: Option<log::Choose>,
+    #[prost(string, optional, tag = "6")]
+    primary: Option<String>,
+    #[prost(message, repeated, tag = "7")]
+    history: Vec<wire::mark::Mark>,
+    #[prost(message, repeated, tag = "8")]
+    leases: Vec<log::Lease>,
+    #[prost(uint64, tag = "9")]
+    generation: u64,
+    #[prost(uint64, tag = "10")]
+    assigned: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ServerImage {
+    #[prost(message, optional, tag = "1")]
+    announce: Option<log::Announce>,
+    #[prost(bool, tag = "2")]
+    expired: bool,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct ChangeImage {
+    #[prost(string, tag = "1")]
+    change: String,
+    #[prost(uint64, tag = "2")]
+    version: u64,
+    #[prost(uint64, tag = "3")]
+    index: u64,
+    #[prost(enumeration = "Kind", tag = "4")]
+    kind: i32,
+    #[prost(string, tag = "5")]
+    faults: String,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+enum Kind {
+    Missing = 0,
+    Accepted = 1,
+    Conflict = 2,
+    Invalid = 3,
+}
+
+impl State {
+    /// The whole state as bytes; equal states give equal bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let image = Image {
+            index: self.index,
+            version: self.version,
+            declarations: self.declarations.canonical(),
+            groups: self.groups.iter().map(write_group).collect(),
+            servers: self.servers.iter().map(write_server).collect(),
+            entries: self.entries.iter().map(|(name, entry)| entry.join(name)).collect(),
+            drained: self.drained.iter().map(Name::to_string).collect(),
+            changes: self.changes.iter().map(write_change).collect(),
+        };
+        image.encode_to_vec()
+    }
+
+    /// Reads such bytes.
+    ///
+    /// # Errors
+    /// [`Malformed`] when they are no image.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Report<Malformed>> {
+        let image = Image::decode(bytes).change_context(Malformed)?;
+        let declarations: Declarations = read_json(&image.declarations)?;
+        let drained: Result<BTreeSet<Name>, _> = image.drained.iter().map(|n| name(n)).collect();
+        let drained = drained?;
+        let mut entries = BTreeMap::new();
+        for join in &image.entries {
+            let (name, mut entry) = Entry::read(join).ok_or(Malformed)?;
+            entry.draining = drained.contains(&name);
+            entries.insert(name, entry);
+        }
+        let groups: Result<BTreeMap<Name, Group>, _> =
+            image.groups.iter().map(read_group).collect();
+        let servers: Result<BTreeMap<Name, Server>, _> =
+            image.servers.iter().map(read_server).collect();
+        let mut changes = Changes::default();
+        for change in image.changes {
+            let answer = read_answer(&change)?;
+            changes.insert(change.change, answer);
+        }
+        Ok(Self {
+            index: image.index,
+            version: image.version,
+            declarations: Arc::new(declarations),
+            groups: groups?,
+            servers: servers?,
+            entries,
+            drained,
+            changes,
+        })
+    }
+}
+
+fn name(text: &str) -> Result<Name, Report<Malformed>> {
+    Name::new(text).change_context(Malformed)
+}
+
+fn read_json<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, Report<Malformed>> {
+    serde_json::from_str(text).change_context(Malformed)
+}
+
+fn write_group((name, group): (&Name, &Group)) -> GroupImage {
+    let chosen = match &group.phase {
+        Phase::Chosen { server, start } => Some(log::Choose {
+            group: name.to_string(),
+            term: group.term.0,
+            server: server.to_string(),
+            start: Some((*start).into()),
+        }),
+        Phase::Settled | Phase::Intended => None,
+    };
+    GroupImage {
+        name: name.to_string(),
+        seats: group.seats.iter().map(Name::to_string).collect(),
+        term: group.term.0,
+        intended: group.phase == Phase::Intended,
+        chosen,
+        primary: group.primary.as_ref().map(Name::to_string),
+        history: group.history.starts().iter().map(|&start| start.into()).collect(),
+        leases: group.leases.to_vec(),
+        generation: group.generation,
+        assigned: group.assigned,
+    }
+}
+
+fn read_group(image: &GroupImage) -> Result<(Name, Group), Report<Malformed>> {
+    let phase = match &image.chosen {
+        Some(chosen) => {
+            let start = chosen.start.ok_or(Malformed)?.into();
+            Phase::Chosen { server: name(&chosen.server)?, start }
+        }
+        None if image.intended => Phase::Intended,
+        None => Phase::Settled,
+    };
+    let mut history = History::default();
+    for start in &image.history {
+        history.begin(Term(start.term), Position(start.position));
+    }
+    let seats: Result<_, _> = image.seats.iter().map(|seat| name(seat)).collect();
+    let group = Group {
+        seats: seats?,
+        term: Term(image.term),
+        phase,
+        primary: image.primary.as_deref().map(name).transpose()?,
+        history,
+        leases: image.leases.iter().cloned().collect(),
+        generation: image.generation,
+        assigned: image.assigned,
+    };
+    Ok((name(&image.name)?, group))
+}
+
+fn write_server((name, server): (&Name, &Server)) -> ServerImage {
+    ServerImage { announce: Some(server.announce(name)), expired: server.expired }
+}
+
+fn read_server(image: &ServerImage) -> Result<(Name, Server), Report<Malformed>> {
+    let announce = image.announce.as_ref().ok_or(Malformed)?;
+    let (name, server) = Server::read(announce).ok_or(Malformed)?;
+    Ok((name, Server { expired: image.expired, ..server }))
+}
+
+fn write_change((change, answer): (&str, &Answer)) -> ChangeImage {
+    let mut image = ChangeImage { change: change.to_owned(), ..ChangeImage::default() };
+    match answer {
+        Answer::Accepted { version, index } => {
+            image.set_kind(Kind::Accepted);
+            image.version = *version;
+            image.index = *index;
+        }
+        Answer::Conflict { version } => {
+            image.set_kind(Kind::Conflict);
+            image.version = *version;
+        }
+        Answer::Invalid(faults) => {
+            image.set_kind(Kind::Invalid);
+            image.faults = serde_json::to_string(faults).expect("faults are plain values");
+        }
+    }
+    image
+}
+
+fn read_answer(image: &ChangeImage) -> Result<Answer, Report<Malformed>> {
+    match image.kind() {
+        Kind::Accepted => Ok(Answer::Accepted { version: image.version, index: image.index }),
+        Kind::Conflict => Ok(Answer::Conflict { version: image.version }),
+        Kind::Invalid => {
+            let faults: Vec<Fault> = read_json(&image.faults)?;
+            Ok(Answer::Invalid(faults))
+        }
+        Kind::Missing => Err(Report::new(Malformed)),
+    }
+}
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -3,14 +3,17 @@
 //! Members and entries hold the same state at the same index. Applying a
 //! command asks no clock and no other host.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use base::prelude::*;
 use config::{Declarations, Labels};
 use smallvec::SmallVec;
-use wire::log::Lease;
+use wire::log::{self, Lease};
+
+use crate::changes::Changes;
+use crate::lease::RESERVED_CONNECTIONS;
 
 /// All that the control log has decided, up to an index.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -27,6 +30,10 @@
     pub servers: BTreeMap<Name, Server>,
     /// Entries that live, by name.
     pub entries: BTreeMap<Name, Entry>,
+    /// Entries that an operator drains, whether they live or not.
+    pub drained: BTreeSet<Name>,
+    /// Answers to the newest changes of the declarations.
+    pub changes: Changes,
 }
 
 /// A database group.
@@ -47,6 +54,8 @@
     pub leases: SmallVec<[Lease; 2]>,
     /// Raised by each change of the leases.
     pub generation: u64,
+    /// Index of the command that changed the leases last.
+    pub assigned: u64,
 }
 
 /// How far a failover is.
@@ -104,8 +113,101 @@
 }
 
 impl Group {
-    /// The lease of an entry on this group, if it has one.
+    /// The lease of an entry on this group, if it has one; it may be that of an
+    /// earlier incarnation of the entry.
     pub fn lease(&self, entry: &str) -> Option<&Lease> {
         self.leases.iter().find(|lease| lease.entry == entry)
     }
 }
+
+impl State {
+    /// Moves over an index that holds no command.
+    pub fn skip(&mut self, index: u64) {
+        self.index = self.index.max(index);
+    }
+
+    /// Whether an announcement says something new.
+    pub fn lacks(&self, announce: &log::Announce) -> bool {
+        Server::read(announce)
+            .is_some_and(|(name, server)| self.servers.get(&name) != Some(&server))
+    }
+
+    /// Whether the declarations name a group.
+    pub fn declares(&self, group: &str) -> bool {
+        self.declarations.groups.contains_key(group)
+    }
+
+    /// Servers that make a majority of a group; zero when it is not declared.
+    pub fn majority(&self, group: &str) -> usize {
+        self.declarations.groups.get(group).map_or(0, |group| group.servers as usize / 2 + 1)
+    }
+}
+
+impl Server {
+    /// A server as its announcement gives it; `None` when a part can't be read.
+    pub fn read(announce: &log::Announce) -> Option<(Name, Self)> {
+        let mut labels = Labels::new();
+        for label in &announce.labels {
+            labels.insert(Name::new(&label.key).ok()?, Name::new(&label.value).ok()?);
+        }
+        let server = Self {
+            incarnation: announce.incarnation,
+            group: Name::new(&announce.group).ok()?,
+            address: announce.address.parse().ok()?,
+            zone: Name::new(&announce.zone).ok()?,
+            labels,
+            connections: announce.connections,
+            slots: announce.slots,
+            leaving: announce.leaving,
+            expired: false,
+        };
+        Some((Name::new(&announce.server).ok()?, server))
+    }
+
+    /// The announcement that gives this server.
+    pub fn announce(&self, name: &Name) -> log::Announce {
+        let label = |(key, value): (&Name, &Name)| log::Label {
+            key: key.to_string(),
+            value: value.to_string(),
+        };
+        log::Announce {
+            server: name.to_string(),
+            incarnation: self.incarnation,
+            group: self.group.to_string(),
+            address: self.address.to_string(),
+            zone: self.zone.to_string(),
+            labels: self.labels.iter().map(label).collect(),
+            connections: self.connections,
+            slots: self.slots,
+            leaving: self.leaving,
+        }
+    }
+
+    /// Connections that may be granted to entries.
+    pub fn grantable(&self) -> u32 {
+        self.connections.saturating_sub(RESERVED_CONNECTIONS)
+    }
+}
+
+impl Entry {
+    /// An entry as its command gives it; `None` when a part can't be read.
+    pub fn read(join: &log::Join) -> Option<(Name, Self)> {
+        let entry = Self {
+            incarnation: join.incarnation,
+            address: join.address.parse().ok()?,
+            zone: Name::new(&join.zone).ok()?,
+            draining: false,
+        };
+        Some((Name::new(&join.entry).ok()?, entry))
+    }
+
+    /// The command that gives this entry.
+    pub fn join(&self, name: &Name) -> log::Join {
+        log::Join {
+            entry: name.to_string(),
+            incarnation: self.incarnation,
+            address: self.address.to_string(),
+            zone: self.zone.to_string(),
+        }
+    }
+}
