Follow control from an entry

An entry needs the committed state and a lease. Groups given up are named in each beat until the state shows it, and a beat goes out at once when one is. cargo test -p entry: 6 passed.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,7 +1,9 @@
 //! The host of an entry: callers on one side, backend servers on the other.
 //!
+//! - [`follow`]: its link to control.
 //! - [`view`]: what this entry knows of the control log, and its lease.
 
+pub mod follow;
 pub mod view;
 
 pub use view::View;
--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -5,7 +5,7 @@
 
 use base::prelude::*;
 use control::State;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use wire::control::Symptom;
 
 /// Symptoms that may wait for the link to control; more are dropped, and a
@@ -25,6 +25,7 @@
     state: RwLock<State>,
     lease_until: AtomicU64,
     returned: Mutex<Vec<Name>>,
+    given_up: Notify,
 }
 
 /// Symptoms on their way to control.
@@ -38,6 +39,7 @@
             state: RwLock::default(),
             lease_until: AtomicU64::new(0),
             returned: Mutex::default(),
+            given_up: Notify::new(),
         };
         let changed = watch::Sender::new(0);
         (Self { shared: Arc::new(shared), changed, symptoms }, reported)
@@ -89,6 +91,13 @@
         if !returned.contains(&group) {
             returned.push(group);
         }
+        drop(returned);
+        self.shared.given_up.notify_one();
+    }
+
+    /// Waits until a group is given up.
+    pub async fn given_up(&self) {
+        self.shared.given_up.notified().await;
     }
 
     /// Groups given up since control last heard of it.
--- /dev/null
+++ b/components/entry/tests/follow.rs
@@ -0,0 +1,211 @@
+//! An entry that follows control members of one function each.
+
+use std::net::SocketAddr;
+
+use base::clock::Clock;
+use base::prelude::*;
+use entry::View;
+use entry::follow;
+use link::{Key, Peer, Purpose, Reader, Writer};
+use tokio::net::TcpListener;
+use wire::control::{self as messages, Confirm, Down, Entries, Image, Up, down, up};
+use wire::log::{Command, Drain, Join, command};
+
+const KEY: &[u8] = b"a key for tests only";
+
+fn join() -> Join {
+    Join {
+        entry: "e1".to_owned(),
+        incarnation: 7,
+        address: "127.0.0.1:1".to_owned(),
+        zone: "lansing".to_owned(),
+    }
+}
+
+fn key() -> Key {
+    Key::new(KEY).unwrap()
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+async fn accept(listener: &TcpListener) -> (Reader, Writer, messages::Follow) {
+    let (stream, _) = listener.accept().await.unwrap();
+    let own = Peer::new("c1", 1, Purpose::Control);
+    let (_, mut reader, writer) = link::accept(stream, &own, &key()).await.unwrap();
+    let first: Up = reader.next().await.unwrap().unwrap();
+    let Some(up::Body::Follow(follow)) = first.body else { panic!("a Follow is due: {first:?}") };
+    (reader, writer, follow)
+}
+
+async fn beat(reader: &mut Reader) -> messages::Beat {
+    loop {
+        let message: Up = reader.next().await.unwrap().unwrap();
+        if let Some(up::Body::Beat(beat)) = message.body {
+            return beat;
+        }
+    }
+}
+
+async fn send(writer: &mut Writer, body: down::Body) {
+    writer.send(&Down { body: Some(body) }).await.unwrap();
+}
+
+fn entries(indexes: std::ops::RangeInclusive<u64>) -> down::Body {
+    let command =
+        |on| Command { body: Some(command::Body::Drain(Drain { entry: "e9".to_owned(), on })) };
+    let entry = |index| messages::Entry { index, command: Some(command(index % 2 == 1)) };
+    let joined = Command { body: Some(command::Body::Join(join())) };
+    let mut entries: Vec<_> = indexes.map(entry).collect();
+    if let Some(first) = entries.iter_mut().find(|entry| entry.index == 1) {
+        first.command = Some(joined);
+    }
+    down::Body::Entries(Entries { entries })
+}
+
+struct Entry {
+    view: View,
+    clock: Clock,
+    handle: follow::Handle,
+}
+
+fn start(controls: Vec<SocketAddr>) -> Entry {
+    let (view, symptoms) = View::new();
+    let clock = Clock::start();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let settings = follow::Settings {
+        join: join(),
+        controls,
+        key: key(),
+        view: view.clone(),
+        symptoms,
+        clock,
+        log,
+    };
+    Entry { view, clock, handle: follow::start(settings) }
+}
+
+async fn applied(view: &View, index: u64) {
+    let mut changes = view.changes();
+    while view.read(|state| state.index) < index {
+        changes.changed().await.unwrap();
+    }
+}
+
+async fn leased(entry: &Entry) {
+    while !entry.view.leased(entry.clock.now()) {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn confirm(sequence: u64, index: u64) -> down::Body {
+    down::Body::Confirm(Confirm { sequence, index, lease_ms: 600_000 })
+}
+
+#[tokio::test]
+async fn counts_a_lease_only_once_it_has_applied_so_far() {
+    let (listener, address) = listen().await;
+    let entry = start(vec![address]);
+    let (mut reader, mut writer, follow) = accept(&listener).await;
+    assert_eq!(follow.applied, 0);
+    let first = beat(&mut reader).await;
+    send(&mut writer, confirm(first.sequence, 3)).await;
+    send(&mut writer, entries(1..=2)).await;
+    applied(&entry.view, 2).await;
+    assert_eq!(entry.view.lease_until(), Instant::ZERO);
+    send(&mut writer, entries(3..=3)).await;
+    leased(&entry).await;
+    assert!(entry.view.lease_until() <= entry.clock.now() + control::lease::LEASE);
+}
+
+#[tokio::test]
+async fn dials_again_after_a_gap_and_names_what_it_has() {
+    let (listener, address) = listen().await;
+    let entry = start(vec![address]);
+    let (_reader, mut writer, _) = accept(&listener).await;
+    send(&mut writer, entries(1..=2)).await;
+    send(&mut writer, entries(4..=4)).await;
+    let (_reader, _writer, follow) = accept(&listener).await;
+    assert_eq!(follow.applied, 2);
+    assert_eq!(entry.view.read(|state| state.index), 2);
+}
+
+#[tokio::test]
+async fn never_goes_back_to_an_older_image() {
+    let (listener, address) = listen().await;
+    let entry = start(vec![address]);
+    let (_reader, mut writer, _) = accept(&listener).await;
+    let mut old = control::State::default();
+    old.skip(2);
+    send(&mut writer, entries(1..=4)).await;
+    let bytes = old.encode();
+    let (half, length) = (bytes.len() / 2, bytes.len() as u64);
+    for (offset, piece) in [(0, &bytes[..half]), (half, &bytes[half..])] {
+        let image = Image {
+            index: 2,
+            offset: offset as u64,
+            length,
+            bytes: bytes::Bytes::copy_from_slice(piece),
+        };
+        send(&mut writer, down::Body::Image(image)).await;
+    }
+    send(&mut writer, entries(3..=5)).await;
+    applied(&entry.view, 5).await;
+    assert!(entry.view.read(|state| state.entries.contains_key("e1")));
+}
+
+#[tokio::test]
+async fn moves_to_another_member_when_one_confirms_nothing() {
+    let ((first, one), (second, two)) = (listen().await, listen().await);
+    let _entry = start(vec![one, two]);
+    let mute = tokio::select! {
+        link = accept(&first) => (link, &second),
+        link = accept(&second) => (link, &first),
+    };
+    let (_reader, _writer, follow) = accept(mute.1).await;
+    assert_eq!(follow.join, Some(join()));
+}
+
+#[tokio::test]
+async fn says_farewell_when_it_leaves() {
+    let (listener, address) = listen().await;
+    let entry = start(vec![address]);
+    let (mut reader, _writer, _) = accept(&listener).await;
+    beat(&mut reader).await;
+    entry.handle.leave().await;
+    loop {
+        let message: Option<Up> = reader.next().await.unwrap();
+        let body = message.expect("a Leave before the end").body;
+        if matches!(body, Some(up::Body::Leave(_))) {
+            break;
+        }
+    }
+}
+
+#[tokio::test]
+async fn tells_at_once_what_it_gave_up_and_until_it_is_taken() {
+    let (listener, address) = listen().await;
+    let entry = start(vec![address]);
+    let (mut reader, _writer, _) = accept(&listener).await;
+    beat(&mut reader).await;
+    entry.view.write(|state| {
+        let group = state.groups.entry(Name::new("g1").unwrap()).or_default();
+        group.leases.push(wire::log::Lease {
+            entry: "e1".to_owned(),
+            incarnation: 7,
+            shares: Vec::new(),
+            returning: true,
+        });
+    });
+    entry.view.give_up(Name::new("g1").unwrap());
+    entry.view.give_up(Name::new("g2").unwrap());
+    assert_eq!(beat(&mut reader).await.returned, ["g1"]);
+    assert_eq!(beat(&mut reader).await.returned, ["g1"]);
+    entry.view.write(|state| {
+        state.groups.clear();
+    });
+    assert!(beat(&mut reader).await.returned.is_empty());
+}
