--- /dev/null
+++ b/components/telemetry/src/cli.rs
@@ -0,0 +1,77 @@
+//! What the command lines of all programs share.
+
+use std::fmt;
+use std::process::ExitCode;
+
+use bpaf::{ParseFailure, Parser, long};
+
+use crate::log::{Format, Level};
+
+/// Exit code of a wrong argument.
+pub const USAGE: u8 = 2;
+
+/// Width of help texts in columns.
+const COLUMNS: usize = 100;
+
+/// A setting that is not allowed: which flag, its value, and what is allowed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Invalid {
+    flag: String,
+    value: String,
+    allowed: String,
+}
+
+impl Invalid {
+    /// Names the flag, its value, and what is allowed.
+    pub fn new(flag: &str, value: &str, allowed: &str) -> Self {
+        Self { flag: flag.to_owned(), value: value.to_owned(), allowed: allowed.to_owned() }
+    }
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: `{}` is not allowed, expected {}", self.flag, self.value, self.allowed)
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+/// Shows a help text, a version or an error, and gives the code to exit with.
+pub fn show(failure: ParseFailure) -> ExitCode {
+    let code = match &failure {
+        ParseFailure::Stderr(_) => ExitCode::from(USAGE),
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
+    };
+    failure.print_message(COLUMNS);
+    code
+}
+
+/// Reads a text that has a type of its own.
+///
+/// # Errors
+/// [`Invalid`], which names `flag`, `text` and `allowed`.
+pub fn read<T: std::str::FromStr>(flag: &str, text: &str, allowed: &str) -> Result<T, Invalid> {
+    text.parse().map_err(|_unreadable| Invalid::new(flag, text, allowed))
+}
+
+/// `--log-level`, or `TREFOIL_LOG_LEVEL`.
+pub fn level(fallback: Level) -> impl Parser<Level> {
+    long("log-level")
+        .env("TREFOIL_LOG_LEVEL")
+        .help("least severity that is logged: error, warning, info or debug")
+        .argument::<String>("LEVEL")
+        .parse(|text| read("--log-level", &text, "error, warning, info or debug"))
+        .fallback(fallback)
+        .display_fallback()
+}
+
+/// `--log-format`, or `TREFOIL_LOG_FORMAT`.
+pub fn format() -> impl Parser<Format> {
+    long("log-format")
+        .env("TREFOIL_LOG_FORMAT")
+        .help("form of the log: auto (human on a terminal, else json), human or json")
+        .argument::<String>("FORMAT")
+        .parse(|text| read("--log-format", &text, "auto, human or json"))
+        .fallback(Format::Auto)
+        .display_fallback()
+}
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,5 +1,6 @@
 //! Logs, metrics and health, alike in every program.
 
+pub mod cli;
 pub mod health;
 pub mod log;
 pub mod web;
