Stand in for a database group

Cause: tests and benches need a database group with terms, positions, asynchronous replication and faults, and no server of another make is at hand. Change: components/standin runs a group in this process: SQLite databases behind the PostgreSQL protocol, a replication log as a plain state machine, log and database under one lock so that a fence is a barrier, optimistic transactions that hold no lock between statements, slots, a connection limit, announcements and faults.

--- /dev/null
+++ b/components/standin/src/announce.rs
@@ -0,0 +1,81 @@
+//! How a server makes itself known to control.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use rand::{Rng, RngExt, SeedableRng};
+use serde::Serialize;
+
+use crate::server::Server;
+
+/// Time between two announcements.
+pub const PERIOD: Duration = Duration::from_millis(500);
+
+/// Longest time that one announcement may take.
+pub const TIMEOUT: Duration = Duration::from_millis(400);
+
+#[derive(Debug, Serialize)]
+struct Announcement {
+    server: Name,
+    incarnation: u64,
+    group: Name,
+    address: SocketAddr,
+    zone: Name,
+    labels: BTreeMap<Name, Name>,
+    connections: usize,
+    slots: usize,
+    leaving: bool,
+}
+
+impl Announcement {
+    fn new(server: &Server) -> Self {
+        let settings = &server.settings;
+        Self {
+            server: server.name.clone(),
+            incarnation: server.incarnation(),
+            group: settings.name.clone(),
+            address: server.address(),
+            zone: server.zone.clone(),
+            labels: settings.labels.clone(),
+            connections: settings.connections,
+            slots: settings.slots,
+            leaving: server.is_leaving(),
+        }
+    }
+}
+
+/// Announces the server to one member after another, until it is dropped.
+pub async fn run(server: Arc<Server>) {
+    let controls = &server.settings.controls;
+    if controls.is_empty() {
+        return;
+    }
+    let client = reqwest::Client::new();
+    let seed = server.settings.seed ^ u64::from(server.address().port());
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    loop {
+        let started = tokio::time::Instant::now();
+        announce(&server, &client, controls, &mut rng).await;
+        tokio::time::sleep_until(started + PERIOD).await;
+    }
+}
+
+// a member that does not answer is passed over for the next one
+async fn announce(
+    server: &Server,
+    client: &reqwest::Client,
+    controls: &[SocketAddr],
+    rng: &mut impl Rng,
+) {
+    let first = rng.random_range(0..controls.len());
+    for turn in 0..controls.len() {
+        let control = controls[(first + turn) % controls.len()];
+        let url = format!("http://{control}/v1/announce");
+        let sent = client.post(url).timeout(TIMEOUT).json(&Announcement::new(server)).send().await;
+        if sent.is_ok_and(|answer| answer.status().is_success()) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/standin/src/fault.rs
@@ -0,0 +1,64 @@
+//! Faults that can be put on a group.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// A fault, or the end of all faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The primary's process ends: its listener closes, connections break.
+    PrimaryCrash,
+    /// The primary loses its replicas; callers and probes still reach it.
+    PrimaryPartition,
+    /// Replicas show records this much later.
+    ReplicaLag(Duration),
+    /// Crashed servers start again, links and lag are as at the start.
+    Heal,
+    /// A server announces that it leaves.
+    Leave(usize),
+    /// A server's statements take this many times as long.
+    Slow(usize, u32),
+}
+
+/// A text that names no fault.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unknown {
+    /// The text as it was found.
+    pub text: String,
+}
+
+impl fmt::Display for Unknown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "`{}` is no fault: primary-crash, primary-partition, replica-lag=MS, heal, \
+             leave=SERVER or slow=SERVER:TIMES",
+            self.text
+        )
+    }
+}
+
+impl std::error::Error for Unknown {}
+
+impl FromStr for Fault {
+    type Err = Unknown;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let unknown = || Unknown { text: text.to_owned() };
+        let (name, value) = text.split_once('=').unwrap_or((text, ""));
+        let number = |text: &str| text.parse::<u64>().map_err(|_ignored| unknown());
+        Ok(match name {
+            "primary-crash" => Self::PrimaryCrash,
+            "primary-partition" => Self::PrimaryPartition,
+            "heal" => Self::Heal,
+            "replica-lag" => Self::ReplicaLag(Duration::from_millis(number(value)?)),
+            "leave" => Self::Leave(number(value)? as usize),
+            "slow" => {
+                let (server, times) = value.split_once(':').ok_or_else(unknown)?;
+                Self::Slow(number(server)? as usize, number(times)? as u32)
+            }
+            _ => return Err(unknown()),
+        })
+    }
+}
--- /dev/null
+++ b/components/standin/src/function.rs
@@ -0,0 +1,65 @@
+//! The functions that a group offers to the system.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+
+use crate::sql;
+
+/// A call of one of the functions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Function {
+    /// Reports once the version differs from `after`, or after `wait`.
+    Status {
+        /// The version that is known.
+        after: u64,
+        /// Longest wait.
+        wait: Duration,
+    },
+    /// Fences the server at a term.
+    Fence(Term),
+    /// Promotes the server in a term.
+    Promote(Term),
+    /// Follows a primary.
+    Follow {
+        /// Term of the primary.
+        term: Term,
+        /// Its address.
+        primary: SocketAddr,
+    },
+    /// Tells term and position of the last record that reads see.
+    Mark,
+}
+
+/// Reads `SELECT * FROM trefoil_NAME(ARGUMENTS)`; `None` for all else.
+pub fn read(text: &str) -> Option<Function> {
+    let lower = sql::strip(text).trim_end_matches([';', ' ', '\n']).to_ascii_lowercase();
+    let (head, rest) = lower.split_once('(')?;
+    let (arguments, tail) = rest.split_once(')')?;
+    let words: Vec<_> = head.split_whitespace().collect();
+    let ["select", "*", "from", name] = words.as_slice() else {
+        return None;
+    };
+    if !tail.trim().is_empty() {
+        return None;
+    }
+    let arguments: Vec<_> = arguments.split(',').map(str::trim).collect();
+    call(name, &arguments)
+}
+
+fn call(name: &str, arguments: &[&str]) -> Option<Function> {
+    match (name, arguments) {
+        ("trefoil_status", [after, wait]) => {
+            let wait = Duration::from_millis(wait.parse().ok()?);
+            Some(Function::Status { after: after.parse().ok()?, wait })
+        }
+        ("trefoil_fence", [term]) => Some(Function::Fence(Term(term.parse().ok()?))),
+        ("trefoil_promote", [term]) => Some(Function::Promote(Term(term.parse().ok()?))),
+        ("trefoil_follow", [term, primary]) => {
+            let primary = primary.trim_matches('\'').parse().ok()?;
+            Some(Function::Follow { term: Term(term.parse().ok()?), primary })
+        }
+        ("trefoil_mark", [""]) => Some(Function::Mark),
+        _ => None,
+    }
+}
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -1,1 +1,39 @@
-//! Placeholder head, replaced by the area's own.
+//! A stand-in of a database group, for tests and benches.
+//!
+//! All servers of a group run in this process and listen on loopback. They
+//! speak the PostgreSQL protocol over an embedded SQLite database each, copy
+//! their primary's log asynchronously, and offer the functions that a group
+//! must: status, fence, promote, follow and mark.
+//!
+//! - [`log`]: the replication log and its terms, a plain state machine.
+//! - [`store`]: the SQLite database of one server.
+//! - [`core`]: log and database of one server under one lock.
+//! - [`server`]: one server: listener, limits and faults.
+//! - [`session`]: one caller's connection.
+//! - [`stream`]: replication, from the replica's side.
+//! - [`announce`]: how a server makes itself known to control.
+//! - [`group`]: the servers of a group, and the faults put on them.
+
+pub mod announce;
+pub mod answer;
+pub mod core;
+pub mod counters;
+pub mod failure;
+pub mod fault;
+pub mod function;
+pub mod group;
+pub mod log;
+pub mod server;
+pub mod session;
+pub mod settings;
+pub mod sql;
+pub mod store;
+pub mod stream;
+pub mod transaction;
+pub mod value;
+
+pub use failure::Failure;
+pub use fault::Fault;
+pub use group::Group;
+pub use log::Log;
+pub use settings::Settings;
--- /dev/null
+++ b/components/standin/src/session.rs
@@ -0,0 +1,180 @@
+//! One caller's connection: how it opens, and the loop over its messages.
+
+use std::sync::Arc;
+
+use bytes::BytesMut;
+use pgwire::messages::response::{SslResponse, TransactionStatus};
+use pgwire::messages::startup::{Authentication, BackendKeyData, SecretKey, Startup};
+use pgwire::messages::{
+    DecodeContext, PgWireBackendMessage as Reply, PgWireFrontendMessage as Message,
+    ProtocolVersion, SslNegotiationMetaMessage,
+};
+use slog::debug;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+use crate::answer::{self, Severity};
+use crate::failure::{Rejection, State};
+use crate::server::Server;
+
+mod extended;
+mod run;
+
+pub use run::Session;
+
+const READ_BYTES: usize = 16 << 10;
+
+const PARAMETERS: [(&str, &str); 8] = [
+    ("server_version", "16.0"),
+    ("server_encoding", "UTF8"),
+    ("client_encoding", "UTF8"),
+    ("DateStyle", "ISO, MDY"),
+    ("TimeZone", "UTC"),
+    ("integer_datetimes", "on"),
+    ("standard_conforming_strings", "on"),
+    ("is_superuser", "off"),
+];
+
+/// Serves a connection until it ends or the server does; then it is reset.
+pub async fn serve(server: Arc<Server>, mut stream: TcpStream, token: CancellationToken) {
+    drop(stream.set_nodelay(true));
+    let mut data = None;
+    let ended = {
+        let mut wire = Wire::new(&mut stream);
+        let talk = talk(&server, &mut wire, &mut data);
+        token.run_until_cancelled(talk).await
+    };
+    match ended {
+        None => drop(stream.set_zero_linger()),
+        Some(Ok(())) => {}
+        Some(Err(error)) => debug!(server.log, "a connection broke"; "error" => %error),
+    }
+}
+
+/// Both directions of a connection.
+#[derive(Debug)]
+pub struct Wire<'a> {
+    stream: &'a mut TcpStream,
+    inbox: BytesMut,
+    context: DecodeContext,
+    /// Messages that wait for [`Wire::flush`].
+    pub outbox: BytesMut,
+}
+
+impl<'a> Wire<'a> {
+    fn new(stream: &'a mut TcpStream) -> Self {
+        let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+        let inbox = BytesMut::with_capacity(READ_BYTES);
+        Self { stream, inbox, context, outbox: BytesMut::new() }
+    }
+
+    async fn next(&mut self) -> std::io::Result<Option<Message>> {
+        loop {
+            let decoded = Message::decode(&mut self.inbox, &self.context);
+            if let Some(message) = decoded.map_err(std::io::Error::other)? {
+                return Ok(Some(message));
+            }
+            if self.stream.read_buf(&mut self.inbox).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    async fn flush(&mut self) -> std::io::Result<()> {
+        self.stream.write_all_buf(&mut self.outbox).await
+    }
+}
+
+async fn talk(
+    server: &Arc<Server>,
+    wire: &mut Wire<'_>,
+    data: &mut Option<CancellationToken>,
+) -> std::io::Result<()> {
+    let Some(startup) = open(server, wire).await? else {
+        return Ok(());
+    };
+    let user = startup.parameters.get("user").map_or("", String::as_str);
+    if user == backend::sql::USER {
+        return converse(server, wire, user).await;
+    }
+    let Some(_held) = server.counters.connect(server.settings.connections) else {
+        let rejection = Rejection::new(State::TooMany, "sorry, too many clients already");
+        answer::put_error(&mut wire.outbox, Severity::Fatal, &rejection);
+        return wire.flush().await;
+    };
+    let token = data.insert(server.data_token()).clone();
+    tokio::time::sleep(server.settings.connect).await;
+    let ended = token.run_until_cancelled(converse(server, wire, user)).await;
+    if let Some(ended) = ended {
+        return ended;
+    }
+    let rejection = Rejection::new(State::Shutdown, "the server was rewound");
+    answer::put_error(&mut wire.outbox, Severity::Fatal, &rejection);
+    wire.flush().await
+}
+
+// none where the connection only cancels, or ends before its start-up message
+async fn open(server: &Server, wire: &mut Wire<'_>) -> std::io::Result<Option<Startup>> {
+    loop {
+        match wire.next().await? {
+            Some(Message::SslNegotiation(SslNegotiationMetaMessage::None)) => {
+                wire.context.awaiting_frontend_ssl = false;
+            }
+            Some(Message::SslNegotiation(_)) => {
+                answer::put(&mut wire.outbox, &Reply::SslResponse(SslResponse::Refuse));
+                wire.flush().await?;
+            }
+            Some(Message::CancelRequest(cancel)) => {
+                if let SecretKey::I32(secret) = cancel.secret_key {
+                    server.cancel((cancel.pid, secret));
+                }
+                return Ok(None);
+            }
+            Some(Message::Startup(startup)) => {
+                wire.context.awaiting_frontend_startup = false;
+                return Ok(Some(startup));
+            }
+            Some(_) | None => return Ok(None),
+        }
+    }
+}
+
+async fn converse(server: &Arc<Server>, wire: &mut Wire<'_>, user: &str) -> std::io::Result<()> {
+    let (key, cancel) = server.enlist();
+    let _listed = Listed { server, key };
+    greet(&mut wire.outbox, key);
+    wire.flush().await?;
+    let mut session = Session::new(server, cancel, user == backend::sql::USER);
+    while let Some(message) = wire.next().await? {
+        let go_on = session.on(message, &mut wire.outbox).await;
+        if session.flushes() {
+            wire.flush().await?;
+        }
+        if !go_on {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+struct Listed<'a> {
+    server: &'a Server,
+    key: (i32, i32),
+}
+
+impl Drop for Listed<'_> {
+    fn drop(&mut self) {
+        self.server.dismiss(self.key);
+    }
+}
+
+fn greet(outbox: &mut BytesMut, (pid, secret): (i32, i32)) {
+    answer::put(outbox, &Reply::Authentication(Authentication::Ok));
+    for (name, value) in PARAMETERS {
+        answer::put_parameter(outbox, name, value);
+    }
+    let key = BackendKeyData::new(pid, SecretKey::I32(secret));
+    answer::put(outbox, &Reply::BackendKeyData(key));
+    answer::put_ready(outbox, TransactionStatus::Idle);
+}
--- /dev/null
+++ b/components/standin/src/session/run.rs
@@ -0,0 +1,328 @@
+//! What a session does with statements: transactions, slots, functions.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::BytesMut;
+use pgwire::messages::response::{EmptyQueryResponse, TransactionStatus};
+use pgwire::messages::{PgWireBackendMessage as Reply, PgWireFrontendMessage as Message};
+use rusqlite::Connection;
+use tokio::sync::{Notify, SemaphorePermit};
+
+use crate::answer::{self, Severity};
+use crate::counters::Held;
+use crate::failure::{Rejection, State};
+use crate::function::{self, Function};
+use crate::log::Statement;
+use crate::server::Server;
+use crate::session::extended::Extended;
+use crate::sql::{self, Command};
+use crate::store::{self, Column, Description, Output};
+use crate::transaction::{Done, Transaction};
+use crate::value::{self, Kind, Value};
+
+/// A session past its start-up.
+#[derive(Debug)]
+pub struct Session {
+    server: Arc<Server>,
+    cancel: Arc<Notify>,
+    probe: bool,
+    reader: Option<(u64, Connection)>,
+    transaction: Option<Transaction>,
+    pub(super) extended: Extended,
+    pub(super) flush: bool,
+}
+
+/// What a statement is answered with.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Its result.
+    pub output: Output,
+    /// Its tag; none for an empty statement.
+    pub tag: Option<String>,
+}
+
+impl Outcome {
+    fn bare(tag: &str) -> Self {
+        Self { output: Output::default(), tag: Some(tag.to_owned()) }
+    }
+}
+
+impl Session {
+    /// Makes a session that has run nothing yet.
+    pub fn new(server: &Arc<Server>, cancel: Arc<Notify>, probe: bool) -> Self {
+        Self {
+            server: Arc::clone(server),
+            cancel,
+            probe,
+            reader: None,
+            transaction: None,
+            extended: Extended::default(),
+            flush: false,
+        }
+    }
+
+    /// Whether what waits is to be sent now.
+    pub fn flushes(&self) -> bool {
+        self.flush
+    }
+
+    /// Takes a message; returns whether the session goes on.
+    pub async fn on(&mut self, message: Message, outbox: &mut BytesMut) -> bool {
+        self.flush = false;
+        match message {
+            Message::Query(query) => self.query(&query.query, outbox).await,
+            Message::Sync(_) => self.sync(outbox),
+            Message::Flush(_) => self.flush = true,
+            Message::Terminate(_) => return false,
+            other => self.on_extended(other, outbox).await,
+        }
+        true
+    }
+
+    async fn query(&mut self, text: &str, outbox: &mut BytesMut) {
+        let parts = sql::split(text);
+        if parts.is_empty() {
+            answer::put(outbox, &Reply::EmptyQueryResponse(EmptyQueryResponse::new()));
+        }
+        for part in parts {
+            let statement = Statement { sql: part.to_owned(), values: Vec::new() };
+            match self.execute(statement).await {
+                Ok(outcome) => put_outcome(outbox, &outcome),
+                Err(rejection) => {
+                    self.fail(&rejection, outbox);
+                    break;
+                }
+            }
+        }
+        self.sync(outbox);
+    }
+
+    /// Ends a cycle: what is not in a transaction of the caller's commits.
+    fn sync(&mut self, outbox: &mut BytesMut) {
+        self.extended.end_cycle();
+        let implicit = self.transaction.as_ref().is_some_and(|open| !open.explicit);
+        if implicit && let Err(rejection) = self.commit() {
+            answer::put_error(outbox, Severity::Error, &rejection);
+        }
+        answer::put_ready(outbox, self.status());
+        self.flush = true;
+    }
+
+    fn status(&self) -> TransactionStatus {
+        match &self.transaction {
+            None => TransactionStatus::Idle,
+            Some(open) if open.failed => TransactionStatus::Error,
+            Some(_) => TransactionStatus::Transaction,
+        }
+    }
+
+    /// Answers with an error, and fails the transaction.
+    pub(super) fn fail(&mut self, rejection: &Rejection, outbox: &mut BytesMut) {
+        answer::put_error(outbox, Severity::Error, rejection);
+        match &mut self.transaction {
+            Some(open) if open.explicit => open.failed = true,
+            open => *open = None,
+        }
+    }
+
+    /// Executes one statement.
+    pub(super) async fn execute(&mut self, statement: Statement) -> Result<Outcome, Rejection> {
+        if let Some(function) = function::read(&statement.sql) {
+            return self.call(function).await;
+        }
+        let command = sql::command(&statement.sql);
+        let failed = self.transaction.as_ref().is_some_and(|open| open.failed);
+        let ends = matches!(command, Command::Commit | Command::Rollback | Command::RollbackTo);
+        if failed && !ends {
+            let message = "current transaction is aborted, commands ignored until end of block";
+            return Err(Rejection::new(State::InFailed, message));
+        }
+        match command {
+            Command::Empty => Ok(Outcome { output: Output::default(), tag: None }),
+            Command::Begin => {
+                self.transaction.get_or_insert_default().explicit = true;
+                Ok(Outcome::bare("BEGIN"))
+            }
+            Command::Commit if !failed => {
+                let server = Arc::clone(&self.server);
+                let _busy = occupy(&server, &self.cancel, Duration::ZERO).await?;
+                self.commit().map(|()| Outcome::bare("COMMIT"))
+            }
+            Command::Commit | Command::Rollback => {
+                self.transaction = None;
+                Ok(Outcome::bare("ROLLBACK"))
+            }
+            Command::RollbackTo | Command::Savepoint => self.savepoint(statement),
+            Command::Set => Ok(Outcome::bare("SET")),
+            Command::Discard => Ok(Outcome::bare("DISCARD ALL")),
+            Command::Show(name) => Ok(show(name)),
+            Command::Refused => {
+                let message = "the stand-in does not offer this statement";
+                Err(Rejection::new(State::Unsupported, message))
+            }
+            Command::Other => self.run(statement).await,
+        }
+    }
+
+    async fn call(&mut self, function: Function) -> Result<Outcome, Rejection> {
+        let status = self.server.call(function).await?;
+        let (columns, row) = match function {
+            Function::Mark => {
+                let mark = self.server.read(|core| core.log.applied());
+                let numbers =
+                    [mark.term.0, mark.position.0].map(|n| Value::Integer(n.cast_signed()));
+                (vec!["term", "position"], numbers.to_vec())
+            }
+            _ => (backend::sql::COLUMNS.to_vec(), value::row_of(&status)),
+        };
+        let column = |name: &str| Column { name: name.to_owned(), declared: None };
+        let columns = columns.into_iter().map(column).collect();
+        let output = Output { columns, rows: vec![row], changed: 0, read: true };
+        Ok(Outcome { output, tag: Some("SELECT 1".to_owned()) })
+    }
+
+    fn savepoint(&mut self, statement: Statement) -> Result<Outcome, Rejection> {
+        let tag = sql::tag(&statement.sql, 0, 0);
+        let primary = self.server.read(|core| core.log.role()) == Role::Primary;
+        let open = self.transaction.get_or_insert_default();
+        let failed = std::mem::take(&mut open.failed);
+        if !primary {
+            return Ok(Outcome::bare(&tag));
+        }
+        let server = &self.server;
+        match server.read(|core| core.trial(open, &statement)) {
+            Ok(output) => {
+                open.done.push(Done { statement, output });
+                Ok(Outcome::bare(&tag))
+            }
+            Err(rejection) => {
+                open.failed = failed;
+                Err(rejection)
+            }
+        }
+    }
+
+    async fn run(&mut self, statement: Statement) -> Result<Outcome, Rejection> {
+        let server = Arc::clone(&self.server);
+        let _busy = occupy(&server, &self.cancel, sql::pause(&statement.sql)).await?;
+        let output = self.run_now(&statement)?;
+        let tag = sql::tag(&statement.sql, output.rows.len(), output.changed);
+        if !output.read {
+            let term = self.server.read(|core| core.log.term());
+            let open = self.transaction.get_or_insert_default();
+            open.term.get_or_insert(term);
+            open.done.push(Done { statement, output: output.clone() });
+        }
+        Ok(Outcome { output, tag: Some(tag) })
+    }
+
+    fn run_now(&mut self, statement: &Statement) -> Result<Output, Rejection> {
+        let empty = Transaction::default();
+        let wrote = self.transaction.as_ref().is_some_and(|open| !open.done.is_empty());
+        if !wrote {
+            let reader = self.reader()?;
+            if store::reads(reader, &statement.sql)? {
+                let output = store::run(reader, statement)?;
+                self.count_read();
+                return Ok(output);
+            }
+        }
+        let open = self.transaction.as_ref().unwrap_or(&empty);
+        self.server.read(|core| core.trial(open, statement))
+    }
+
+    fn count_read(&self) {
+        if !self.probe && self.transaction.is_none() {
+            let primary = self.server.read(|core| core.log.role()) == Role::Primary;
+            self.server.counters.read(primary);
+        }
+    }
+
+    fn reader(&mut self) -> Result<&Connection, Rejection> {
+        let (generation, path) = self.server.read(|core| core.database())?;
+        let current = self.reader.take().filter(|(opened, _)| *opened == generation);
+        let reader = match current {
+            Some(reader) => reader,
+            None => (generation, store::open(&path)?),
+        };
+        Ok(&self.reader.insert(reader).1)
+    }
+
+    /// Describes a statement as this session sees it.
+    pub(super) fn describe(&mut self, sql: &str) -> Result<Description, Rejection> {
+        let known = sql::command(sql) == Command::Other && function::read(sql).is_none();
+        if !known {
+            return Ok(Description::default());
+        }
+        match &self.transaction {
+            Some(open) if !open.done.is_empty() => {
+                self.server.read(|core| core.describe(open, sql))
+            }
+            _ => store::describe(self.reader()?, sql),
+        }
+    }
+
+    fn commit(&mut self) -> Result<(), Rejection> {
+        let Some(open) = self.transaction.take().filter(|open| !open.done.is_empty()) else {
+            return Ok(());
+        };
+        self.server.change(|core| core.commit(open))?;
+        self.server.counters.commit();
+        Ok(())
+    }
+}
+
+// a slot, and the time that a statement takes in it
+async fn occupy<'a>(
+    server: &'a Server,
+    cancel: &Notify,
+    pause: Duration,
+) -> Result<(SemaphorePermit<'a>, Held<'a>), Rejection> {
+    let queued = server.slots.available_permits() == 0;
+    let held = server.counters.statement(queued);
+    let work = async {
+        let permit = server.slots.acquire().await;
+        tokio::time::sleep(server.work() + pause).await;
+        permit
+    };
+    tokio::select! {
+        permit = work => match permit {
+            Ok(permit) => Ok((permit, held)),
+            Err(_closed) => Err(Rejection::new(State::Shutdown, "the server is stopping")),
+        },
+        () = cancel.notified() => {
+            let message = "canceling statement due to user request";
+            Err(Rejection::new(State::Cancelled, message))
+        }
+    }
+}
+
+fn show(name: String) -> Outcome {
+    let known = super::PARAMETERS.iter().find(|(known, _)| known.eq_ignore_ascii_case(&name));
+    let value = known.map_or("", |(_, value)| value);
+    let output = Output {
+        columns: vec![Column { name, declared: Some(Kind::Text) }],
+        rows: vec![vec![Value::Text(value.to_owned())]],
+        changed: 0,
+        read: true,
+    };
+    Outcome { output, tag: Some("SHOW".to_owned()) }
+}
+
+fn put_outcome(outbox: &mut BytesMut, outcome: &Outcome) {
+    let Some(tag) = &outcome.tag else {
+        return answer::put(outbox, &Reply::EmptyQueryResponse(EmptyQueryResponse::new()));
+    };
+    let output = &outcome.output;
+    let kinds = output.kinds();
+    if !output.columns.is_empty() {
+        let names = output.columns.iter().map(|column| column.name.clone());
+        let columns: Vec<_> = names.zip(kinds.iter().copied()).collect();
+        answer::put_columns(outbox, &columns, &[]);
+    }
+    for row in &output.rows {
+        answer::put_row(outbox, row, &kinds, &[]);
+    }
+    answer::put_complete(outbox, tag);
+}
--- /dev/null
+++ b/components/standin/src/store.rs
@@ -0,0 +1,155 @@
+//! The SQLite database of one server.
+
+use std::path::Path;
+
+use rusqlite::Connection;
+use rusqlite::functions::FunctionFlags;
+
+use crate::failure::{Rejection, State};
+use crate::log::Statement;
+use crate::value::{Kind, Value};
+
+const CACHED_STATEMENTS: usize = 256;
+const BUSY: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// A column of a result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Column {
+    /// Its name.
+    pub name: String,
+    /// Its type, where it is that of a declared column.
+    pub declared: Option<Kind>,
+}
+
+/// The result of a statement.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Output {
+    /// Columns; none for a statement that returns no rows.
+    pub columns: Vec<Column>,
+    /// Rows.
+    pub rows: Vec<Vec<Value>>,
+    /// Rows inserted, updated or deleted.
+    pub changed: u64,
+    /// Whether the statement only reads.
+    pub read: bool,
+}
+
+impl Output {
+    /// Type of a column: as declared, else by the first value that is not null.
+    pub fn kind(&self, column: usize) -> Kind {
+        let by_value = || {
+            let values = self.rows.iter().map(|row| &row[column]);
+            let first = values.into_iter().find(|value| !matches!(value, Value::Null));
+            first.map_or(Kind::Text, Kind::of_value)
+        };
+        self.columns[column].declared.unwrap_or_else(by_value)
+    }
+
+    /// Types of all columns.
+    pub fn kinds(&self) -> Vec<Kind> {
+        (0..self.columns.len()).map(|column| self.kind(column)).collect()
+    }
+}
+
+/// Opens a database; it is made where none is.
+///
+/// # Errors
+/// SQLite's own.
+pub fn open(path: &Path) -> rusqlite::Result<Connection> {
+    let connection = Connection::open(path)?;
+    connection.busy_timeout(BUSY)?;
+    connection.execute_batch("PRAGMA journal_mode = WAL; PRAGMA synchronous = OFF;")?;
+    connection.set_prepared_statement_cache_capacity(CACHED_STATEMENTS);
+    let flags = FunctionFlags::SQLITE_UTF8;
+    // the session itself waits, before the statement runs
+    connection.create_scalar_function("trefoil_sleep", 1, flags, |call| call.get::<i64>(0))?;
+    connection
+        .create_scalar_function("version", 0, flags, |_call| Ok("PostgreSQL 16.0 stand-in"))?;
+    Ok(connection)
+}
+
+/// Runs a statement and takes its whole result.
+///
+/// # Errors
+/// A rejection with the nearest SQLSTATE.
+pub fn run(connection: &Connection, statement: &Statement) -> Result<Output, Rejection> {
+    let mut prepared = connection.prepare_cached(&statement.sql)?;
+    bind(&mut prepared, &statement.values)?;
+    let read = prepared.readonly();
+    if prepared.column_count() == 0 {
+        let changed = prepared.raw_execute()? as u64;
+        return Ok(Output { changed, read, ..Output::default() });
+    }
+    let columns = columns(&prepared);
+    let mut rows = Vec::new();
+    let mut cursor = prepared.raw_query();
+    while let Some(row) = cursor.next()? {
+        let values = (0..columns.len()).map(|column| row.get(column));
+        rows.push(values.collect::<rusqlite::Result<Vec<Value>>>()?);
+    }
+    let changed = if read { 0 } else { connection.changes() };
+    Ok(Output { columns, rows, changed, read })
+}
+
+fn bind(prepared: &mut rusqlite::Statement<'_>, values: &[Value]) -> Result<(), Rejection> {
+    for index in 1..=prepared.parameter_count() {
+        let number = number(prepared, index);
+        let value = number.checked_sub(1).and_then(|at| values.get(at));
+        let missing = || Rejection::new(State::Protocol, format!("parameter ${number} is missing"));
+        prepared.raw_bind_parameter(index, value.ok_or_else(missing)?)?;
+    }
+    Ok(())
+}
+
+// the number in `$1`; SQLite counts names in the order they appear
+fn number(prepared: &rusqlite::Statement<'_>, index: usize) -> usize {
+    let name = prepared.parameter_name(index).unwrap_or_default();
+    name.trim_start_matches(['$', '?']).parse().unwrap_or(index)
+}
+
+fn columns(prepared: &rusqlite::Statement<'_>) -> Vec<Column> {
+    let column = |column: rusqlite::Column<'_>| Column {
+        name: column.name().to_owned(),
+        declared: column.decl_type().map(Kind::of_declared),
+    };
+    prepared.columns().map(column).collect()
+}
+
+/// Whether a statement only reads.
+///
+/// # Errors
+/// A rejection where it can't be prepared.
+pub fn reads(connection: &Connection, sql: &str) -> Result<bool, Rejection> {
+    Ok(connection.prepare_cached(sql)?.readonly())
+}
+
+/// A statement's parameters and result, before it runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Description {
+    /// Types of the parameters; text where nothing tells.
+    pub parameters: Vec<Kind>,
+    /// Columns and their types.
+    pub columns: Vec<(String, Kind)>,
+}
+
+/// Describes a statement. Where a column of a read is no declared one, its
+/// type is that of the first row with all parameters null.
+///
+/// # Errors
+/// A rejection where it can't be prepared.
+pub fn describe(connection: &Connection, sql: &str) -> Result<Description, Rejection> {
+    let prepared = connection.prepare_cached(sql)?;
+    let numbers = (1..=prepared.parameter_count()).map(|index| number(&prepared, index));
+    let parameters = vec![Kind::Text; numbers.max().unwrap_or_default()];
+    let mut output = Output { columns: columns(&prepared), ..Output::default() };
+    let undeclared = output.columns.iter().any(|column| column.declared.is_none());
+    if undeclared && prepared.readonly() {
+        drop(prepared);
+        let values = vec![Value::Null; parameters.len()];
+        let trial = run(connection, &Statement { sql: sql.to_owned(), values });
+        output.rows = trial.map(|trial| trial.rows).unwrap_or_default();
+    }
+    let kinds = output.kinds();
+    let names = output.columns.into_iter().map(|column| column.name);
+    Ok(Description { parameters, columns: names.zip(kinds).collect() })
+}
