--- /dev/null
+++ b/components/keeper/src/conn.rs
@@ -0,0 +1,70 @@
+//! Connections to backend servers.
+
+use base::prelude::*;
+
+use crate::event::Front;
+use crate::request::Request;
+use crate::server::Server;
+use crate::service::Service;
+
+/// Status byte of ReadyForQuery outside of a transaction.
+pub(crate) const IDLE: u8 = b'I';
+
+/// Status byte of ReadyForQuery in a transaction.
+pub(crate) const OPEN: u8 = b'T';
+
+/// A caller, by its link and session.
+pub(crate) type Owner = (Front, u64);
+
+/// One connection, as its group knows it.
+#[derive(Debug)]
+pub struct Connection {
+    pub(crate) server: Key<Server>,
+    pub(crate) work: Work,
+    /// Status byte of the last ReadyForQuery.
+    pub(crate) status: u8,
+    /// Caller whose transaction is open on it.
+    pub(crate) owner: Option<Owner>,
+    /// Term in which that transaction began.
+    pub(crate) term: Term,
+    pub(crate) service: Option<Key<Service>>,
+    pub(crate) paused: bool,
+}
+
+/// What a connection does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Work {
+    /// It is being opened.
+    Opening,
+    /// Nothing, since then.
+    Idle(Instant),
+    /// It runs a request's cycle.
+    Busy(Key<Request>),
+    /// It is asked for a mark after the request's cycle.
+    Marking(Key<Request>),
+    /// It holds a transaction open, idle since then.
+    Pinned(Instant),
+    /// It rolls back; closed if that is not confirmed by then.
+    RollingBack(Instant),
+    /// It is being closed.
+    Closing,
+}
+
+impl Connection {
+    pub(crate) fn new(server: Key<Server>) -> Self {
+        Self {
+            server,
+            work: Work::Opening,
+            status: IDLE,
+            owner: None,
+            term: Term::default(),
+            service: None,
+            paused: false,
+        }
+    }
+
+    /// Whether it takes one of the server's slots.
+    pub(crate) fn runs(&self) -> bool {
+        matches!(self.work, Work::Busy(_) | Work::Marking(_) | Work::RollingBack(_))
+    }
+}
--- /dev/null
+++ b/components/keeper/src/event.rs
@@ -0,0 +1,289 @@
+//! What a group is told, and what it asks of its host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::{Declarations, Labels};
+use wire::control::Symptom;
+use wire::data::{End, Part, Run};
+
+use crate::conn::Connection;
+
+/// A link of a front; a number is never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Front(pub u64);
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A front asks for one cycle.
+    Run {
+        /// Who asks.
+        front: Front,
+        /// The cycle.
+        run: Run,
+    },
+    /// A front takes more of an answer.
+    Credit {
+        /// Who takes.
+        front: Front,
+        /// Number of the request.
+        request: u64,
+        /// Bytes more.
+        bytes: u64,
+    },
+    /// A caller cancels a request.
+    Cancel {
+        /// Its front.
+        front: Front,
+        /// Number of the request.
+        request: u64,
+    },
+    /// A caller has gone.
+    Leave {
+        /// Its front.
+        front: Front,
+        /// Number of its session.
+        caller: u64,
+    },
+    /// A link has gone, and all its callers.
+    Gone {
+        /// The link.
+        front: Front,
+    },
+    /// A connection stands and takes statements.
+    Opened {
+        /// The connection.
+        conn: Key<Connection>,
+    },
+    /// A connection is closed, or never opened. Nothing of it follows.
+    Closed {
+        /// The connection.
+        conn: Key<Connection>,
+    },
+    /// A piece of an answer.
+    Piece {
+        /// The connection.
+        conn: Key<Connection>,
+        /// The piece.
+        piece: Piece,
+    },
+    /// ReadyForQuery came for a cycle.
+    Cycle {
+        /// The connection.
+        conn: Key<Connection>,
+        /// Its status byte: I, T or E.
+        status: u8,
+        /// Whether an error came before it.
+        failed: bool,
+    },
+    /// The server's answer to [`Effect::Mark`].
+    Marked {
+        /// The connection.
+        conn: Key<Connection>,
+        /// Last record of the server's log.
+        mark: Mark,
+    },
+    /// A server's report.
+    Status {
+        /// The report.
+        status: Status,
+        /// When it was asked for.
+        sent: Instant,
+    },
+    /// A server gave no report.
+    Unreached {
+        /// The server.
+        server: Name,
+        /// Why.
+        trouble: Trouble,
+    },
+    /// Servers, leases or declarations changed.
+    Setup(Setup),
+    /// The entry's lease was lost or gained.
+    Leased(bool),
+    /// The process is to stop: nothing new is taken.
+    Close,
+    /// Time passed.
+    Tick,
+}
+
+/// Whole server messages of one answer, without ReadyForQuery.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Piece {
+    /// The messages.
+    pub bytes: Bytes,
+    /// What is among them.
+    pub kind: Kind,
+}
+
+/// What a piece tells of its cycle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// No statement is complete by it.
+    Plain,
+    /// A statement is complete.
+    Complete,
+    /// A COMMIT is complete, or a statement that may commit by itself.
+    Commit,
+}
+
+/// Why a server gave no report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Trouble {
+    /// It refuses connections.
+    Refused,
+    /// It did not answer.
+    Silent,
+}
+
+/// What the control log says of a group.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Number of servers that a majority is counted against.
+    pub declared: u32,
+    /// Primary of the newest established term.
+    pub primary: Option<Name>,
+    /// Servers that have a seat and announced themselves.
+    pub servers: Vec<Server>,
+    /// This entry's lease on the group.
+    pub lease: Lease,
+    /// Declarations in force.
+    pub declarations: Arc<Declarations>,
+}
+
+/// An entry's lease on a group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Lease {
+    /// It has none.
+    #[default]
+    None,
+    /// It may use its shares.
+    Held,
+    /// It is to finish and give them up.
+    Returning,
+}
+
+/// A server of a [`Setup`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its name.
+    pub name: Name,
+    /// Where it takes statements.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: Name,
+    /// Its labels.
+    pub labels: Labels,
+    /// Connections that this entry may hold.
+    pub connections: u32,
+    /// Statements that this entry may run at once.
+    pub slots: u32,
+    /// Whether it is to get no new work.
+    pub leaving: bool,
+    /// Whether its announcements stopped.
+    pub expired: bool,
+}
+
+/// What the host is to do, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Open a connection; [`Event::Opened`] or [`Event::Closed`] follows.
+    Connect {
+        /// Its key.
+        conn: Key<Connection>,
+        /// Server to connect to.
+        server: Name,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Send client messages.
+    Send {
+        /// The connection.
+        conn: Key<Connection>,
+        /// The messages of one cycle.
+        bytes: Bytes,
+    },
+    /// Ask for the server's last position on this connection.
+    Mark {
+        /// The connection.
+        conn: Key<Connection>,
+    },
+    /// Close a connection; [`Event::Closed`] follows.
+    Close {
+        /// The connection.
+        conn: Key<Connection>,
+    },
+    /// Ask the server to cancel what runs on a connection.
+    Cancel {
+        /// The connection.
+        conn: Key<Connection>,
+    },
+    /// Stop reading from a connection.
+    Pause {
+        /// The connection.
+        conn: Key<Connection>,
+    },
+    /// Read from a connection again.
+    Resume {
+        /// The connection.
+        conn: Key<Connection>,
+    },
+    /// Send a part of an answer.
+    Part {
+        /// Who gets it.
+        front: Front,
+        /// The part.
+        part: Part,
+    },
+    /// Send the end of an answer.
+    End {
+        /// Who gets it.
+        front: Front,
+        /// The end.
+        end: End,
+    },
+    /// Ask a server for a report at once.
+    Sample {
+        /// The server.
+        server: Name,
+    },
+    /// Tell control what is seen of the primary.
+    Report(Symptom),
+    /// Tick at this time.
+    Wake(Instant),
+    /// The lease is given up: no connection is left.
+    GiveUp,
+    /// Count something.
+    Count(Count),
+}
+
+/// Something counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Count {
+    /// A replica served a read.
+    ReplicaRead,
+    /// The primary served a read.
+    PrimaryRead(Cause),
+    /// A request was tried again.
+    Repeat,
+    /// A connection was opened.
+    Opened,
+}
+
+/// Why a read went to the primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Cause {
+    /// No replica that the service may reach can be used.
+    NoReplica,
+    /// No replica shows the session's floor or the fresh sample.
+    Behind,
+    /// No replica is young enough.
+    Old,
+    /// The replicas that qualify have no free slot.
+    Busy,
+}
--- /dev/null
+++ b/components/keeper/src/finish.rs
@@ -0,0 +1,309 @@
+//! Ends of requests, repeats, and what passes with time.
+
+use base::prelude::*;
+use wire::data::{End, Outcome, Part, Reason};
+
+use crate::conn::{Connection, IDLE, OPEN, Owner, Work};
+use crate::event::{Count, Effect};
+use crate::fault::Fault;
+use crate::group::Group;
+use crate::request::{Attempt, Lane, Request, Stage};
+
+/// Time in which a rollback must be confirmed.
+const ROLLBACK: Duration = Duration::from_secs(1);
+
+/// `ROLLBACK` as a simple query.
+const ROLLBACK_QUERY: &[u8] = b"Q\0\0\0\x0dROLLBACK\0";
+
+/// Time after which it is worth asking again when no server could be used.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
+impl Group {
+    /// Ends a request. What was held back goes out only if it is done.
+    pub(crate) fn finish(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        outcome: Outcome,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) {
+        let end = self.end(now, key, outcome, reason);
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.end = Some(end);
+        if let Stage::Queued(lane) = request.stage {
+            let service = request.service;
+            self.unqueue(key, service, lane);
+        }
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.stage = Stage::Draining;
+        if outcome != Outcome::Done || request.orphan {
+            request.attempt.held.clear();
+        }
+        self.drain(key, out);
+    }
+
+    fn unqueue(&mut self, key: Key<Request>, service: Key<crate::service::Service>, lane: Lane) {
+        match lane {
+            Lane::Primary => self.lanes.primary.remove(service, key),
+            Lane::Spare => self.lanes.spare.remove(service, key),
+            Lane::Replica => self.lanes.replica.remove(service, key),
+        };
+    }
+
+    fn end(&mut self, now: Instant, key: Key<Request>, outcome: Outcome, reason: Reason) -> End {
+        let Some(request) = self.requests.get(key) else {
+            return End::default();
+        };
+        let attempt = &request.attempt;
+        let done = outcome == Outcome::Done;
+        let status = if done { attempt.status } else { self.status_of(request) };
+        let seen = if attempt.primary { attempt.hi } else { attempt.mark };
+        let mark = if done { seen.max(request.floor) } else { None };
+        let server = attempt.server.and_then(|server| self.servers.get(server));
+        let late = matches!(reason, Reason::Deadline | Reason::Replaced | Reason::Unavailable);
+        let reason = match reason {
+            Reason::Deadline if attempt.server.is_none() && self.usable_primary(now).is_none() => {
+                Reason::Unavailable
+            }
+            reason => reason,
+        };
+        End {
+            request: request.run.request,
+            parts: request.parts,
+            outcome: outcome as i32,
+            reason: reason as i32,
+            status: u32::from(status),
+            mark: mark.map(Into::into),
+            replica: done && !attempt.primary,
+            server: server.map_or_else(String::new, |server| server.name.to_string()),
+            retry_after_ms: if late {
+                self.backoff.spread(RETRY_AFTER).as_millis() as u64
+            } else {
+                0
+            },
+        }
+    }
+
+    /// Status byte of the caller's transaction after a request that was not done.
+    fn status_of(&self, request: &Request) -> u8 {
+        let pinned = self.pins.get(&request.owner()).and_then(|key| self.conns.get(*key));
+        let waits = matches!(request.stage, Stage::Urgent(_));
+        pinned.filter(|_| waits).map_or(IDLE, |conn| conn.status)
+    }
+
+    /// Sends what an ended request still holds, as far as its window goes.
+    pub(crate) fn drain(&mut self, key: Key<Request>, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        while request.window > 0
+            && let Some(payload) = request.attempt.held.pop_front()
+        {
+            request.window = request.window.saturating_sub(payload.len() as u64);
+            let sequence = request.parts;
+            request.parts += 1;
+            let part = Part { request: request.run.request, sequence, payload };
+            out.push(Effect::Part { front: request.front, part });
+        }
+        if !request.attempt.held.is_empty() {
+            return;
+        }
+        let parts = request.parts;
+        let Some(request) = self.requests.remove(key) else {
+            return;
+        };
+        if let Some(service) = self.services.get_mut(request.service) {
+            service.open = service.open.saturating_sub(1);
+        }
+        if request.orphan {
+            return;
+        }
+        self.numbers.remove(&(request.front, request.run.request));
+        if let Some(end) = request.end {
+            out.push(Effect::End { front: request.front, end: End { parts, ..end } });
+        }
+    }
+
+    /// Lets a request be tried again, if none of its answer went out.
+    pub(crate) fn again(&mut self, now: Instant, key: Key<Request>, out: &mut Vec<Effect>) -> bool {
+        let Some(request) = self.requests.get_mut(key) else {
+            return false;
+        };
+        let spent = self.services.get_mut(request.service).is_none_or(|s| !s.budget.spend());
+        if spent || request.parts > 0 || now >= request.deadline {
+            return false;
+        }
+        let wait = self.backoff.wait(request.tries);
+        request.tries += 1;
+        request.attempt = Attempt { status: IDLE, ..Attempt::default() };
+        request.stage = Stage::Backoff(now + wait);
+        out.push(Effect::Count(Count::Repeat));
+        true
+    }
+
+    /// Takes what time brings: deadlines, waits that are over, idle transactions.
+    pub(crate) fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        self.expire(now, out);
+        self.wake_repeats(now, out);
+        self.expire_conns(now, out);
+        self.settle(now, out);
+        self.relieve(now);
+        self.watch(now, out);
+    }
+
+    fn expire(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let typical = self.typical;
+        let hopeless = |request: &Request| match request.stage {
+            Stage::Draining => false,
+            Stage::Running(_) | Stage::Marking(_) | Stage::Acking | Stage::Doubt => {
+                now >= request.deadline
+            }
+            _ => now + typical >= request.deadline,
+        };
+        let late = self.requests.iter().filter(|(_, request)| hopeless(request));
+        let late: Vec<_> = late.map(|(key, request)| (key, request.stage)).collect();
+        for (key, stage) in late {
+            self.expire_one(now, key, stage, out);
+        }
+    }
+
+    fn expire_one(&mut self, now: Instant, key: Key<Request>, stage: Stage, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let harmless = !request.may_commit();
+        let opening = stage == Stage::Acking && !request.attempt.durable;
+        let outcome = match stage {
+            Stage::Running(_) | Stage::Marking(_) if harmless => Outcome::NotRun,
+            Stage::Acking if opening => Outcome::NotRun,
+            Stage::Running(_) | Stage::Marking(_) | Stage::Acking | Stage::Doubt => {
+                Outcome::Unknown
+            }
+            _ => Outcome::NotRun,
+        };
+        if opening {
+            self.end_transaction(now, key, out);
+        }
+        self.finish(now, key, outcome, Reason::Deadline, out);
+        if let Stage::Running(conn) | Stage::Marking(conn) = stage {
+            out.push(Effect::Cancel { conn });
+            self.shut(conn, out);
+        }
+    }
+
+    fn wake_repeats(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let due = self
+            .requests
+            .iter()
+            .filter(|(_, request)| matches!(request.stage, Stage::Backoff(until) if until <= now));
+        let due: Vec<_> = due.map(|(key, _)| key).collect();
+        for key in due {
+            if self.may_start() {
+                self.enqueue(now, key, None);
+            } else {
+                self.finish(now, key, Outcome::NotRun, Reason::Lease, out);
+            }
+        }
+    }
+
+    fn expire_conns(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let lingered = self.lingered(now);
+        let keys: Vec<_> = self.conns.iter().map(|(key, conn)| (key, conn.work)).collect();
+        for (key, work) in keys {
+            match work {
+                Work::RollingBack(until) if until <= now => self.shut(key, out),
+                Work::Pinned(since) if lingered || now.since(since) > self.idle_limit(key) => {
+                    self.abandon(now, key, out);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn idle_limit(&self, key: Key<Connection>) -> Duration {
+        let waits = self.requests.iter().any(|(_, request)| match request.stage {
+            Stage::Urgent(conn) => conn == key,
+            Stage::Acking | Stage::Draining => self.pins.get(&request.owner()) == Some(&key),
+            _ => false,
+        });
+        let service = self.conns.get(key).and_then(|conn| conn.service);
+        let limits = service.and_then(|key| self.services.get(key)).map(|s| &s.limits);
+        let limit = limits.map_or(60_000, |limits| limits.idle_transaction_ms);
+        if waits { Duration::MAX } else { Duration::from_millis(limit) }
+    }
+
+    /// Keeps a connection for the transaction that is open on it.
+    pub(crate) fn pin(
+        &mut self,
+        now: Instant,
+        key: Key<Connection>,
+        owner: Owner,
+        term: Term,
+        service: Key<crate::service::Service>,
+    ) {
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.work = Work::Pinned(now);
+            conn.owner = Some(owner);
+            conn.term = term;
+            conn.service = Some(service);
+            self.pins.insert(owner, key);
+        }
+    }
+
+    pub(crate) fn unpin(&mut self, key: Key<Connection>) {
+        let owner = self.conns.get_mut(key).and_then(|conn| conn.owner.take());
+        if let Some(owner) = owner
+            && self.pins.get(&owner) == Some(&key)
+        {
+            self.pins.remove(&owner);
+        }
+    }
+
+    /// Gives a connection back to all.
+    pub(crate) fn rest(&mut self, now: Instant, key: Key<Connection>) {
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.work = Work::Idle(now);
+        }
+    }
+
+    pub(crate) fn roll_back(&mut self, now: Instant, key: Key<Connection>, out: &mut Vec<Effect>) {
+        let early = self.breaks(Fault::EarlyReuse);
+        if let Some(conn) = self.conns.get_mut(key) {
+            conn.work = if early { Work::Idle(now) } else { Work::RollingBack(now + ROLLBACK) };
+            conn.status = OPEN;
+            let bytes = bytes::Bytes::from_static(ROLLBACK_QUERY);
+            out.push(Effect::Send { conn: key, bytes });
+        }
+        self.drop_urgent(now, key, out);
+    }
+
+    /// Closes a connection; it counts until the host says that it is closed.
+    pub(crate) fn shut(&mut self, key: Key<Connection>, out: &mut Vec<Effect>) {
+        self.unpin(key);
+        let Some(conn) = self.conns.get_mut(key).filter(|conn| conn.work != Work::Closing) else {
+            return;
+        };
+        conn.work = Work::Closing;
+        out.push(Effect::Close { conn: key });
+    }
+
+    /// Reads on for a request whose caller takes more.
+    pub(crate) fn resume(&mut self, key: Key<Request>, out: &mut Vec<Effect>) {
+        let stage = self.requests.get(key).map(|request| request.stage);
+        if let Some(Stage::Running(conn) | Stage::Marking(conn)) = stage {
+            self.resume_conn(conn, out);
+        }
+    }
+
+    pub(crate) fn resume_conn(&mut self, key: Key<Connection>, out: &mut Vec<Effect>) {
+        if let Some(conn) = self.conns.get_mut(key).filter(|conn| conn.paused) {
+            conn.paused = false;
+            out.push(Effect::Resume { conn: key });
+        }
+    }
+}
--- /dev/null
+++ b/components/keeper/src/group.rs
@@ -0,0 +1,217 @@
+//! The state of one database group, and which module takes which event.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use admit::Queue;
+use base::prelude::*;
+use config::Declarations;
+use retry::Backoff;
+use route::Ring;
+
+use crate::conn::{Connection, Owner, Work};
+use crate::event::{Effect, Event, Front, Lease};
+use crate::fault::Fault;
+use crate::health::Health;
+use crate::reads::Sampling;
+use crate::request::Request;
+use crate::server::Server;
+use crate::service::Service;
+
+/// Time between ticks while something is open.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time between ticks while nothing is.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+
+/// First and longest wait before a repeat or a new connection after a failure.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
+/// Requests that wait for a slot, by where they may run.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes {
+    pub(crate) primary: Queue<Key<Service>, Key<Request>>,
+    pub(crate) spare: Queue<Key<Service>, Key<Request>>,
+    pub(crate) replica: Queue<Key<Service>, Key<Request>>,
+}
+
+/// One database group.
+#[derive(Debug)]
+pub struct Group {
+    pub(crate) name: Name,
+    pub(crate) zone: Name,
+    pub(crate) declared: u32,
+    /// Primary that the control log names.
+    pub(crate) named: Option<Name>,
+    pub(crate) lease: Lease,
+    pub(crate) leased: bool,
+    pub(crate) closing: bool,
+    /// When the group was told to finish.
+    pub(crate) finish_from: Option<Instant>,
+    pub(crate) given_up: bool,
+    pub(crate) declarations: Arc<Declarations>,
+    pub(crate) servers: Arena<Server>,
+    pub(crate) conns: Arena<Connection>,
+    pub(crate) requests: Arena<Request>,
+    pub(crate) numbers: HashMap<(Front, u64), Key<Request>>,
+    pub(crate) pins: HashMap<Owner, Key<Connection>>,
+    pub(crate) services: Arena<Service>,
+    pub(crate) names: BTreeMap<Name, Key<Service>>,
+    pub(crate) lanes: Lanes,
+    /// Requests in stage parked.
+    pub(crate) parked: Vec<Key<Request>>,
+    /// Requests that wait for reports: acknowledgement or settlement.
+    pub(crate) open: Vec<Key<Request>>,
+    pub(crate) ring: Ring,
+    pub(crate) sampling: Sampling,
+    pub(crate) health: Health,
+    pub(crate) backoff: Backoff,
+    /// Usual run time of a cycle.
+    pub(crate) typical: Duration,
+    wake_at: Instant,
+    fault: Option<Fault>,
+}
+
+impl Group {
+    /// Makes a group that has no lease yet. `seed` is for the jitter of waits.
+    pub fn new(name: Name, zone: Name, seed: u64) -> Self {
+        Self {
+            name,
+            zone,
+            declared: 0,
+            named: None,
+            lease: Lease::None,
+            leased: false,
+            closing: false,
+            finish_from: None,
+            given_up: false,
+            declarations: Arc::default(),
+            servers: Arena::new(),
+            conns: Arena::new(),
+            requests: Arena::new(),
+            numbers: HashMap::new(),
+            pins: HashMap::new(),
+            services: Arena::new(),
+            names: BTreeMap::new(),
+            lanes: Lanes::default(),
+            parked: Vec::new(),
+            open: Vec::new(),
+            ring: Ring::default(),
+            sampling: Sampling::default(),
+            health: Health::default(),
+            backoff: Backoff::new(BACKOFF.0, BACKOFF.1, seed),
+            typical: Duration::from_millis(1),
+            wake_at: Instant::ZERO,
+            fault: None,
+        }
+    }
+
+    /// Breaks a rule.
+    #[cfg(feature = "fault")]
+    pub fn break_rule(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+    }
+
+    pub(crate) fn breaks(&self, fault: Fault) -> bool {
+        cfg!(feature = "fault") && self.fault == Some(fault)
+    }
+
+    /// Whether no request is open and no connection stands.
+    pub fn is_over(&self) -> bool {
+        self.requests.is_empty() && self.conns.is_empty()
+    }
+
+    /// Whether requests or transactions are open.
+    pub fn is_busy(&self) -> bool {
+        !self.requests.is_empty() || !self.pins.is_empty()
+    }
+
+    /// Takes an event in and puts out what follows from it.
+    pub fn on(&mut self, now: Instant, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Run { front, run } => self.run(now, front, run, out),
+            Event::Credit { front, request, bytes } => self.credit(front, request, bytes, out),
+            Event::Cancel { front, request } => self.cancel(now, front, request, out),
+            Event::Leave { front, caller } => self.leave(now, front, Some(caller), out),
+            Event::Gone { front } => self.leave(now, front, None, out),
+            Event::Opened { conn } => self.opened(now, conn),
+            Event::Closed { conn } => self.closed(now, conn, out),
+            Event::Piece { conn, piece } => self.piece(now, conn, piece, out),
+            Event::Cycle { conn, status, failed } => self.cycle(now, conn, status, failed, out),
+            Event::Marked { conn, mark } => self.marked(now, conn, mark, out),
+            Event::Status { status, sent } => self.status(now, status, sent, out),
+            Event::Unreached { server, trouble } => self.unreached(now, &server, trouble, out),
+            Event::Setup(setup) => self.set_up(now, setup, out),
+            Event::Leased(leased) => self.set_leased(now, leased, out),
+            Event::Close => self.close(now, out),
+            Event::Tick => self.tick(now, out),
+        }
+        self.pump(now, out);
+        self.sample(now, out);
+        self.give_up(out);
+        self.wake(now, out);
+    }
+
+    /// Servers whose reports make a majority.
+    pub(crate) fn majority(&self) -> usize {
+        self.declared as usize / 2 + 1
+    }
+
+    /// Whether the entry may start new work in this group.
+    pub(crate) fn may_start(&self) -> bool {
+        self.leased && self.lease == Lease::Held && !self.closing
+    }
+
+    pub(crate) fn server_named(&self, name: &Name) -> Option<Key<Server>> {
+        self.servers.iter().find(|(_, server)| server.name == *name).map(|(key, _)| key)
+    }
+
+    /// The server of the highest term that calls itself a primary, and its term.
+    pub(crate) fn primary(&self) -> Option<(Key<Server>, Term)> {
+        let primaries = self.servers.iter().filter_map(|(key, server)| {
+            let status = server.status().filter(|status| status.role == Role::Primary)?;
+            server.seated.then_some((key, status.term))
+        });
+        primaries.max_by_key(|(_, term)| *term)
+    }
+
+    /// The primary, if new work may go to it.
+    pub(crate) fn usable_primary(&self, now: Instant) -> Option<(Key<Server>, Term)> {
+        let (key, term) = self.primary()?;
+        let open = self.servers.get(key).is_some_and(|server| server.is_open(now));
+        let statuses = self.servers.iter().filter_map(|(_, server)| server.status());
+        let above = statuses.filter(|status| status.term > term).count();
+        let possible = (self.declared as usize).saturating_sub(above) >= self.majority();
+        (open && possible).then_some((key, term))
+    }
+
+    /// Statements that run on a server.
+    pub(crate) fn running(&self, server: Key<Server>) -> u32 {
+        let on = self.conns.iter().filter(|(_, conn)| conn.server == server && conn.runs());
+        on.count() as u32
+    }
+
+    /// Slots that are free on a server.
+    pub(crate) fn free_slots(&self, server: Key<Server>) -> u32 {
+        let slots = self.servers.get(server).map_or(0, |server| server.slots);
+        slots.saturating_sub(self.running(server))
+    }
+
+    /// The idle connection of a server that was used last.
+    pub(crate) fn idle(&self, server: Key<Server>) -> Option<Key<Connection>> {
+        let idle = self.conns.iter().filter_map(|(key, conn)| match conn.work {
+            Work::Idle(since) if conn.server == server => Some((since, key)),
+            _ => None,
+        });
+        idle.max().map(|(_, key)| key)
+    }
+
+    fn wake(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let soon = !self.requests.is_empty() || self.sampling.is_busy(now);
+        let at = now + if soon { TICK } else { IDLE_TICK };
+        if self.wake_at <= now || at < self.wake_at {
+            self.wake_at = at;
+            out.push(Effect::Wake(at));
+        }
+    }
+}
--- /dev/null
+++ b/components/keeper/src/intake.rs
@@ -0,0 +1,267 @@
+//! What fronts ask: requests, credit, cancels, and callers that leave.
+
+use base::prelude::*;
+use wire::data::{End, Outcome, Reason, Run};
+
+use crate::conn::{Connection, IDLE, Work};
+use crate::event::{Effect, Front, Lease};
+use crate::group::Group;
+use crate::request::{Lane, Request, Stage};
+use crate::service::Service;
+
+/// Time after which it is worth asking again when the lease is lost.
+const LEASE_RETRY: Duration = Duration::from_millis(500);
+
+/// Time after which it is worth asking again when the queue is full.
+const QUEUE_RETRY: Duration = Duration::from_millis(200);
+
+/// Why a request is not taken.
+struct Refusal {
+    reason: Reason,
+    status: u8,
+    retry_after: Duration,
+}
+
+impl Refusal {
+    fn new(reason: Reason) -> Self {
+        Self { reason, status: IDLE, retry_after: Duration::ZERO }
+    }
+
+    fn after(reason: Reason, retry_after: Duration) -> Self {
+        Self { retry_after, ..Self::new(reason) }
+    }
+}
+
+impl Group {
+    pub(crate) fn run(&mut self, now: Instant, front: Front, run: Run, out: &mut Vec<Effect>) {
+        if self.numbers.contains_key(&(front, run.request)) {
+            return;
+        }
+        let owner = (front, run.caller);
+        if !run.within
+            && let Some(conn) = self.pins.get(&owner).copied()
+        {
+            self.abandon(now, conn, out);
+        }
+        let pinned = self.pins.get(&owner).copied();
+        let service = match self.admit(&run, pinned) {
+            Ok(service) => service,
+            Err(refusal) => {
+                out.push(Effect::End { front, end: refused(&run, &refusal) });
+                return;
+            }
+        };
+        let number = run.request;
+        let key = self.requests.insert(Request::new(now, front, service, run));
+        self.numbers.insert((front, number), key);
+        if let Some(service) = self.services.get_mut(service) {
+            service.open += 1;
+            service.budget.earn();
+        }
+        self.enqueue(now, key, pinned);
+    }
+
+    /// Puts a request where it waits for its first or next try.
+    pub(crate) fn enqueue(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        pinned: Option<Key<Connection>>,
+    ) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        if let Some(conn) = pinned.filter(|_| request.run.within) {
+            request.stage = Stage::Urgent(conn);
+            let server = self.conns.get(conn).map(|conn| conn.server);
+            if let Some(server) = server.and_then(|server| self.servers.get_mut(server)) {
+                server.urgent.push_back(key);
+            }
+            return;
+        }
+        if request.is_read() {
+            request.stage = Stage::Parked;
+            self.parked.push(key);
+            self.want_for(now, key);
+            return;
+        }
+        self.queue(key, Lane::Primary);
+    }
+
+    /// Puts a request at the end of its service's flow in a lane.
+    pub(crate) fn queue(&mut self, key: Key<Request>, lane: Lane) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.stage = Stage::Queued(lane);
+        let service = request.service;
+        let weight = self.services.get(service).map_or(1, |service| service.weight);
+        match lane {
+            Lane::Primary => self.lanes.primary.push(service, weight, key),
+            Lane::Spare => self.lanes.spare.push(service, weight, key),
+            Lane::Replica => self.lanes.replica.push(service, weight, key),
+        }
+    }
+
+    pub(crate) fn credit(&mut self, front: Front, request: u64, bytes: u64, out: &mut Vec<Effect>) {
+        let Some(key) = self.numbers.get(&(front, request)).copied() else {
+            return;
+        };
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.window = request.window.saturating_add(bytes);
+        if request.stage == Stage::Draining {
+            self.drain(key, out);
+            return;
+        }
+        self.resume(key, out);
+    }
+
+    pub(crate) fn cancel(
+        &mut self,
+        now: Instant,
+        front: Front,
+        request: u64,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(key) = self.numbers.get(&(front, request)).copied() else {
+            return;
+        };
+        match self.requests.get(key).map(|request| request.stage) {
+            Some(Stage::Running(conn)) => out.push(Effect::Cancel { conn }),
+            Some(Stage::Parked | Stage::Queued(_) | Stage::Urgent(_) | Stage::Backoff(_)) => {
+                self.finish(now, key, Outcome::NotRun, Reason::Cancelled, out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Forgets one caller of a front, or all of them.
+    pub(crate) fn leave(
+        &mut self,
+        now: Instant,
+        front: Front,
+        caller: Option<u64>,
+        out: &mut Vec<Effect>,
+    ) {
+        let meant = |other: Front, number: u64| {
+            other == front && caller.is_none_or(|caller| caller == number)
+        };
+        let mine = self.requests.iter().filter(|(_, r)| meant(r.front, r.run.caller));
+        let mine: Vec<_> = mine.map(|(key, _)| key).collect();
+        for key in mine {
+            self.orphan(now, key, out);
+        }
+        let pins = self.pins.iter().filter(|((other, number), _)| meant(*other, *number));
+        let mut pins: Vec<_> = pins.map(|(_, conn)| *conn).collect();
+        pins.sort_unstable();
+        for conn in pins {
+            self.abandon(now, conn, out);
+        }
+    }
+
+    /// Lets a request go on without anyone to answer to.
+    fn orphan(&mut self, now: Instant, key: Key<Request>, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.orphan = true;
+        self.numbers.remove(&(request.front, request.run.request));
+        match request.stage {
+            Stage::Running(_) | Stage::Marking(_) => {
+                request.attempt.held.clear();
+                self.resume(key, out);
+            }
+            _ => self.finish(now, key, Outcome::NotRun, Reason::Cancelled, out),
+        }
+    }
+
+    /// Rolls an open transaction back whose caller has gone.
+    pub(crate) fn abandon(&mut self, now: Instant, key: Key<Connection>, out: &mut Vec<Effect>) {
+        self.unpin(key);
+        if let Some(Work::Pinned(_)) = self.conns.get(key).map(|conn| conn.work) {
+            self.roll_back(now, key, out);
+        }
+    }
+
+    /// The request's service, if the request may wait here at all.
+    fn admit(
+        &mut self,
+        run: &Run,
+        pinned: Option<Key<Connection>>,
+    ) -> Result<Key<Service>, Refusal> {
+        let refusal = if run.within { self.refusal_within(pinned) } else { self.refusal(run) };
+        if let Some(refusal) = refusal {
+            return Err(refusal);
+        }
+        let key = self.service(&run.service).ok_or_else(|| Refusal::new(Reason::Refused))?;
+        let full = |service: &Service| service.open >= service.limits.queue;
+        if !run.within && self.services.get(key).is_none_or(full) {
+            return Err(Refusal::after(Reason::QueueFull, QUEUE_RETRY));
+        }
+        Ok(key)
+    }
+
+    /// The service of a name; none is made that is not declared.
+    fn service(&mut self, name: &str) -> Option<Key<Service>> {
+        if let Some(key) = self.names.get(name) {
+            return Some(*key);
+        }
+        let (name, _) = self.declarations.services.get_key_value(name)?;
+        let mut service = Service::new(name.clone());
+        service.update(&self.name, &self.declarations, &self.servers);
+        let key = self.services.insert(service);
+        self.names.insert(name.clone(), key);
+        Some(key)
+    }
+
+    fn refusal(&self, run: &Run) -> Option<Refusal> {
+        if self.closing {
+            return Some(Refusal::new(Reason::Closing));
+        }
+        if self.lease != Lease::Held {
+            return Some(Refusal::new(Reason::WrongKeeper));
+        }
+        if !self.leased {
+            return Some(Refusal::after(Reason::Lease, LEASE_RETRY));
+        }
+        let opens = self.declarations.opens(&run.service, self.name.as_str());
+        (!opens).then(|| Refusal::new(Reason::Refused))
+    }
+
+    fn refusal_within(&self, pinned: Option<Key<Connection>>) -> Option<Refusal> {
+        let Some(conn) = pinned.and_then(|key| self.conns.get(key)) else {
+            return Some(Refusal::new(Reason::TransactionGone));
+        };
+        let idle = matches!(conn.work, Work::Pinned(_));
+        let waits = pinned.is_some_and(|conn| self.is_awaited(conn));
+        if idle && !waits {
+            return None;
+        }
+        // requests of one session run in turn: the front broke that
+        Some(Refusal { status: conn.status, ..Refusal::new(Reason::QueueFull) })
+    }
+
+    fn is_awaited(&self, conn: Key<Connection>) -> bool {
+        let server = self.conns.get(conn).and_then(|conn| self.servers.get(conn.server));
+        let waits = |key: &Key<Request>| {
+            self.requests.get(*key).is_some_and(|request| request.stage == Stage::Urgent(conn))
+        };
+        server.is_some_and(|server| server.urgent.iter().any(waits))
+    }
+}
+
+fn refused(run: &Run, refusal: &Refusal) -> End {
+    End {
+        request: run.request,
+        parts: 0,
+        outcome: Outcome::NotRun as i32,
+        reason: refusal.reason as i32,
+        status: u32::from(refusal.status),
+        mark: None,
+        replica: false,
+        retry_after_ms: refusal.retry_after.as_millis() as u64,
+        server: String::new(),
+    }
+}
--- /dev/null
+++ b/components/keeper/src/pump.rs
@@ -0,0 +1,279 @@
+//! What is sent next, and how many connections stand open.
+
+use admit::{Queue, Verdict};
+use base::prelude::*;
+use route::choose;
+use wire::data::{Class, Outcome, Reason};
+
+use crate::conn::{Connection, Work};
+use crate::event::{Count, Effect};
+use crate::group::Group;
+use crate::request::{Attempt, Request, Stage};
+use crate::server::Server;
+use crate::service::Service;
+
+/// Idle connections kept beyond the number of slots.
+const WARM: u32 = 1;
+
+/// Connections of one server that are opened at once.
+const OPENING: u32 = 4;
+
+/// Time after which an idle connection beyond the warm ones is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+impl Group {
+    /// Sends what can be sent and keeps connections ahead of need.
+    pub(crate) fn pump(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let servers: Vec<_> = self.servers.iter().map(|(key, _)| key).collect();
+        for server in &servers {
+            self.pump_urgent(now, *server, out);
+        }
+        if self.may_start() {
+            self.unpark(now);
+            self.pump_primary(now, out);
+            self.pump_replicas(now, out);
+        }
+        for server in &servers {
+            self.connect(now, *server, out);
+            self.trim(now, *server, out);
+        }
+    }
+
+    /// Statements of open transactions go ahead of all else.
+    fn pump_urgent(&mut self, now: Instant, key: Key<Server>, out: &mut Vec<Effect>) {
+        while self.free_slots(key).max(self.least_slots(key)) > 0 {
+            let next = self.servers.get_mut(key).and_then(|server| server.urgent.pop_front());
+            let Some(request) = next else {
+                return;
+            };
+            if let Some(conn) = self.pinned_for(request) {
+                self.send(now, request, conn, None, out);
+            }
+        }
+    }
+
+    /// The idle connection on which a request's transaction is open.
+    fn pinned_for(&self, key: Key<Request>) -> Option<Key<Connection>> {
+        let request = self.requests.get(key)?;
+        let Stage::Urgent(key) = request.stage else {
+            return None;
+        };
+        let conn = self.conns.get(key)?;
+        let free = matches!(conn.work, Work::Pinned(_)) && conn.owner == Some(request.owner());
+        free.then_some(key)
+    }
+
+    /// A transaction can finish also where the slots were taken away.
+    fn least_slots(&self, key: Key<Server>) -> u32 {
+        let shared = self.servers.get(key).is_some_and(|server| server.slots > 0);
+        u32::from(!shared && self.running(key) == 0)
+    }
+
+    fn pump_primary(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let Some((server, term)) = self.usable_primary(now) else {
+            return;
+        };
+        let mut queue = std::mem::take(&mut self.lanes.primary);
+        queue.offer(|key| self.offer_primary(now, server, term, key, out));
+        self.lanes.primary = queue;
+        if !self.lanes.primary.is_empty() {
+            return;
+        }
+        let mut queue = std::mem::take(&mut self.lanes.spare);
+        queue.offer(|key| self.offer_primary(now, server, term, key, out));
+        self.lanes.spare = queue;
+    }
+
+    fn offer_primary(
+        &mut self,
+        now: Instant,
+        server: Key<Server>,
+        term: Term,
+        key: Key<Request>,
+        out: &mut Vec<Effect>,
+    ) -> Verdict {
+        let Some(request) = self.requests.get(key) else {
+            return Verdict::Take;
+        };
+        let reached = self.services.get(request.service).is_some_and(|s| s.reaches(server));
+        if !reached && request.class != Class::Read {
+            self.finish(now, key, Outcome::NotRun, Reason::Refused, out);
+            return Verdict::Take;
+        }
+        if !reached || request.floor.is_some_and(|floor| floor.term > term) {
+            return Verdict::Skip;
+        }
+        let conn = self.idle(server).filter(|_| self.free_slots(server) > 0);
+        let Some(conn) = conn else {
+            return Verdict::Stop;
+        };
+        self.send(now, key, conn, None, out);
+        Verdict::Take
+    }
+
+    fn pump_replicas(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let mut queue = std::mem::take(&mut self.lanes.replica);
+        queue.offer(|key| self.offer_replica(now, key, out));
+        self.lanes.replica = queue;
+    }
+
+    fn offer_replica(&mut self, now: Instant, key: Key<Request>, out: &mut Vec<Effect>) -> Verdict {
+        let Some(request) = self.requests.get(key) else {
+            return Verdict::Take;
+        };
+        let mut found = self.candidates(now, request).peekable();
+        if found.peek().is_none() {
+            drop(found);
+            self.park(key);
+            return Verdict::Take;
+        }
+        let Some(best) = choose(found) else {
+            return Verdict::Skip;
+        };
+        let Some(conn) = self.idle(best.server) else {
+            return Verdict::Skip;
+        };
+        self.send(now, key, conn, best.mark, out);
+        Verdict::Take
+    }
+
+    /// Lets a read wait anew for a server that qualifies.
+    fn park(&mut self, key: Key<Request>) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.stage = Stage::Parked;
+            self.parked.push(key);
+        }
+    }
+
+    /// Sends a request on a connection that is free for it.
+    fn send(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        conn: Key<Connection>,
+        mark: Option<Mark>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(server) = self.conns.get(conn).map(|conn| conn.server) else {
+            return;
+        };
+        let attempt = self.attempt(now, key, conn, server, mark);
+        let (Some(request), Some(connection)) =
+            (self.requests.get_mut(key), self.conns.get_mut(conn))
+        else {
+            return;
+        };
+        if let Some(since) = attempt.verify {
+            self.sampling.want(since);
+        }
+        connection.work = Work::Busy(key);
+        request.attempt = attempt;
+        request.stage = Stage::Running(conn);
+        out.push(Effect::Send { conn, bytes: request.run.payload.clone() });
+        if request.is_read() {
+            let count = if request.attempt.primary {
+                Count::PrimaryRead(request.cause)
+            } else {
+                Count::ReplicaRead
+            };
+            out.push(Effect::Count(count));
+        }
+        if request.window == 0 {
+            connection.paused = true;
+            out.push(Effect::Pause { conn });
+        }
+    }
+
+    fn attempt(
+        &self,
+        now: Instant,
+        key: Key<Request>,
+        conn: Key<Connection>,
+        server: Key<Server>,
+        mark: Option<Mark>,
+    ) -> Attempt {
+        let mut attempt =
+            Attempt { server: Some(server), sent_at: now, mark, ..Attempt::default() };
+        let Some(request) = self.requests.get(key) else {
+            return attempt;
+        };
+        let status = self.servers.get(server).and_then(Server::status);
+        if let Some(status) = status {
+            attempt.incarnation = status.incarnation;
+            attempt.term = status.term;
+            attempt.lo = status.received;
+        }
+        let pinned = self.conns.get(conn).filter(|_| request.run.within);
+        if let Some(pinned) = pinned.filter(|pinned| pinned.term != attempt.term) {
+            attempt.term = pinned.term;
+            attempt.lo = Position::default();
+        }
+        attempt.primary =
+            request.run.within || self.primary().is_some_and(|(key, _)| key == server);
+        if attempt.primary && !request.run.within {
+            let blind = request.class != Class::Read && request.floor.is_none();
+            let since = if blind { Some(request.arrived) } else { request.since(now) };
+            attempt.verify = since;
+        }
+        attempt
+    }
+
+    /// Opens connections ahead of need.
+    fn connect(&mut self, now: Instant, key: Key<Server>, out: &mut Vec<Effect>) {
+        if !self.keeps_idle(key) {
+            return;
+        }
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        if now < server.connect_at || !server.answers(now) {
+            return;
+        }
+        let (limit, warm) = (server.connections, server.slots + WARM);
+        let (name, address) = (server.name.clone(), server.address);
+        let opening = self.conns.iter().filter(|(_, conn)| conn.server == key);
+        let mut opening = opening.filter(|(_, conn)| conn.work == Work::Opening).count() as u32;
+        while self.standing(key) < limit && self.count_idle(key) < warm && opening < OPENING {
+            let conn = self.conns.insert(Connection::new(key));
+            out.push(Effect::Connect { conn, server: name.clone(), address });
+            opening += 1;
+        }
+    }
+
+    /// Closes idle connections that are too many.
+    fn trim(&mut self, now: Instant, key: Key<Server>, out: &mut Vec<Effect>) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let (limit, warm) = (server.connections, server.slots + WARM);
+        let keeps = self.keeps_idle(key);
+        let idle = self.conns.iter().filter_map(|(conn, connection)| match connection.work {
+            Work::Idle(since) if connection.server == key => Some((since, conn)),
+            _ => None,
+        });
+        let mut idle: Vec<_> = idle.collect();
+        idle.sort_unstable();
+        let (mut standing, mut ready) = (self.standing(key), self.count_idle(key));
+        for (since, conn) in idle {
+            let old = ready > warm && now.since(since) > IDLE_LIMIT;
+            if keeps && standing <= limit && !old {
+                break;
+            }
+            self.shut(conn, out);
+            standing -= 1;
+            ready -= 1;
+        }
+    }
+
+    /// Charges a service for the run time of a request.
+    pub(crate) fn charge(&mut self, key: Key<Service>, primary: bool, run: Duration) {
+        let charge = |queue: &mut Queue<_, _>| queue.charge(key, run);
+        if primary {
+            charge(&mut self.lanes.primary);
+            charge(&mut self.lanes.spare);
+        } else {
+            charge(&mut self.lanes.replica);
+        }
+        self.typical = (self.typical * 7 + run) / 8;
+    }
+}
--- /dev/null
+++ b/components/keeper/src/reads.rs
@@ -0,0 +1,227 @@
+//! Verified samples of the primary, and which server serves a read.
+
+use base::prelude::*;
+use route::{Candidate, Need, Sample, qualify};
+
+use crate::event::{Cause, Effect};
+use crate::fault::Fault;
+use crate::group::Group;
+use crate::request::{Lane, Request, Stage};
+use crate::server::{Seen, Server};
+
+/// Time after which a round of samples is given up.
+const ROUND_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Time that samples go on after the last read that accepts an age.
+const AGE_TRAFFIC: Duration = Duration::from_secs(5);
+
+/// Least and longest time between background samples.
+const AGE_STEP: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(100));
+
+/// Time a read waits for a busy replica before an idle primary serves it.
+const BUSY_PATIENCE: Duration = Duration::from_millis(100);
+
+/// Rounds of samples: one serves all requests that came before it.
+#[derive(Debug, Default)]
+pub(crate) struct Sampling {
+    /// A sample taken at or after this is awaited.
+    wanted: Instant,
+    /// Start of the round that is under way.
+    round: Option<Instant>,
+    /// The youngest sample.
+    pub(crate) verified: Option<Sample>,
+    age_until: Instant,
+    age: Duration,
+}
+
+impl Sampling {
+    pub(crate) fn is_busy(&self, now: Instant) -> bool {
+        self.round.is_some() || now < self.age_until
+    }
+
+    /// Asks for a sample taken at or after `since`.
+    pub(crate) fn want(&mut self, since: Instant) {
+        self.wanted = self.wanted.max(since);
+    }
+
+    /// Notes a read that accepts an age.
+    fn note_age(&mut self, now: Instant, age: Duration) {
+        let known = if now < self.age_until { self.age } else { age };
+        self.age = known.min(age);
+        self.age_until = now + AGE_TRAFFIC;
+    }
+
+    /// Whether a sample taken at or after `since` is there.
+    pub(crate) fn covers(&self, since: Instant) -> bool {
+        self.verified.is_some_and(|sample| sample.taken >= since)
+    }
+
+    /// Whether a round is to start now.
+    fn starts(&mut self, now: Instant) -> bool {
+        if let Some(round) = self.round {
+            let open = !self.covers(round) && now.since(round) <= ROUND_TIMEOUT;
+            if open {
+                return false;
+            }
+            self.round = None;
+        }
+        let wanted = self.wanted > Instant::ZERO && !self.covers(self.wanted);
+        let step = (self.age / 4).clamp(AGE_STEP.0, AGE_STEP.1);
+        let aged = now < self.age_until && !self.covers(now - step);
+        if wanted || aged {
+            self.round = Some(now);
+        }
+        wanted || aged
+    }
+}
+
+impl Group {
+    /// Notes which samples a read needs.
+    pub(crate) fn want_for(&mut self, now: Instant, key: Key<Request>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        if request.is_fresh() {
+            self.sampling.want(request.arrived);
+        } else if request.run.age_ms > 0 {
+            self.sampling.note_age(now, Duration::from_millis(request.run.age_ms));
+        }
+    }
+
+    /// Starts a round of samples if one is due.
+    pub(crate) fn sample(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if !self.sampling.starts(now) {
+            return;
+        }
+        let seated = self.servers.iter().filter(|(_, server)| server.seated);
+        out.extend(seated.map(|(_, server)| Effect::Sample { server: server.name.clone() }));
+    }
+
+    /// Takes the newest sample that the reports give.
+    pub(crate) fn verify(&mut self) {
+        let Some(sample) = self.verified_sample() else {
+            return;
+        };
+        if !self.sampling.covers(sample.taken) || !self.same_term(sample) {
+            self.sampling.verified = Some(sample);
+            self.ring.push(sample);
+        }
+    }
+
+    fn same_term(&self, sample: Sample) -> bool {
+        self.sampling.verified.is_some_and(|known| known.mark.term == sample.mark.term)
+    }
+
+    /// The primary's position, and since when a majority stands in its term.
+    fn verified_sample(&self) -> Option<Sample> {
+        let (key, term) = self.primary()?;
+        let primary = self.servers.get(key)?.seen.as_ref()?;
+        let mark = Mark { term, position: primary.status.received };
+        if self.breaks(Fault::Unverified) {
+            return Some(Sample { taken: primary.sent, mark });
+        }
+        let seen = self.servers.iter().filter_map(|(_, server)| server.seen.as_ref());
+        let mut sent: Vec<_> =
+            seen.filter(|seen| seen.status.term == term).map(|seen| seen.sent).collect();
+        sent.sort_unstable_by(|a, b| b.cmp(a));
+        let taken = sent.get(self.majority() - 1)?;
+        Some(Sample { taken: primary.sent.min(*taken), mark })
+    }
+
+    /// Moves parked reads on whose server is clear.
+    pub(crate) fn unpark(&mut self, now: Instant) {
+        let parked = std::mem::take(&mut self.parked);
+        for key in parked {
+            let Some(request) = self.requests.get(key).filter(|r| r.stage == Stage::Parked) else {
+                continue;
+            };
+            match self.lane(now, request) {
+                Some((lane, cause)) => {
+                    self.set_cause(key, cause);
+                    self.queue(key, lane);
+                }
+                None => self.parked.push(key),
+            }
+        }
+    }
+
+    fn set_cause(&mut self, key: Key<Request>, cause: Cause) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.cause = cause;
+        }
+    }
+
+    /// Where a parked read is to queue, once that is clear.
+    fn lane(&self, now: Instant, request: &Request) -> Option<(Lane, Cause)> {
+        if self.candidates(now, request).next().is_some() {
+            return Some((Lane::Replica, Cause::Busy));
+        }
+        let since = request.since(now);
+        let sampled = since.is_none_or(|since| self.sampling.covers(since));
+        let replica = self.replicas(now, request).next().is_some();
+        let patience = Duration::from_millis(request.run.patience_ms);
+        let patient = replica && now < request.arrived + patience;
+        if !sampled || patient {
+            return None;
+        }
+        let aged = request.run.age_ms > 0 && !request.is_fresh();
+        let cause = match (replica, aged) {
+            (false, _) => Cause::NoReplica,
+            (true, true) => Cause::Old,
+            (true, false) => Cause::Behind,
+        };
+        Some((if aged { Lane::Spare } else { Lane::Primary }, cause))
+    }
+
+    /// Replicas that the request's service may reach.
+    fn replicas(
+        &self,
+        now: Instant,
+        request: &Request,
+    ) -> impl Iterator<Item = (Key<Server>, &Server, &Seen)> {
+        let service = self.services.get(request.service);
+        let primary = self.primary().map(|(key, _)| key);
+        self.servers.iter().filter_map(move |(key, server)| {
+            let seen = server.seen.as_ref()?;
+            let usable = server.is_open(now) && !server.expired && seen.sent >= server.distrusted;
+            let replica = Some(key) != primary && seen.status.role == Role::Replica;
+            let reached = service.is_some_and(|service| service.reaches(key));
+            (usable && replica && reached).then_some((key, server, seen))
+        })
+    }
+
+    /// Replicas that qualify for a read, also without a free slot.
+    pub(crate) fn candidates(
+        &self,
+        now: Instant,
+        request: &Request,
+    ) -> impl Iterator<Item = Candidate<Key<Server>>> {
+        let need = Need { floor: request.floor, since: request.since(now) };
+        self.replicas(now, request).filter_map(move |(key, server, seen)| {
+            let mark = qualify(&seen.status, need, &self.ring)?;
+            let idle = self.idle(key).is_some();
+            let free = if idle { self.free_slots(key) } else { 0 };
+            let near = server.zone == self.zone;
+            let waiting = server.urgent.len() as u32;
+            Some(Candidate { server: key, near, free, waiting, mark })
+        })
+    }
+
+    /// Moves reads that waited long for a busy replica to an idle primary.
+    pub(crate) fn relieve(&mut self, now: Instant) {
+        if !self.lanes.primary.is_empty() || self.lanes.replica.is_empty() {
+            return;
+        }
+        let long = |request: &Request| {
+            let patience = Duration::from_millis(request.run.patience_ms).max(BUSY_PATIENCE);
+            let waits = request.stage == Stage::Queued(Lane::Replica);
+            waits && now.since(request.arrived) > patience
+        };
+        let moved = self.requests.iter().filter(|(_, request)| long(request));
+        let moved: Vec<_> = moved.map(|(key, request)| (key, request.service)).collect();
+        for (key, service) in moved {
+            self.lanes.replica.remove(service, key);
+            self.queue(key, Lane::Spare);
+        }
+    }
+}
--- /dev/null
+++ b/components/keeper/src/service.rs
@@ -0,0 +1,52 @@
+//! Services, as far as a group must know them.
+
+use base::prelude::*;
+use config::model::{Declarations, Limits};
+use retry::Budget;
+use smallvec::SmallVec;
+
+use crate::server::Server;
+
+/// A service with requests at this group.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) name: Name,
+    pub(crate) weight: u32,
+    pub(crate) limits: Limits,
+    /// Requests that have not ended.
+    pub(crate) open: u32,
+    pub(crate) budget: Budget,
+    /// Servers that selectors let it reach.
+    pub(crate) reach: SmallVec<[Key<Server>; 4]>,
+}
+
+impl Service {
+    pub(crate) fn new(name: Name) -> Self {
+        let limits = Limits::default();
+        let budget = Budget::new(limits.retry_share);
+        Self { name, weight: 1, limits, open: 0, budget, reach: SmallVec::new() }
+    }
+
+    /// Takes over what the declarations say of it.
+    pub(crate) fn update(
+        &mut self,
+        group: &Name,
+        declarations: &Declarations,
+        servers: &Arena<Server>,
+    ) {
+        if let Some(declared) = declarations.services.get(&self.name) {
+            self.weight = declared.weight;
+            self.limits = declared.limits.clone();
+            self.budget.set_share(self.limits.retry_share);
+        }
+        let reached = |server: &Server| {
+            declarations.reaches(self.name.as_str(), group.as_str(), &server.labels)
+        };
+        let reach = servers.iter().filter(|(_, server)| reached(server)).map(|(key, _)| key);
+        self.reach = reach.collect();
+    }
+
+    pub(crate) fn reaches(&self, server: Key<Server>) -> bool {
+        self.reach.contains(&server)
+    }
+}
--- /dev/null
+++ b/components/keeper/src/settle.rs
@@ -0,0 +1,236 @@
+//! Acknowledgement by a majority, and what became of requests in doubt.
+
+use base::mark::Fate;
+use base::prelude::*;
+use wire::data::{Class, Outcome, Reason};
+
+use crate::conn::Work;
+use crate::event::Effect;
+use crate::fault::Fault;
+use crate::group::Group;
+use crate::request::{Attempt, Request, Stage};
+use crate::server::Server;
+
+/// A term in which a majority stands, with records of it.
+struct Established {
+    term: Term,
+    primary: Key<Server>,
+    history: History,
+}
+
+impl Group {
+    /// Takes a server's report in.
+    pub(crate) fn status(
+        &mut self,
+        now: Instant,
+        status: Status,
+        sent: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(key) = self.server_named(&status.server) else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(key) {
+            server.see(now, status, sent);
+        }
+        self.verify();
+        self.cut_replaced(now, out);
+        self.settle(now, out);
+    }
+
+    /// Ends all requests whose outcome the reports make clear.
+    pub(crate) fn settle(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if self.open.is_empty() {
+            return;
+        }
+        let established = self.established();
+        let open = std::mem::take(&mut self.open);
+        for key in open {
+            let stage = self.requests.get(key).map(|request| request.stage);
+            if !matches!(stage, Some(Stage::Acking | Stage::Doubt)) {
+                continue;
+            }
+            self.refine(key);
+            match self.judge(key, established.as_ref()) {
+                None => self.open.push(key),
+                Some((outcome, reason)) => self.conclude(now, key, outcome, reason, out),
+            }
+        }
+    }
+
+    /// Notes what newer reports tell of a request that waits.
+    fn refine(&mut self, key: Key<Request>) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        let attempt = &mut request.attempt;
+        let sample = self.sampling.verified;
+        let covered = |since: Instant| {
+            sample.is_some_and(|s| s.taken >= since && s.mark.term == attempt.term)
+        };
+        if attempt.verify.is_some_and(covered) {
+            attempt.verify = None;
+        }
+        let seen = attempt.server.and_then(|server| self.servers.get(server));
+        let Some(seen) = seen.and_then(|server| server.seen.as_ref()) else {
+            return;
+        };
+        // a later position of the same primary bounds the cycle as a mark does
+        if let (None, Some(over)) = (attempt.hi, attempt.over)
+            && attempt.durable
+            && seen.sent >= over
+            && is_same(attempt, &seen.status)
+        {
+            attempt.hi = Some(Mark { term: attempt.term, position: seen.status.received });
+        }
+    }
+
+    fn judge(
+        &self,
+        key: Key<Request>,
+        established: Option<&Established>,
+    ) -> Option<(Outcome, Reason)> {
+        let request = self.requests.get(key)?;
+        let attempt = &request.attempt;
+        if self.breaks(Fault::Resend) && request.stage == Stage::Doubt {
+            return Some((Outcome::NotRun, Reason::Broken));
+        }
+        let held = attempt.hi.is_some_and(|hi| self.is_held(attempt.server, hi));
+        if attempt.over.is_some() && (held || !attempt.durable) && attempt.verify.is_none() {
+            return Some((Outcome::Done, Reason::None));
+        }
+        if let Some(established) = established.filter(|found| found.term > attempt.term) {
+            return Some((by_history(attempt, established), Reason::Replaced));
+        }
+        let open_end = attempt.hi.is_none() && attempt.over.is_none();
+        if open_end && self.outlived(attempt) {
+            return Some((Outcome::Unknown, Reason::Broken));
+        }
+        None
+    }
+
+    /// Whether the request's primary went on after the connection broke.
+    fn outlived(&self, attempt: &Attempt) -> bool {
+        let server = attempt.server.and_then(|server| self.servers.get(server));
+        let Some(seen) = server.and_then(|server| server.seen.as_ref()) else {
+            return false;
+        };
+        let after = attempt.broken.is_some_and(|broken| seen.sent >= broken);
+        let primary = seen.status.role == Role::Primary && seen.status.term == attempt.term;
+        after && primary
+    }
+
+    /// Whether a majority holds a mark, the primary that wrote it among them.
+    fn is_held(&self, primary: Option<Key<Server>>, mark: Mark) -> bool {
+        let holds = |status: &Status| {
+            let termless = self.breaks(Fault::Termless) && status.received >= mark.position;
+            termless || status.holds(mark)
+        };
+        let own = primary.and_then(|key| self.servers.get(key)).and_then(Server::status);
+        if !own.is_some_and(holds) {
+            return false;
+        }
+        let statuses = self.servers.iter().filter_map(|(_, server)| server.status());
+        let count = statuses.filter(|status| holds(status)).count();
+        count >= self.majority() || self.breaks(Fault::PrimaryAlone)
+    }
+
+    /// The newest term in which a majority stands with records of it, so that
+    /// no later failover can change what became of earlier terms.
+    fn established(&self) -> Option<Established> {
+        let (primary, term) = self.primary()?;
+        let status = self.servers.get(primary)?.status()?;
+        let statuses = self.servers.iter().filter_map(|(_, server)| server.status());
+        let standing = statuses.filter(|s| s.term == term && s.log_term >= term).count();
+        let whole = status.log_term == term && status.history.last() == Some(term);
+        let history = status.history.clone();
+        (whole && standing >= self.majority()).then_some(Established { term, primary, history })
+    }
+
+    /// Closes connections whose cycle or transaction belongs to a term that a
+    /// majority has left.
+    fn cut_replaced(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let terms = self.servers.iter().filter_map(|(_, server)| server.status());
+        let mut terms: Vec<_> = terms.map(|status| status.term).collect();
+        terms.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(left) = terms.get(self.majority() - 1).copied() else {
+            return;
+        };
+        let replaced = self.conns.iter().filter(|(_, conn)| match conn.work {
+            Work::Busy(key) | Work::Marking(key) => {
+                self.requests.get(key).is_some_and(|r| r.attempt.primary && r.attempt.term < left)
+            }
+            Work::Pinned(_) => conn.term < left,
+            _ => false,
+        });
+        let replaced: Vec<_> = replaced.map(|(key, _)| key).collect();
+        for conn in replaced {
+            self.cut(now, conn, out);
+        }
+    }
+
+    fn conclude(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        outcome: Outcome,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let repeatable = request.class != Class::Write && reason == Reason::Replaced;
+        let repeatable = repeatable || self.breaks(Fault::Resend);
+        if outcome != Outcome::Done && repeatable && self.again(now, key, out) {
+            return;
+        }
+        if outcome != Outcome::Done {
+            self.end_transaction(now, key, out);
+        }
+        self.finish(now, key, outcome, reason, out);
+    }
+
+    /// Closes the transaction that an unproved cycle began.
+    pub(crate) fn end_transaction(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.attempt.status = crate::conn::IDLE;
+        let owner = request.owner();
+        if let Some(conn) = self.pins.get(&owner).copied() {
+            self.cut(now, conn, out);
+        }
+    }
+}
+
+fn is_same(attempt: &Attempt, status: &Status) -> bool {
+    let primary = status.role == Role::Primary && status.term == attempt.term;
+    primary && status.incarnation == attempt.incarnation
+}
+
+/// What became of a cycle by the history of a later term.
+fn by_history(attempt: &Attempt, established: &Established) -> Outcome {
+    let Some(next) = established.history.next(attempt.term) else {
+        return Outcome::Unknown;
+    };
+    if attempt.over.is_some() && !attempt.durable {
+        return Outcome::NotRun;
+    }
+    let undone = attempt.lo >= next.position;
+    if let Some(hi) = attempt.hi {
+        return match established.history.fate(hi) {
+            Fate::Survived if attempt.verify.is_none() => Outcome::Done,
+            Fate::Lost if undone => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        };
+    }
+    // without a mark it may have run in a later term of the same server
+    let only = next.term == established.term && attempt.server != Some(established.primary);
+    if undone && only { Outcome::NotRun } else { Outcome::Unknown }
+}
--- /dev/null
+++ b/components/keeper/src/setup.rs
@@ -0,0 +1,124 @@
+//! Servers, leases and declarations as the control log has them, and the end
+//! of a lease.
+
+use base::prelude::*;
+use wire::data::{Outcome, Reason};
+
+use crate::conn::Work;
+use crate::event::{Effect, Lease, Setup};
+use crate::group::Group;
+use crate::request::Stage;
+use crate::server::Server;
+
+/// Time that an open transaction may go on once its lease is to be given up.
+const LINGER: Duration = Duration::from_secs(10);
+
+impl Group {
+    pub(crate) fn set_up(&mut self, now: Instant, setup: Setup, out: &mut Vec<Effect>) {
+        self.declared = setup.declared;
+        self.named = setup.primary;
+        self.declarations = setup.declarations;
+        self.seat(now, setup.servers);
+        let services = self.services.iter_mut();
+        for (_, service) in services {
+            service.update(&self.name, &self.declarations, &self.servers);
+        }
+        self.set_lease(now, setup.lease, out);
+    }
+
+    pub(crate) fn set_leased(&mut self, now: Instant, leased: bool, out: &mut Vec<Effect>) {
+        self.leased = leased;
+        if !leased {
+            self.refuse_waiting(now, Reason::Lease, out);
+        }
+    }
+
+    pub(crate) fn close(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        self.closing = true;
+        self.finish_from.get_or_insert(now);
+        self.refuse_waiting(now, Reason::Closing, out);
+    }
+
+    /// Gives a returning lease up once no connection is left.
+    pub(crate) fn give_up(&mut self, out: &mut Vec<Effect>) {
+        let due = self.lease == Lease::Returning || self.closing;
+        if due && self.conns.is_empty() && !self.given_up {
+            self.given_up = true;
+            out.push(Effect::GiveUp);
+        }
+    }
+
+    /// Whether idle transactions have had their time.
+    pub(crate) fn lingered(&self, now: Instant) -> bool {
+        self.finish_from.is_some_and(|from| now.since(from) > LINGER)
+    }
+
+    fn set_lease(&mut self, now: Instant, lease: Lease, out: &mut Vec<Effect>) {
+        self.lease = lease;
+        if lease == Lease::Held {
+            self.given_up = false;
+            self.finish_from = if self.closing { self.finish_from } else { None };
+            return;
+        }
+        self.finish_from.get_or_insert(now);
+        self.refuse_waiting(now, Reason::WrongKeeper, out);
+    }
+
+    fn seat(&mut self, now: Instant, setups: Vec<crate::event::Server>) {
+        for (_, server) in self.servers.iter_mut() {
+            server.seated = setups.iter().any(|setup| setup.name == server.name);
+        }
+        for setup in setups {
+            match self.server_named(&setup.name) {
+                Some(key) => self.reseat(now, key, setup),
+                None => drop(self.servers.insert(Server::new(now, setup))),
+            }
+        }
+        let gone = |(key, server): (Key<Server>, &Server)| {
+            let used = self.conns.iter().any(|(_, conn)| conn.server == key);
+            (!server.seated && !used).then_some(key)
+        };
+        let gone: Vec<_> = self.servers.iter().filter_map(gone).collect();
+        for key in gone {
+            self.servers.remove(key);
+        }
+    }
+
+    fn reseat(&mut self, now: Instant, key: Key<Server>, setup: crate::event::Server) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        if server.address != setup.address {
+            server.connect_at = now;
+            server.failures = 0;
+        }
+        server.setup = setup;
+    }
+
+    /// Ends all that waits outside of a transaction.
+    fn refuse_waiting(&mut self, now: Instant, reason: Reason, out: &mut Vec<Effect>) {
+        let waits = |stage| matches!(stage, Stage::Parked | Stage::Queued(_) | Stage::Backoff(_));
+        let waiting = self.requests.iter().filter(|(_, request)| waits(request.stage));
+        let waiting: Vec<_> = waiting.map(|(key, _)| key).collect();
+        for key in waiting {
+            self.finish(now, key, Outcome::NotRun, reason, out);
+        }
+    }
+
+    /// Whether an idle connection of a server may stand at all.
+    pub(crate) fn keeps_idle(&self, server: Key<Server>) -> bool {
+        let known = self.servers.get(server);
+        self.may_start() && known.is_some_and(|server| server.seated && !server.leaving)
+    }
+
+    /// Connections of a server that stand, are opened or are being closed.
+    pub(crate) fn standing(&self, server: Key<Server>) -> u32 {
+        self.conns.iter().filter(|(_, conn)| conn.server == server).count() as u32
+    }
+
+    pub(crate) fn count_idle(&self, server: Key<Server>) -> u32 {
+        let ready = |work| matches!(work, Work::Idle(_) | Work::Opening);
+        let of = self.conns.iter().filter(|(_, conn)| conn.server == server && ready(conn.work));
+        of.count() as u32
+    }
+}
