Read callers' messages, group them into cycles and plan what a server gets

A backend connection is shared, so no state of a caller may stay on it. The shape of a message is checked before pgwire decodes it, since its decoders trust each count.

--- /dev/null
+++ b/components/pg/src/cycle.rs
@@ -0,0 +1,139 @@
+//! A caller's messages, grouped into cycles.
+//!
+//! A cycle is what one ReadyForQuery answers: one Query, or the messages of
+//! the extended protocol up to a Sync. A cycle is passed on only when it is
+//! whole, so what comes before its end never left the front.
+
+use bytes::Bytes;
+
+use crate::client::{Failure, Message};
+use crate::code::{Code, Problem};
+use crate::frame::Frame;
+use crate::scan::Feature;
+
+/// Longest cycle in bytes; it fits into one frame between two processes.
+pub const MAX_BYTES: usize = (4 << 20) - (64 << 10);
+
+/// Most messages of one cycle.
+pub const MAX_MESSAGES: usize = 65_536;
+
+/// One cycle.
+#[derive(Debug, PartialEq)]
+pub enum Cycle {
+    /// A text.
+    Query {
+        /// The text.
+        text: String,
+        /// The message as it came.
+        bytes: Bytes,
+    },
+    /// Messages of the extended protocol, without the Sync that ended them.
+    Extended(Vec<Message>),
+}
+
+/// What a message leads to.
+#[derive(Debug, PartialEq)]
+pub enum Step {
+    /// More messages are needed.
+    Wait,
+    /// A cycle is whole.
+    Run(Cycle),
+    /// An error is due now; messages up to the next Sync are passed over.
+    Refuse(Problem),
+    /// An error is due now, and the cycle ends with it.
+    Reject(Problem),
+    /// The Sync after an error: the cycle ends.
+    Recover,
+    /// The caller ends the session.
+    Terminate,
+    /// The protocol is broken: the session ends with an error.
+    Break(Problem),
+}
+
+/// A caller's side of the protocol after login.
+#[derive(Debug, Default)]
+pub struct Caller {
+    pending: Vec<Message>,
+    bytes: usize,
+    skipping: bool,
+}
+
+impl Caller {
+    /// Makes the state of a caller that has logged in.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether the caller stands between two cycles.
+    pub fn is_idle(&self) -> bool {
+        self.pending.is_empty() && !self.skipping
+    }
+
+    /// Takes one message.
+    pub fn on(&mut self, frame: &Frame) -> Step {
+        if self.skipping && !matches!(frame.kind, b'S' | b'X') {
+            return Step::Wait;
+        }
+        let message = match Message::decode(frame) {
+            Ok(message) => message,
+            Err(report) => return wrong(*report.current_context()),
+        };
+        match message {
+            Message::Terminate => Step::Terminate,
+            Message::Sync if std::mem::take(&mut self.skipping) => Step::Recover,
+            Message::Sync => Step::Run(Cycle::Extended(self.flush())),
+            Message::Flush => self.refuse(Feature::Flush.into()),
+            Message::Query(query) => self.query(query.query, frame.bytes.clone()),
+            Message::Password(_) => {
+                Step::Break(Problem::new(Code::Protocol, "a password is due at login only"))
+            }
+            Message::Uncarried if frame.kind == b'F' => Step::Break(Feature::FunctionCall.into()),
+            // what is left of a COPY that was refused
+            Message::Uncarried => Step::Wait,
+            message => self.extend(message, frame.bytes.len()),
+        }
+    }
+
+    fn flush(&mut self) -> Vec<Message> {
+        self.bytes = 0;
+        std::mem::take(&mut self.pending)
+    }
+
+    fn refuse(&mut self, problem: Problem) -> Step {
+        drop(self.flush());
+        self.skipping = true;
+        Step::Refuse(problem)
+    }
+
+    fn query(&mut self, text: String, bytes: Bytes) -> Step {
+        if !self.pending.is_empty() {
+            let message = "a Query before the Sync of the messages before it is not carried";
+            return self.refuse(Problem::new(Code::Feature, message));
+        }
+        if bytes.len() > MAX_BYTES {
+            return Step::Reject(too_long());
+        }
+        Step::Run(Cycle::Query { text, bytes })
+    }
+
+    fn extend(&mut self, message: Message, bytes: usize) -> Step {
+        self.bytes += bytes;
+        if self.bytes > MAX_BYTES || self.pending.len() >= MAX_MESSAGES {
+            return self.refuse(too_long());
+        }
+        self.pending.push(message);
+        Step::Wait
+    }
+}
+
+fn wrong(failure: Failure) -> Step {
+    let code = match failure {
+        Failure::Encoding => Code::Encoding,
+        Failure::Kind | Failure::Shape => Code::Protocol,
+    };
+    Step::Break(Problem::new(code, failure.to_string()))
+}
+
+fn too_long() -> Problem {
+    Problem::new(Code::Limit, format!("a request may have {MAX_BYTES} bytes; it was not run"))
+}
--- /dev/null
+++ b/components/pg/src/scan.rs
@@ -0,0 +1,341 @@
+//! What a text of SQL asks for, by its tokens alone.
+//!
+//! Nothing is parsed: a statement is known by its first words, and by a few
+//! words that must not stand anywhere in it.
+
+use std::borrow::Cow;
+
+use smallvec::SmallVec;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::tokenizer::{Token, Tokenizer, Whitespace};
+
+use crate::code::{Code, Problem};
+use crate::setting::{self, Local};
+
+/// Key of the comment that names the kind of a request.
+pub const KIND: &str = "kind";
+
+/// Features that a shared connection can't carry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+pub enum Feature {
+    /// LISTEN and UNLISTEN.
+    #[strum(serialize = "LISTEN and UNLISTEN are not carried")]
+    Listen,
+    /// PREPARE, EXECUTE and DEALLOCATE of one name.
+    #[strum(serialize = "PREPARE, EXECUTE and DEALLOCATE are not carried; \
+                         prepare statements by the protocol")]
+    Prepare,
+    /// PREPARE TRANSACTION and what ends one.
+    #[strum(serialize = "two-phase transactions are not carried")]
+    TwoPhase,
+    /// A cursor that outlives its transaction.
+    #[strum(serialize = "DECLARE WITH HOLD is not carried")]
+    Hold,
+    /// LOAD.
+    #[strum(serialize = "LOAD is not carried")]
+    Load,
+    /// DISCARD of less than all.
+    #[strum(serialize = "DISCARD is not carried; DISCARD ALL is")]
+    Discard,
+    /// COPY.
+    #[strum(serialize = "COPY is not carried")]
+    Copy,
+    /// Temporary tables, views and sequences.
+    #[strum(serialize = "temporary objects are not carried")]
+    Temporary,
+    /// Advisory locks that outlive their transaction.
+    #[strum(serialize = "advisory locks of a session are not carried; \
+                         those of a transaction are (pg_advisory_xact_lock)")]
+    AdvisoryLock,
+    /// Values that a sequence gave to this session.
+    #[strum(serialize = "currval and lastval are carried in a transaction only")]
+    SequenceState,
+    /// A setting of the session.
+    #[strum(serialize = "this setting can't be changed for a session; \
+                         SET LOCAL in a transaction is carried")]
+    Setting,
+    /// Statements for the front and for a server in one request.
+    #[strum(serialize = "statements about the session go in requests of their own")]
+    Mixed,
+    /// A text that has no tokens.
+    #[strum(serialize = "the statement can't be read: a quote or comment is not closed")]
+    Unreadable,
+    /// Flush without Sync.
+    #[strum(serialize = "Flush is not carried; end each cycle with Sync")]
+    Flush,
+    /// Calls of functions by number.
+    #[strum(serialize = "calls of functions by number are not carried")]
+    FunctionCall,
+    /// Replication.
+    #[strum(serialize = "replication is not carried")]
+    Replication,
+}
+
+impl From<Feature> for Problem {
+    fn from(feature: Feature) -> Self {
+        let message: &'static str = feature.into();
+        Self::new(Code::Feature, message)
+    }
+}
+
+/// What a statement does to its transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verb {
+    /// Begins one.
+    Begin,
+    /// Commits it.
+    Commit,
+    /// Rolls it back.
+    Rollback,
+    /// Rolls back to a savepoint.
+    RollbackTo,
+    /// Runs code that may commit by itself.
+    Call,
+    /// None of these.
+    Other,
+}
+
+/// A statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// Goes to a backend server.
+    Remote(Verb),
+    /// Goes to a backend server in a transaction, else is refused.
+    Within(Feature),
+    /// Is answered by the front.
+    Local(Local),
+    /// Is refused.
+    Refused(Feature),
+}
+
+/// What a text asks for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Scan {
+    /// Its statements, empty ones left out.
+    pub statements: SmallVec<[Statement; 1]>,
+    /// Kind that a comment in it names.
+    pub tag: Option<String>,
+}
+
+impl Scan {
+    /// Scans a text.
+    pub fn new(text: &str) -> Self {
+        let tokens = Tokenizer::new(&PostgreSqlDialect {}, text).with_unescape(false).tokenize();
+        let Ok(tokens) = tokens else {
+            let statements = SmallVec::from_elem(Statement::Refused(Feature::Unreadable), 1);
+            return Self { statements, tag: None };
+        };
+        let tag = tokens.iter().find_map(|token| match token {
+            Token::Whitespace(Whitespace::MultiLineComment(comment)) => kind(comment),
+            _ => None,
+        });
+        let solid: Vec<&Token> =
+            tokens.iter().filter(|token| !matches!(token, Token::Whitespace(_))).collect();
+        let parts = solid.split(|token| matches!(token, Token::SemiColon));
+        let statements = parts.filter(|part| !part.is_empty()).map(statement).collect();
+        Self { statements, tag }
+    }
+
+    /// The first reason to refuse it. `within` tells whether a transaction is open.
+    pub fn refused(&self, within: bool) -> Option<Feature> {
+        let begins = |statement: &Statement| matches!(statement, Statement::Remote(Verb::Begin));
+        let within = within || self.statements.first().is_some_and(begins);
+        let refused = self.statements.iter().find_map(|statement| match statement {
+            Statement::Refused(feature) => Some(*feature),
+            Statement::Within(feature) if !within => Some(*feature),
+            _ => None,
+        });
+        refused.or_else(|| self.is_mixed().then_some(Feature::Mixed))
+    }
+
+    /// Whether the front answers all of it.
+    pub fn is_local(&self) -> bool {
+        let local = |statement: &Statement| matches!(statement, Statement::Local(_));
+        !self.statements.is_empty() && self.statements.iter().all(local)
+    }
+
+    fn is_mixed(&self) -> bool {
+        let local = |statement: &Statement| matches!(statement, Statement::Local(_));
+        self.statements.iter().any(local) && !self.is_local()
+    }
+
+    /// Whether it commits a transaction, or may do so.
+    pub fn commits(&self) -> bool {
+        let commits = |statement: &Statement| {
+            matches!(statement, Statement::Remote(Verb::Commit | Verb::Call))
+        };
+        self.statements.iter().any(commits)
+    }
+
+    /// Whether it is one statement that ends a transaction.
+    pub fn ends(&self) -> bool {
+        let verb = |verb| self.statements[..] == [Statement::Remote(verb)];
+        verb(Verb::Commit) || verb(Verb::Rollback)
+    }
+}
+
+/// The text from its first word on, without comments before it.
+pub fn beginning(text: &str) -> &str {
+    let mut rest = text.trim_start();
+    loop {
+        let after = if let Some(comment) = rest.strip_prefix("/*") {
+            comment.find("*/").map(|end| &comment[end + 2..])
+        } else if let Some(comment) = rest.strip_prefix("--") {
+            comment.find('\n').map(|end| &comment[end + 1..])
+        } else {
+            None
+        };
+        match after {
+            Some(after) => rest = after.trim_start(),
+            None => return rest,
+        }
+    }
+}
+
+/// An unquoted word in capitals, or none.
+pub(crate) fn word<'a>(token: Option<&&'a Token>) -> Option<Cow<'a, str>> {
+    match token {
+        Some(Token::Word(word)) if word.quote_style.is_none() => {
+            let capital = !word.value.bytes().any(|byte| byte.is_ascii_lowercase());
+            Some(if capital {
+                Cow::Borrowed(word.value.as_str())
+            } else {
+                Cow::Owned(word.value.to_ascii_uppercase())
+            })
+        }
+        _ => None,
+    }
+}
+
+fn statement(tokens: &[&Token]) -> Statement {
+    if tokens.iter().any(|token| matches!(token, Token::CopyData { .. })) {
+        return Statement::Refused(Feature::Copy);
+    }
+    let words: SmallVec<[Cow<'_, str>; 4]> =
+        (0..4).map_while(|index| word(tokens.get(index))).collect();
+    let second = words.get(1).map(AsRef::as_ref);
+    let found = match words.first().map(AsRef::as_ref) {
+        Some("BEGIN" | "START") => Statement::Remote(Verb::Begin),
+        Some("COMMIT" | "END" | "ROLLBACK" | "ABORT") => end(&words),
+        Some("CALL" | "DO") => Statement::Remote(Verb::Call),
+        Some("LISTEN" | "UNLISTEN") => Statement::Refused(Feature::Listen),
+        Some("PREPARE") if second == Some("TRANSACTION") => Statement::Refused(Feature::TwoPhase),
+        Some("DEALLOCATE") if words.last().is_some_and(|last| last == "ALL") => {
+            Statement::Local(Local::DeallocateAll)
+        }
+        Some("PREPARE" | "EXECUTE" | "DEALLOCATE") => Statement::Refused(Feature::Prepare),
+        Some("DISCARD") if second == Some("ALL") => Statement::Local(Local::DiscardAll),
+        Some("DISCARD") => Statement::Refused(Feature::Discard),
+        Some("LOAD") => Statement::Refused(Feature::Load),
+        Some("COPY") => Statement::Refused(Feature::Copy),
+        Some("DECLARE") if has_pair(tokens, "WITH", &["HOLD"]) => Statement::Refused(Feature::Hold),
+        Some("CREATE") if is_temporary(&words) => Statement::Refused(Feature::Temporary),
+        Some("SELECT" | "WITH") if has_pair(tokens, "INTO", &["TEMP", "TEMPORARY"]) => {
+            Statement::Refused(Feature::Temporary)
+        }
+        Some("SET") => setting::set(&tokens[1..]),
+        Some("RESET") => setting::reset(&tokens[1..]),
+        Some("SHOW") => setting::show(&tokens[1..]),
+        _ => Statement::Remote(Verb::Other),
+    };
+    match found {
+        Statement::Remote(_) => functions(tokens).unwrap_or(found),
+        _ => found,
+    }
+}
+
+fn end(words: &[Cow<'_, str>]) -> Statement {
+    let has = |wanted: &str| words.iter().any(|word| word == wanted);
+    let commit = words[0] == "COMMIT" || words[0] == "END";
+    match commit {
+        _ if has("PREPARED") => Statement::Refused(Feature::TwoPhase),
+        true => Statement::Remote(Verb::Commit),
+        false if has("TO") => Statement::Remote(Verb::RollbackTo),
+        false => Statement::Remote(Verb::Rollback),
+    }
+}
+
+fn is_temporary(words: &[Cow<'_, str>]) -> bool {
+    let mut words = words.iter().skip(1).map(AsRef::as_ref);
+    let kind = words.find(|word| !["GLOBAL", "LOCAL", "OR", "REPLACE"].contains(word));
+    matches!(kind, Some("TEMP" | "TEMPORARY"))
+}
+
+fn has_pair(tokens: &[&Token], first: &str, second: &[&str]) -> bool {
+    tokens.windows(2).any(|pair| {
+        let follows = word(pair.get(1)).is_some_and(|word| second.contains(&word.as_ref()));
+        follows && word(pair.first()).is_some_and(|word| word == first)
+    })
+}
+
+/// Functions that leave something in the session.
+fn functions(tokens: &[&Token]) -> Option<Statement> {
+    tokens.iter().enumerate().find_map(|(index, token)| {
+        let Token::Word(word) = token else {
+            return None;
+        };
+        let name = word.value.to_ascii_lowercase();
+        let called = matches!(tokens.get(index + 1), Some(Token::LParen));
+        match name.as_str() {
+            "pg_temp" => Some(Statement::Refused(Feature::Temporary)),
+            "set_config" if called && !is_local_config(&tokens[index..]) => {
+                Some(Statement::Refused(Feature::Setting))
+            }
+            "currval" | "lastval" if called => Some(Statement::Within(Feature::SequenceState)),
+            _ if called && is_session_lock(&name) => {
+                Some(Statement::Refused(Feature::AdvisoryLock))
+            }
+            _ => None,
+        }
+    })
+}
+
+fn is_session_lock(name: &str) -> bool {
+    let lock = name.strip_prefix("pg_try_advisory_").or(name.strip_prefix("pg_advisory_"));
+    lock.is_some_and(|lock| !lock.starts_with("xact_"))
+}
+
+/// Whether a call of `set_config` ends in `true)`: until the transaction's end.
+fn is_local_config(tokens: &[&Token]) -> bool {
+    let mut depth = 0_u32;
+    for pair in tokens.windows(2) {
+        match pair[1] {
+            Token::LParen => depth += 1,
+            Token::RParen if depth == 1 => {
+                return word(pair.first()).is_some_and(|word| word == "TRUE");
+            }
+            Token::RParen => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+    }
+    false
+}
+
+/// The value of [`KIND`] in a comment of the sqlcommenter form.
+fn kind(comment: &str) -> Option<String> {
+    comment.split(',').find_map(|pair| {
+        let (key, value) = pair.trim().split_once('=')?;
+        if decode(key.trim())? != KIND {
+            return None;
+        }
+        let value = value.trim().strip_prefix('\'')?.strip_suffix('\'')?;
+        decode(value)
+    })
+}
+
+/// Decodes `%XX`.
+fn decode(text: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        rest = after;
+        if *first == b'%' {
+            let digits = std::str::from_utf8(rest.get(..2)?).ok()?;
+            bytes.push(u8::from_str_radix(digits, 16).ok()?);
+            rest = &rest[2..];
+        } else {
+            bytes.push(*first);
+        }
+    }
+    String::from_utf8(bytes).ok()
+}
--- /dev/null
+++ b/components/pg/src/startup.rs
@@ -0,0 +1,134 @@
+//! The packets before login.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use bytes::BytesMut;
+use error_stack::{Report, ResultExt};
+use pgwire::messages::cancel::CancelRequest;
+use pgwire::messages::startup::{GssEncRequest, SslRequest, Startup};
+use pgwire::messages::{DecodeContext, Message, ProtocolVersion};
+
+/// Longest packet before login in bytes.
+pub const MAX_BYTES: usize = 10_000;
+
+const HEAD_BYTES: usize = 8;
+
+/// Least length of a cancel request: head, process and a secret of four bytes.
+const CANCEL_BYTES: usize = 16;
+
+/// Bytes that start no session.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+pub enum Failure {
+    /// The length is out of bounds.
+    #[strum(to_string = "a start-up packet has no such length")]
+    Length,
+    /// It can't be read.
+    #[strum(to_string = "the start-up packet can't be read")]
+    Garbled,
+}
+
+impl std::error::Error for Failure {}
+
+/// A packet before login.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Packet {
+    /// Asks for TLS.
+    Tls,
+    /// Asks for GSSAPI encryption.
+    Gss,
+    /// Asks to cancel what a session runs.
+    Cancel(Target),
+    /// Starts a session.
+    Start(Start),
+}
+
+/// The session that a cancel request names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Target {
+    /// Number of the session.
+    pub process: i32,
+    /// Its secret.
+    pub secret: i32,
+}
+
+/// The start of a session.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Start {
+    /// Minor version of the protocol that the caller asks for.
+    pub minor: u16,
+    /// Parameters by name.
+    pub parameters: BTreeMap<String, String>,
+}
+
+impl Start {
+    /// A parameter that is given and not empty.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.parameters.get(name).map(String::as_str).filter(|value| !value.is_empty())
+    }
+
+    /// Settings given as `-c name=value` in the parameter `options`.
+    pub fn options(&self) -> impl Iterator<Item = (&str, &str)> {
+        let words = self.get("options").unwrap_or_default().split_whitespace();
+        let settings = words.filter(|word| *word != "-c" && *word != "--");
+        settings.filter_map(|word| {
+            let word = word.strip_prefix("-c").or(word.strip_prefix("--")).unwrap_or(word);
+            word.split_once('=')
+        })
+    }
+
+    /// Parameters of the protocol itself that this release does not know.
+    pub fn unknown(&self) -> impl Iterator<Item = &str> {
+        self.parameters.keys().map(String::as_str).filter(|name| name.starts_with("_pq_."))
+    }
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.process)
+    }
+}
+
+/// Takes the first packet, if it is whole.
+///
+/// # Errors
+/// Each [`Failure`].
+pub fn take(buffer: &mut BytesMut) -> Result<Option<Packet>, Report<Failure>> {
+    let Some(head) = buffer.first_chunk::<HEAD_BYTES>() else {
+        return Ok(None);
+    };
+    let length = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    if !(HEAD_BYTES..=MAX_BYTES).contains(&length) {
+        return Err(Report::new(Failure::Length));
+    }
+    if buffer.len() < length {
+        return Ok(None);
+    }
+    let mut packet = buffer.split_to(length);
+    decode(&mut packet).map(Some)
+}
+
+fn decode(packet: &mut BytesMut) -> Result<Packet, Report<Failure>> {
+    if SslRequest::is_ssl_request_packet(packet) {
+        return Ok(Packet::Tls);
+    }
+    if GssEncRequest::is_gss_enc_request_packet(packet) {
+        return Ok(Packet::Gss);
+    }
+    let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    if CancelRequest::is_cancel_request_packet(packet) {
+        if packet.len() != CANCEL_BYTES {
+            return Err(Report::new(Failure::Garbled));
+        }
+        let request = CancelRequest::decode(packet, &context).change_context(Failure::Garbled)?;
+        let request = request.ok_or(Failure::Garbled)?;
+        let secret = request.secret_key.as_i32().ok_or(Failure::Garbled)?;
+        return Ok(Packet::Cancel(Target { process: request.pid, secret }));
+    }
+    if packet.last() != Some(&0) {
+        return Err(Report::new(Failure::Garbled));
+    }
+    let start = Startup::decode(packet, &context).change_context(Failure::Garbled)?;
+    let start = start.ok_or(Failure::Garbled)?;
+    Ok(Packet::Start(Start { minor: start.protocol_number_minor, parameters: start.parameters }))
+}
