--- /dev/null
+++ b/components/entry/src/front/admit.rs
@@ -0,0 +1,75 @@
+//! What the declarations say of a request.
+
+use config::Rule;
+use config::model::Class;
+use control::State;
+use pg::scan::{Scan, Statement, Verb, beginning};
+
+use base::prelude::*;
+use pg::{Code, Problem};
+
+/// How a request is to be run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Admission {
+    /// Its rule.
+    pub rule: Rule,
+    /// Time that it may take in all.
+    pub deadline: Duration,
+    /// Version of the declarations.
+    pub version: u64,
+}
+
+/// Whether a service may use a group, and why not.
+pub fn opens(state: &State, service: &str, group: &str) -> Result<(), Problem> {
+    let declarations = &state.declarations;
+    if !declarations.services.contains_key(service) {
+        let message = format!("service `{service}` is not declared");
+        return Err(Problem::new(Code::Login, message));
+    }
+    if !declarations.groups.contains_key(group) {
+        let message = format!("database group `{group}` is not declared");
+        return Err(Problem::new(Code::Database, message));
+    }
+    if !declarations.opens(service, group) {
+        let message = format!("no selector opens group `{group}` to service `{service}`");
+        return Err(Problem::new(Code::Login, message));
+    }
+    Ok(())
+}
+
+/// The rule of a request that consists of these texts.
+///
+/// Texts that differ in their rule, and one that begins or ends a transaction,
+/// are run as undeclared; so are several statements in one text without a tag.
+pub fn admit<'a>(
+    state: &State,
+    service: &str,
+    group: &str,
+    texts: impl Iterator<Item = (&'a str, &'a Scan)>,
+) -> Result<Admission, Problem> {
+    opens(state, service, group)?;
+    let mut rules = texts.map(|(text, scan)| rule(state, service, group, text, scan));
+    let first = rules.next().unwrap_or(Rule::UNDECLARED);
+    let rule = if rules.all(|rule| rule == first) { first } else { Rule::UNDECLARED };
+    let limits = state.declarations.services.get(service);
+    let deadline = limits.map_or(Duration::ZERO, config::Service::deadline);
+    Ok(Admission { rule, deadline, version: state.version })
+}
+
+fn rule(state: &State, service: &str, group: &str, text: &str, scan: &Scan) -> Rule {
+    let plain = |statement: &Statement| matches!(statement, Statement::Remote(Verb::Other));
+    let single = scan.statements.len() == 1;
+    if !scan.statements.iter().all(plain) || !(single || scan.tag.is_some()) {
+        return Rule::UNDECLARED;
+    }
+    state.declarations.rule(service, group, scan.tag.as_deref(), beginning(text))
+}
+
+/// The class as a keeper is told.
+pub fn class(class: Class) -> wire::data::Class {
+    match class {
+        Class::Write => wire::data::Class::Write,
+        Class::Idempotent => wire::data::Class::Idempotent,
+        Class::Read => wire::data::Class::Read,
+    }
+}
--- /dev/null
+++ b/components/entry/src/front/caller.rs
@@ -0,0 +1,234 @@
+//! The task of one caller, from login to the end of its session.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use pg::client::Message;
+use pg::cycle::{MAX_BYTES, Step};
+use pg::frame::Frame;
+use pg::prepared::Plan;
+use pg::scan::{Feature, Scan};
+use pg::{Code, Cycle, Problem};
+use slog::debug;
+use tokio::sync::watch;
+
+use super::admit::{self, Admission};
+use super::conn::{Conn, Gone};
+use super::run::Work;
+use super::session::{Session, Transaction};
+use super::{Front, Phase};
+
+/// One caller.
+#[derive(Debug)]
+pub struct Caller {
+    pub(super) front: Arc<Front>,
+    pub(super) conn: Conn,
+    pub(super) session: Session,
+    protocol: pg::Caller,
+    phase: watch::Receiver<Phase>,
+}
+
+impl Caller {
+    /// Makes the task of a caller that has logged in.
+    pub fn new(front: Arc<Front>, conn: Conn, session: Session) -> Self {
+        let phase = front.phase.subscribe();
+        Self { front, conn, session, protocol: pg::Caller::new(), phase }
+    }
+
+    /// Serves the caller until it is gone or the process stops.
+    pub async fn serve(mut self) {
+        if let Err(report) = self.steps().await {
+            debug!(self.front.log, "a caller is gone"; "reason" => %report.current_context());
+        }
+        if let Transaction::Open { link, .. } = std::mem::take(&mut self.session.transaction) {
+            self.leave(&link).await;
+        }
+        self.conn.close().await;
+    }
+
+    async fn steps(&mut self) -> Result<(), Report<Gone>> {
+        while let Some(frame) = self.frame().await? {
+            match self.protocol.on(&frame) {
+                Step::Wait => {}
+                // boxed, so that the task of an idle caller stays small
+                Step::Run(cycle) => Box::pin(self.cycle(cycle)).await?,
+                Step::Refuse(problem) => self.fail(&problem).await,
+                Step::Reject(problem) => {
+                    self.fail(&problem).await;
+                    self.ready();
+                }
+                Step::Recover => self.ready(),
+                Step::Terminate => return Ok(()),
+                Step::Break(problem) => {
+                    self.conn.output.fatal(&problem);
+                    return Err(Report::new(Gone::Protocol));
+                }
+            }
+        }
+        let problem = Problem::new(Code::Shutdown, "the entry is stopping; connect again");
+        self.conn.output.fatal(&problem);
+        Ok(())
+    }
+
+    /// The next message, or `None` when the process stops and the caller
+    /// stands between two requests.
+    async fn frame(&mut self) -> Result<Option<Frame>, Report<Gone>> {
+        loop {
+            match pg::frame::take(&mut self.conn.input) {
+                Ok(Some(frame)) => return Ok(Some(frame)),
+                Ok(None) => {}
+                Err(report) => {
+                    let message = report.current_context().to_string();
+                    self.conn.output.fatal(&Problem::new(Code::Protocol, message));
+                    return Err(report.change_context(Gone::Protocol));
+                }
+            }
+            self.conn.flush().await?;
+            if !self.is_idle() {
+                self.conn.fill().await?;
+                continue;
+            }
+            if *self.phase.borrow_and_update() != Phase::Open {
+                return Ok(None);
+            }
+            tokio::select! {
+                filled = self.conn.fill() => filled?,
+                changed = self.phase.changed() => if changed.is_err() {
+                    return Ok(None);
+                },
+            }
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        let between = matches!(self.session.transaction, Transaction::None);
+        between && self.protocol.is_idle() && self.conn.input.is_empty()
+    }
+
+    async fn cycle(&mut self, cycle: Cycle) -> Result<(), Report<Gone>> {
+        self.session.cycles += 1;
+        let result = match cycle {
+            Cycle::Query { text, bytes } => self.query(&text, bytes),
+            Cycle::Extended(messages) => self.extended(messages),
+        };
+        match result {
+            Ok(Some(work)) => self.run(work).await?,
+            Ok(None) => self.ready(),
+            Err(problem) => {
+                self.fail(&problem).await;
+                self.ready();
+            }
+        }
+        if matches!(self.session.transaction, Transaction::None) {
+            self.session.prepared.settle();
+        }
+        Ok(())
+    }
+
+    /// Answers a text, or tells what is to be run of it.
+    fn query(&mut self, text: &str, payload: bytes::Bytes) -> Result<Option<Work>, Problem> {
+        let scan = Scan::new(text);
+        if matches!(self.session.transaction, Transaction::Lost) {
+            if !scan.ends() {
+                return Err(failed_transaction());
+            }
+            self.end_lost();
+            return Ok(None);
+        }
+        if scan.statements.is_empty() {
+            self.conn.output.empty();
+            return Ok(None);
+        }
+        self.check(&scan)?;
+        if scan.is_local() {
+            self.check_failed()?;
+            self.local_query(&scan);
+            return Ok(None);
+        }
+        // as PostgreSQL does
+        self.session.prepared.apply(&pg::prepared::Change::Drop(String::new()));
+        let admission = self.admit(std::iter::once((text, &scan)))?;
+        let plan = Plan { payload, ..Plan::default() };
+        Ok(Some(Work { plan, admission, commits: scan.commits() }))
+    }
+
+    /// Answers messages, or tells what is to be run of them.
+    fn extended(&mut self, messages: Vec<Message>) -> Result<Option<Work>, Problem> {
+        if messages.is_empty() {
+            return Ok(None);
+        }
+        let survey = self.session.prepared.survey(&messages);
+        let scans = || survey.statements.iter().map(|statement| &statement.scan);
+        if matches!(self.session.transaction, Transaction::Lost) {
+            if survey.statements.is_empty() || !scans().all(Scan::ends) {
+                return Err(failed_transaction());
+            }
+            self.local_cycle(&messages);
+            return Ok(None);
+        }
+        for scan in scans() {
+            self.check(scan)?;
+        }
+        if scans().any(Scan::is_local) {
+            if !scans().all(Scan::is_local) {
+                return Err(Feature::Mixed.into());
+            }
+            self.check_failed()?;
+            self.local_cycle(&messages);
+            return Ok(None);
+        }
+        let commits = scans().any(Scan::commits);
+        let texts = survey.statements.iter();
+        let admission = self.admit(texts.map(|one| (one.text.as_str(), &one.scan)))?;
+        let plan = self.session.prepared.plan(messages, survey)?;
+        if plan.payload.len() > MAX_BYTES {
+            return Err(Problem::new(Code::Limit, "the request is too long; it was not run"));
+        }
+        Ok(Some(Work { plan, admission, commits }))
+    }
+
+    fn check(&self, scan: &Scan) -> Result<(), Problem> {
+        match scan.refused(self.session.transaction.is_open()) {
+            Some(feature) => Err(feature.into()),
+            None => Ok(()),
+        }
+    }
+
+    fn check_failed(&self) -> Result<(), Problem> {
+        match self.session.transaction {
+            Transaction::Open { failed: true, .. } => Err(failed_transaction()),
+            _ => Ok(()),
+        }
+    }
+
+    fn admit<'a>(
+        &self,
+        texts: impl Iterator<Item = (&'a str, &'a Scan)>,
+    ) -> Result<Admission, Problem> {
+        let (service, group) = (self.session.service.as_str(), self.session.group.as_str());
+        self.front.view.read(|state| admit::admit(state, service, group, texts))
+    }
+
+    /// Writes an error; a transaction that is open fails with it.
+    async fn fail(&mut self, problem: &Problem) {
+        self.conn.output.error(problem);
+        match std::mem::take(&mut self.session.transaction) {
+            Transaction::None => {}
+            Transaction::Open { link, .. } => {
+                self.leave(&link).await;
+                self.session.transaction = Transaction::Lost;
+            }
+            Transaction::Lost => self.session.transaction = Transaction::Lost,
+        }
+    }
+
+    /// Ends the answer to a cycle.
+    pub(super) fn ready(&mut self) {
+        self.conn.output.ready(self.session.transaction.status());
+    }
+}
+
+fn failed_transaction() -> Problem {
+    let message = "the transaction has failed; commands are ignored until its end";
+    Problem::new(Code::FailedTransaction, message)
+}
--- /dev/null
+++ b/components/entry/src/front/cancels.rs
@@ -0,0 +1,86 @@
+//! Cancel requests: which session a number and a secret name.
+
+use std::collections::HashMap;
+use std::collections::hash_map::Entry;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use pg::startup::Target;
+use rand::RngExt as _;
+
+use super::link::Link;
+
+/// Shards of the registry.
+const SHARDS: usize = 16;
+
+/// What a session runs at present.
+type Running = Arc<Mutex<Option<(Arc<Link>, u64)>>>;
+
+/// Sessions by number.
+#[derive(Debug)]
+pub struct Cancels {
+    shards: [Mutex<HashMap<i32, (i32, Running)>>; SHARDS],
+}
+
+impl Default for Cancels {
+    fn default() -> Self {
+        Self { shards: std::array::from_fn(|_| Mutex::default()) }
+    }
+}
+
+impl Cancels {
+    /// Adds a session under a number and secret drawn at random.
+    pub fn add(self: &Arc<Self>) -> Session {
+        let running = Running::default();
+        loop {
+            let target = Target { process: rand::rng().random(), secret: rand::rng().random() };
+            if let Entry::Vacant(free) = self.shard(target.process).entry(target.process) {
+                free.insert((target.secret, Arc::clone(&running)));
+                return Session { target, running, cancels: Arc::clone(self) };
+            }
+        }
+    }
+
+    /// Cancels what a session runs; an unknown target changes nothing.
+    pub async fn cancel(&self, target: Target) {
+        let running = {
+            let shard = self.shard(target.process);
+            shard.get(&target.process).and_then(|(secret, running)| {
+                if *secret != target.secret {
+                    return None;
+                }
+                running.lock().unwrap_or_else(PoisonError::into_inner).clone()
+            })
+        };
+        if let Some((link, request)) = running {
+            link.cancel(request).await;
+        }
+    }
+
+    fn shard(&self, process: i32) -> MutexGuard<'_, HashMap<i32, (i32, Running)>> {
+        let shard = process.unsigned_abs() as usize % SHARDS;
+        self.shards[shard].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A session that can be cancelled.
+#[derive(Debug)]
+pub struct Session {
+    /// Its number and secret.
+    pub target: Target,
+    running: Running,
+    cancels: Arc<Cancels>,
+}
+
+impl Session {
+    /// Notes what it runs; returns what it ran before.
+    pub fn set(&self, running: Option<(Arc<Link>, u64)>) -> Option<(Arc<Link>, u64)> {
+        let mut now = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut now, running)
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.cancels.shard(self.target.process).remove(&self.target.process);
+    }
+}
--- /dev/null
+++ b/components/entry/src/front/choose.rs
@@ -0,0 +1,45 @@
+//! Which keeper a request goes to.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use control::State;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A keeper of a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keeper {
+    /// Name of its entry.
+    pub name: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Keepers of a group that may take new work, the best first: the own entry,
+/// then one in the own zone, then by a hash that spreads callers evenly.
+pub fn keepers(
+    state: &State,
+    group: &str,
+    own: &Name,
+    zone: &Name,
+    caller: u64,
+) -> SmallVec<[Keeper; 2]> {
+    let Some(group) = state.groups.get(group) else {
+        return SmallVec::new();
+    };
+    let leases = group.leases.iter().filter(|lease| !lease.returning);
+    let mut found: SmallVec<[_; 2]> = leases
+        .filter_map(|lease| {
+            let (name, entry) = state.entries.get_key_value(lease.entry.as_str())?;
+            if entry.incarnation != lease.incarnation {
+                return None;
+            }
+            let spread = xxh3_64_with_seed(name.as_str().as_bytes(), caller);
+            let rank = (entry.draining, name != own, entry.zone != *zone, spread);
+            Some((rank, Keeper { name: name.clone(), address: entry.address }))
+        })
+        .collect();
+    found.sort_by_key(|(rank, _)| *rank);
+    found.into_iter().map(|(_, keeper)| keeper).collect()
+}
--- /dev/null
+++ b/components/entry/src/front/conn.rs
@@ -0,0 +1,132 @@
+//! A caller's connection: bytes in, messages out.
+
+use std::fmt;
+
+use base::prelude::*;
+use bytes::BytesMut;
+use pg::answer::Writer;
+use pg::frame::{self, Frame};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Longest time that a caller may take to accept an answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Bytes of output that are sent without waiting for more.
+pub const FLUSH_BYTES: usize = 64 << 10;
+
+/// Room for input while the caller is idle, in bytes.
+const IDLE_BYTES: usize = 512;
+
+/// Room for input within a message, in bytes.
+const BUSY_BYTES: usize = 16 << 10;
+
+/// Why a caller is gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+pub enum Gone {
+    /// It closed the connection.
+    Closed,
+    /// Reading or writing failed.
+    Io,
+    /// It took too long.
+    Timeout,
+    /// It broke the protocol.
+    Protocol,
+    /// Its login was refused.
+    Refused,
+}
+
+impl std::error::Error for Gone {}
+
+/// A connection of either kind.
+pub trait Stream: AsyncRead + AsyncWrite + Unpin + Send + Sync {}
+
+impl<S: AsyncRead + AsyncWrite + Unpin + Send + Sync> Stream for S {}
+
+/// A caller's connection.
+pub struct Conn {
+    io: Box<dyn Stream>,
+    /// Bytes that came and are not taken yet.
+    pub input: BytesMut,
+    /// Messages that wait to be sent.
+    pub output: Writer,
+}
+
+impl fmt::Debug for Conn {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Conn").field("input", &self.input.len()).finish_non_exhaustive()
+    }
+}
+
+impl Conn {
+    /// Takes a connection.
+    pub fn new(io: impl Stream + 'static) -> Self {
+        Self { io: Box::new(io), input: BytesMut::new(), output: Writer::new() }
+    }
+
+    /// The connection below, when nothing waits on either side.
+    pub fn into_io(self) -> Box<dyn Stream> {
+        self.io
+    }
+
+    /// Reads what has come. Safe to drop while it waits.
+    ///
+    /// # Errors
+    /// [`Gone::Closed`] or [`Gone::Io`].
+    pub async fn fill(&mut self) -> Result<(), Report<Gone>> {
+        if self.input.is_empty() {
+            // an idle caller keeps no large buffer
+            self.input = BytesMut::with_capacity(IDLE_BYTES);
+        } else {
+            self.input.reserve(BUSY_BYTES);
+        }
+        match self.io.read_buf(&mut self.input).await.change_context(Gone::Io)? {
+            0 => Err(Report::new(Gone::Closed)),
+            _ => Ok(()),
+        }
+    }
+
+    /// The next message; reads until one is whole.
+    ///
+    /// # Errors
+    /// As [`Conn::fill`], and [`Gone::Protocol`].
+    pub async fn next(&mut self) -> Result<Frame, Report<Gone>> {
+        loop {
+            if let Some(frame) = frame::take(&mut self.input).change_context(Gone::Protocol)? {
+                return Ok(frame);
+            }
+            self.fill().await?;
+        }
+    }
+
+    /// Sends all that waits.
+    ///
+    /// # Errors
+    /// [`Gone::Io`] or [`Gone::Timeout`].
+    pub async fn flush(&mut self) -> Result<(), Report<Gone>> {
+        if self.output.is_empty() {
+            return Ok(());
+        }
+        let output = self.output.take();
+        self.write(&output).await
+    }
+
+    /// Sends bytes that are no message, and the messages before them.
+    ///
+    /// # Errors
+    /// As [`Conn::flush`].
+    pub async fn write(&mut self, bytes: &[u8]) -> Result<(), Report<Gone>> {
+        let write = async {
+            self.io.write_all(bytes).await?;
+            self.io.flush().await
+        };
+        let written = tokio::time::timeout(WRITE_TIMEOUT, write).await;
+        written.change_context(Gone::Timeout)?.change_context(Gone::Io)
+    }
+
+    /// Sends what waits and closes.
+    pub async fn close(mut self) {
+        if self.flush().await.is_ok() {
+            drop(tokio::time::timeout(WRITE_TIMEOUT, self.io.shutdown()).await);
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/front/keepers.rs
@@ -0,0 +1,143 @@
+//! Links to keepers, dialled on demand.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::clock::Clock;
+use base::prelude::*;
+use control::State;
+use link::{Peer, Purpose};
+use slog::{Logger, info, warn};
+use wire::data::{Farewell, ask};
+
+use super::choose::Keeper;
+use super::link::{Link, NotLeft};
+
+/// Shortest time between two attempts to dial one keeper.
+const BACKOFF_LEAST: Duration = Duration::from_millis(20);
+
+/// Longest time between two attempts to dial one keeper.
+const BACKOFF_MOST: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Default)]
+struct Slot {
+    live: Mutex<Option<Arc<Link>>>,
+    dial: tokio::sync::Mutex<Dial>,
+}
+
+#[derive(Debug, Default)]
+struct Dial {
+    failures: u32,
+    not_before: Instant,
+}
+
+impl Slot {
+    fn live(&self) -> Option<Arc<Link>> {
+        let live = self.live.lock().unwrap_or_else(PoisonError::into_inner);
+        live.as_ref().filter(|link| link.is_live()).cloned()
+    }
+
+    fn set(&self, link: Option<Arc<Link>>) -> Option<Arc<Link>> {
+        let mut live = self.live.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut live, link)
+    }
+}
+
+/// All links of a front to keepers.
+#[derive(Debug)]
+pub struct Keepers {
+    own: Peer,
+    key: link::Key,
+    clock: Clock,
+    log: Logger,
+    slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
+}
+
+impl Keepers {
+    /// Makes the links of an entry; none is dialled yet.
+    pub fn new(name: &Name, incarnation: u64, key: link::Key, clock: Clock, log: Logger) -> Self {
+        let own = Peer::new(name.as_str(), incarnation, Purpose::Data);
+        Self { own, key, clock, log, slots: Mutex::default() }
+    }
+
+    /// The link to a keeper, dialled if there is none.
+    ///
+    /// # Errors
+    /// [`NotLeft`] when it can't be dialled, or was tried just now.
+    pub async fn link(&self, keeper: &Keeper) -> Result<Arc<Link>, Report<NotLeft>> {
+        let slot = Arc::clone(self.slots().entry(keeper.address).or_default());
+        if let Some(link) = slot.live() {
+            return Ok(link);
+        }
+        let mut dial = slot.dial.lock().await;
+        if let Some(link) = slot.live() {
+            return Ok(link);
+        }
+        if self.clock.now() < dial.not_before {
+            return Err(Report::new(NotLeft));
+        }
+        match self.dial(keeper).await {
+            Ok(link) => {
+                *dial = Dial::default();
+                slot.set(Some(Arc::clone(&link)));
+                Ok(link)
+            }
+            Err(report) => {
+                let wait = BACKOFF_LEAST * 2_u32.saturating_pow(dial.failures.min(8));
+                dial.failures = dial.failures.saturating_add(1);
+                dial.not_before = self.clock.now() + wait.min(BACKOFF_MOST);
+                Err(report)
+            }
+        }
+    }
+
+    async fn dial(&self, keeper: &Keeper) -> Result<Arc<Link>, Report<NotLeft>> {
+        let dialled = link::dial(keeper.address, &self.own, &self.key).await;
+        let (peer, reader, writer) = dialled.change_context(NotLeft).inspect_err(|report| {
+            warn!(self.log, "a keeper can't be reached";
+                "keeper" => %keeper.name, "address" => %keeper.address, "error" => ?report);
+        })?;
+        if peer.name != keeper.name.as_str() {
+            return Err(Report::new(NotLeft));
+        }
+        info!(self.log, "linked to a keeper"; "keeper" => %keeper.name);
+        Ok(Link::start(keeper.name.clone(), peer.incarnation, (reader, writer)))
+    }
+
+    /// Breaks the links to entries that live no more.
+    pub fn sweep(&self, state: &State) {
+        self.slots().retain(|_, slot| {
+            let Some(link) = slot.live() else {
+                return true;
+            };
+            let gone = |entry: &control::state::Entry| entry.incarnation > link.incarnation;
+            let lives = state.entries.get(&link.name).is_some_and(|entry| !gone(entry));
+            if !lives {
+                link.end();
+            }
+            lives
+        });
+    }
+
+    /// Says farewell on each link.
+    pub async fn farewell(&self) {
+        let links: Vec<_> = self.slots().values().filter_map(|slot| slot.live()).collect();
+        for link in links {
+            link.tell(ask::Body::Farewell(Farewell {})).await;
+        }
+    }
+
+    /// Breaks each link.
+    pub fn end(&self) {
+        for slot in std::mem::take(&mut *self.slots()).into_values() {
+            if let Some(link) = slot.set(None) {
+                link.end();
+            }
+        }
+    }
+
+    fn slots(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Slot>>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/components/entry/src/front/link.rs
@@ -0,0 +1,297 @@
+//! One link to a keeper, shared by many callers.
+//!
+//! A request is marked as having left before its first byte is written, so a
+//! request that is not marked when the link breaks was not run.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::prelude::*;
+use bytes::Bytes;
+use link::{Reader, Writer};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+use wire::data::{Answer, Ask, Cancel, Credit, End, Part, Run, answer, ask};
+
+/// Bytes of an answer that a keeper may send before it is given credit.
+pub const WINDOW_BYTES: u64 = 256 << 10;
+
+/// Messages that may wait for the link.
+const QUEUE: usize = 1_024;
+
+/// Bytes that are written to the link at once.
+const BATCH_BYTES: usize = 256 << 10;
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Event {
+    /// A part of its answer came.
+    Part(Bytes),
+    /// It ended.
+    End(End),
+    /// The link broke, or the answer did.
+    Broken {
+        /// Whether the request may have reached the keeper.
+        left: bool,
+    },
+}
+
+/// The request never left this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NotLeft;
+
+impl fmt::Display for NotLeft {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the request never left this process")
+    }
+}
+
+impl std::error::Error for NotLeft {}
+
+#[derive(Debug)]
+struct Route {
+    events: mpsc::UnboundedSender<Event>,
+    sequence: u64,
+    /// Bytes that the keeper may still send.
+    allowed: u64,
+    left: bool,
+}
+
+#[derive(Debug, Default)]
+struct Routes {
+    open: HashMap<u64, Route>,
+    broken: bool,
+}
+
+/// One link to a keeper.
+#[derive(Debug)]
+pub struct Link {
+    /// Name of the keeper's entry.
+    pub name: Name,
+    /// Incarnation of that entry.
+    pub incarnation: u64,
+    asks: mpsc::Sender<Ask>,
+    routes: Mutex<Routes>,
+    next: AtomicU64,
+    closing: AtomicBool,
+    ended: CancellationToken,
+}
+
+impl Link {
+    /// Starts the tasks of a link that was dialled.
+    pub fn start(name: Name, incarnation: u64, ends: (Reader, Writer)) -> Arc<Self> {
+        let (asks, queue) = mpsc::channel(QUEUE);
+        let link = Arc::new(Self {
+            name,
+            incarnation,
+            asks,
+            routes: Mutex::default(),
+            next: AtomicU64::new(1),
+            closing: AtomicBool::new(false),
+            ended: CancellationToken::new(),
+        });
+        let (reader, writer) = ends;
+        tokio::spawn(Arc::clone(&link).read(reader));
+        tokio::spawn(Arc::clone(&link).write(writer, queue));
+        link
+    }
+
+    /// Whether the link carries requests.
+    pub fn is_live(&self) -> bool {
+        !self.ended.is_cancelled()
+    }
+
+    /// Whether the keeper said that it is stopping.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
+    /// Breaks the link.
+    pub fn end(&self) {
+        self.ended.cancel();
+        let open = {
+            let mut routes = self.routes();
+            routes.broken = true;
+            std::mem::take(&mut routes.open)
+        };
+        for route in open.into_values() {
+            drop(route.events.send(Event::Broken { left: route.left }));
+        }
+    }
+
+    /// Sends a request; its number is set here.
+    ///
+    /// # Errors
+    /// [`NotLeft`] when the link is down.
+    pub async fn run(self: &Arc<Self>, mut run: Run) -> Result<Request, Report<NotLeft>> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (events, received) = mpsc::unbounded_channel();
+        run.request = number;
+        run.window = WINDOW_BYTES;
+        self.open(number, events)?;
+        let request = Request { number, events: received, link: Arc::clone(self) };
+        let ask = Ask { body: Some(ask::Body::Run(run)) };
+        // a request whose route is gone is not written, so this one never left
+        self.asks.send(ask).await.change_context(NotLeft)?;
+        Ok(request)
+    }
+
+    fn open(
+        &self,
+        number: u64,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Result<(), Report<NotLeft>> {
+        let mut routes = self.routes();
+        if routes.broken {
+            return Err(Report::new(NotLeft));
+        }
+        let route = Route { events, sequence: 0, allowed: WINDOW_BYTES, left: false };
+        routes.open.insert(number, route);
+        Ok(())
+    }
+
+    /// Sends what needs no answer.
+    pub async fn tell(&self, body: ask::Body) {
+        drop(self.asks.send(Ask { body: Some(body) }).await);
+    }
+
+    /// Asks the keeper to cancel a request.
+    pub async fn cancel(&self, request: u64) {
+        self.tell(ask::Body::Cancel(Cancel { request })).await;
+    }
+
+    fn routes(&self) -> MutexGuard<'_, Routes> {
+        self.routes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn write(self: Arc<Self>, mut writer: Writer, mut queue: mpsc::Receiver<Ask>) {
+        loop {
+            let ask = tokio::select! {
+                ask = queue.recv() => ask,
+                () = self.ended.cancelled() => None,
+            };
+            let Some(ask) = ask else {
+                break;
+            };
+            self.put(&mut writer, &ask);
+            while writer.pending() < BATCH_BYTES
+                && let Ok(ask) = queue.try_recv()
+            {
+                self.put(&mut writer, &ask);
+            }
+            if writer.flush().await.is_err() {
+                break;
+            }
+        }
+        self.end();
+    }
+
+    fn put(&self, writer: &mut Writer, ask: &Ask) {
+        let Some(ask::Body::Run(run)) = &ask.body else {
+            // an oversized message of this kind does not exist
+            drop(writer.put(ask));
+            return;
+        };
+        let mut routes = self.routes();
+        let Some(route) = routes.open.get_mut(&run.request) else {
+            return;
+        };
+        if writer.put(ask).is_ok() {
+            route.left = true;
+        } else if let Some(route) = routes.open.remove(&run.request) {
+            drop(route.events.send(Event::Broken { left: false }));
+        }
+    }
+
+    async fn read(self: Arc<Self>, mut reader: Reader) {
+        loop {
+            let answer = tokio::select! {
+                answer = reader.next::<Answer>() => answer,
+                () = self.ended.cancelled() => break,
+            };
+            match answer {
+                Ok(Some(Answer { body: Some(body) })) => self.dispatch(body),
+                // a kind that this release does not know
+                Ok(Some(Answer { body: None })) => {}
+                Ok(None) | Err(_) => break,
+            }
+        }
+        self.end();
+    }
+
+    fn dispatch(&self, body: answer::Body) {
+        match body {
+            answer::Body::Part(part) => self.part(part),
+            answer::Body::End(end) => {
+                let route = self.routes().open.remove(&end.request);
+                let Some(route) = route else {
+                    return;
+                };
+                let whole = route.sequence == end.parts;
+                let event = if whole { Event::End(end) } else { Event::Broken { left: true } };
+                drop(route.events.send(event));
+            }
+            answer::Body::Closing(_) => self.closing.store(true, Ordering::Release),
+        }
+    }
+
+    fn part(&self, part: Part) {
+        let mut routes = self.routes();
+        let Some(route) = routes.open.get_mut(&part.request) else {
+            return;
+        };
+        let bytes = part.payload.len() as u64;
+        // one part may pass the window, since a message is not cut
+        if route.sequence == part.sequence && route.allowed > 0 {
+            route.sequence += 1;
+            route.allowed = route.allowed.saturating_sub(bytes);
+            drop(route.events.send(Event::Part(part.payload)));
+            return;
+        }
+        if let Some(route) = routes.open.remove(&part.request) {
+            drop(route.events.send(Event::Broken { left: true }));
+        }
+    }
+
+    fn allow(&self, request: u64, bytes: u64) {
+        if let Some(route) = self.routes().open.get_mut(&request) {
+            route.allowed += bytes;
+        }
+    }
+}
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Request {
+    /// Its number on the link.
+    pub number: u64,
+    events: mpsc::UnboundedReceiver<Event>,
+    link: Arc<Link>,
+}
+
+impl Request {
+    /// What becomes of it next. Safe to drop while it waits.
+    pub async fn next(&mut self) -> Event {
+        self.events.recv().await.unwrap_or(Event::Broken { left: true })
+    }
+
+    /// What is known of it without waiting.
+    pub fn ready(&mut self) -> Option<Event> {
+        self.events.try_recv().ok()
+    }
+
+    /// Allows the keeper to send more.
+    pub async fn credit(&self, bytes: u64) {
+        self.link.allow(self.number, bytes);
+        let credit = Credit { request: self.number, bytes };
+        self.link.tell(ask::Body::Credit(credit)).await;
+    }
+}
+
+impl Drop for Request {
+    fn drop(&mut self) {
+        drop(self.link.routes().open.remove(&self.number));
+    }
+}
--- /dev/null
+++ b/components/entry/src/front/local.rs
@@ -0,0 +1,165 @@
+//! Cycles that the front answers by itself.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use pg::client::{Message, Target};
+use pg::prepared::{Change, Statement};
+use pg::scan::{self, Feature, Scan};
+use pg::setting::Local;
+use pg::{Code, Problem};
+
+use super::caller::Caller;
+use super::session::Transaction;
+
+/// A statement that the front answers.
+#[derive(Clone, Debug)]
+enum Answered {
+    Local(Local),
+    /// The end of a transaction that is already rolled back.
+    Rollback,
+}
+
+impl Answered {
+    fn column(&self) -> Option<&'static str> {
+        match self {
+            Self::Local(local) => local.column(),
+            Self::Rollback => None,
+        }
+    }
+}
+
+fn answered(scan: &Scan) -> Option<Answered> {
+    match scan.statements.as_slice() {
+        [scan::Statement::Local(local)] => Some(Answered::Local(local.clone())),
+        _ if scan.ends() => Some(Answered::Rollback),
+        _ => None,
+    }
+}
+
+impl Caller {
+    /// Answers a text whose statements are all the front's.
+    pub(super) fn local_query(&mut self, scan: &Scan) {
+        for statement in &scan.statements {
+            let scan::Statement::Local(local) = statement else {
+                continue;
+            };
+            if let Some(column) = local.column() {
+                self.conn.output.column(Some(column));
+            }
+            if let Err(problem) = self.answer(local) {
+                self.conn.output.error(&problem);
+                return;
+            }
+        }
+    }
+
+    /// Ends a transaction that is already rolled back.
+    pub(super) fn end_lost(&mut self) {
+        self.session.transaction = Transaction::None;
+        self.conn.output.complete("ROLLBACK");
+    }
+
+    /// Answers messages whose statements are all the front's.
+    pub(super) fn local_cycle(&mut self, messages: &[Message]) {
+        let mut portals = BTreeMap::new();
+        for message in messages {
+            if let Err(problem) = self.local_message(message, &mut portals) {
+                self.conn.output.error(&problem);
+                return;
+            }
+        }
+    }
+
+    fn local_message(
+        &mut self,
+        message: &Message,
+        portals: &mut BTreeMap<String, Answered>,
+    ) -> Result<(), Problem> {
+        let text = |name: &Option<String>| name.clone().unwrap_or_default();
+        match message {
+            Message::Parse(parse) => {
+                let statement = Arc::new(Statement::from(parse));
+                self.session.prepared.apply(&Change::Keep(text(&parse.name), statement));
+                self.conn.output.parsed();
+            }
+            Message::Bind(bind) => {
+                let statement = self.local_statement(&text(&bind.statement_name))?;
+                portals.insert(text(&bind.portal_name), statement);
+                self.conn.output.bound();
+            }
+            Message::Describe(Target::Statement, name) => {
+                let statement = self.local_statement(name)?;
+                self.conn.output.parameters();
+                self.conn.output.column(statement.column());
+            }
+            Message::Describe(Target::Portal, name) => {
+                let column = portals.get(name).ok_or(Feature::Mixed)?.column();
+                self.conn.output.column(column);
+            }
+            Message::Execute(execute) => {
+                match portals.get(&text(&execute.name)).ok_or(Feature::Mixed)? {
+                    Answered::Local(local) => self.answer(local)?,
+                    Answered::Rollback => self.end_lost(),
+                }
+            }
+            Message::Close(target, name) => {
+                if *target == Target::Statement {
+                    self.session.prepared.apply(&Change::Drop(name.clone()));
+                } else {
+                    portals.remove(name);
+                }
+                self.conn.output.closed();
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn local_statement(&self, name: &str) -> Result<Answered, Problem> {
+        let statement = self.session.prepared.get(name);
+        let found = statement.and_then(|statement| answered(&statement.scan));
+        found.ok_or_else(|| Feature::Mixed.into())
+    }
+
+    fn answer(&mut self, local: &Local) -> Result<(), Problem> {
+        match local {
+            Local::SetSession(token) => self.adopt(token)?,
+            Local::ResetSession => self.session.floors = session::Floors::new(),
+            Local::ShowSession => {
+                let token = self.token();
+                self.conn.output.row(&token);
+            }
+            Local::SetApplication(name) => {
+                self.session.application.clone_from(name);
+                self.conn.output.parameter(pg::setting::APPLICATION, name);
+            }
+            Local::ShowApplication => self.conn.output.row(&self.session.application),
+            Local::Show { value, .. } => self.conn.output.row(value),
+            Local::Set | Local::Reset => {}
+            Local::DiscardAll | Local::DeallocateAll => self.session.prepared.clear(),
+        }
+        self.conn.output.complete(local.tag());
+        Ok(())
+    }
+
+    /// Raises the floors to those of a token.
+    pub(super) fn adopt(&mut self, token: &str) -> Result<(), Problem> {
+        let floors = self.front.keys.verify(&self.session.service, token);
+        let floors = floors
+            .map_err(|report| Problem::new(Code::Token, report.current_context().to_string()))?;
+        self.session.floors.merge(&floors);
+        Ok(())
+    }
+
+    /// The session's token.
+    pub(super) fn token(&self) -> String {
+        self.front.keys.issue(&self.session.service, &self.session.floors)
+    }
+
+    /// Tells the caller its token.
+    pub(super) fn report(&mut self) {
+        let token = self.token();
+        self.conn.output.parameter(pg::setting::SESSION, &token);
+    }
+}
--- /dev/null
+++ b/components/entry/src/front/login.rs
@@ -0,0 +1,217 @@
+//! From an accepted connection to a session.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::{Buf, Bytes};
+use pg::client::Message;
+use pg::scan::Feature;
+use pg::scram::{MECHANISM, Verifier};
+use pg::setting::{self, Local};
+use pg::startup::{self, Packet, Start};
+use pg::{Code, Problem};
+use pgwire::messages::startup::Authentication;
+use session::Floors;
+use tokio::net::TcpStream;
+
+use super::caller::Caller;
+use super::conn::{Conn, Gone};
+use super::session::{Session, Transaction};
+use super::{Front, admit};
+
+/// Longest time of a login.
+const TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Parameters of a start that are no settings.
+const PARAMETERS: [&str; 4] = ["user", "database", "options", "replication"];
+
+/// Logs a caller in; `None` when it wanted something else, which is done.
+///
+/// # Errors
+/// The reason why it is [`Gone`].
+pub async fn login(front: &Arc<Front>, stream: TcpStream) -> Result<Option<Caller>, Report<Gone>> {
+    let done = tokio::time::timeout(TIMEOUT, start(front, stream)).await;
+    done.change_context(Gone::Timeout)?
+}
+
+async fn start(front: &Arc<Front>, stream: TcpStream) -> Result<Option<Caller>, Report<Gone>> {
+    stream.set_nodelay(true).change_context(Gone::Io)?;
+    let mut conn = Conn::new(stream);
+    let mut is_tls = false;
+    loop {
+        match packet(&mut conn).await? {
+            Packet::Gss => conn.write(b"N").await?,
+            Packet::Tls => match front.tls.as_ref().filter(|_| !is_tls) {
+                None => conn.write(b"N").await?,
+                Some(acceptor) => {
+                    // bytes sent in the clear before the handshake are not to be trusted
+                    if conn.input.has_remaining() {
+                        return Err(Report::new(Gone::Protocol));
+                    }
+                    conn.write(b"S").await?;
+                    let accepted = acceptor.accept(conn.into_io()).await;
+                    conn = Conn::new(accepted.change_context(Gone::Io)?);
+                    is_tls = true;
+                }
+            },
+            Packet::Cancel(target) => {
+                front.cancels.cancel(target).await;
+                return Ok(None);
+            }
+            Packet::Start(start) => return open(front, conn, &start).await.map(Some),
+        }
+    }
+}
+
+async fn packet(conn: &mut Conn) -> Result<Packet, Report<Gone>> {
+    loop {
+        match startup::take(&mut conn.input) {
+            Ok(Some(packet)) => return Ok(packet),
+            Ok(None) => conn.fill().await?,
+            Err(report) => {
+                let message = report.current_context().to_string();
+                conn.output.fatal(&Problem::new(Code::Protocol, message));
+                conn.flush().await?;
+                return Err(report.change_context(Gone::Protocol));
+            }
+        }
+    }
+}
+
+async fn open(front: &Arc<Front>, mut conn: Conn, start: &Start) -> Result<Caller, Report<Gone>> {
+    match admitted(front, &mut conn, start).await {
+        Ok(session) => {
+            let mut caller = Caller::new(Arc::clone(front), conn, session);
+            greet(&mut caller, start);
+            caller.conn.flush().await?;
+            Ok(caller)
+        }
+        Err(report) => {
+            if let Some(problem) = report.downcast_ref::<Problem>() {
+                conn.output.fatal(problem);
+                conn.close().await;
+            }
+            Err(report)
+        }
+    }
+}
+
+fn refuse(problem: Problem) -> Report<Gone> {
+    Report::new(problem).change_context(Gone::Refused)
+}
+
+async fn admitted(
+    front: &Arc<Front>,
+    conn: &mut Conn,
+    start: &Start,
+) -> Result<Session, Report<Gone>> {
+    if start.minor > 0 || start.unknown().next().is_some() {
+        conn.output.negotiate(start.unknown().map(str::to_owned).collect());
+    }
+    let Some(user) = start.get("user") else {
+        return Err(refuse(Problem::new(Code::Login, "no user is given")));
+    };
+    if start.get("replication").is_some_and(|value| !["false", "off", "0"].contains(&value)) {
+        return Err(refuse(Feature::Replication.into()));
+    }
+    authenticate(front, conn, user).await?;
+    if !front.view.leased(front.clock.now()) {
+        let message = "this entry has lost touch with control";
+        return Err(refuse(Problem::new(Code::Unready, message)));
+    }
+    let database = start.get("database").unwrap_or(user);
+    front.view.read(|state| admit::opens(state, user, database)).map_err(refuse)?;
+    let name = |text: &str| Name::new(text).change_context(Gone::Refused);
+    let mut session = Session {
+        service: name(user)?,
+        group: name(database)?,
+        application: String::new(),
+        floors: Floors::new(),
+        prepared: pg::Prepared::new(),
+        transaction: Transaction::None,
+        number: front.number(),
+        cycles: 0,
+        cancel: front.cancels.add(),
+    };
+    settle(front, &mut session, start).map_err(refuse)?;
+    Ok(session)
+}
+
+/// Takes the settings that come with a start.
+fn settle(front: &Front, session: &mut Session, start: &Start) -> Result<(), Problem> {
+    let parameters = start.parameters.iter().map(|(name, value)| (name.as_str(), value.as_str()));
+    let own = |name: &str| !PARAMETERS.contains(&name) && !name.starts_with("_pq_.");
+    for (name, value) in parameters.filter(|(name, _)| own(name)).chain(start.options()) {
+        let local = setting::assign(name, Some(value)).map_err(|feature| {
+            let problem = Problem::from(feature);
+            Problem::new(problem.code, format!("{name}: {}", problem.message))
+        })?;
+        match local {
+            Local::SetSession(token) => {
+                let floors = front.keys.verify(&session.service, &token).map_err(|report| {
+                    Problem::new(Code::Token, report.current_context().to_string())
+                })?;
+                session.floors.merge(&floors);
+            }
+            Local::SetApplication(name) => session.application = name,
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+fn greet(caller: &mut Caller, start: &Start) {
+    let output = &mut caller.conn.output;
+    output.authentication(&Authentication::Ok);
+    for (name, value) in setting::REPORTED {
+        output.parameter(name, value);
+    }
+    output.parameter("session_authorization", start.get("user").unwrap_or_default());
+    output.parameter(setting::APPLICATION, &caller.session.application);
+    output.key(caller.session.cancel.target);
+    caller.report();
+    caller.ready();
+}
+
+async fn authenticate(front: &Front, conn: &mut Conn, user: &str) -> Result<(), Report<Gone>> {
+    let Some(users) = &front.users else {
+        return Ok(());
+    };
+    let wrong = || {
+        let message = format!("password authentication failed for user \"{user}\"");
+        refuse(Problem::new(Code::Password, message))
+    };
+    // an unknown user is led through the same steps, so that it can't be told apart
+    let decoy = || Verifier::new(&rand::random::<u64>().to_string(), &front.salt(user));
+    let verifier = users.get(user).cloned().unwrap_or_else(decoy);
+    conn.output.authentication(&Authentication::SASL(vec![MECHANISM.to_owned()]));
+    conn.flush().await?;
+    let initial = response(conn).await?;
+    let first = first_message(&initial).ok_or_else(wrong)?;
+    let (answer, exchange) = verifier.start(&first).map_err(|_ignored| wrong())?;
+    conn.output.authentication(&Authentication::SASLContinue(answer.into()));
+    conn.flush().await?;
+    let last = response(conn).await?;
+    let answer = exchange.finish(&last).map_err(|_ignored| wrong())?;
+    conn.output.authentication(&Authentication::SASLFinal(answer.into()));
+    Ok(())
+}
+
+async fn response(conn: &mut Conn) -> Result<Bytes, Report<Gone>> {
+    let frame = conn.next().await?;
+    match Message::decode(&frame).change_context(Gone::Protocol)? {
+        Message::Password(bytes) if bytes.len() <= startup::MAX_BYTES => Ok(bytes),
+        _ => Err(refuse(Problem::new(Code::Protocol, "a password is due"))),
+    }
+}
+
+/// The client's first message out of its answer: mechanism, length, message.
+fn first_message(initial: &Bytes) -> Option<Bytes> {
+    let end = initial.iter().position(|byte| *byte == 0)?;
+    let mut rest = initial.slice(end + 1..);
+    if &initial[..end] != MECHANISM.as_bytes() || rest.len() < 4 {
+        return None;
+    }
+    let length = usize::try_from(rest.get_i32()).ok()?;
+    (rest.len() == length).then_some(rest)
+}
--- /dev/null
+++ b/components/entry/src/front/mod.rs
@@ -0,0 +1,253 @@
+//! The half of an entry that meets callers.
+//!
+//! Each caller has one task. It groups the caller's messages into cycles, says
+//! by the declarations how each may be run, sends it to a keeper of the group
+//! and passes the answer on.
+//!
+//! - [`conn`]: a caller's connection.
+//! - [`login`]: from an accepted connection to a session.
+//! - [`session`]: what is kept of a caller between two cycles.
+//! - [`caller`]: its task.
+//! - [`admit`]: what the declarations say of a request.
+//! - [`run`]: one cycle at a keeper.
+//! - [`local`]: cycles that the front answers by itself.
+//! - [`choose`], [`keepers`], [`link`]: keepers and the links to them.
+//! - [`cancels`]: cancel requests.
+//! - [`tls`], [`metrics`]: what their names say.
+
+pub mod admit;
+pub mod caller;
+pub mod cancels;
+pub mod choose;
+pub mod conn;
+pub mod keepers;
+pub mod link;
+mod local;
+pub mod login;
+pub mod metrics;
+mod run;
+pub mod session;
+pub mod tls;
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use ::session::Keys;
+use base::clock::Clock;
+use base::prelude::*;
+use pg::scram::{SALT_BYTES, Users};
+use slog::{Logger, debug, warn};
+use telemetry::web::Metrics as Registry;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_rustls::TlsAcceptor;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::View;
+
+/// Time before a listener that failed is tried again.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Settings of a front.
+pub struct Settings {
+    /// Name of the entry.
+    pub name: Name,
+    /// Its availability zone.
+    pub zone: Name,
+    /// Incarnation of the entry.
+    pub incarnation: u64,
+    /// Where callers connect.
+    pub listener: TcpListener,
+    /// The key that the system's processes share.
+    pub key: ::link::Key,
+    /// Users and their passwords; without them each login is trusted.
+    pub users: Option<Users>,
+    /// TLS towards callers.
+    pub tls: Option<TlsAcceptor>,
+    /// What is known of the control log.
+    pub view: View,
+    /// Time.
+    pub clock: Clock,
+    /// Where metrics are registered.
+    pub metrics: Registry,
+    /// Log.
+    pub log: Logger,
+}
+
+impl fmt::Debug for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Settings").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+/// How far a front is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes callers.
+    Open,
+    /// It finishes what runs.
+    Closing,
+}
+
+/// What all callers of a front share.
+pub struct Front {
+    name: Name,
+    zone: Name,
+    view: View,
+    clock: Clock,
+    keys: Keys,
+    key: ::link::Key,
+    users: Option<Users>,
+    tls: Option<TlsAcceptor>,
+    keepers: keepers::Keepers,
+    cancels: Arc<cancels::Cancels>,
+    phase: watch::Sender<Phase>,
+    numbers: AtomicU64,
+    metrics: metrics::Metrics,
+    log: Logger,
+}
+
+impl fmt::Debug for Front {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Front").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+impl Front {
+    /// A number that no session had before.
+    fn number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The salt of a user that is not known: the same each time.
+    fn salt(&self, user: &str) -> [u8; SALT_BYTES] {
+        let proof = self.key.prove(&[b"salt", user.as_bytes()]);
+        *proof.first_chunk().expect("a proof is longer than a salt")
+    }
+}
+
+/// A front that runs.
+#[derive(Debug)]
+pub struct Handle {
+    front: Arc<Front>,
+    callers: TaskTracker,
+    stop: CancellationToken,
+    kill: CancellationToken,
+}
+
+/// Starts a front.
+pub fn start(settings: Settings) -> Handle {
+    let Settings { name, zone, incarnation, listener, key, users, tls, view, clock, .. } = settings;
+    let log = settings.log;
+    let metrics = {
+        let registry = settings.metrics.lock();
+        let mut registry = registry.unwrap_or_else(std::sync::PoisonError::into_inner);
+        metrics::Metrics::new(&mut registry)
+    };
+    let links = keepers::Keepers::new(&name, incarnation, key.clone(), clock, log.clone());
+    let front = Arc::new(Front {
+        name,
+        zone,
+        view,
+        clock,
+        keys: Keys::new(key.bytes()),
+        key,
+        users,
+        tls,
+        keepers: links,
+        cancels: Arc::default(),
+        phase: watch::Sender::new(Phase::Open),
+        numbers: AtomicU64::new(1),
+        metrics,
+        log,
+    });
+    let handle = Handle {
+        front,
+        callers: TaskTracker::new(),
+        stop: CancellationToken::new(),
+        kill: CancellationToken::new(),
+    };
+    tokio::spawn(handle.stop.clone().run_until_cancelled_owned(accept(
+        Arc::clone(&handle.front),
+        listener,
+        handle.callers.clone(),
+        handle.kill.clone(),
+    )));
+    let sweep = sweep(Arc::clone(&handle.front));
+    tokio::spawn(handle.kill.clone().run_until_cancelled_owned(sweep));
+    handle
+}
+
+impl Handle {
+    /// Takes no new callers, lets go of idle ones at once and of each other one
+    /// when its transaction ends. After `limit` those that still run are cut.
+    /// Returns how many were.
+    pub async fn close(&self, limit: Duration) -> usize {
+        self.stop.cancel();
+        self.front.phase.send_replace(Phase::Closing);
+        self.callers.close();
+        drop(tokio::time::timeout(limit, self.callers.wait()).await);
+        let cut = self.callers.len();
+        self.kill.cancel();
+        self.callers.wait().await;
+        self.front.keepers.farewell().await;
+        cut
+    }
+
+    /// Breaks the links to keepers, once nothing is asked any more.
+    pub fn end(&self) {
+        self.front.keepers.end();
+    }
+
+    /// Drops everything at once.
+    pub fn kill(&self) {
+        self.stop.cancel();
+        self.kill.cancel();
+        self.front.keepers.end();
+    }
+}
+
+async fn accept(
+    front: Arc<Front>,
+    listener: TcpListener,
+    callers: TaskTracker,
+    kill: CancellationToken,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let task = serve(Arc::clone(&front), stream);
+                callers.spawn(kill.clone().run_until_cancelled_owned(task));
+            }
+            Err(error) => {
+                warn!(front.log, "a caller could not be accepted"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(front: Arc<Front>, stream: tokio::net::TcpStream) {
+    // boxed, so that the task of an idle caller stays small
+    match Box::pin(login::login(&front, stream)).await {
+        Ok(Some(caller)) => {
+            front.metrics.callers.inc();
+            caller.serve().await;
+            front.metrics.callers.dec();
+        }
+        Ok(None) => {}
+        Err(report) => {
+            debug!(front.log, "a login failed"; "reason" => %report.current_context());
+        }
+    }
+}
+
+/// Breaks links to entries that are gone, as the view changes.
+async fn sweep(front: Arc<Front>) {
+    let mut changes = front.view.changes();
+    while changes.changed().await.is_ok() {
+        front.view.read(|state| front.keepers.sweep(state));
+    }
+}
--- /dev/null
+++ b/components/entry/src/front/run.rs
@@ -0,0 +1,382 @@
+//! One cycle at a keeper.
+//!
+//! A request is tried again only when it is proved that it was not run, or
+//! when it is declared to read only, and never after a part of an answer was
+//! passed on.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::model::Class;
+use pg::answer::Status;
+use pg::prepared::Plan;
+use pg::{Code, Filter, Problem};
+use wire::data::{End, Leave, Outcome, Reason, Run, ask};
+
+use super::admit::{self, Admission};
+use super::caller::Caller;
+use super::choose;
+use super::conn::{FLUSH_BYTES, Gone};
+use super::link::{Event, Link, Request};
+use super::session::Transaction;
+
+/// Time within which a lease is expected to move from one keeper to another.
+const LEASE_MOVE: Duration = Duration::from_secs(1);
+
+/// Shortest wait before the keepers are asked again.
+const PAUSE_LEAST: Duration = Duration::from_millis(10);
+
+/// Longest random addition to that wait.
+const PAUSE_SPREAD: Duration = Duration::from_millis(30);
+
+/// When it is worth asking again, where a keeper does not say.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Time beyond its deadline after which a request is given up.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// Bytes of an answer that are passed on before credit is given.
+const CREDIT_BYTES: u64 = 64 << 10;
+
+/// A cycle to run.
+#[derive(Debug)]
+pub struct Work {
+    /// The messages and what is due.
+    pub plan: Plan,
+    /// How it is to be run.
+    pub admission: Admission,
+    /// Whether it may commit a transaction.
+    pub commits: bool,
+}
+
+/// What became of one attempt.
+#[derive(Debug)]
+enum Attempt {
+    /// A keeper ended it.
+    Ended {
+        end: End,
+        /// Whether a part of the answer was passed on.
+        passed: bool,
+        /// Number of own answers that were passed on.
+        own: usize,
+    },
+    /// It never reached a keeper.
+    NotLeft,
+    /// The link or the answer broke, or it took too long.
+    Broken { passed: bool, own: usize },
+}
+
+impl Caller {
+    /// Runs a cycle and writes its whole answer.
+    pub(super) async fn run(&mut self, work: Work) -> Result<(), Report<Gone>> {
+        let started = self.front.clock.now();
+        let result = match &self.session.transaction {
+            Transaction::Open { link, .. } => {
+                let link = Arc::clone(link);
+                let attempt = self.attempt(&link, &work, started, true).await;
+                attempt.map(|attempt| (attempt, Some(link)))
+            }
+            Transaction::None | Transaction::Lost => self.search(&work, started).await,
+        };
+        let running = self.session.cancel.set(None);
+        match result {
+            Ok((attempt, link)) => {
+                self.settle(&work, attempt, link).await;
+                Ok(())
+            }
+            Err(report) => {
+                // the caller is gone, and what it ran must not stay
+                self.session.transaction = Transaction::None;
+                if let Some((link, _)) = running {
+                    self.leave(&link).await;
+                }
+                Err(report)
+            }
+        }
+    }
+
+    /// Tries the keepers of the group until one runs it.
+    async fn search(
+        &mut self,
+        work: &Work,
+        started: Instant,
+    ) -> Result<(Attempt, Option<Arc<Link>>), Report<Gone>> {
+        let until = started + LEASE_MOVE.min(work.admission.deadline);
+        let mut last = not_run(Reason::Unavailable);
+        let mut changes = self.front.view.changes();
+        loop {
+            if !self.front.view.leased(self.front.clock.now()) {
+                return Ok((ended(not_run(Reason::Lease)), None));
+            }
+            for link in self.links().await {
+                let attempt = self.attempt(&link, work, started, false).await?;
+                match attempt {
+                    Attempt::NotLeft => {}
+                    Attempt::Ended { end, passed: false, .. } if is_movable(&end) => last = end,
+                    Attempt::Broken { passed: false, .. }
+                        if work.admission.rule.class == Class::Read =>
+                    {
+                        last = not_run(Reason::Unavailable);
+                        self.session.number = self.front.number();
+                    }
+                    attempt => return Ok((attempt, Some(link))),
+                }
+            }
+            if self.front.clock.now() >= until {
+                return Ok((ended(last), None));
+            }
+            let pause = PAUSE_LEAST + PAUSE_SPREAD.mul_f64(rand::random());
+            drop(tokio::time::timeout(pause, changes.changed()).await);
+        }
+    }
+
+    /// Links to the keepers of the group, the best first; those that are
+    /// stopping last.
+    async fn links(&self) -> Vec<Arc<Link>> {
+        let front = &self.front;
+        let session = &self.session;
+        let keepers = front.view.read(|state| {
+            let group = session.group.as_str();
+            choose::keepers(state, group, &front.name, &front.zone, session.number)
+        });
+        let mut links = Vec::with_capacity(keepers.len());
+        for keeper in &keepers {
+            links.extend(front.keepers.link(keeper).await.ok());
+        }
+        links.sort_by_key(|link| link.is_closing());
+        links
+    }
+
+    /// Asks one keeper and passes its answer on.
+    async fn attempt(
+        &mut self,
+        link: &Arc<Link>,
+        work: &Work,
+        started: Instant,
+        within: bool,
+    ) -> Result<Attempt, Report<Gone>> {
+        let now = self.front.clock.now();
+        let left = work.admission.deadline.saturating_sub(now.since(started));
+        let Ok(mut request) = link.run(self.message(work, left, within)).await else {
+            return Ok(Attempt::NotLeft);
+        };
+        self.session.cancel.set(Some((Arc::clone(link), request.number)));
+        let mut filter = Filter::new(&work.plan.due);
+        let (mut passed, mut owed) = (false, 0);
+        loop {
+            let Some(event) = self.event(&mut request, left + GRACE).await? else {
+                return Ok(Attempt::Broken { passed, own: filter.own() });
+            };
+            match event {
+                Event::Part(part) => {
+                    let Ok(pieces) = filter.feed(&part) else {
+                        return Ok(Attempt::Broken { passed, own: filter.own() });
+                    };
+                    passed |= !pieces.is_empty();
+                    self.pass(&pieces).await?;
+                    owed += part.len() as u64;
+                    if owed >= CREDIT_BYTES {
+                        request.credit(std::mem::take(&mut owed)).await;
+                    }
+                }
+                Event::End(end) => return Ok(Attempt::Ended { end, passed, own: filter.own() }),
+                Event::Broken { left: false } => return Ok(Attempt::NotLeft),
+                Event::Broken { left: true } => {
+                    return Ok(Attempt::Broken { passed, own: filter.own() });
+                }
+            }
+        }
+    }
+
+    /// What becomes of a request next, or `None` when it takes too long.
+    async fn event(
+        &mut self,
+        request: &mut Request,
+        limit: Duration,
+    ) -> Result<Option<Event>, Report<Gone>> {
+        if let Some(event) = request.ready() {
+            return Ok(Some(event));
+        }
+        self.conn.flush().await?;
+        Ok(tokio::time::timeout(limit, request.next()).await.ok())
+    }
+
+    async fn pass(&mut self, pieces: &[Bytes]) -> Result<(), Report<Gone>> {
+        for piece in pieces {
+            if piece.len() >= FLUSH_BYTES {
+                self.conn.flush().await?;
+                self.conn.write(piece).await?;
+            } else {
+                self.conn.output.raw(piece);
+            }
+        }
+        if self.conn.output.len() >= FLUSH_BYTES {
+            self.conn.flush().await?;
+        }
+        Ok(())
+    }
+
+    fn message(&self, work: &Work, left: Duration, within: bool) -> Run {
+        let (session, rule) = (&self.session, &work.admission.rule);
+        let floor = session.floors.get(session.group.as_str());
+        // within a transaction the class of one statement says nothing
+        let class = if within { Class::Write } else { rule.class };
+        Run {
+            request: 0,
+            caller: session.number,
+            service: session.service.as_str().to_owned(),
+            group: session.group.as_str().to_owned(),
+            class: admit::class(class) as i32,
+            within,
+            floor: floor.map(Into::into),
+            fresh: floor.is_none() || (class == Class::Read && rule.age.is_zero()),
+            age_ms: millis(rule.age),
+            patience_ms: millis(rule.patience),
+            deadline_ms: millis(left),
+            payload: work.plan.payload.clone(),
+            window: 0,
+            version: work.admission.version,
+            trace: format!("{}/{}.{}", self.front.name, session.number, session.cycles),
+            commits: work.commits,
+        }
+    }
+
+    /// Takes the end of the last attempt and ends the answer.
+    async fn settle(&mut self, work: &Work, attempt: Attempt, link: Option<Arc<Link>>) {
+        let within = self.session.transaction.is_open();
+        match attempt {
+            Attempt::Ended { end, own, .. } => {
+                self.keep(work, own);
+                self.end(work, &end, link, within).await;
+            }
+            // outside a transaction this was tried again elsewhere
+            Attempt::NotLeft => self.lose(work, &rolled_back(), link, within).await,
+            Attempt::Broken { own, .. } => {
+                self.keep(work, own);
+                let problem = if within && !work.commits { rolled_back() } else { lost() };
+                self.lose(work, &problem, link, within).await;
+            }
+        }
+        self.ready();
+    }
+
+    fn keep(&mut self, work: &Work, own: usize) {
+        for change in &work.plan.changes[..own.min(work.plan.changes.len())] {
+            self.session.prepared.apply(change);
+        }
+    }
+
+    async fn end(&mut self, work: &Work, end: &End, link: Option<Arc<Link>>, within: bool) {
+        self.front.metrics.cycle(end);
+        let outcome = end.outcome();
+        if outcome != Outcome::Done {
+            // a keeper holds nothing of what was not run outside a transaction
+            let held = link.filter(|_| within || outcome != Outcome::NotRun);
+            self.lose(work, &explain(end), held, within).await;
+            return;
+        }
+        if let Some(mark) = end.mark {
+            let rose = self.session.floors.raise(&self.session.group, mark.into());
+            let wrote = work.admission.rule.class != Class::Read || within;
+            if rose && wrote && !end.replica {
+                self.report();
+            }
+        }
+        let status = u8::try_from(end.status).ok().and_then(Status::from_byte);
+        self.session.transaction = match (status, link) {
+            (Some(Status::Open), Some(link)) => Transaction::Open { link, failed: false },
+            (Some(Status::Failed), Some(link)) => Transaction::Open { link, failed: true },
+            _ => Transaction::None,
+        };
+    }
+
+    /// Tells of a request that did not end well, and forgets its transaction.
+    ///
+    /// A transaction that is not over for the caller stays failed until the
+    /// caller ends it, so that no later statement of it runs by itself.
+    async fn lose(
+        &mut self,
+        work: &Work,
+        problem: &Problem,
+        link: Option<Arc<Link>>,
+        within: bool,
+    ) {
+        self.conn.output.error(problem);
+        if let Some(link) = link {
+            self.leave(&link).await;
+        }
+        self.session.transaction =
+            if within && !work.commits { Transaction::Lost } else { Transaction::None };
+    }
+
+    /// Makes a keeper forget the session; it goes on under another number.
+    pub(super) async fn leave(&mut self, link: &Link) {
+        let caller = self.session.number;
+        link.tell(ask::Body::Leave(Leave { caller })).await;
+        self.session.number = self.front.number();
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn not_run(reason: Reason) -> End {
+    End { outcome: Outcome::NotRun as i32, reason: reason as i32, ..End::default() }
+}
+
+fn ended(end: End) -> Attempt {
+    Attempt::Ended { end, passed: false, own: 0 }
+}
+
+/// Whether the other keeper may run it.
+fn is_movable(end: &End) -> bool {
+    let reason = end.reason();
+    let movable = [Reason::WrongKeeper, Reason::Closing, Reason::Unavailable].contains(&reason);
+    end.outcome() == Outcome::NotRun && movable
+}
+
+fn rolled_back() -> Problem {
+    let message = "the keeper was lost and the transaction was rolled back";
+    Problem::new(Code::NotRun, message).after(RETRY_AFTER)
+}
+
+fn lost() -> Problem {
+    Problem::new(Code::Unknown, "the keeper was lost; the outcome is unknown")
+}
+
+/// What a caller is told of an end that is not done.
+fn explain(end: &End) -> Problem {
+    let reason = end.reason();
+    if end.outcome() == Outcome::NotRun {
+        if reason == Reason::Cancelled {
+            return Problem::new(Code::Cancelled, "cancelled as the caller asked; it was not run");
+        }
+        let after = match end.retry_after_ms {
+            0 => RETRY_AFTER,
+            millis => Duration::from_millis(millis),
+        };
+        return Problem::new(Code::NotRun, format!("not run: {}", cause(reason))).after(after);
+    }
+    Problem::new(Code::Unknown, format!("the outcome is unknown: {}", cause(reason)))
+}
+
+fn cause(reason: Reason) -> &'static str {
+    match reason {
+        Reason::None => "no reason was given",
+        Reason::QueueFull => "the queue of the service is full",
+        Reason::Deadline => "the deadline would pass first",
+        Reason::WrongKeeper => "the group has no keeper at present",
+        Reason::Closing => "the keeper is stopping",
+        Reason::Lease => "this entry has lost touch with control",
+        Reason::Unavailable => "no server of the group can be used",
+        Reason::Replaced => "the primary was replaced",
+        Reason::Broken => "the connection to the backend server broke",
+        Reason::TransactionGone => "the transaction is gone",
+        Reason::Refused => "no selector lets the service reach a server of the group",
+        Reason::TooLarge => "the answer is too large to be held back",
+        Reason::Cancelled => "it was cancelled",
+        Reason::RetryBudget => "the service spent its retries",
+    }
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,7 +1,9 @@
 //! The host of an entry: callers on one side, backend servers on the other.
 //!
+//! - [`front`]: callers and their sessions.
 //! - [`view`]: what this entry knows of the control log, and its lease.
 
+pub mod front;
 pub mod view;
 
 pub use view::View;
--- a/components/pg/src/prepared.rs
+++ b/components/pg/src/prepared.rs
@@ -7,7 +7,7 @@
 //! Close makes sure that whatever the connection held there is gone. Slots are
 //! not used twice in one transaction, since a portal of it may hang on one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
@@ -69,8 +69,15 @@
     pub due: Vec<Due>,
     /// What each own answer of [`Plan::due`] changes, in order.
     pub changes: Vec<Change>,
-    /// Statements that it uses.
+}
+
+/// The statements that a cycle uses.
+#[derive(Debug, Default)]
+pub struct Survey {
+    /// Each of them, in the order of use.
     pub statements: Vec<Arc<Statement>>,
+    /// Those that the cycle itself prepares, in order.
+    own: VecDeque<Arc<Statement>>,
 }
 
 /// The statements that one caller prepared.
@@ -132,13 +139,41 @@
         }
     }
 
-    /// Plans the messages of an extended cycle.
+    /// Looks up the statements that a cycle uses.
+    pub fn survey(&self, messages: &[Message]) -> Survey {
+        let mut survey = Survey::default();
+        let mut names: BTreeMap<&str, Option<Arc<Statement>>> = BTreeMap::new();
+        for message in messages {
+            let name = match message {
+                Message::Parse(parse) => {
+                    let statement = Arc::new(Statement::from(parse));
+                    survey.own.push_back(Arc::clone(&statement));
+                    let name = parse.name.as_deref().unwrap_or_default();
+                    names.insert(name, Some(statement));
+                    name
+                }
+                Message::Bind(bind) => bind.statement_name.as_deref().unwrap_or_default(),
+                Message::Describe(Target::Statement, name) => name,
+                Message::Close(Target::Statement, name) => {
+                    names.insert(name, None);
+                    continue;
+                }
+                _ => continue,
+            };
+            let staged = names.get(name).cloned();
+            survey.statements.extend(staged.unwrap_or_else(|| self.get(name).cloned()));
+        }
+        survey
+    }
+
+    /// Plans the messages of an extended cycle, after [`Prepared::survey`].
     ///
     /// # Errors
     /// [`Code::Limit`] when the caller keeps too many statements.
-    pub fn plan(&mut self, messages: Vec<Message>) -> Result<Plan, Problem> {
+    pub fn plan(&mut self, messages: Vec<Message>, survey: Survey) -> Result<Plan, Problem> {
         let mut draft = Draft {
             prepared: self,
+            own: survey.own,
             names: BTreeMap::new(),
             payload: BytesMut::new(),
             plan: Plan::default(),
@@ -155,6 +190,7 @@
 
 struct Draft<'a> {
     prepared: &'a mut Prepared,
+    own: VecDeque<Arc<Statement>>,
     /// Where each name stands in this cycle.
     names: BTreeMap<String, String>,
     payload: BytesMut,
@@ -206,10 +242,10 @@
             self.close(TARGET_TYPE_BYTE_STATEMENT, slot.clone(), false);
         }
         // a name that is taken is refused by the backend server, in its place
-        let statement = Arc::new(Statement::from(&parse));
+        let statement = self.own.pop_front();
+        let statement = statement.unwrap_or_else(|| Arc::new(Statement::from(&parse)));
         self.put(&Parse::new(Some(slot.clone()), parse.query, parse.type_oids));
         self.plan.due.push(Due { kind: PARSED, own: true });
-        self.plan.statements.push(Arc::clone(&statement));
         self.names.insert(name.clone(), slot);
         self.plan.changes.push(Change::Keep(name, statement));
         Ok(())
@@ -247,7 +283,6 @@
             let types = statement.types.clone();
             self.put(&Parse::new(Some(slot.clone()), statement.text.clone(), types));
             self.plan.due.push(Due { kind: PARSED, own: false });
-            self.plan.statements.push(statement);
             self.names.insert(name.to_owned(), slot.clone());
         }
         slot
