--- a/components/telemetry/src/cli.rs
+++ b/components/telemetry/src/cli.rs
@@ -37,8 +37,8 @@
 impl std::error::Error for Invalid {}
 
 /// Shows a help text, a version or an error, and gives the code to exit with.
-pub fn show(failure: ParseFailure) -> ExitCode {
-    let code = match &failure {
+pub fn show(failure: &ParseFailure) -> ExitCode {
+    let code = match failure {
         ParseFailure::Stderr(_) => ExitCode::from(USAGE),
         ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::SUCCESS,
     };
