--- /dev/null
+++ b/components/quorum/src/elect.rs
@@ -0,0 +1,170 @@
+//! Elections: pre-votes, votes, and who may stand.
+//!
+//! A pre-vote raises no term anywhere, so a member that was cut off for long
+//! disturbs nobody when it returns. A member that hears a leader gives neither
+//! a pre-vote nor a vote, unless that leader hands over.
+
+use std::collections::BTreeSet;
+
+use base::prelude::*;
+use wire::quorum::message::Body;
+use wire::quorum::{Member, Members, Vote, Voted};
+
+use crate::ELECTION_MIN;
+use crate::hold::{Hard, Item};
+use crate::lead::Lead;
+use crate::replica::{Flaw, Replica, Role};
+
+impl Replica {
+    /// Starts an election, with a pre-vote.
+    pub(crate) fn stand(&mut self, now: Instant) {
+        self.reset_deadline(now);
+        if !self.is_voter(self.settings.id) {
+            return;
+        }
+        if self.settings.flaw == Some(Flaw::NoPreVote) {
+            self.campaign(now, false);
+            return;
+        }
+        self.set_leader(None);
+        self.role = Role::Asking { votes: BTreeSet::from([self.settings.id]) };
+        let term = self.hard.term + 1;
+        let vote = self.own_log(false);
+        for peer in self.peers() {
+            let message = self.message(peer, term, Body::PreVote(vote));
+            self.out.push(crate::Effect::Send(message));
+        }
+        self.count_pre_votes(now);
+    }
+
+    /// Asks for votes in a new term.
+    pub(crate) fn campaign(&mut self, now: Instant, transfer: bool) {
+        if !self.is_voter(self.settings.id) || matches!(self.role, Role::Leader(_)) {
+            return;
+        }
+        self.hard = Hard { term: self.hard.term + 1, vote: self.settings.id };
+        self.hold.hard(self.hard);
+        self.incoming = None;
+        self.set_leader(None);
+        self.reset_deadline(now);
+        self.role = Role::Candidate { votes: BTreeSet::new() };
+        self.hold.after(Item::Vote(self.hard.term));
+        let vote = self.own_log(transfer);
+        for peer in self.peers() {
+            self.send_durable(peer, Body::Vote(vote));
+        }
+    }
+
+    /// The member's vote for itself is durable.
+    pub(crate) fn own_vote(&mut self, term: u64) {
+        let id = self.settings.id;
+        if term != self.hard.term {
+            return;
+        }
+        if let Role::Candidate { votes } = &mut self.role {
+            votes.insert(id);
+        }
+    }
+
+    pub(crate) fn on_pre_vote(&mut self, now: Instant, from: u64, term: u64, vote: Vote) {
+        let free = term > self.hard.term && !self.hears_leader(now);
+        let granted = free && self.is_current(vote);
+        let term = if granted { term } else { self.hard.term };
+        let message = self.message(from, term, Body::PreVoted(Voted { granted }));
+        self.out.push(crate::Effect::Send(message));
+    }
+
+    pub(crate) fn on_pre_voted(&mut self, now: Instant, from: u64, term: u64, voted: Voted) {
+        if !voted.granted {
+            if term > self.hard.term {
+                self.step_down(now, term, None);
+            }
+            return;
+        }
+        if term != self.hard.term + 1 {
+            return;
+        }
+        if let Role::Asking { votes } = &mut self.role {
+            votes.insert(from);
+            self.count_pre_votes(now);
+        }
+    }
+
+    pub(crate) fn on_vote(&mut self, now: Instant, from: u64, vote: Vote) {
+        let free = self.hard.vote == 0 || self.hard.vote == from;
+        let follower = matches!(self.role, Role::Follower | Role::Asking { .. });
+        let granted = free && follower && self.leader.is_none() && self.is_current(vote);
+        if granted && self.hard.vote == 0 {
+            self.hard.vote = from;
+            self.hold.hard(self.hard);
+        }
+        if granted {
+            self.role = Role::Follower;
+            self.reset_deadline(now);
+        }
+        self.send_durable(from, Body::Voted(Voted { granted }));
+    }
+
+    pub(crate) fn on_voted(&mut self, now: Instant, from: u64, voted: Voted) {
+        if !voted.granted {
+            return;
+        }
+        if let Role::Candidate { votes } = &mut self.role {
+            votes.insert(from);
+            self.count_votes(now);
+        }
+    }
+
+    pub(crate) fn count_votes(&mut self, now: Instant) {
+        let Role::Candidate { votes } = &self.role else { return };
+        if votes.contains(&self.settings.id) && self.is_quorum(|id| votes.contains(&id)) {
+            self.role = Role::Leader(Box::new(Lead::new(now, self.log.last_index() + 1)));
+            self.take_lead(now);
+        }
+    }
+
+    fn count_pre_votes(&mut self, now: Instant) {
+        let Role::Asking { votes } = &self.role else { return };
+        if self.is_quorum(|id| votes.contains(&id)) {
+            self.campaign(now, false);
+        }
+    }
+
+    /// Whether this member leads or has heard a leader just now.
+    pub(crate) fn hears_leader(&self, now: Instant) -> bool {
+        let leads = matches!(self.role, Role::Leader(_));
+        leads || (self.leader.is_some() && now.since(self.heard) < ELECTION_MIN)
+    }
+
+    /// Whether a candidate's log is at least as new as this one.
+    fn is_current(&self, vote: Vote) -> bool {
+        (vote.last_term, vote.last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    fn own_log(&self, transfer: bool) -> Vote {
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        Vote { last_index, last_term, transfer }
+    }
+
+    /// All other members.
+    pub(crate) fn peers(&self) -> Vec<u64> {
+        let own = self.settings.id;
+        self.members().members.iter().map(|member| member.id).filter(|id| *id != own).collect()
+    }
+
+    pub(crate) fn is_voter(&self, id: u64) -> bool {
+        self.voters().any(|member| member.id == id)
+    }
+
+    /// Whether the voters that pass a test are a quorum.
+    pub(crate) fn is_quorum(&self, test: impl Fn(u64) -> bool) -> bool {
+        let passed = self.voters().filter(|member| test(member.id)).count();
+        passed >= crate::quorum(self.voters().count())
+    }
+
+    pub(crate) fn voters(&self) -> impl Iterator<Item = &Member> {
+        let all = self.settings.flaw == Some(Flaw::Learner);
+        let Members { members } = self.members();
+        members.iter().filter(move |member| member.voter || all)
+    }
+}
--- /dev/null
+++ b/components/quorum/src/log.rs
@@ -0,0 +1,142 @@
+//! The log in memory: a snapshot, the entries after it, and the memberships
+//! that both name.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use wire::Message as _;
+use wire::quorum::entry::Body;
+use wire::quorum::{Entry, Members};
+
+use crate::{BATCH_BYTES, BATCH_ENTRIES};
+
+/// The host's state at an index.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Snapshot {
+    /// Index of the last entry in it.
+    pub index: u64,
+    /// Term of that entry.
+    pub term: u64,
+    /// Membership at that entry.
+    pub members: Members,
+    /// The encoded state.
+    pub data: Bytes,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    snapshot: Snapshot,
+    base: (u64, u64),
+    entries: VecDeque<Entry>,
+    memberships: Vec<(u64, Members)>,
+}
+
+impl Log {
+    pub(crate) fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Self {
+        let mut log = Self::default();
+        log.restore(snapshot);
+        for entry in entries {
+            if entry.index == log.last_index() + 1 {
+                log.push(entry);
+            }
+        }
+        log
+    }
+
+    pub(crate) fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    /// Index before the first entry held.
+    pub(crate) fn base(&self) -> u64 {
+        self.base.0
+    }
+
+    pub(crate) fn last_index(&self) -> u64 {
+        self.base.0 + self.entries.len() as u64
+    }
+
+    pub(crate) fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base.1, |entry| entry.term)
+    }
+
+    pub(crate) fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base.0 {
+            return Some(self.base.1);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub(crate) fn get(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.base.0 + 1)?;
+        self.entries.get(offset as usize)
+    }
+
+    /// Entries from an index on, as many as one message takes.
+    pub(crate) fn batch(&self, from: u64) -> Vec<Entry> {
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        let mut index = from;
+        while let Some(entry) = self.get(index) {
+            bytes += entry.encoded_len();
+            let full = bytes > BATCH_BYTES || batch.len() >= BATCH_ENTRIES;
+            if full && !batch.is_empty() {
+                break;
+            }
+            batch.push(entry.clone());
+            index += 1;
+        }
+        batch
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index, self.last_index() + 1, "the log has no gaps");
+        if let Some(Body::Members(members)) = &entry.body {
+            self.memberships.push((entry.index, members.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from an index on.
+    pub(crate) fn truncate(&mut self, from: u64) {
+        let kept = from.saturating_sub(self.base.0 + 1);
+        self.entries.truncate(kept as usize);
+        self.memberships.retain(|(index, _)| *index < from);
+    }
+
+    /// Takes a snapshot of an applied index, and drops what lies far behind it.
+    pub(crate) fn compact(&mut self, index: u64, data: Bytes, keep: u64) -> Option<&Snapshot> {
+        let term = self.term(index)?;
+        if index <= self.snapshot.index {
+            return None;
+        }
+        let members = self.members_at(index);
+        self.snapshot = Snapshot { index, term, members, data };
+        let base = index.saturating_sub(keep).max(self.base.0);
+        let base_term = self.term(base)?;
+        self.entries.drain(..(base - self.base.0) as usize);
+        self.base = (base, base_term);
+        let current = self.memberships.iter().rposition(|(at, _)| *at <= index).unwrap_or(0);
+        self.memberships.drain(..current);
+        Some(&self.snapshot)
+    }
+
+    /// Puts a snapshot in place of everything.
+    pub(crate) fn restore(&mut self, snapshot: Snapshot) {
+        self.base = (snapshot.index, snapshot.term);
+        self.entries.clear();
+        self.memberships = vec![(snapshot.index, snapshot.members.clone())];
+        self.snapshot = snapshot;
+    }
+
+    /// The newest membership, committed or not, and its index.
+    pub(crate) fn membership(&self) -> (u64, &Members) {
+        let (index, members) = self.memberships.last().expect("a snapshot names a membership");
+        (*index, members)
+    }
+
+    fn members_at(&self, index: u64) -> Members {
+        let found = self.memberships.iter().rev().find(|(at, _)| *at <= index);
+        found.map_or_else(Members::default, |(_, members)| members.clone())
+    }
+}
