--- /dev/null
+++ b/programs/trefoil-slope/src/cmd/beat.rs
@@ -0,0 +1,68 @@
+//! Cost of heartbeats: what a member does for one round of all its entries.
+
+use base::prelude::*;
+use control::{Event, Leader};
+use serde::Serialize;
+use wire::Message;
+use wire::control::{Beat, Confirm, Down, Up, down, up};
+
+use crate::size::{self, ENTRIES, Size};
+use crate::timer::median;
+
+const CALLS: u32 = 20;
+
+#[derive(Serialize)]
+struct Row {
+    measure: &'static str,
+    entries: usize,
+    beat_bytes: usize,
+    confirm_bytes: usize,
+    round_micros: f64,
+    leader_round_micros: f64,
+}
+
+pub(crate) fn run() {
+    for entries in ENTRIES {
+        println!("{}", serde_json::json!(measure(entries)));
+    }
+}
+
+fn measure(entries: usize) -> Row {
+    let beat = Beat { sequence: 1_000, applied: 100_000, returned: Vec::new() };
+    let beat = Up { body: Some(up::Body::Beat(beat)) }.encode_to_vec();
+    let confirm = Confirm { sequence: 1_000, index: 100_000, lease_ms: 2_000 };
+    let confirm = Down { body: Some(down::Body::Confirm(confirm)) };
+    let round = median(CALLS, || {
+        for _ in 0..entries {
+            std::hint::black_box(Up::decode(beat.as_slice()).is_ok());
+            std::hint::black_box(confirm.encode_to_vec());
+        }
+    });
+    let state = size::state(Size { entries, ..Size::default() });
+    let mut leader = Leader::new(Instant::ZERO);
+    let names: Vec<Name> = state.entries.keys().cloned().collect();
+    let mut out = Vec::new();
+    let mut now = Instant::ZERO;
+    let leader_round = median(CALLS, || {
+        now += control::lease::BEAT;
+        for entry in &names {
+            let beat = Event::Beat {
+                entry: entry.clone(),
+                incarnation: 1,
+                applied: state.index,
+                returned: Vec::new(),
+            };
+            leader.on(now, &state, beat, &mut out);
+        }
+        leader.on(now, &state, Event::Tick, &mut out);
+        out.clear();
+    });
+    Row {
+        measure: "beat",
+        entries,
+        beat_bytes: beat.len(),
+        confirm_bytes: confirm.encoded_len(),
+        round_micros: round.as_secs_f64() * 1e6,
+        leader_round_micros: leader_round.as_secs_f64() * 1e6,
+    }
+}
--- /dev/null
+++ b/programs/trefoil-slope/src/cmd/change.rs
@@ -0,0 +1,72 @@
+//! Cost of one change of the declarations.
+//!
+//! The leader applies it once; each member encodes it once for each entry that
+//! follows it; each entry decodes and applies it.
+
+use serde::Serialize;
+use wire::Message;
+use wire::control::{Down, Entries, Entry, down};
+use wire::log::Command;
+
+use crate::size::{self, ENTRIES, Size};
+use crate::timer::median;
+
+const CALLS: u32 = 5;
+
+#[derive(Serialize)]
+struct Row {
+    measure: &'static str,
+    entries: usize,
+    services: usize,
+    bytes_an_entry: usize,
+    apply_micros: f64,
+    encode_all_micros: f64,
+    decode_micros: f64,
+}
+
+pub(crate) fn run() {
+    for entries in ENTRIES {
+        for services in [10, 100, 1_000, 4_300] {
+            println!("{}", serde_json::json!(measure(entries, services)));
+        }
+    }
+}
+
+fn measure(entries: usize, services: usize) -> Row {
+    let size = Size { entries, groups: services, services };
+    let state = size::state(Size { services: 0, ..size });
+    let declarations = size::declarations(size);
+    let body = size::configure("second", state.version, &declarations);
+    let command = Command { body: Some(body) };
+    let index = state.index + 1;
+    let down = down::Body::Entries(Entries {
+        entries: vec![Entry { index, command: Some(command.clone()) }],
+    });
+    let down = Down { body: Some(down) };
+    let bytes = down.encode_to_vec();
+    // the state must be new for each call, and making it must not count
+    let mut states = vec![state; CALLS as usize * 8];
+    let apply = median(CALLS, || {
+        if let Some(mut state) = states.pop() {
+            state.apply(index, &command);
+            std::mem::forget(state);
+        }
+    });
+    let encode = median(CALLS, || {
+        for _ in 0..entries {
+            std::hint::black_box(down.encode_to_vec());
+        }
+    });
+    let decode = median(CALLS, || {
+        std::hint::black_box(Down::decode(bytes.as_slice()).is_ok());
+    });
+    Row {
+        measure: "change",
+        entries,
+        services,
+        bytes_an_entry: bytes.len(),
+        apply_micros: apply.as_secs_f64() * 1e6,
+        encode_all_micros: encode.as_secs_f64() * 1e6,
+        decode_micros: decode.as_secs_f64() * 1e6,
+    }
+}
--- /dev/null
+++ b/programs/trefoil-slope/src/cmd/mod.rs
@@ -0,0 +1,6 @@
+//! One file a measurement.
+
+pub(crate) mod beat;
+pub(crate) mod change;
+pub(crate) mod memory;
+pub(crate) mod restart;
--- /dev/null
+++ b/programs/trefoil-slope/src/cmd/restart.rs
@@ -0,0 +1,103 @@
+//! Time to start again, and bytes on disk, by changes in the journal.
+
+use std::time::Instant;
+
+use control::State;
+use error_stack::{Report, ResultExt};
+use journal::{Batch, Entry, Folder, Journal, Snapshot};
+use serde::Serialize;
+use wire::Message;
+use wire::log::Command;
+
+use crate::size::{self, Size};
+
+const CHANGES: [u64; 4] = [10, 100, 1_000, 10_000];
+
+/// Changes between two snapshots, as a member keeps them.
+const SNAPSHOT_EVERY: u64 = 1_024;
+
+/// Why a measurement failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+pub(crate) enum Failure {
+    /// No folder to write to.
+    Folder,
+    /// The journal failed.
+    Journal,
+    /// The state's image was not read.
+    Image,
+}
+
+impl std::error::Error for Failure {}
+
+#[derive(Serialize)]
+struct Row {
+    measure: &'static str,
+    changes: u64,
+    journal_bytes: u64,
+    snapshot_bytes: usize,
+    write_micros_a_change: f64,
+    restart_millis: f64,
+}
+
+pub(crate) fn run() -> Result<(), Report<Failure>> {
+    for changes in CHANGES {
+        println!("{}", serde_json::json!(measure(changes)?));
+    }
+    Ok(())
+}
+
+fn measure(changes: u64) -> Result<Row, Report<Failure>> {
+    let folder = tempfile::tempdir().change_context(Failure::Folder)?;
+    let mut state = size::state(Size { entries: 9, groups: 3, services: 8 });
+    let declarations = size::declarations(Size { entries: 9, groups: 3, services: 8 });
+    let disk = Folder::open(folder.path()).change_context(Failure::Folder)?;
+    let (mut journal, _) = Journal::open(disk).change_context(Failure::Journal)?;
+    let mut snapshot_bytes = 0;
+    let first = Snapshot { index: state.index, bytes: state.encode() };
+    let batch = Batch { snapshot: Some(first), ..Batch::default() };
+    journal.write(batch).change_context(Failure::Journal)?;
+    let start = Instant::now();
+    for number in 0..changes {
+        let body = size::configure(&format!("change-{number}"), state.version, &declarations);
+        let command = Command { body: Some(body) };
+        let index = state.index + 1;
+        state.apply(index, &command);
+        let entries = vec![Entry { index, bytes: command.encode_to_vec() }];
+        let due = (number + 1).is_multiple_of(SNAPSHOT_EVERY);
+        let snapshot = due.then(|| Snapshot { index, bytes: state.encode() });
+        if let Some(snapshot) = &snapshot {
+            snapshot_bytes = snapshot.bytes.len();
+        }
+        let batch = Batch { snapshot, entries, ..Batch::default() };
+        journal.write(batch).change_context(Failure::Journal)?;
+    }
+    let written = start.elapsed();
+    drop(journal);
+    let journal_bytes = bytes(folder.path())?;
+    let start = Instant::now();
+    let disk = Folder::open(folder.path()).change_context(Failure::Folder)?;
+    let (_journal, recovered) = Journal::open(disk).change_context(Failure::Journal)?;
+    let snapshot = recovered.snapshot.ok_or(Failure::Journal)?;
+    let mut state = State::decode(&snapshot.bytes).change_context(Failure::Image)?;
+    for entry in &recovered.entries {
+        let command = Command::decode(entry.bytes.as_slice()).change_context(Failure::Journal)?;
+        state.apply(entry.index, &command);
+    }
+    Ok(Row {
+        measure: "restart",
+        changes,
+        journal_bytes,
+        snapshot_bytes,
+        write_micros_a_change: written.as_secs_f64() * 1e6 / changes as f64,
+        restart_millis: start.elapsed().as_secs_f64() * 1e3,
+    })
+}
+
+fn bytes(folder: &std::path::Path) -> Result<u64, Report<Failure>> {
+    let mut total = 0;
+    for file in std::fs::read_dir(folder).change_context(Failure::Folder)? {
+        let file = file.change_context(Failure::Folder)?;
+        total += file.metadata().change_context(Failure::Folder)?.len();
+    }
+    Ok(total)
+}
--- /dev/null
+++ b/programs/trefoil-slope/src/size.rs
@@ -0,0 +1,96 @@
+//! States of a given size, built by the commands that a real log would hold.
+
+use config::model::{Measure, Objective};
+use config::{Declarations, Group, Labels, Limits, Selector, Service};
+use control::State;
+use wire::log::{Announce, Command, Configure, Join, Label, command::Body};
+
+/// Entries of the sizes measured.
+pub(crate) const ENTRIES: [usize; 4] = [9, 90, 900, 3_600];
+
+/// Servers of a group.
+pub(crate) const SERVERS: usize = 3;
+
+/// How large a state is.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Size {
+    pub(crate) entries: usize,
+    pub(crate) groups: usize,
+    pub(crate) services: usize,
+}
+
+/// Builds a state.
+pub(crate) fn state(size: Size) -> State {
+    let mut state = State::default();
+    let mut put = |body| {
+        let index = state.index + 1;
+        state.apply(index, &Command { body: Some(body) });
+    };
+    put(configure("first", 0, &declarations(size)));
+    for entry in 0..size.entries {
+        put(join(entry));
+    }
+    for group in 0..size.groups {
+        for server in 0..SERVERS {
+            put(announce(group, server));
+        }
+    }
+    state
+}
+
+/// A change of the declarations.
+pub(crate) fn configure(change: &str, base: u64, declarations: &Declarations) -> Body {
+    let content = declarations.canonical();
+    Body::Configure(Configure { change: change.to_owned(), base, content })
+}
+
+/// An entry that joins.
+pub(crate) fn join(entry: usize) -> Body {
+    Body::Join(Join {
+        entry: format!("entry-{entry}"),
+        incarnation: 1,
+        address: format!("10.0.{}.{}:6433", entry / 250, entry % 250 + 1),
+        zone: format!("region-{}-zone-{}", entry % 5, entry % 16),
+    })
+}
+
+fn announce(group: usize, server: usize) -> Body {
+    Body::Announce(Announce {
+        server: format!("group-{group}-{server}"),
+        incarnation: 1,
+        group: format!("group-{group}"),
+        address: format!("10.{}.{}.{}:5432", server + 1, group / 250, group % 250 + 1),
+        zone: format!("region-{}-zone-{}", group % 5, (group + server) % 16),
+        labels: vec![Label { key: "tier".to_owned(), value: "main".to_owned() }],
+        connections: 40,
+        slots: 3,
+        leaving: false,
+    })
+}
+
+/// Declarations with one selector a service.
+pub(crate) fn declarations(size: Size) -> Declarations {
+    let name = |text: String| text.parse().expect("the name is valid");
+    let mut declarations = Declarations::default();
+    for group in 0..size.groups {
+        let group = (name(format!("group-{group}")), Group { servers: 3, elects: false });
+        declarations.groups.extend([group]);
+    }
+    for service in 0..size.services {
+        let label = (name("app".to_owned()), name(format!("app-{service}")));
+        let labels: Labels = [label].into_iter().collect();
+        let objective = Objective { measure: Measure::Latency, target: 0.999, within_ms: 100 };
+        let limits = Limits::default();
+        let objectives = vec![objective];
+        let declared = Service { labels: labels.clone(), weight: 1, limits, objectives };
+        declarations.services.insert(name(format!("service-{service}")), declared);
+        let selector = Selector {
+            services: labels,
+            groups: vec![name(format!("group-{}", service % size.groups.max(1)))],
+            backends: Labels::new(),
+            kinds: std::collections::BTreeMap::new(),
+        };
+        declarations.selectors.insert(name(format!("selector-{service}")), selector);
+    }
+    declarations
+}
