--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -66,7 +66,7 @@
             Some(Body::Announce(announce)) => self.announce(announce),
             Some(Body::Expire(expire)) => self.expire(expire),
             Some(Body::Join(join)) => self.join(join),
-            Some(Body::Part(part)) => self.part(index, part),
+            Some(Body::Part(part)) => self.part(part),
             Some(Body::Assign(assign)) => self.assign(index, assign),
             Some(Body::Intend(intend)) => self.intend(intend),
             Some(Body::Choose(choose)) => self.choose(choose),
@@ -116,6 +116,24 @@
     }
 
     fn announce(&mut self, announce: &log::Announce) -> Result<Outcome, Refusal> {
+        let Some((name, server)) = self.judge(announce)? else {
+            return Ok(Outcome::Unchanged);
+        };
+        if self.declares(server.group.as_str()) {
+            let group = self.groups.entry(server.group.clone()).or_default();
+            if !group.seats.contains(&name) {
+                group.seats.push(name.clone());
+            }
+        }
+        self.servers.insert(name, server);
+        Ok(Outcome::Applied)
+    }
+
+    /// What an announcement would change, `None` when it says what is known.
+    ///
+    /// # Errors
+    /// Why it would be refused.
+    pub fn judge(&self, announce: &log::Announce) -> Result<Option<(Name, Server)>, Refusal> {
         let (name, server) = Server::read(announce).ok_or(Refusal::Malformed)?;
         if let Some(known) = self.servers.get(&name) {
             if known.incarnation > server.incarnation {
@@ -125,32 +143,25 @@
                 return Err(Refusal::Address);
             }
             if *known == server {
-                return Ok(Outcome::Unchanged);
+                return Ok(None);
             }
         }
-        self.take_seat(&name, &server)?;
-        self.servers.insert(name, server);
-        Ok(Outcome::Applied)
+        self.judge_seat(&name, &server.group)?;
+        Ok(Some((name, server)))
     }
 
-    fn take_seat(&mut self, name: &Name, server: &Server) -> Result<(), Refusal> {
-        let elsewhere =
-            |(group, known): (&Name, &Group)| *group != server.group && known.seats.contains(name);
-        if self.groups.iter().any(elsewhere) {
+    fn judge_seat(&self, name: &Name, group: &Name) -> Result<(), Refusal> {
+        let seats = |known: &Group| known.seats.contains(name);
+        if self.groups.iter().any(|(other, known)| other != group && seats(known)) {
             return Err(Refusal::Group);
         }
-        let Some(declared) = self.declarations.groups.get(&server.group) else {
+        let declared = self.declarations.groups.get(group);
+        let known = self.groups.get(group);
+        let (Some(declared), Some(known)) = (declared, known) else {
             return Ok(());
         };
-        let group = self.groups.entry(server.group.clone()).or_default();
-        if group.seats.contains(name) {
-            return Ok(());
-        }
-        if group.seats.len() >= declared.servers as usize {
-            return Err(Refusal::Seats);
-        }
-        group.seats.push(name.clone());
-        Ok(())
+        let free = known.seats.len() < declared.servers as usize;
+        if free || seats(known) { Ok(()) } else { Err(Refusal::Seats) }
     }
 
     fn expire(&mut self, expire: &log::Expire) -> Result<Outcome, Refusal> {
@@ -191,7 +202,7 @@
 
     /// Takes all leases of the incarnation, and of earlier ones, and forgets
     /// the entry unless it started again since.
-    fn part(&mut self, index: u64, part: &log::Part) -> Result<Outcome, Refusal> {
+    fn part(&mut self, part: &log::Part) -> Result<Outcome, Refusal> {
         let mut found = false;
         for group in self.groups.values_mut() {
             let held = group.leases.len();
@@ -200,7 +211,6 @@
                 .retain(|lease| lease.entry != part.entry || lease.incarnation > part.incarnation);
             if group.leases.len() < held {
                 group.generation += 1;
-                group.assigned = index;
                 found = true;
             }
         }
@@ -224,9 +234,11 @@
         }
         self.check_limits(assign)?;
         let group = self.groups.get_mut(assign.group.as_str()).ok_or(Refusal::Unknown)?;
+        if group.leases.iter().any(|lease| reduces(assign, lease)) {
+            group.reduced = index;
+        }
         group.leases = assign.leases.iter().cloned().collect();
         group.generation += 1;
-        group.assigned = index;
         Ok(Outcome::Applied)
     }
 
@@ -328,3 +340,22 @@
         }
     }
 }
+
+/// Whether new leases take something from the holder of an old one. One that
+/// was returning has lost all already.
+fn reduces(assign: &log::Assign, old: &log::Lease) -> bool {
+    if old.returning {
+        return false;
+    }
+    let new = assign
+        .leases
+        .iter()
+        .find(|new| new.entry == old.entry && new.incarnation == old.incarnation);
+    let Some(new) = new.filter(|new| !new.returning) else {
+        return true;
+    };
+    old.shares.iter().any(|old| {
+        let new = new.shares.iter().find(|new| new.server == old.server);
+        new.is_none_or(|new| new.connections < old.connections || new.slots < old.slots)
+    })
+}
--- /dev/null
+++ b/components/control/src/failover.rs
@@ -0,0 +1,598 @@
+//! The failover of one group.
+//!
+//! Idle: the group is watched by probes. A group without a primary gets one: a
+//! majority that already follows a primary of the highest term is adopted,
+//! else a failover gives it one. A settled group is judged by [`evidence`],
+//! and servers that came back are told to follow.
+//!
+//! A failover goes through the log, one committed step at a time:
+//!
+//! 1. `Intend(T)`, with T above every term seen.
+//! 2. Fence all seats at T; go on once a majority is fenced at exactly T.
+//! 3. `Choose` the fenced server whose log is longest by [`choice`].
+//! 4. Promote it, and have the others follow it.
+//! 5. `Establish` once a majority reports T as its term and log term.
+//!
+//! Whatever fails after the first step starts again there at a higher term,
+//! and so does a leader that finds a failover unfinished. A group that elects
+//! its own primary is only adopted.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::prelude::*;
+use wire::control::Symptom;
+use wire::log::{Choose, Establish, Intend, command};
+
+use crate::choice::{Choice, Fenced, choose};
+use crate::evidence::{self, Cause, Sights, Watches};
+use crate::flaw::Flaw;
+use crate::leader::{Ask, Effect, PROPOSAL_TIMEOUT, Unreached};
+use crate::state::{Group, Phase, State};
+use crate::trace::Trace;
+
+/// Time for which a fenced majority waits for the other servers.
+const FENCE_GRACE: Duration = Duration::from_millis(50);
+
+/// Time between two orders of a kind to one server.
+const ORDER_PACE: Duration = Duration::from_millis(50);
+
+/// Longest time for a promotion before another server is tried.
+const PROMOTE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Longest time for a majority to follow a promoted server.
+const FOLLOW_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time between two orders to follow to a server that came back.
+const FOLLOW_PACE: Duration = Duration::from_millis(500);
+
+/// Silence after which a replica of the newest term is told to follow again.
+const LONELY: Duration = Duration::from_millis(800);
+
+/// Time for a new group to show a primary by itself.
+const BOOTSTRAP: Duration = Duration::from_secs(1);
+
+/// Time after a term was established before replicas' silence counts.
+const CALM: Duration = Duration::from_millis(500);
+
+/// Time between two planned switchovers of a group.
+const SWITCH_PAUSE: Duration = Duration::from_secs(2);
+
+/// What a step of a group goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Context<'a> {
+    /// The present time.
+    pub now: Instant,
+    /// The state as applied.
+    pub state: &'a State,
+    /// The group's name.
+    pub name: &'a Name,
+    /// The group.
+    pub group: &'a Group,
+    /// A rule to break, in tests.
+    pub flaw: Flaw,
+}
+
+impl Context<'_> {
+    fn majority(&self) -> usize {
+        self.state.majority(self.name.as_str())
+    }
+
+    fn elects(&self) -> bool {
+        self.state.declarations.groups.get(self.name).is_some_and(|group| group.elects)
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    Idle,
+    Intending {
+        term: Term,
+        asked: Instant,
+    },
+    Fencing {
+        term: Term,
+        fenced: BTreeMap<Name, Fenced>,
+        failed: BTreeSet<Name>,
+        enough: Option<Instant>,
+    },
+    Choosing {
+        term: Term,
+        choice: Choice,
+        asked: Instant,
+    },
+    Promoting {
+        term: Term,
+        server: Name,
+        since: Instant,
+    },
+    Following {
+        term: Term,
+        server: Name,
+        since: Instant,
+    },
+}
+
+/// What a leader knows of one group's primary.
+#[derive(Debug)]
+pub struct Failover {
+    watches: Watches,
+    sights: Sights,
+    stage: Stage,
+    ordered: BTreeMap<Name, Instant>,
+    establishing: Option<Instant>,
+    calm: Instant,
+    waiting: Option<Instant>,
+    switched: Option<Instant>,
+    cause: Cause,
+    trace: Option<Trace>,
+}
+
+impl Failover {
+    /// Knows nothing of its group yet.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            watches: Watches::default(),
+            sights: Sights::default(),
+            stage: Stage::Idle,
+            ordered: BTreeMap::new(),
+            establishing: None,
+            calm: now + CALM,
+            waiting: None,
+            switched: None,
+            cause: Cause::New,
+            trace: None,
+        }
+    }
+
+    /// What the leader sees of the group's servers.
+    pub fn watches(&self) -> &Watches {
+        &self.watches
+    }
+
+    /// The newest failover.
+    pub fn trace(&self) -> Option<&Trace> {
+        self.trace.as_ref()
+    }
+
+    /// Takes what a keeper sees.
+    pub fn symptom(&mut self, now: Instant, keeper: Name, symptom: Symptom) {
+        self.sights.take(now, keeper, symptom);
+    }
+
+    /// Takes the end of a probe.
+    pub fn probed(
+        &mut self,
+        now: Instant,
+        server: &Name,
+        ask: Ask,
+        result: Result<&Status, Unreached>,
+    ) {
+        self.watches.of(server).probed(now, ask, result);
+        match (&mut self.stage, ask) {
+            (Stage::Fencing { term, fenced, failed, .. }, Ask::Fence(asked)) if *term == asked => {
+                match result {
+                    Ok(status) if status.term == asked => {
+                        let mark = Fenced { last: status.last(), applied: status.applied };
+                        fenced.insert(server.clone(), mark);
+                    }
+                    Ok(_) | Err(_) => {
+                        failed.insert(server.clone());
+                    }
+                }
+            }
+            (Stage::Promoting { term, server: chosen, .. }, Ask::Promote(asked))
+                if *term == asked && chosen == server =>
+            {
+                let promoted =
+                    |status: &Status| status.term == asked && status.role == Role::Primary;
+                if result.is_ok_and(promoted) {
+                    let (term, server) = (asked, server.clone());
+                    self.stage = Stage::Following { term, server, since: now };
+                    self.ordered.clear();
+                    self.note(|trace| trace.promoted = Some(now));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Does what is due: reports to ask for, orders to give, steps to take.
+    pub fn step(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
+        self.watches.keep(&context.group.seats);
+        self.watch(context, out);
+        match self.stage.clone() {
+            Stage::Idle => self.idle(context, out),
+            Stage::Intending { term, asked } => self.intending(context, term, asked, out),
+            Stage::Fencing { term, fenced, failed, enough } => {
+                self.fencing(context, term, &fenced, &failed, enough, out);
+            }
+            Stage::Choosing { term, asked, .. } => self.choosing(context, term, asked, out),
+            Stage::Promoting { term, server, since } => {
+                self.promoting(context, term, &server, since, out);
+            }
+            Stage::Following { term, server, since } => {
+                self.following(context, term, &server, since, out);
+            }
+        }
+    }
+
+    fn note(&mut self, change: impl FnOnce(&mut Trace)) {
+        if let Some(trace) = &mut self.trace {
+            change(trace);
+        }
+    }
+
+    fn watch(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
+        for seat in &context.group.seats {
+            let watch = self.watches.of(seat);
+            if watch.is_due(context.now)
+                && let Some(probe) = probe(context, seat, Ask::Status)
+            {
+                watch.ask(context.now);
+                out.push(probe);
+            }
+        }
+    }
+
+    fn order(
+        &mut self,
+        context: &Context<'_>,
+        server: &Name,
+        ask: Ask,
+        pace: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let recent = self.ordered.get(server).is_some_and(|&at| context.now.since(at) < pace);
+        let watch = self.watches.of(server);
+        if recent || !watch.is_free(context.now) {
+            return;
+        }
+        if let Some(probe) = probe(context, server, ask) {
+            watch.order(context.now, ask);
+            self.ordered.insert(server.clone(), context.now);
+            out.push(probe);
+        }
+    }
+
+    fn idle(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
+        let group = context.group;
+        if group.phase == Phase::Settled {
+            self.close(context.now, group.term);
+        }
+        if self.adopt(context, out) || context.elects() {
+            return;
+        }
+        match (&group.phase, &group.primary) {
+            (Phase::Settled, Some(primary)) => {
+                let judged =
+                    evidence::judge(context.now, context.state, group, &self.watches, &self.sights);
+                match judged.filter(|&cause| self.counts(context.now, cause)) {
+                    Some(cause) => self.begin(context, cause, out),
+                    None => self.gather(context, group.term, primary, FOLLOW_PACE, out),
+                }
+            }
+            (Phase::Settled, None) => self.bootstrap(context, out),
+            (Phase::Intended | Phase::Chosen { .. }, _) => {
+                self.begin(context, Cause::Unfinished, out);
+            }
+        }
+    }
+
+    /// Notes that a term is established.
+    fn close(&mut self, now: Instant, term: Term) {
+        let open = |trace: &&mut Trace| trace.established.is_none() && trace.term <= term;
+        if let Some(trace) = self.trace.as_mut().filter(open) {
+            trace.established = Some(now);
+        }
+    }
+
+    fn counts(&self, now: Instant, cause: Cause) -> bool {
+        match cause {
+            Cause::CutOff => now >= self.calm,
+            Cause::Leaving => self.switched.is_none_or(|at| now.since(at) >= SWITCH_PAUSE),
+            _ => true,
+        }
+    }
+
+    /// Proposes to establish what a majority follows already, if the log does
+    /// not know it yet.
+    fn adopt(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) -> bool {
+        let group = context.group;
+        let Some((term, server)) = self.watches.leading(context.now, context.majority()) else {
+            return false;
+        };
+        let new = match &group.phase {
+            _ if term != group.term => term > group.term,
+            Phase::Settled => group.primary.is_none(),
+            Phase::Chosen { server: chosen, .. } => *chosen == server,
+            Phase::Intended => false,
+        };
+        if new {
+            self.establish(context, term, &server, out);
+        }
+        new
+    }
+
+    fn establish(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        server: &Name,
+        out: &mut Vec<Effect>,
+    ) {
+        let waits = |at: Instant| context.now.since(at) < PROPOSAL_TIMEOUT;
+        if self.establishing.is_some_and(waits) {
+            return;
+        }
+        self.establishing = Some(context.now);
+        self.calm = context.now + CALM;
+        let (group, server) = (context.name.to_string(), server.to_string());
+        let establish = Establish { group, term: term.0, server };
+        out.push(Effect::propose(command::Body::Establish(establish)));
+    }
+
+    /// Gives a new group its primary: has the majority follow the one of the
+    /// highest term, or begins a failover where none shows in time.
+    fn bootstrap(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
+        let now = context.now;
+        let reports = self.watches.fresh(now).count();
+        if reports < context.majority() {
+            self.waiting = None;
+            return;
+        }
+        let since = *self.waiting.get_or_insert(now);
+        let highest = self.watches.highest();
+        let primary = self
+            .watches
+            .fresh(now)
+            .find(|(_, status)| status.role == Role::Primary && status.term == highest)
+            .map(|(name, _)| name.clone());
+        let overdue = now.since(since) >= BOOTSTRAP;
+        match primary {
+            Some(primary) if !overdue => {
+                self.gather(context, highest, &primary, ORDER_PACE, out);
+            }
+            None if !overdue && reports < context.group.seats.len() => {}
+            Some(_) | None => self.begin(context, Cause::New, out),
+        }
+    }
+
+    /// Tells servers that do not follow the primary to do so.
+    fn gather(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        primary: &Name,
+        pace: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(server) = context.state.servers.get(primary) else {
+            return;
+        };
+        if self.watches.get(primary).is_none_or(|watch| watch.fresh(context.now).is_none()) {
+            return;
+        }
+        let strays = |status: &Status| {
+            status.term < term
+                || (status.term == term && (status.log_term < term || status.silence > LONELY))
+        };
+        let astray: Vec<Name> = self
+            .watches
+            .fresh(context.now)
+            .filter(|(name, status)| *name != primary && strays(status))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for stray in astray {
+            self.order(context, &stray, Ask::Follow { term, primary: server.address }, pace, out);
+        }
+    }
+
+    /// Starts a failover at a term above every one seen, when a majority can
+    /// be reached.
+    fn begin(&mut self, context: &Context<'_>, cause: Cause, out: &mut Vec<Effect>) {
+        let now = context.now;
+        let reached = self.watches.fresh(now).count();
+        if reached < context.majority() {
+            return;
+        }
+        let term = Term(self.watches.highest().max(context.group.term).0 + 1);
+        let unfinished = self.trace.as_ref().is_some_and(|trace| trace.established.is_none());
+        if cause == Cause::Unfinished && unfinished {
+            self.note(|trace| trace.term = term);
+        } else {
+            self.cause = cause;
+            self.trace = Some(Trace::new(now, context.name.clone(), term, cause));
+        }
+        if cause == Cause::Leaving {
+            self.switched = Some(now);
+        }
+        self.waiting = None;
+        self.stage = Stage::Intending { term, asked: now };
+        let intend = Intend { group: context.name.to_string(), term: term.0 };
+        out.push(Effect::propose(command::Body::Intend(intend)));
+    }
+
+    fn intending(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        asked: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        let group = context.group;
+        if group.term == term && group.phase == Phase::Intended {
+            self.ordered.clear();
+            let (fenced, failed) = (BTreeMap::new(), BTreeSet::new());
+            self.stage = Stage::Fencing { term, fenced, failed, enough: None };
+            return self.step(context, out);
+        }
+        if group.term >= term || context.now.since(asked) >= PROPOSAL_TIMEOUT {
+            self.stage = Stage::Idle;
+        }
+    }
+
+    /// Whether the log has moved on from a step of this failover.
+    fn is_over(&mut self, context: &Context<'_>, term: Term) -> bool {
+        let over = context.group.term != term;
+        if over {
+            self.stage = Stage::Idle;
+        }
+        over
+    }
+
+    fn fencing(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        fenced: &BTreeMap<Name, Fenced>,
+        failed: &BTreeSet<Name>,
+        enough: Option<Instant>,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.is_over(context, term) {
+            return;
+        }
+        if context.group.phase != Phase::Intended || self.watches.highest() > term {
+            return self.begin(context, Cause::Unfinished, out);
+        }
+        for seat in context.group.seats.iter().filter(|seat| !fenced.contains_key(*seat)) {
+            self.order(context, seat, Ask::Fence(term), ORDER_PACE, out);
+        }
+        let needed = if context.flaw == Flaw::FenceMinority { 1 } else { context.majority() };
+        if fenced.len() < needed {
+            return;
+        }
+        let enough = enough.unwrap_or(context.now);
+        if let Stage::Fencing { enough: known, .. } = &mut self.stage {
+            *known = Some(enough);
+        }
+        let all = context.group.seats.iter().all(|s| fenced.contains_key(s) || failed.contains(s));
+        if all || context.now.since(enough) >= FENCE_GRACE {
+            self.choose(context, term, fenced, needed, out);
+        }
+    }
+
+    fn choose(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        fenced: &BTreeMap<Name, Fenced>,
+        majority: usize,
+        out: &mut Vec<Effect>,
+    ) {
+        let (state, group) = (context.state, context.group);
+        let cut_off = matches!(self.cause, Cause::CutOff | Cause::Silent);
+        let avoided = group.primary.as_ref().filter(|_| cut_off);
+        let Some(choice) = choose(state, group, fenced, majority, avoided, context.flaw) else {
+            return;
+        };
+        let now = context.now;
+        self.note(|trace| trace.fenced = Some(now));
+        self.stage = Stage::Choosing { term, choice, asked: now };
+        self.propose_choice(context, out);
+    }
+
+    fn propose_choice(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
+        let Stage::Choosing { term, choice, asked } = &mut self.stage else {
+            return;
+        };
+        *asked = context.now;
+        let choose = Choose {
+            group: context.name.to_string(),
+            term: term.0,
+            server: choice.server.to_string(),
+            start: Some(choice.start.into()),
+        };
+        out.push(Effect::propose(command::Body::Choose(choose)));
+    }
+
+    fn choosing(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        asked: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.is_over(context, term) {
+            return;
+        }
+        match &context.group.phase {
+            Phase::Chosen { server, .. } => {
+                self.ordered.clear();
+                let (server, since) = (server.clone(), context.now);
+                self.stage = Stage::Promoting { term, server, since };
+                self.step(context, out);
+            }
+            Phase::Intended if context.now.since(asked) >= PROPOSAL_TIMEOUT => {
+                self.propose_choice(context, out);
+            }
+            Phase::Intended => {}
+            Phase::Settled => self.stage = Stage::Idle,
+        }
+    }
+
+    fn promoting(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        server: &Name,
+        since: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.is_over(context, term) {
+            return;
+        }
+        let overdue = context.now.since(since) >= PROMOTE_TIMEOUT;
+        if overdue || self.watches.highest() > term || self.watches.of(server).is_down(context.now)
+        {
+            return self.begin(context, Cause::Unfinished, out);
+        }
+        self.order(context, server, Ask::Promote(term), ORDER_PACE, out);
+    }
+
+    fn following(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        server: &Name,
+        since: Instant,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.is_over(context, term) {
+            return;
+        }
+        if context.group.phase == Phase::Settled {
+            self.close(context.now, term);
+            self.stage = Stage::Idle;
+            self.establishing = None;
+            self.calm = context.now + CALM;
+            return;
+        }
+        let overdue = context.now.since(since) >= FOLLOW_TIMEOUT;
+        if overdue || self.watches.highest() > term || self.watches.of(server).is_down(context.now)
+        {
+            return self.begin(context, Cause::Unfinished, out);
+        }
+        let Some(primary) = context.state.servers.get(server).map(|server| server.address) else {
+            return;
+        };
+        for seat in context.group.seats.iter().filter(|seat| *seat != server) {
+            let joined = |status: &Status| status.term == term && status.log_term == term;
+            let follows =
+                self.watches.get(seat).and_then(|w| w.fresh(context.now)).is_some_and(joined);
+            if !follows {
+                self.order(context, seat, Ask::Follow { term, primary }, ORDER_PACE, out);
+            }
+        }
+        let leading = self.watches.leading(context.now, context.majority());
+        if leading.is_some_and(|(led, primary)| led == term && primary == *server) {
+            self.establish(context, term, server, out);
+        }
+    }
+}
+
+fn probe(context: &Context<'_>, server: &Name, ask: Ask) -> Option<Effect> {
+    let address = context.state.servers.get(server)?.address;
+    let (group, server) = (context.name.clone(), server.clone());
+    Some(Effect::Probe { group, server, address, ask })
+}
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -66,7 +66,7 @@
     #[prost(uint64, tag = "9")]
     generation: u64,
     #[prost(uint64, tag = "10")]
-    assigned: u64,
+    reduced: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -181,7 +181,7 @@
         history: group.history.starts().iter().map(|&start| start.into()).collect(),
         leases: group.leases.to_vec(),
         generation: group.generation,
-        assigned: group.assigned,
+        reduced: group.reduced,
     }
 }
 
@@ -207,7 +207,7 @@
         history,
         leases: image.leases.iter().cloned().collect(),
         generation: image.generation,
-        assigned: image.assigned,
+        reduced: image.reduced,
     };
     Ok((name(&image.name)?, group))
 }
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -5,13 +5,26 @@
 //! probes. Its host feeds it events, proposes the commands that it asks for,
 //! and carries out its probes.
 
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use wire::control::Symptom;
 use wire::log::{Announce, Command, Join, command};
 
-use crate::state::State;
+use crate::failover::{Context, Failover};
+use crate::flaw::Flaw;
+use crate::lives::Lives;
+use crate::planner::Planner;
+use crate::renewals::Renewals;
+use crate::state::{Entry, State};
+use crate::trace::Trace;
+
+/// Time after which a proposal that changed nothing is made again.
+pub const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Failovers that are remembered.
+const TRACES: usize = 32;
 
 /// Time between two [`Event::Tick`].
 pub const TICK: Duration = Duration::from_millis(20);
@@ -109,7 +122,8 @@
 pub enum Effect {
     /// Append a command to the log.
     Propose(Command),
-    /// Ask a backend server; the host reports the end of it.
+    /// Ask a backend server; the host reports the end of it. An order must not
+    /// wait behind a status question to the same server.
     Probe {
         /// The group.
         group: Name,
@@ -132,12 +146,32 @@
 #[derive(Debug)]
 pub struct Leader {
     began: Instant,
+    lives: Lives,
+    renewals: Renewals,
+    planner: Planner,
+    failovers: BTreeMap<Name, Failover>,
+    traces: VecDeque<Trace>,
+    flaw: Flaw,
 }
 
 impl Leader {
     /// Makes the leader of a new term of the quorum.
     pub fn new(now: Instant) -> Self {
-        Self { began: now }
+        Self::flawed(now, Flaw::None)
+    }
+
+    /// Makes a leader that breaks a rule, for a test that must find it.
+    #[doc(hidden)]
+    pub fn flawed(now: Instant, flaw: Flaw) -> Self {
+        Self {
+            began: now,
+            lives: Lives::new(),
+            renewals: Renewals::new(),
+            planner: Planner::new(flaw),
+            failovers: BTreeMap::new(),
+            traces: VecDeque::new(),
+            flaw,
+        }
     }
 
     /// When it began to lead.
@@ -145,14 +179,92 @@
         self.began
     }
 
+    /// Last index that an entry is known to have applied.
+    pub fn applied(&self, entry: &Name, incarnation: u64) -> u64 {
+        self.lives.applied(entry, incarnation)
+    }
+
+    /// Newest report of a server, if it came lately.
+    pub fn status(&self, now: Instant, group: &str, server: &Name) -> Option<&Status> {
+        self.failovers.get(group)?.watches().get(server)?.fresh(now)
+    }
+
+    /// Failovers that it led, oldest first, with those that are under way.
+    pub fn traces(&self) -> impl Iterator<Item = &Trace> {
+        let open = self.failovers.values().filter_map(Failover::trace);
+        self.traces.iter().chain(open.filter(|trace| trace.established.is_none()))
+    }
+
     /// Takes an event. `state` is what the member has applied.
-    pub fn on(&mut self, _now: Instant, state: &State, event: Event, out: &mut Vec<Effect>) {
+    pub fn on(&mut self, now: Instant, state: &State, event: Event, out: &mut Vec<Effect>) {
         match event {
-            Event::Joined(join) => out.push(Effect::propose(command::Body::Join(join))),
-            Event::Announced(announce) if state.lacks(&announce) => {
-                out.push(Effect::propose(command::Body::Announce(announce)));
+            Event::Tick | Event::Applied { .. } => self.tick(now, state, out),
+            Event::Announced(announce) => self.renewals.announced(now, state, announce, out),
+            Event::Beat { entry, incarnation, applied, returned } => {
+                self.lives.beat(now, entry.clone(), incarnation, applied);
+                self.planner.returned(state, (&entry, incarnation), applied, &returned);
+                if !returned.is_empty() {
+                    self.planner.tick(now, state, &self.lives, out);
+                }
+            }
+            Event::Joined(join) => joined(state, join, out),
+            Event::Left { entry, incarnation } => {
+                self.lives.leave(now, entry, incarnation);
+                self.lives.tick(now, state, out);
+            }
+            Event::Symptom { entry, symptom } => {
+                let Ok(group) = Name::new(&symptom.group) else {
+                    return;
+                };
+                self.failover(now, &group).symptom(now, entry, symptom);
+                self.step(now, state, &group, out);
             }
-            _ => {}
+            Event::Probed { group, server, ask, result } => {
+                let result = result.as_ref().map_err(|&unreached| unreached);
+                self.failover(now, &group).probed(now, &server, ask, result);
+                self.step(now, state, &group, out);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant, state: &State, out: &mut Vec<Effect>) {
+        self.lives.tick(now, state, out);
+        self.renewals.tick(now, state, out);
+        self.planner.tick(now, state, &self.lives, out);
+        self.failovers.retain(|group, _| state.declares(group.as_str()));
+        for group in state.groups.keys() {
+            self.step(now, state, group, out);
         }
     }
+
+    fn failover(&mut self, now: Instant, group: &Name) -> &mut Failover {
+        self.failovers.entry(group.clone()).or_insert_with(|| Failover::new(now))
+    }
+
+    fn step(&mut self, now: Instant, state: &State, name: &Name, out: &mut Vec<Effect>) {
+        let Some(group) = state.groups.get(name).filter(|_| state.declares(name.as_str())) else {
+            return;
+        };
+        let context = Context { now, state, name, group, flaw: self.flaw };
+        let failover = self.failover(now, name);
+        let open = failover.trace().is_some_and(|trace| trace.established.is_none());
+        failover.step(&context, out);
+        let over = failover.trace().filter(|trace| open && trace.established.is_some()).cloned();
+        if let Some(trace) = over {
+            self.traces.push_back(trace);
+            if self.traces.len() > TRACES {
+                self.traces.pop_front();
+            }
+        }
+    }
+}
+
+fn joined(state: &State, join: Join, out: &mut Vec<Effect>) {
+    let Some((name, entry)) = Entry::read(&join) else {
+        return;
+    };
+    let known = state.entries.get(&name);
+    if known.is_none_or(|known| known.incarnation < entry.incarnation) {
+        out.push(Effect::propose(command::Body::Join(join)));
+    }
 }
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,17 +3,32 @@
 //! - [`state`]: what is decided; members and entries hold the same.
 //! - [`mod@apply`]: how one command changes it.
 //! - [`image`]: the whole of it as bytes.
-//! - [`leader`]: what the leading member does about it: leases, failovers,
-//!   announcements.
+//! - [`leader`]: what the leading member does about it. [`lives`] and
+//!   [`renewals`] follow which entries and servers live, [`planner`] hands
+//!   out leases, and [`failover`] gives groups their primaries.
 
 pub mod apply;
 pub mod changes;
+pub mod choice;
+pub mod evidence;
+pub mod failover;
+pub mod flaw;
 pub mod image;
 pub mod leader;
 pub mod lease;
+pub mod lives;
+pub mod planner;
+pub mod rendezvous;
+pub mod renewals;
+pub mod split;
 pub mod state;
+pub mod trace;
+pub mod watch;
 
 pub use apply::{Outcome, Refusal};
 pub use changes::Answer;
+pub use evidence::Cause;
+pub use flaw::Flaw;
 pub use leader::{Ask, Effect, Event, Leader, Unreached};
 pub use state::{Entry, Group, Phase, Server, State};
+pub use trace::Trace;
--- /dev/null
+++ b/components/control/src/lives.rs
@@ -0,0 +1,100 @@
+//! Which entries live, by their beats.
+//!
+//! A lease of an entry may be in force until [`LEASE`] after the beat that
+//! renewed it was sent, so an incarnation is given up only once [`LEASE`] and
+//! [`MARGIN`] passed since it was heard of. Of what came before it began, a
+//! leader knows nothing, and counts from its own beginning.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::prelude::*;
+use wire::log::{Part, command};
+
+use crate::leader::{Effect, PROPOSAL_TIMEOUT};
+use crate::lease::{LEASE, MARGIN};
+use crate::state::{Group, State};
+
+/// One start of an entry.
+type Start = (Name, u64);
+
+#[derive(Clone, Copy, Debug)]
+struct Life {
+    heard: Instant,
+    applied: u64,
+    left: bool,
+    asked: Option<Instant>,
+}
+
+/// Entries as the leader hears of them.
+#[derive(Debug, Default)]
+pub struct Lives {
+    starts: BTreeMap<Start, Life>,
+}
+
+impl Lives {
+    /// Knows of no entry yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn life(&mut self, now: Instant, entry: Name, incarnation: u64) -> &mut Life {
+        let fresh = Life { heard: now, applied: 0, left: false, asked: None };
+        self.starts.entry((entry, incarnation)).or_insert(fresh)
+    }
+
+    /// Takes a beat.
+    pub fn beat(&mut self, now: Instant, entry: Name, incarnation: u64, applied: u64) {
+        let life = self.life(now, entry, incarnation);
+        life.heard = now;
+        life.applied = life.applied.max(applied);
+    }
+
+    /// Notes that an incarnation holds nothing any more.
+    pub fn leave(&mut self, now: Instant, entry: Name, incarnation: u64) {
+        self.life(now, entry, incarnation).left = true;
+    }
+
+    /// Whether an incarnation said that it left.
+    pub fn left(&self, entry: &Name, incarnation: u64) -> bool {
+        self.starts.get(&(entry.clone(), incarnation)).is_some_and(|life| life.left)
+    }
+
+    /// Last index that an incarnation is known to have applied.
+    pub fn applied(&self, entry: &Name, incarnation: u64) -> u64 {
+        self.starts.get(&(entry.clone(), incarnation)).map_or(0, |life| life.applied)
+    }
+
+    /// Whether every holder of a group's leases knows what was taken from it.
+    pub fn know(&self, group: &Group) -> bool {
+        group.leases.iter().all(|lease| {
+            Name::new(&lease.entry)
+                .is_ok_and(|entry| self.applied(&entry, lease.incarnation) >= group.reduced)
+        })
+    }
+
+    /// Gives up the incarnations that left or were silent for too long.
+    pub fn tick(&mut self, now: Instant, state: &State, out: &mut Vec<Effect>) {
+        let known = starts(state);
+        for (entry, incarnation) in &known {
+            let life = self.life(now, entry.clone(), *incarnation);
+            let silent = now.since(life.heard) > LEASE + MARGIN;
+            let waits = life.asked.is_some_and(|asked| now.since(asked) < PROPOSAL_TIMEOUT);
+            if (silent || life.left) && !waits {
+                life.asked = Some(now);
+                let part = Part { entry: entry.to_string(), incarnation: *incarnation };
+                out.push(Effect::propose(command::Body::Part(part)));
+            }
+        }
+        self.starts
+            .retain(|start, life| known.contains(start) || now.since(life.heard) <= LEASE + MARGIN);
+    }
+}
+
+/// Each start of an entry that the state knows, by itself or by its leases.
+fn starts(state: &State) -> BTreeSet<Start> {
+    let entries = state.entries.iter().map(|(name, entry)| (name.clone(), entry.incarnation));
+    let leases = state.groups.values().flat_map(|group| &group.leases);
+    let holders =
+        leases.filter_map(|lease| Some((Name::new(&lease.entry).ok()?, lease.incarnation)));
+    entries.chain(holders).collect()
+}
--- /dev/null
+++ b/components/control/src/planner.rs
@@ -0,0 +1,266 @@
+//! The lease planner: shares of each group's servers for its keepers.
+//!
+//! The sum of what entries may believe to hold never passes a server's limit:
+//!
+//! - A share that an entry is to lose is first marked as returning, and is
+//!   granted again only once the entry has told that it gave it up, in a beat
+//!   sent after it had applied that mark, or once the entry was parted.
+//! - A share grows only while every holder knows what was taken from it, so
+//!   that none still believes an earlier, larger share.
+//! - A restarted entry gets no lease on a group while an earlier incarnation
+//!   of it still holds one.
+//!
+//! Where a server lowers its limits, shares shrink at once.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use smallvec::SmallVec;
+use wire::log::{Assign, Lease, Share, command};
+
+use crate::flaw::Flaw;
+use crate::leader::{Effect, PROPOSAL_TIMEOUT};
+use crate::lives::Lives;
+use crate::rendezvous::{KEEPERS, keepers};
+use crate::split::{Holding, split};
+use crate::state::{Group, State};
+
+/// Time for which a group without leases waits for more entries to join.
+pub const SETTLE: Duration = Duration::from_millis(300);
+
+/// Time between two looks at all groups when nothing was applied.
+const PACE: Duration = Duration::from_millis(100);
+
+type Targets<'a> = SmallVec<[&'a Name; KEEPERS]>;
+
+/// Plans the leases of all groups.
+#[derive(Debug)]
+pub struct Planner {
+    /// Generation at which an entry gave up its lease on a group.
+    returned: BTreeMap<(Name, Name), u64>,
+    /// When a group without leases could first have some.
+    empty: BTreeMap<Name, Instant>,
+    /// Generation that was planned from last, and when.
+    proposed: BTreeMap<Name, (u64, Instant)>,
+    looked: Option<(u64, Instant)>,
+    flaw: Flaw,
+}
+
+impl Planner {
+    /// Knows of no return yet.
+    pub fn new(flaw: Flaw) -> Self {
+        Self {
+            returned: BTreeMap::new(),
+            empty: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            looked: None,
+            flaw,
+        }
+    }
+
+    /// Notes which returning leases an entry has given up. `applied` is the
+    /// index that it knew when it said so.
+    pub fn returned(
+        &mut self,
+        state: &State,
+        (entry, incarnation): (&Name, u64),
+        applied: u64,
+        groups: &[Name],
+    ) {
+        for name in groups {
+            let Some(group) = state.groups.get(name) else {
+                continue;
+            };
+            let returning = |lease: &Lease| lease.returning && lease.incarnation == incarnation;
+            if applied >= group.reduced && group.lease(entry.as_str()).is_some_and(returning) {
+                self.returned.insert((name.clone(), entry.clone()), group.generation);
+                self.looked = None;
+            }
+        }
+    }
+
+    /// Proposes the next step of each group's leases.
+    pub fn tick(&mut self, now: Instant, state: &State, lives: &Lives, out: &mut Vec<Effect>) {
+        let looked = |(index, at): (u64, Instant)| index == state.index && now.since(at) < PACE;
+        if self.looked.is_some_and(looked) {
+            return;
+        }
+        self.looked = Some((state.index, now));
+        self.returned.retain(|(group, _), generation| {
+            state.groups.get(group).is_some_and(|group| group.generation == *generation)
+        });
+        for (name, group) in &state.groups {
+            let asked = self.proposed.get(name).is_some_and(|&(generation, at)| {
+                generation == group.generation && now.since(at) < PROPOSAL_TIMEOUT
+            });
+            if asked || !self.settled(now, state, name, group) {
+                continue;
+            }
+            if let Some(leases) = self.plan(state, lives, name, group) {
+                self.proposed.insert(name.clone(), (group.generation, now));
+                let assign = Assign { group: name.to_string(), base: group.generation, leases };
+                out.push(Effect::propose(command::Body::Assign(assign)));
+            }
+        }
+    }
+
+    /// Whether a group without leases has waited for long enough.
+    fn settled(&mut self, now: Instant, state: &State, name: &Name, group: &Group) -> bool {
+        if !group.leases.is_empty() || state.entries.is_empty() {
+            self.empty.remove(name);
+            return true;
+        }
+        let since = *self.empty.entry(name.clone()).or_insert(now);
+        now.since(since) >= SETTLE
+    }
+
+    fn plan(&self, state: &State, lives: &Lives, name: &Name, group: &Group) -> Option<Vec<Lease>> {
+        let live = state
+            .entries
+            .iter()
+            .filter(|(name, entry)| !entry.draining && !lives.left(name, entry.incarnation));
+        let targets =
+            if state.declares(name.as_str()) { keepers(name, live) } else { Targets::new() };
+        let mut leases: Vec<Lease> = group.leases.to_vec();
+        leases.retain(|lease| !self.is_returned(name, group, lease));
+        mark(state, group, &targets, &mut leases);
+        let may_grow = self.flaw == Flaw::GrantEarly || lives.know(group);
+        let leases = share(state, group, &targets, leases, may_grow);
+        (leases[..] != group.leases[..]).then_some(leases)
+    }
+
+    fn is_returned(&self, name: &Name, group: &Group, lease: &Lease) -> bool {
+        if !lease.returning {
+            return false;
+        }
+        if self.flaw == Flaw::GrantEarly {
+            return true;
+        }
+        let entry = Name::new(&lease.entry).ok();
+        let told = entry.and_then(|entry| self.returned.get(&(name.clone(), entry)));
+        told == Some(&group.generation)
+    }
+}
+
+/// Gives the targets what they should have and what is free.
+fn share(
+    state: &State,
+    group: &Group,
+    targets: &Targets<'_>,
+    mut leases: Vec<Lease>,
+    may_grow: bool,
+) -> Vec<Lease> {
+    for lease in &mut leases {
+        lease.shares.retain(|share| state.servers.contains_key(share.server.as_str()));
+    }
+    let open: Targets<'_> =
+        targets.iter().copied().filter(|&target| is_open(state, &leases, target)).collect();
+    for &target in &open {
+        if !leases.iter().any(|lease| lease.entry == target.as_str()) {
+            leases.push(empty(state, target));
+        }
+    }
+    for (turn, seat) in group.seats.iter().enumerate() {
+        share_server(state, seat, turn, (targets, &open), &mut leases, may_grow);
+    }
+    let held = |lease: &Lease| group.lease(&lease.entry).is_some();
+    leases.retain(|lease| held(lease) || !lease.shares.is_empty());
+    leases.sort_by(|one, other| one.entry.cmp(&other.entry));
+    leases
+}
+
+/// Whether a target may hold shares now: no earlier incarnation of it does,
+/// and its lease is not returning.
+fn is_open(state: &State, leases: &[Lease], target: &Name) -> bool {
+    let incarnation = state.entries.get(target).map(|entry| entry.incarnation);
+    let lease = leases.iter().find(|lease| lease.entry == target.as_str());
+    lease.is_none_or(|lease| !lease.returning && Some(lease.incarnation) == incarnation)
+}
+
+fn empty(state: &State, target: &Name) -> Lease {
+    let incarnation = state.entries.get(target).map_or(0, |entry| entry.incarnation);
+    Lease { entry: target.to_string(), incarnation, shares: Vec::new(), returning: false }
+}
+
+/// Marks one lease as returning, where none is: that of an entry which is no
+/// target, or one that holds what the other target lacks.
+fn mark(state: &State, group: &Group, targets: &Targets<'_>, leases: &mut [Lease]) {
+    if leases.iter().any(|lease| lease.returning) {
+        return;
+    }
+    let has = |target: &Name| {
+        leases.iter().any(|lease| lease.entry == target.as_str() && !lease.shares.is_empty())
+    };
+    let lacking = !targets.iter().all(|target| has(target));
+    let must = |lease: &&mut Lease| {
+        let entry = state.entries.get(lease.entry.as_str());
+        let live = entry.is_some_and(|entry| entry.incarnation == lease.incarnation);
+        let target = targets.iter().any(|target| target.as_str() == lease.entry);
+        live && (!target || (lacking && targets.len() == KEEPERS && oversized(state, group, lease)))
+    };
+    if let Some(lease) = leases.iter_mut().find(must) {
+        lease.returning = true;
+    }
+}
+
+/// Whether a lease holds more than a keeper's part of any server.
+fn oversized(state: &State, group: &Group, lease: &Lease) -> bool {
+    let held =
+        lease.shares.iter().filter(|share| group.seats.iter().any(|s| s.as_str() == share.server));
+    held.into_iter().any(|share| {
+        state.servers.get(share.server.as_str()).is_some_and(|server| {
+            share.connections > server.grantable().div_ceil(2)
+                || share.slots > server.slots.div_ceil(2)
+        })
+    })
+}
+
+fn share_server(
+    state: &State,
+    seat: &Name,
+    turn: usize,
+    (targets, open): (&Targets<'_>, &Targets<'_>),
+    leases: &mut [Lease],
+    may_grow: bool,
+) {
+    let Some(server) = state.servers.get(seat) else {
+        return;
+    };
+    let share_of =
+        |lease: &Lease| lease.shares.iter().find(|share| share.server == seat.as_str()).cloned();
+    let is_open = |lease: &Lease| open.iter().any(|target| target.as_str() == lease.entry);
+    let closed = leases.iter().filter(|lease| !is_open(lease)).filter_map(share_of);
+    let (mut connections_taken, mut slots_taken) = (0, 0);
+    for share in closed {
+        connections_taken += share.connections;
+        slots_taken += share.slots;
+    }
+    let held: SmallVec<[Share; KEEPERS]> = open
+        .iter()
+        .map(|target| {
+            let lease = leases.iter().find(|lease| lease.entry == target.as_str());
+            lease.and_then(share_of).unwrap_or_default()
+        })
+        .collect();
+    let parts = |limit, taken, held| {
+        let holding = Holding { limit, taken, held, parts: targets.len(), may_grow };
+        split(&holding, turn)
+    };
+    let connections = parts(
+        server.grantable(),
+        connections_taken,
+        held.iter().map(|share| share.connections).collect(),
+    );
+    let slots = parts(server.slots, slots_taken, held.iter().map(|share| share.slots).collect());
+    for (at, target) in open.iter().enumerate() {
+        let Some(lease) = leases.iter_mut().find(|lease| lease.entry == target.as_str()) else {
+            continue;
+        };
+        lease.shares.retain(|share| share.server != seat.as_str());
+        if connections[at] > 0 || slots[at] > 0 {
+            let server = seat.to_string();
+            lease.shares.push(Share { server, connections: connections[at], slots: slots[at] });
+        }
+        lease.shares.sort_by(|one, other| one.server.cmp(&other.server));
+    }
+}
--- /dev/null
+++ b/components/control/src/rendezvous.rs
@@ -0,0 +1,35 @@
+//! Rendezvous hashing: which entries keep a group.
+//!
+//! Each entry has a score for each group, and the highest keep it, so that an
+//! entry that comes or goes moves only the groups that it keeps. The second
+//! keeper stands in another availability zone than the first, where one can.
+
+use base::prelude::*;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::state::Entry;
+
+/// Keepers of a group.
+pub const KEEPERS: usize = 2;
+
+/// The entries that keep a group, best first.
+pub fn keepers<'a>(
+    group: &Name,
+    entries: impl Iterator<Item = (&'a Name, &'a Entry)> + Clone,
+) -> SmallVec<[&'a Name; KEEPERS]> {
+    let best = |one: &(&Name, &Entry)| (score(group, one.0), one.0.clone());
+    let Some(first) = entries.clone().max_by_key(best) else {
+        return SmallVec::new();
+    };
+    let others = entries.filter(|other| other.0 != first.0);
+    let second = others.max_by_key(|other| (other.1.zone != first.1.zone, best(other)));
+    std::iter::once(first.0).chain(second.map(|second| second.0)).collect()
+}
+
+fn score(group: &Name, entry: &Name) -> u64 {
+    let mut key = group.as_str().as_bytes().to_vec();
+    key.push(0);
+    key.extend_from_slice(entry.as_str().as_bytes());
+    xxh3_64(&key)
+}
--- /dev/null
+++ b/components/control/src/renewals.rs
@@ -0,0 +1,84 @@
+//! Which backend servers still announce themselves.
+//!
+//! A renewal that says nothing new is not logged.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use wire::log::{Announce, Expire, command};
+
+use crate::leader::{Effect, PROPOSAL_TIMEOUT};
+use crate::state::State;
+
+/// Time between two announcements of a server.
+pub const RENEWAL: Duration = Duration::from_millis(500);
+
+/// Time without an announcement after which a server counts as gone.
+pub const EXPIRY: Duration = Duration::from_secs(3);
+
+#[derive(Debug)]
+struct Renewal {
+    heard: Instant,
+    proposed: Option<(Announce, Instant)>,
+    expired: Option<Instant>,
+}
+
+/// Servers as the leader hears of them.
+#[derive(Debug, Default)]
+pub struct Renewals {
+    servers: BTreeMap<Name, Renewal>,
+}
+
+impl Renewals {
+    /// Knows of no server yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an announcement and proposes what is new in it.
+    pub fn announced(
+        &mut self,
+        now: Instant,
+        state: &State,
+        announce: Announce,
+        out: &mut Vec<Effect>,
+    ) {
+        let judged = state.judge(&announce);
+        let Ok(name) = Name::new(&announce.server) else {
+            return;
+        };
+        let Ok(new) = judged.map(|found| found.is_some()) else {
+            return;
+        };
+        let renewal = self.renewal(now, name);
+        renewal.heard = now;
+        let waits = renewal.proposed.as_ref().is_some_and(|(proposed, at)| {
+            *proposed == announce && now.since(*at) < PROPOSAL_TIMEOUT
+        });
+        if new && !waits {
+            renewal.proposed = Some((announce.clone(), now));
+            out.push(Effect::propose(command::Body::Announce(announce)));
+        }
+    }
+
+    fn renewal(&mut self, now: Instant, name: Name) -> &mut Renewal {
+        let fresh = Renewal { heard: now, proposed: None, expired: None };
+        self.servers.entry(name).or_insert(fresh)
+    }
+
+    /// Expires the servers that were silent for too long.
+    pub fn tick(&mut self, now: Instant, state: &State, out: &mut Vec<Effect>) {
+        for (name, server) in state.servers.iter().filter(|(_, server)| !server.expired) {
+            let renewal = self.renewal(now, name.clone());
+            let waits = renewal.expired.is_some_and(|asked| now.since(asked) < PROPOSAL_TIMEOUT);
+            if now.since(renewal.heard) > EXPIRY && !waits {
+                renewal.expired = Some(now);
+                let expire = Expire { server: name.to_string(), incarnation: server.incarnation };
+                out.push(Effect::propose(command::Body::Expire(expire)));
+            }
+        }
+        self.servers.retain(|name, renewal| {
+            state.servers.contains_key(name) || now.since(renewal.heard) <= EXPIRY
+        });
+    }
+}
--- /dev/null
+++ b/components/control/src/split.rs
@@ -0,0 +1,68 @@
+//! How one limit of a server is split between a group's keepers.
+
+use smallvec::SmallVec;
+
+use crate::rendezvous::KEEPERS;
+
+/// Who holds what of one limit.
+#[derive(Clone, Debug)]
+pub struct Holding {
+    /// The whole.
+    pub limit: u32,
+    /// Held by entries that are to have none, or that can't take more now.
+    pub taken: u32,
+    /// Held by each keeper that can take more.
+    pub held: SmallVec<[u32; KEEPERS]>,
+    /// Number of keepers that the whole is split between.
+    pub parts: usize,
+    /// Whether a share may grow now.
+    pub may_grow: bool,
+}
+
+/// What each keeper of `held` is to have. An odd one goes to the keepers by
+/// turns; a keeper that has its part already keeps it.
+pub fn split(holding: &Holding, turn: usize) -> SmallVec<[u32; KEEPERS]> {
+    let mut shares = holding.held.clone();
+    let held: u32 = shares.iter().sum();
+    let wanted = wanted(holding, turn);
+    if held + holding.taken > holding.limit {
+        shrink(holding, &wanted, &mut shares);
+        return shares;
+    }
+    if !holding.may_grow {
+        return shares;
+    }
+    let mut free = holding.limit - holding.taken - held;
+    for (share, wanted) in shares.iter_mut().zip(wanted) {
+        let more = wanted.saturating_sub(*share).min(free);
+        *share += more;
+        free -= more;
+    }
+    shares
+}
+
+fn shrink(holding: &Holding, wanted: &[u32], shares: &mut [u32]) {
+    let mut left = holding.limit.saturating_sub(holding.taken);
+    for (share, &wanted) in shares.iter_mut().zip(wanted) {
+        *share = (*share).min(wanted).min(left);
+        left -= *share;
+    }
+}
+
+fn wanted(holding: &Holding, turn: usize) -> SmallVec<[u32; KEEPERS]> {
+    let (limit, held) = (holding.limit, &holding.held);
+    if holding.parts < KEEPERS {
+        return held.iter().map(|_| limit).collect();
+    }
+    let (less, more) = (limit / 2, limit.div_ceil(2));
+    let fits = |share: u32| share > 0 && (less..=more).contains(&share);
+    let odd_first = turn.is_multiple_of(2);
+    match held[..] {
+        [first, _] if fits(first) => [first, limit - first].into_iter().collect(),
+        [_, second] if fits(second) => [limit - second, second].into_iter().collect(),
+        [_, _] if odd_first => [more, less].into_iter().collect(),
+        [_, _] => [less, more].into_iter().collect(),
+        [only] if fits(only) => [only].into_iter().collect(),
+        _ => held.iter().map(|_| if odd_first { more } else { less }).collect(),
+    }
+}
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -54,8 +54,8 @@
     pub leases: SmallVec<[Lease; 2]>,
     /// Raised by each change of the leases.
     pub generation: u64,
-    /// Index of the command that changed the leases last.
-    pub assigned: u64,
+    /// Index of the command that last took something from a holder of a lease.
+    pub reduced: u64,
 }
 
 /// How far a failover is.
@@ -126,12 +126,6 @@
         self.index = self.index.max(index);
     }
 
-    /// Whether an announcement says something new.
-    pub fn lacks(&self, announce: &log::Announce) -> bool {
-        Server::read(announce)
-            .is_some_and(|(name, server)| self.servers.get(&name) != Some(&server))
-    }
-
     /// Whether the declarations name a group.
     pub fn declares(&self, group: &str) -> bool {
         self.declarations.groups.contains_key(group)
--- /dev/null
+++ b/components/control/src/watch.rs
@@ -0,0 +1,126 @@
+//! What a leader sees of one backend server by its own probes.
+
+use base::prelude::*;
+
+use crate::leader::{Ask, Unreached};
+
+/// Time without an answer after which a server counts as silent.
+pub const SILENT: Duration = Duration::from_millis(300);
+
+/// Age up to which a report says how a server is now.
+pub const FRESH: Duration = Duration::from_millis(500);
+
+/// Time after which the end of a probe is no longer waited for.
+const LOST: Duration = Duration::from_secs(2);
+
+/// Wait before a server that failed is asked again.
+const RETRY: Duration = Duration::from_millis(40);
+
+/// The same after [`MANY`] failures in a row.
+const LATE_RETRY: Duration = Duration::from_millis(250);
+
+const MANY: u32 = 20;
+
+/// One server.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    status: Option<Status>,
+    heard: Option<Instant>,
+    asked: Option<Instant>,
+    failed: Option<(Unreached, Instant)>,
+    failures: u32,
+    order: Option<(Ask, Instant)>,
+}
+
+impl Watch {
+    /// Its newest report.
+    pub fn status(&self) -> Option<&Status> {
+        self.status.as_ref()
+    }
+
+    /// Its newest report, when it says how the server is now.
+    pub fn fresh(&self, now: Instant) -> Option<&Status> {
+        let heard = self.heard.filter(|&heard| now.since(heard) <= FRESH)?;
+        let broken = self.failed.is_some_and(|(_, at)| at > heard);
+        self.status.as_ref().filter(|_| !broken)
+    }
+
+    /// Whether a report is to be asked for now.
+    pub fn is_due(&self, now: Instant) -> bool {
+        if let Some(asked) = self.asked {
+            return now.since(asked) > LOST;
+        }
+        let wait = match self.failures {
+            0 | 1 => Duration::ZERO,
+            2..MANY => RETRY,
+            _ => LATE_RETRY,
+        };
+        self.failed.is_none_or(|(_, at)| now.since(at) >= wait)
+    }
+
+    /// Notes that a report was asked for.
+    pub fn ask(&mut self, now: Instant) {
+        self.asked = Some(now);
+    }
+
+    /// Whether an order may be sent: none is under way.
+    pub fn is_free(&self, now: Instant) -> bool {
+        self.order.is_none_or(|(_, at)| now.since(at) > LOST)
+    }
+
+    /// Notes that an order was sent.
+    pub fn order(&mut self, now: Instant, ask: Ask) {
+        self.order = Some((ask, now));
+    }
+
+    /// Takes the end of a probe.
+    pub fn probed(&mut self, now: Instant, ask: Ask, result: Result<&Status, Unreached>) {
+        if ask == Ask::Status {
+            self.asked = None;
+        } else if self.order.is_some_and(|(order, _)| order == ask) {
+            self.order = None;
+        }
+        match result {
+            Ok(status) => self.report(now, status),
+            Err(_) if ask != Ask::Status => {}
+            Err(unreached) => {
+                self.failed = Some((unreached, now));
+                self.failures += 1;
+            }
+        }
+    }
+
+    /// Takes a report, unless a newer one of the server came before it.
+    fn report(&mut self, now: Instant, status: &Status) {
+        let newest = |known: &Status| {
+            (known.incarnation, known.version) <= (status.incarnation, status.version)
+        };
+        if self.status.as_ref().is_none_or(newest) {
+            self.status = Some(status.clone());
+            self.heard = Some(now);
+            self.failed = None;
+            self.failures = 0;
+        }
+    }
+
+    /// Times in a row that its process was found gone.
+    pub fn refusals(&self) -> u32 {
+        match self.failed {
+            Some((Unreached::Refused, _)) => self.failures,
+            _ => 0,
+        }
+    }
+
+    /// Whether it left a probe without an answer for [`SILENT`].
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let waits = self.asked.is_some_and(|asked| now.since(asked) >= SILENT);
+        let failed = matches!(self.failed, Some((Unreached::Silent, _)));
+        let unheard = self.heard.is_none_or(|heard| now.since(heard) >= SILENT);
+        (waits || failed) && unheard
+    }
+
+    /// Whether its process is gone or it is silent.
+    pub fn is_down(&self, now: Instant) -> bool {
+        self.refusals() > 0 || self.is_silent(now)
+    }
+}
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -176,6 +176,7 @@
             message = reader.next::<Down>() => {
                 let message = message.change_context(Fault::Link)?.ok_or(Fault::Closed)?;
                 progress.on(&view, message)?;
+                progress.collect(&view, given);
             }
             _ = beats.tick() => beat(settings, progress, given, &mut writer).await?,
             () = view.given_up() => beat(settings, progress, given, &mut writer).await?,
@@ -205,11 +206,6 @@
     given: &mut Vec<Name>,
     writer: &mut Writer,
 ) -> Result<(), Report<Fault>> {
-    for group in settings.view.take_returned() {
-        if !given.contains(&group) {
-            given.push(group);
-        }
-    }
     let beat = progress.beat(settings.clock.now(), &settings.view, given);
     send(writer, up::Body::Beat(beat)).await
 }
--- a/components/entry/src/follow/progress.rs
+++ b/components/entry/src/follow/progress.rs
@@ -106,15 +106,27 @@
         self.confirmed
     }
 
-    /// Makes the next beat. `given` are the groups given up since the last;
-    /// they are named in each beat until the state shows that they are gone.
+    /// Keeps in `given` the groups that were given up, until the state shows
+    /// that they are no longer returning. Due after each change of the state,
+    /// so that a group that is granted and taken back again is not taken for
+    /// given up. Returns the index that was looked at.
+    pub fn collect(&self, view: &View, given: &mut Vec<Name>) -> u64 {
+        for group in view.take_returned() {
+            if !given.contains(&group) {
+                given.push(group);
+            }
+        }
+        view.read(|state| {
+            given.retain(|group| self.returns(state, group));
+            state.index
+        })
+    }
+
+    /// Makes the next beat; it names all that was given up.
     pub fn beat(&mut self, now: Instant, view: &View, given: &mut Vec<Name>) -> Beat {
         self.sequence += 1;
         self.sent.push_back((self.sequence, now));
-        let applied = view.read(|state| {
-            given.retain(|group| self.returns(state, group));
-            state.index
-        });
+        let applied = self.collect(view, given);
         let returned = given.iter().map(Name::to_string).collect();
         Beat { sequence: self.sequence, applied, returned }
     }
