--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -232,7 +232,7 @@
         if (0..assign.leases.len()).any(twice) {
             return Err(Refusal::Malformed);
         }
-        self.check_limits(assign)?;
+        self.check_limits(group, assign)?;
         let group = self.groups.get_mut(assign.group.as_str()).ok_or(Refusal::Unknown)?;
         if group.leases.iter().any(|lease| reduces(assign, lease)) {
             group.reduced = index;
@@ -242,14 +242,18 @@
         Ok(Outcome::Applied)
     }
 
-    fn check_limits(&self, assign: &log::Assign) -> Result<(), Refusal> {
+    /// Refuses shares that pass a server's limit, unless they only shrink
+    /// there, as they must after the server lowered it.
+    fn check_limits(&self, group: &Group, assign: &log::Assign) -> Result<(), Refusal> {
         let shares = || assign.leases.iter().flat_map(|lease| &lease.shares);
         for share in shares() {
             let server = self.servers.get(share.server.as_str()).ok_or(Refusal::Unknown)?;
             let same = || shares().filter(|other| other.server == share.server);
             let connections: u64 = same().map(|other| u64::from(other.connections)).sum();
             let slots: u64 = same().map(|other| u64::from(other.slots)).sum();
-            if connections > u64::from(server.grantable()) || slots > u64::from(server.slots) {
+            let over =
+                connections > u64::from(server.grantable()) || slots > u64::from(server.slots);
+            if over && grows(group, assign, &share.server) {
                 return Err(Refusal::Limit);
             }
         }
@@ -342,20 +346,36 @@
 }
 
 /// Whether new leases take something from the holder of an old one. One that
-/// was returning has lost all already.
+/// was returning and is gone was given up before.
 fn reduces(assign: &log::Assign, old: &log::Lease) -> bool {
-    if old.returning {
-        return false;
-    }
     let new = assign
         .leases
         .iter()
         .find(|new| new.entry == old.entry && new.incarnation == old.incarnation);
-    let Some(new) = new.filter(|new| !new.returning) else {
-        return true;
+    let Some(new) = new else {
+        return !old.returning;
     };
+    if new.returning && !old.returning {
+        return true;
+    }
     old.shares.iter().any(|old| {
         let new = new.shares.iter().find(|new| new.server == old.server);
         new.is_none_or(|new| new.connections < old.connections || new.slots < old.slots)
     })
 }
+
+/// Whether a lease has a larger share of a server than before.
+fn grows(group: &Group, assign: &log::Assign, server: &str) -> bool {
+    let share = |lease: &log::Lease| {
+        let share = lease.shares.iter().find(|share| share.server == server);
+        share.map_or((0, 0), |share| (share.connections, share.slots))
+    };
+    assign.leases.iter().any(|lease| {
+        let old = group
+            .leases
+            .iter()
+            .find(|old| old.entry == lease.entry && old.incarnation == lease.incarnation);
+        let (connections, slots) = old.map_or((0, 0), share);
+        share(lease).0 > connections || share(lease).1 > slots
+    })
+}
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -23,7 +23,7 @@
 use crate::lives::Lives;
 use crate::rendezvous::{KEEPERS, keepers};
 use crate::split::{Holding, split};
-use crate::state::{Group, State};
+use crate::state::{Group, Server, State};
 
 /// Time for which a group without leases waits for more entries to join.
 pub const SETTLE: Duration = Duration::from_millis(300);
@@ -226,6 +226,7 @@
     let Some(server) = state.servers.get(seat) else {
         return;
     };
+    cut(server, seat, leases, |lease| open.iter().any(|target| target.as_str() == lease.entry));
     let share_of =
         |lease: &Lease| lease.shares.iter().find(|share| share.server == seat.as_str()).cloned();
     let is_open = |lease: &Lease| open.iter().any(|target| target.as_str() == lease.entry);
@@ -264,3 +265,22 @@
         lease.shares.sort_by(|one, other| one.server.cmp(&other.server));
     }
 }
+
+/// Cuts shares of a server that lowered its limits, but for those of the
+/// targets, which are split anew.
+fn cut(server: &Server, seat: &Name, leases: &mut [Lease], spared: impl Fn(&Lease) -> bool) {
+    let count = leases.len() as u32;
+    let held =
+        || leases.iter().flat_map(|lease| &lease.shares).filter(|s| s.server == seat.as_str());
+    let over = held().map(|share| share.connections).sum::<u32>() > server.grantable()
+        || held().map(|share| share.slots).sum::<u32>() > server.slots;
+    if !over {
+        return;
+    }
+    for lease in leases.iter_mut().filter(|lease| !spared(lease)) {
+        for share in lease.shares.iter_mut().filter(|share| share.server == seat.as_str()) {
+            share.connections = share.connections.min(server.grantable() / count);
+            share.slots = share.slots.min(server.slots / count);
+        }
+    }
+}
