Read declarations from TOML directories and compare them

Operators write declarations as files; the log carries canonical JSON. A directory is read whole, checked whole, and each fault is told with file, line, key and what is allowed. Names in two files are faults.

--- /dev/null
+++ b/components/config/src/files.rs
@@ -0,0 +1,269 @@
+//! Declarations as operators write them: a directory of TOML files.
+//!
+//! Each file may hold `[groups.NAME]`, `[services.NAME]` and
+//! `[selectors.NAME]`; keys are those of [`crate::model`], times are whole
+//! milliseconds under keys that end in `_ms`. Files are read in the order of
+//! their names and make one whole; a name may stand in one file only. A fault
+//! in any file fails the whole, and each is told with its file, line and key.
+
+use std::fmt;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+
+use base::name::Name;
+use toml::de::{DeTable, DeValue};
+
+use crate::check::Fault;
+use crate::model::Declarations;
+
+/// What is wrong with a place in a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Problem {
+    /// The directory or file can't be read.
+    Unreadable(std::io::ErrorKind),
+    /// The directory holds no file whose name ends in `.toml`.
+    Empty,
+    /// The text is no TOML, or a key or value is not known.
+    Malformed {
+        /// What is expected there.
+        text: String,
+    },
+    /// The name is declared by another file too.
+    Duplicate {
+        /// The other file.
+        other: PathBuf,
+    },
+    /// The value is not allowed.
+    Fault(Fault),
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable(kind) => write!(f, "can't be read: {kind}"),
+            Self::Empty => f.write_str("holds no file whose name ends in `.toml`"),
+            Self::Malformed { text } => f.write_str(text),
+            Self::Duplicate { other } => write!(f, "is declared in {} too", other.display()),
+            Self::Fault(Fault::Value { allowed, .. }) => write!(f, "{allowed}"),
+            Self::Fault(fault) => write!(f, "{fault}"),
+        }
+    }
+}
+
+/// A problem and its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Located {
+    /// The file or directory.
+    pub file: PathBuf,
+    /// Line in the file, from 1; zero when the whole file is meant.
+    pub line: usize,
+    /// Names of the tables and the key, joined by dots; may be empty.
+    pub key: String,
+    /// What is wrong there.
+    pub problem: Problem,
+}
+
+impl fmt::Display for Located {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file.display())?;
+        if self.line > 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, ": {}", self.key)?;
+        }
+        write!(f, ": {}", self.problem)
+    }
+}
+
+/// All that is wrong with a directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problems(pub Vec<Located>);
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, located) in self.0.iter().enumerate() {
+            write!(f, "{}{located}", if index > 0 { "\n" } else { "" })?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Problems {}
+
+struct File {
+    path: PathBuf,
+    text: String,
+    declarations: Declarations,
+}
+
+/// Reads and checks all files of a directory.
+///
+/// # Errors
+/// All that is wrong with it.
+pub fn read(directory: &Path) -> Result<Declarations, Problems> {
+    let mut problems = Vec::new();
+    let files = read_files(directory, &mut problems);
+    let mut whole = Declarations::default();
+    for (index, file) in files.iter().enumerate() {
+        merge(&mut whole, file, &files[..index], &mut problems);
+    }
+    if problems.is_empty() {
+        problems.extend(whole.faults().into_iter().map(|fault| locate(&files, directory, fault)));
+    }
+    if problems.is_empty() { Ok(whole) } else { Err(Problems(problems)) }
+}
+
+fn read_files(directory: &Path, problems: &mut Vec<Located>) -> Vec<File> {
+    let whole = |file: &Path, problem| Located {
+        file: file.to_owned(),
+        line: 0,
+        key: String::new(),
+        problem,
+    };
+    let paths = match paths(directory) {
+        Ok(paths) => paths,
+        Err(error) => {
+            problems.push(whole(directory, Problem::Unreadable(error.kind())));
+            return Vec::new();
+        }
+    };
+    if paths.is_empty() {
+        problems.push(whole(directory, Problem::Empty));
+    }
+    let mut files = Vec::new();
+    for path in paths {
+        match std::fs::read_to_string(&path) {
+            Ok(text) => match parse(&path, &text) {
+                Ok(declarations) => files.push(File { path, text, declarations }),
+                Err(located) => problems.push(located),
+            },
+            Err(error) => problems.push(whole(&path, Problem::Unreadable(error.kind()))),
+        }
+    }
+    files
+}
+
+fn paths(directory: &Path) -> std::io::Result<Vec<PathBuf>> {
+    let mut paths = Vec::new();
+    for entry in std::fs::read_dir(directory)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|extension| extension == "toml") {
+            paths.push(path);
+        }
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+fn parse(path: &Path, text: &str) -> Result<Declarations, Located> {
+    toml::from_str(text).map_err(|error| {
+        let offset = error.span().map_or(0, |span| span.start);
+        let key = DeTable::parse(text)
+            .map(|table| key_at(table.get_ref(), offset).join("."))
+            .unwrap_or_default();
+        let problem = Problem::Malformed { text: error.message().to_owned() };
+        Located { file: path.to_owned(), line: line(text, offset), key, problem }
+    })
+}
+
+/// Line of an offset, from 1.
+fn line(text: &str, offset: usize) -> usize {
+    text.bytes().take(offset).filter(|&byte| byte == b'\n').count() + 1
+}
+
+/// Names of the tables and the key that hold an offset.
+fn key_at(table: &DeTable<'_>, offset: usize) -> Vec<String> {
+    let holds = |span: Range<usize>| span.contains(&offset);
+    for (key, value) in table {
+        let inner = match value.get_ref() {
+            DeValue::Table(inner) => key_at(inner, offset),
+            _ => Vec::new(),
+        };
+        if !inner.is_empty() || holds(key.span()) || holds(value.span()) {
+            let own = key.get_ref().to_string();
+            return std::iter::once(own).chain(inner).collect();
+        }
+    }
+    Vec::new()
+}
+
+fn merge(whole: &mut Declarations, file: &File, before: &[File], problems: &mut Vec<Located>) {
+    let own = &file.declarations;
+    let mut check = |table: &str, name: &Name, taken: bool| {
+        if taken {
+            let path = [table.to_owned(), name.to_string()];
+            let other = before.iter().find(|other| span(&other.text, &path).1 == path.len());
+            let other = other.map_or_else(PathBuf::new, |other| other.path.clone());
+            problems.push(place(file, &path, Problem::Duplicate { other }));
+        }
+    };
+    for (name, group) in &own.groups {
+        check("groups", name, whole.groups.insert(name.clone(), group.clone()).is_some());
+    }
+    for (name, service) in &own.services {
+        check("services", name, whole.services.insert(name.clone(), service.clone()).is_some());
+    }
+    for (name, selector) in &own.selectors {
+        check("selectors", name, whole.selectors.insert(name.clone(), selector.clone()).is_some());
+    }
+}
+
+/// Offset of the deepest part of a path that a text has, and its depth.
+fn span(text: &str, path: &[String]) -> (usize, usize) {
+    let Ok(root) = DeTable::parse(text) else {
+        return (0, 0);
+    };
+    let mut table = root.get_ref();
+    let mut found = (0, 0);
+    for (depth, part) in path.iter().enumerate() {
+        let Some((key, value)) = table.iter().find(|(key, _)| key.get_ref() == part.as_str())
+        else {
+            return found;
+        };
+        found = (key.span().start, depth + 1);
+        match value.get_ref() {
+            DeValue::Table(inner) => table = inner,
+            DeValue::Array(items) => return item(items, &path[depth + 1..], found),
+            _ => return found,
+        }
+    }
+    found
+}
+
+/// The same within an array of tables.
+fn item(items: &toml::de::DeArray<'_>, path: &[String], array: (usize, usize)) -> (usize, usize) {
+    let index = path.first().and_then(|index| index.parse::<usize>().ok());
+    let Some(item) = index.and_then(|index| items.get(index)) else {
+        return array;
+    };
+    let (start, depth) = (item.span().start, array.1 + 1);
+    let key = path.get(1).zip(item.get_ref().as_table());
+    let key =
+        key.and_then(|(part, table)| table.iter().find(|(key, _)| key.get_ref() == part.as_str()));
+    key.map_or((start, depth), |(key, _)| (key.span().start, depth + 1))
+}
+
+fn place(file: &File, path: &[String], problem: Problem) -> Located {
+    let (offset, _) = span(&file.text, path);
+    Located {
+        file: file.path.clone(),
+        line: line(&file.text, offset),
+        key: path.join("."),
+        problem,
+    }
+}
+
+fn locate(files: &[File], directory: &Path, fault: Fault) -> Located {
+    let Fault::Value { path, .. } = &fault else {
+        let problem = Problem::Fault(fault);
+        return Located { file: directory.to_owned(), line: 0, key: String::new(), problem };
+    };
+    let path = path.clone();
+    let deepest = files.iter().max_by_key(|file| span(&file.text, &path).1);
+    let problem = Problem::Fault(fault);
+    match deepest {
+        Some(file) => place(file, &path, problem),
+        None => Located { file: directory.to_owned(), line: 0, key: path.join("."), problem },
+    }
+}
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -3,13 +3,19 @@
 //! - [`model`]: the declarations as types, and their canonical text.
 //! - [`check`]: whether they make sense as a whole.
 //! - [`text`]: their canonical text.
+//! - [`files`]: a directory of TOML files, as operators write them.
+//! - [`mod@diff`]: what differs between two configurations.
 //! - [`policy`]: the questions that the data path asks of them.
 
 pub mod check;
+pub mod diff;
+pub mod files;
 pub mod model;
 pub mod policy;
 pub mod text;
 
 pub use check::{Allowed, Fault};
+pub use diff::{Change, diff};
+pub use files::{Located, Problem, Problems};
 pub use model::{Class, Declarations, Group, Kind, Labels, Limits, Objective, Selector, Service};
 pub use policy::Rule;
