--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -66,7 +66,7 @@
             Some(Body::Announce(announce)) => self.announce(announce),
             Some(Body::Expire(expire)) => self.expire(expire),
             Some(Body::Join(join)) => self.join(join),
-            Some(Body::Part(part)) => self.part(index, part),
+            Some(Body::Part(part)) => self.part(part),
             Some(Body::Assign(assign)) => self.assign(index, assign),
             Some(Body::Intend(intend)) => self.intend(intend),
             Some(Body::Choose(choose)) => self.choose(choose),
@@ -116,6 +116,24 @@
     }
 
     fn announce(&mut self, announce: &log::Announce) -> Result<Outcome, Refusal> {
+        let Some((name, server)) = self.judge(announce)? else {
+            return Ok(Outcome::Unchanged);
+        };
+        if self.declares(server.group.as_str()) {
+            let group = self.groups.entry(server.group.clone()).or_default();
+            if !group.seats.contains(&name) {
+                group.seats.push(name.clone());
+            }
+        }
+        self.servers.insert(name, server);
+        Ok(Outcome::Applied)
+    }
+
+    /// What an announcement would change, `None` when it says what is known.
+    ///
+    /// # Errors
+    /// Why it would be refused.
+    pub fn judge(&self, announce: &log::Announce) -> Result<Option<(Name, Server)>, Refusal> {
         let (name, server) = Server::read(announce).ok_or(Refusal::Malformed)?;
         if let Some(known) = self.servers.get(&name) {
             if known.incarnation > server.incarnation {
@@ -125,32 +143,25 @@
                 return Err(Refusal::Address);
             }
             if *known == server {
-                return Ok(Outcome::Unchanged);
+                return Ok(None);
             }
         }
-        self.take_seat(&name, &server)?;
-        self.servers.insert(name, server);
-        Ok(Outcome::Applied)
+        self.judge_seat(&name, &server.group)?;
+        Ok(Some((name, server)))
     }
 
-    fn take_seat(&mut self, name: &Name, server: &Server) -> Result<(), Refusal> {
-        let elsewhere =
-            |(group, known): (&Name, &Group)| *group != server.group && known.seats.contains(name);
-        if self.groups.iter().any(elsewhere) {
+    fn judge_seat(&self, name: &Name, group: &Name) -> Result<(), Refusal> {
+        let seats = |known: &Group| known.seats.contains(name);
+        if self.groups.iter().any(|(other, known)| other != group && seats(known)) {
             return Err(Refusal::Group);
         }
-        let Some(declared) = self.declarations.groups.get(&server.group) else {
+        let declared = self.declarations.groups.get(group);
+        let known = self.groups.get(group);
+        let (Some(declared), Some(known)) = (declared, known) else {
             return Ok(());
         };
-        let group = self.groups.entry(server.group.clone()).or_default();
-        if group.seats.contains(name) {
-            return Ok(());
-        }
-        if group.seats.len() >= declared.servers as usize {
-            return Err(Refusal::Seats);
-        }
-        group.seats.push(name.clone());
-        Ok(())
+        let free = known.seats.len() < declared.servers as usize;
+        if free || seats(known) { Ok(()) } else { Err(Refusal::Seats) }
     }
 
     fn expire(&mut self, expire: &log::Expire) -> Result<Outcome, Refusal> {
@@ -191,7 +202,7 @@
 
     /// Takes all leases of the incarnation, and of earlier ones, and forgets
     /// the entry unless it started again since.
-    fn part(&mut self, index: u64, part: &log::Part) -> Result<Outcome, Refusal> {
+    fn part(&mut self, part: &log::Part) -> Result<Outcome, Refusal> {
         let mut found = false;
         for group in self.groups.values_mut() {
             let held = group.leases.len();
@@ -200,7 +211,6 @@
                 .retain(|lease| lease.entry != part.entry || lease.incarnation > part.incarnation);
             if group.leases.len() < held {
                 group.generation += 1;
-                group.assigned = index;
                 found = true;
             }
         }
@@ -222,22 +232,28 @@
         if (0..assign.leases.len()).any(twice) {
             return Err(Refusal::Malformed);
         }
-        self.check_limits(assign)?;
+        self.check_limits(group, assign)?;
         let group = self.groups.get_mut(assign.group.as_str()).ok_or(Refusal::Unknown)?;
+        if group.leases.iter().any(|lease| reduces(assign, lease)) {
+            group.reduced = index;
+        }
         group.leases = assign.leases.iter().cloned().collect();
         group.generation += 1;
-        group.assigned = index;
         Ok(Outcome::Applied)
     }
 
-    fn check_limits(&self, assign: &log::Assign) -> Result<(), Refusal> {
+    /// Refuses shares that pass a server's limit, unless they only shrink
+    /// there, as they must after the server lowered it.
+    fn check_limits(&self, group: &Group, assign: &log::Assign) -> Result<(), Refusal> {
         let shares = || assign.leases.iter().flat_map(|lease| &lease.shares);
         for share in shares() {
             let server = self.servers.get(share.server.as_str()).ok_or(Refusal::Unknown)?;
             let same = || shares().filter(|other| other.server == share.server);
             let connections: u64 = same().map(|other| u64::from(other.connections)).sum();
             let slots: u64 = same().map(|other| u64::from(other.slots)).sum();
-            if connections > u64::from(server.grantable()) || slots > u64::from(server.slots) {
+            let over =
+                connections > u64::from(server.grantable()) || slots > u64::from(server.slots);
+            if over && grows(group, assign, &share.server) {
                 return Err(Refusal::Limit);
             }
         }
@@ -328,3 +344,38 @@
         }
     }
 }
+
+/// Whether new leases take something from the holder of an old one. One that
+/// was returning and is gone was given up before.
+fn reduces(assign: &log::Assign, old: &log::Lease) -> bool {
+    let new = assign
+        .leases
+        .iter()
+        .find(|new| new.entry == old.entry && new.incarnation == old.incarnation);
+    let Some(new) = new else {
+        return !old.returning;
+    };
+    if new.returning && !old.returning {
+        return true;
+    }
+    old.shares.iter().any(|old| {
+        let new = new.shares.iter().find(|new| new.server == old.server);
+        new.is_none_or(|new| new.connections < old.connections || new.slots < old.slots)
+    })
+}
+
+/// Whether a lease has a larger share of a server than before.
+fn grows(group: &Group, assign: &log::Assign, server: &str) -> bool {
+    let share = |lease: &log::Lease| {
+        let share = lease.shares.iter().find(|share| share.server == server);
+        share.map_or((0, 0), |share| (share.connections, share.slots))
+    };
+    assign.leases.iter().any(|lease| {
+        let old = group
+            .leases
+            .iter()
+            .find(|old| old.entry == lease.entry && old.incarnation == lease.incarnation);
+        let (connections, slots) = old.map_or((0, 0), share);
+        share(lease).0 > connections || share(lease).1 > slots
+    })
+}
