--- /dev/null
+++ b/components/member/src/apply.rs
@@ -0,0 +1,100 @@
+//! What is committed, put into the state.
+
+use base::prelude::*;
+use control::State;
+use control::image::Malformed;
+use quorum::{Event, Snapshot};
+use slog::{crit, info};
+use wire::Message as _;
+use wire::log::Command;
+use wire::log::command::Body;
+use wire::quorum::{Entry, entry};
+
+use crate::core::Core;
+use crate::input::Verdict;
+use crate::status::Failover;
+
+/// Entries beyond the newest snapshot after which the next one is taken.
+const COMPACT_ENTRIES: u64 = 4_096;
+
+/// The state that a snapshot holds.
+pub(crate) fn state(snapshot: &Snapshot) -> Result<State, Report<Malformed>> {
+    if snapshot.index == 0 || snapshot.data.is_empty() {
+        return Ok(State::default());
+    }
+    State::decode(&snapshot.data)
+}
+
+impl Core {
+    /// Applies a committed entry.
+    pub(crate) fn apply(&mut self, entry: &Entry) {
+        let index = entry.index;
+        let command = match &entry.body {
+            Some(entry::Body::Command(bytes)) => Command::decode(bytes.clone()).ok(),
+            Some(entry::Body::Members(_)) | None => None,
+        };
+        let verdict = if let Some(command) = &command {
+            self.record(command);
+            Verdict::Applied { index, outcome: self.state.apply(index, command) }
+        } else {
+            self.state.skip(index);
+            Verdict::Changed { index }
+        };
+        self.meter.applied.inc();
+        self.applied.push(wire::control::Entry { index, command });
+        if entry.origin == self.own.id {
+            self.resolve(entry.token, verdict);
+        }
+        self.answer_reads();
+        if self.part.leads && self.leader.is_none() && entry.term == self.part.term {
+            self.leader = Some(control::Leader::new(self.now()));
+            info!(self.log, "decides for control"; "term" => entry.term, "index" => index);
+        }
+        self.lead(control::Event::Applied { index });
+    }
+
+    /// Takes a snapshot in place of the state.
+    pub(crate) fn restore(&mut self, snapshot: &Snapshot) {
+        match state(snapshot) {
+            Ok(mut state) => {
+                state.skip(snapshot.index);
+                self.state = state;
+                info!(self.log, "took a snapshot"; "index" => snapshot.index);
+            }
+            Err(report) => {
+                // the sender's code is newer or broken; this member can't go on
+                crit!(self.log, "a snapshot can't be read"; "failure" => ?report);
+                self.stopping = Some(Instant::ZERO);
+            }
+        }
+        self.applied.clear();
+        self.restore_followers();
+        self.answer_reads();
+    }
+
+    /// Takes a snapshot once the log has grown by enough.
+    pub(crate) fn compact(&mut self) {
+        let index = self.state.index;
+        if index < self.replica.snapshot_index() + COMPACT_ENTRIES {
+            return;
+        }
+        let data = self.state.encode().into();
+        self.due.push_back(Event::Compact { index, data });
+    }
+
+    fn record(&mut self, command: &Command) {
+        match &command.body {
+            Some(Body::Intend(intend)) => {
+                Failover::intended(&mut self.failovers, &intend.group, intend.term);
+            }
+            Some(Body::Choose(choose)) => {
+                Failover::chosen(&mut self.failovers, &choose.group, choose.term, &choose.server);
+            }
+            Some(Body::Establish(establish)) => {
+                let (group, term) = (&establish.group, establish.term);
+                Failover::established(&mut self.failovers, group, term, &establish.server);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/components/member/src/core.rs
@@ -0,0 +1,174 @@
+//! The task that owns the member's state machines.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use base::clock::Clock;
+use base::prelude::*;
+use control::{Leader, State};
+use quorum::{Event, Part, Replica};
+use slog::{Logger, crit, info};
+use telemetry::Health;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use wire::quorum::message::Body;
+use wire::quorum::{Forward, Member, Message};
+
+use crate::answer::{Pending, Read};
+use crate::disk::Writes;
+use crate::follow::Follower;
+use crate::host::STOP_TIMEOUT;
+use crate::input::Input;
+use crate::meter::Meter;
+use crate::peers::Links;
+use crate::probe::Probes;
+use crate::status::Failover;
+
+/// Inputs taken between two looks at the timer.
+const BURST: usize = 256;
+
+/// Ticks of the quorum between two of the control leader.
+const CONTROL_TICKS: u64 =
+    control::leader::TICK.as_micros() as u64 / quorum::TICK.as_micros() as u64;
+
+/// Ticks between two rounds of tidying.
+const TIDY_TICKS: u64 = 100;
+
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) own: Member,
+    pub(crate) fresh: Arc<AtomicBool>,
+    pub(crate) replica: Replica,
+    pub(crate) state: State,
+    pub(crate) part: Part,
+    /// Decides for the state while this member leads.
+    pub(crate) leader: Option<Leader>,
+    pub(crate) writes: Writes,
+    pub(crate) links: Links,
+    pub(crate) probes: Probes,
+    pub(crate) followers: Arena<Follower>,
+    /// Entries applied since followers were told.
+    pub(crate) applied: Vec<wire::control::Entry>,
+    pub(crate) proposals: BTreeMap<u64, Pending>,
+    pub(crate) reads: BTreeMap<u64, Read>,
+    /// Confirmed reads that wait for their index to be applied.
+    pub(crate) confirmed: Vec<(u64, Read)>,
+    pub(crate) token: u64,
+    /// What waits to go to the leader.
+    pub(crate) forward: Forward,
+    pub(crate) failovers: VecDeque<Failover>,
+    /// Last index that each entry is known to have applied.
+    pub(crate) seen: BTreeMap<String, u64>,
+    pub(crate) health: Health,
+    pub(crate) meter: Meter,
+    /// When a planned stop began.
+    pub(crate) stopping: Option<Instant>,
+    pub(crate) ticks: u64,
+    /// Events that the quorum has still to take.
+    pub(crate) due: VecDeque<Event>,
+    /// Events for the control leader's next tick.
+    pub(crate) late: Vec<control::Event>,
+    /// Since when no leader is known.
+    pub(crate) unled: Option<Instant>,
+}
+
+impl Core {
+    /// Runs until the inputs end, the disk fails or a planned stop is over.
+    pub(crate) async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+        let mut tick = tokio::time::interval(quorum::TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut burst = Vec::with_capacity(BURST);
+        self.links.keep(self.replica.members());
+        while !self.is_over() {
+            tokio::select! {
+                count = inputs.recv_many(&mut burst, BURST) => {
+                    if count == 0 {
+                        return;
+                    }
+                }
+                _ = tick.tick() => self.tick(),
+            }
+            for input in burst.drain(..) {
+                if let Input::Broken(report) = input {
+                    crit!(self.log, "the disk failed: the member ends"; "failure" => ?report);
+                    return;
+                }
+                self.take(input);
+                self.settle();
+            }
+            self.settle();
+            self.tell_followers();
+            self.pass_on();
+        }
+        info!(self.log, "ends as planned");
+    }
+
+    fn is_over(&self) -> bool {
+        let Some(since) = self.stopping else { return false };
+        let waited = self.now().since(since);
+        waited >= STOP_TIMEOUT || !self.part.leads || self.links.is_alone()
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    fn tick(&mut self) {
+        self.ticks += 1;
+        self.due.push_back(Event::Tick);
+        self.settle();
+        if self.ticks.is_multiple_of(CONTROL_TICKS) {
+            self.tick_leader();
+        }
+        if self.ticks.is_multiple_of(TIDY_TICKS) {
+            self.tidy();
+        }
+        self.refuse_unled();
+    }
+
+    fn tidy(&mut self) {
+        self.proposals.retain(|_, pending| !pending.is_closed());
+        self.compact();
+        self.meter.set(&self.replica, self.followers.len());
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Greeted(member) => self.links.greet(&member),
+            Input::Message(message) => self.receive(message),
+            Input::Persisted(token) => self.due.push_back(Event::Persisted(token)),
+            Input::Bootstrap(members) => self.due.push_back(Event::Bootstrap(members)),
+            Input::Opened { follow, sender, reply } => self.open(follow, sender, reply),
+            Input::Beat { key, beat } => self.beat(key, beat),
+            Input::Symptom { key, symptom } => self.symptom(key, symptom),
+            Input::Left { key } => self.left(key),
+            Input::Closed { key } => drop(self.followers.remove(key)),
+            Input::Probed(event) => self.lead(event),
+            Input::Announce { announce, reply } => self.announce(announce, reply),
+            Input::Propose { command, reply } => self.propose(&command, reply),
+            Input::Change { change, reply } => self.change(change, reply),
+            Input::Config { reply } => self.read(Read::Config(reply), None),
+            Input::Status { reply } => drop(reply.send(self.status())),
+            Input::Stop => self.stop(),
+            Input::Broken(_) => {}
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        if let Some(Body::Forward(forward)) = message.body {
+            self.hear(forward);
+            return;
+        }
+        self.due.push_back(Event::Message(message));
+        self.fresh.store(self.replica.is_fresh(), Ordering::Release);
+    }
+
+    fn stop(&mut self) {
+        self.health.set_ready(false);
+        self.stopping = Some(self.now());
+        self.due.push_back(Event::Transfer);
+    }
+}
--- /dev/null
+++ b/components/member/src/disk.rs
@@ -0,0 +1,169 @@
+//! The thread that owns the journal.
+//!
+//! Writes that wait are made durable together with one sync.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+
+use base::prelude::*;
+use bytes::Bytes;
+use journal::{Batch, Folder, Journal, Recovered};
+use quorum::{Hard, Snapshot, Stored, Write};
+use wire::Message as _;
+use wire::quorum::{Entry, Members};
+
+use crate::host::Failure;
+use crate::input::{Input, Sender};
+
+/// A snapshot as the journal keeps it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Kept {
+    /// Index of the last entry in it.
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    /// Term of that entry.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Membership at that entry.
+    #[prost(message, optional, tag = "3")]
+    pub members: Option<Members>,
+    /// The encoded state.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub data: Bytes,
+}
+
+/// What a data folder holds.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    pub(crate) id: u64,
+    pub(crate) journal: Journal<Folder>,
+    pub(crate) stored: Stored,
+    pub(crate) cut_bytes: u64,
+}
+
+/// Opens a data folder; a new one gets `drawn` as its id.
+pub(crate) fn open(path: &Path, drawn: u64) -> Result<Opened, Report<Failure>> {
+    let failure = || Failure::Data { path: path.to_owned() };
+    let mut folder = Folder::open(path).change_context_lazy(failure)?;
+    let id = journal::identity(&mut folder, drawn).change_context_lazy(failure)?;
+    let (journal, recovered) = Journal::open(folder).change_context_lazy(failure)?;
+    let cut_bytes = recovered.cut_bytes;
+    let stored = read(recovered).change_context_lazy(failure)?;
+    Ok(Opened { id, journal, stored, cut_bytes })
+}
+
+/// Reads a data folder that no process holds, and changes nothing in it.
+///
+/// # Errors
+/// [`Failure::Data`].
+pub fn inspect(path: &Path) -> Result<Stored, Report<Failure>> {
+    let failure = || Failure::Data { path: path.to_owned() };
+    let folder = Folder::open(path).change_context_lazy(failure)?;
+    let recovered = journal::inspect(&folder).change_context_lazy(failure)?;
+    read(recovered).change_context_lazy(failure)
+}
+
+fn read(recovered: Recovered) -> Result<Stored, prost::DecodeError> {
+    let hard = Hard { term: recovered.hard.term, vote: recovered.hard.vote };
+    let mut snapshot = Snapshot::default();
+    if let Some(kept) = recovered.snapshot {
+        let kept = Kept::decode(kept.bytes.as_slice())?;
+        let members = kept.members.unwrap_or_default();
+        snapshot = Snapshot { index: kept.index, term: kept.term, members, data: kept.data };
+    }
+    let entries = recovered.entries.iter().map(|entry| Entry::decode(entry.bytes.as_slice()));
+    Ok(Stored { hard, snapshot, entries: entries.collect::<Result<_, _>>()? })
+}
+
+/// The thread, as its owner sees it.
+#[derive(Debug)]
+pub(crate) struct Disk {
+    writes: mpsc::Sender<Write>,
+    killed: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// The way to the thread.
+pub(crate) type Writes = mpsc::Sender<Write>;
+
+impl Disk {
+    /// Starts the thread; it ends when all of its [`Writes`] are gone.
+    pub(crate) fn start(journal: Journal<Folder>, core: Sender) -> std::io::Result<Self> {
+        let (writes, due) = mpsc::channel();
+        let killed = Arc::new(AtomicBool::new(false));
+        let flag = Arc::clone(&killed);
+        let run = move || run(journal, &due, &core, &flag);
+        let thread = std::thread::Builder::new().name("journal".to_owned()).spawn(run)?;
+        Ok(Self { writes, killed, thread: Some(thread) })
+    }
+
+    pub(crate) fn writes(&self) -> Writes {
+        self.writes.clone()
+    }
+
+    /// Ends the thread after the write that it is at, and lets the folder go.
+    pub(crate) fn kill(&mut self) {
+        self.killed.store(true, Ordering::Release);
+        drop(self.writes.send(Write::default()));
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+fn run(
+    mut journal: Journal<Folder>,
+    due: &mpsc::Receiver<Write>,
+    core: &Sender,
+    killed: &AtomicBool,
+) {
+    while let Ok(first) = due.recv() {
+        let mut token = first.token;
+        let mut batches = vec![batch(first)];
+        while let Ok(next) = due.try_recv() {
+            token = next.token;
+            join(&mut batches, batch(next));
+        }
+        if killed.load(Ordering::Acquire) {
+            return;
+        }
+        let written = batches.into_iter().try_for_each(|batch| journal.write(batch));
+        let told = match written {
+            Ok(()) => core.blocking_send(Input::Persisted(token)),
+            Err(report) => core.blocking_send(Input::Broken(report)),
+        };
+        if told.is_err() {
+            return;
+        }
+    }
+}
+
+fn batch(write: Write) -> Batch {
+    let snapshot = write.snapshot.map(|snapshot| {
+        let Snapshot { index, term, members, data } = snapshot;
+        let kept = Kept { index, term, members: Some(members), data };
+        journal::Snapshot { index, bytes: kept.encode_to_vec() }
+    });
+    let entry = |entry: &Entry| journal::Entry { index: entry.index, bytes: entry.encode_to_vec() };
+    Batch {
+        hard: write.hard.map(|hard| journal::Hard { term: hard.term, vote: hard.vote }),
+        snapshot,
+        reset: write.reset,
+        entries: write.entries.iter().map(entry).collect(),
+    }
+}
+
+/// Adds a batch to those that wait, as part of the last one where that means
+/// the same.
+fn join(batches: &mut Vec<Batch>, next: Batch) {
+    match batches.last_mut() {
+        Some(last) if last.snapshot.is_none() && next.snapshot.is_none() => {
+            last.hard = next.hard.or(last.hard);
+            last.entries.extend(next.entries);
+        }
+        _ => batches.push(next),
+    }
+}
--- /dev/null
+++ b/components/member/src/effects.rs
@@ -0,0 +1,77 @@
+//! Carrying out what the quorum log wants done.
+
+use std::sync::atomic::Ordering;
+
+use base::prelude::*;
+use quorum::{Effect, Part};
+use slog::info;
+
+use crate::core::Core;
+use crate::input::Verdict;
+
+impl Core {
+    /// Lets the quorum take all events that are due.
+    pub(crate) fn settle(&mut self) {
+        let mut effects = Vec::new();
+        while let Some(event) = self.due.pop_front() {
+            let now = self.now();
+            self.replica.on(now, event, &mut effects);
+            for effect in effects.drain(..) {
+                self.carry_out(effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            // a disk thread that is gone has told why
+            Effect::Persist(write) => drop(self.writes.send(write)),
+            Effect::Send(message) => self.links.send(message),
+            Effect::Apply(entry) => self.apply(&entry),
+            Effect::Restore(snapshot) => self.restore(&snapshot),
+            Effect::Confirmed { token, index } => self.confirm(token, index),
+            Effect::Unconfirmed { token } => self.unconfirm(token),
+            Effect::Noted(note) => self.note(&note),
+            Effect::Dropped { token, not_run } => {
+                self.resolve(token, Verdict::Dropped { not_run });
+            }
+            Effect::Refused { token, refusal } => self.resolve(token, Verdict::Refused(refusal)),
+            Effect::Members(members) => {
+                self.fresh.store(self.replica.is_fresh(), Ordering::Release);
+                self.links.keep(&members);
+            }
+            Effect::Part(part) => self.play(part),
+        }
+    }
+
+    fn play(&mut self, part: Part) {
+        info!(self.log, "plays a part"; "term" => part.term, "leads" => part.leads,
+            "leader" => part.leader.and_then(|id| self.name_of(id)));
+        let led = part.leader.is_some();
+        self.health.set_ready(led && self.stopping.is_none());
+        self.unled = if led { None } else { self.unled.or(Some(self.now())) };
+        if part.leads && !self.part.leads {
+            self.meter.elections.inc();
+        }
+        // it is made once an entry of its own term is applied
+        self.leader = None;
+        self.part = part;
+    }
+
+    /// Name of a member.
+    pub(crate) fn name_of(&self, id: u64) -> Option<String> {
+        let members = &self.replica.members().members;
+        members.iter().find(|member| member.id == id).map(|member| member.name.clone())
+    }
+
+    /// The next number of a proposal or read.
+    pub(crate) fn next_token(&mut self) -> u64 {
+        self.token += 1;
+        self.token
+    }
+
+    /// How long no leader has been known.
+    pub(crate) fn unled_for(&self) -> Duration {
+        self.unled.map_or(Duration::ZERO, |since| self.now().since(since))
+    }
+}
--- /dev/null
+++ b/components/member/src/lead.rs
@@ -0,0 +1,121 @@
+//! The control leader, while this member leads; and what others send it.
+
+use base::prelude::*;
+use control::{Effect, Event};
+use tokio::sync::oneshot;
+use wire::Message as _;
+use wire::log::{Announce, Join, Part};
+use wire::quorum::message::Body;
+use wire::quorum::{Forward, Message, Pulse, Seen};
+
+use crate::core::Core;
+use crate::input::Unled;
+
+impl Core {
+    /// Lets the control leader take an event, if this member leads.
+    pub(crate) fn lead(&mut self, event: Event) {
+        let now = self.now();
+        let Some(leader) = &mut self.leader else { return };
+        let mut effects = Vec::new();
+        leader.on(now, &self.state, event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Propose(command) => {
+                    let token = self.next_token();
+                    let command = command.encode_to_vec().into();
+                    self.due.push_back(quorum::Event::Propose { token, command });
+                }
+                Effect::Probe { group, server, address, ask } => {
+                    self.late.extend(self.probes.ask(group, server, address, ask));
+                }
+            }
+        }
+    }
+
+    /// One tick of the control leader.
+    pub(crate) fn tick_leader(&mut self) {
+        for event in std::mem::take(&mut self.late) {
+            self.lead(event);
+        }
+        self.lead(Event::Tick);
+    }
+
+    /// A backend server announced itself here.
+    pub(crate) fn announce(
+        &mut self,
+        announce: Announce,
+        reply: oneshot::Sender<Result<(), Unled>>,
+    ) {
+        let led = self.part.leader.is_some();
+        if led {
+            self.forward.announces.push(announce);
+        }
+        drop(reply.send(if led { Ok(()) } else { Err(Unled) }));
+    }
+
+    /// Passes on to the leader what waits for it.
+    pub(crate) fn pass_on(&mut self) {
+        if self.forward == Forward::default() {
+            return;
+        }
+        let forward = std::mem::take(&mut self.forward);
+        match self.part.leader {
+            Some(leader) if leader == self.own.id => {
+                self.hear(forward);
+                self.settle();
+            }
+            Some(to) => {
+                let (from, term) = (self.own.id, self.part.term);
+                let body = Some(Body::Forward(forward));
+                self.links.send(Message { from, to, term, body });
+            }
+            None => {}
+        }
+    }
+
+    /// What a member passed on.
+    pub(crate) fn hear(&mut self, forward: Forward) {
+        for announce in forward.announces {
+            self.lead(Event::Announced(announce));
+        }
+        for Part { entry, incarnation } in forward.leaves {
+            if let Ok(entry) = Name::new(&entry) {
+                self.lead(Event::Left { entry, incarnation });
+            }
+        }
+        for Seen { entry, symptom } in forward.sights {
+            self.see(&entry, symptom);
+        }
+    }
+
+    /// A beat that came to any member, before it is confirmed.
+    pub(crate) fn note(&mut self, note: &[u8]) {
+        let Ok(Pulse { join: Some(join), applied, returned, symptoms }) = Pulse::decode(note)
+        else {
+            return;
+        };
+        let Ok(entry) = Name::new(&join.entry) else { return };
+        self.seen.insert(join.entry.clone(), applied);
+        let incarnation = join.incarnation;
+        if self.lacks(&entry, &join) {
+            self.lead(Event::Joined(join));
+        }
+        let returned = returned.iter().filter_map(|group| Name::new(group).ok()).collect();
+        let name = entry.to_string();
+        self.lead(Event::Beat { entry, incarnation, applied, returned });
+        for symptom in symptoms {
+            self.see(&name, Some(symptom));
+        }
+    }
+
+    fn lacks(&self, entry: &Name, join: &Join) -> bool {
+        let known = self.state.entries.get(entry);
+        known.is_none_or(|known| known.incarnation < join.incarnation)
+    }
+
+    fn see(&mut self, entry: &str, symptom: Option<wire::control::Symptom>) {
+        if let (Ok(entry), Some(symptom)) = (Name::new(entry), symptom) {
+            self.lead(Event::Symptom { entry, symptom });
+        }
+    }
+}
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder head, replaced by the area's own.
+//! The host of a control member: sockets, disk and timers around the state
+//! machines of `quorum` and `control`.
+//!
+//! - [`host`]: binding, starting, stopping.
+//! - `core`: one task that owns every state machine of the member. It waits
+//!   for nothing but its inputs and its timer.
+//! - `disk`: a thread that makes writes durable, many with one sync.
+//! - `link`, `peers`, `boot`: links between members, and the first membership.
+//! - `entry`, `follow`: what entries are served, at the link and in the core.
+//! - `probe`: questions to backend servers on standing connections.
+//! - `web`, `status`, `meter`: HTTP, what it shows, and metrics.
+
+mod answer;
+mod apply;
+mod boot;
+mod core;
+mod disk;
+mod effects;
+mod entry;
+mod follow;
+pub mod host;
+mod input;
+mod lead;
+mod link;
+mod meter;
+mod peers;
+mod probe;
+mod status;
+mod web;
+
+pub use disk::{Kept, inspect};
+pub use host::{Addresses, Bound, Failure, Handle, Peer, Settings, bind};
--- /dev/null
+++ b/components/member/src/web.rs
@@ -0,0 +1,336 @@
+//! HTTP of a member, as JSON.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use base::prelude::*;
+use control::{Answer, Outcome};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use wire::log::{self, Command, command};
+use wire::quorum::Refusal;
+
+use crate::input::{Input, Sender, Unled, Verdict};
+use crate::link::End;
+use crate::peers;
+
+/// Pace at which backend servers renew their announcements.
+const RENEW: Duration = Duration::from_millis(500);
+
+/// Time after which an answer is given up.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time after which a request that was not taken may come again.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+#[derive(Clone, Debug)]
+struct Shared {
+    core: Sender,
+    end: End,
+}
+
+/// The member's own routes.
+pub(crate) fn routes(core: Sender, end: End) -> Router {
+    Router::new()
+        .route("/v1/announce", post(announce))
+        .route("/v1/changes", post(change))
+        .route("/v1/config", get(config))
+        .route("/v1/status", get(status))
+        .route("/v1/members", post(members))
+        .route("/v1/drain", post(drain))
+        .with_state(Shared { core, end })
+}
+
+/// Why a request failed.
+#[derive(Debug)]
+enum Failure {
+    /// A name or address can't be read.
+    Unreadable,
+    /// A change without an id.
+    Unnamed,
+    /// No member of that name.
+    Stranger { name: Name },
+    /// Nothing at that address holds the key and is a member.
+    Silent { link: SocketAddr },
+    /// Another member listens there.
+    Other { link: SocketAddr, name: String },
+    /// The declarations have faults.
+    Faults(Vec<config::Fault>),
+    /// The command has no effect.
+    Command(control::Refusal),
+    /// The membership can't be changed so.
+    Membership(Refusal),
+    /// The change started from another version.
+    Conflict { version: u64 },
+    /// Another change of membership is under way.
+    Busy,
+    /// No leader took it.
+    Unled,
+    /// It was passed on; whether it ran is not known.
+    Unknown,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable => f.write_str("a name or the address can't be read"),
+            Self::Unnamed => f.write_str("`change` must not be empty"),
+            Self::Stranger { name } => write!(f, "{name} is no member"),
+            Self::Silent { link } => write!(f, "no member answers at {link}"),
+            Self::Other { link, name } => write!(f, "the member at {link} is {name}"),
+            Self::Faults(faults) => {
+                let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+                f.write_str(&faults.join("; "))
+            }
+            Self::Command(refusal) => write!(f, "the command has no effect: {refusal}"),
+            Self::Membership(refusal) => write!(f, "the membership stays: {refusal}"),
+            Self::Conflict { .. } => f.write_str("the change starts from another version"),
+            Self::Busy => f.write_str("another change of membership is under way"),
+            Self::Unled => f.write_str("no leader is known"),
+            Self::Unknown => f.write_str("the leader was lost before it answered"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+impl Failure {
+    fn status(&self) -> StatusCode {
+        match self {
+            Self::Conflict { .. } => StatusCode::CONFLICT,
+            Self::Busy | Self::Unled | Self::Unknown => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+
+    /// Whether it surely did not run, where that is in question.
+    fn not_run(&self) -> Option<bool> {
+        match self {
+            Self::Busy | Self::Unled => Some(true),
+            Self::Unknown => Some(false),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct Problem {
+    error: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    version: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    not_run: Option<bool>,
+}
+
+impl IntoResponse for Failure {
+    fn into_response(self) -> Response {
+        let version = match self {
+            Self::Conflict { version } => Some(version),
+            _ => None,
+        };
+        let not_run = self.not_run();
+        let retry_after_ms = not_run.map(|_| RETRY_AFTER.as_millis() as u64);
+        let problem = Problem { error: self.to_string(), version, retry_after_ms, not_run };
+        (self.status(), Json(problem)).into_response()
+    }
+}
+
+impl From<Unled> for Failure {
+    fn from(Unled: Unled) -> Self {
+        Self::Unled
+    }
+}
+
+impl Shared {
+    /// Puts an input to the core and waits for its answer.
+    async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Result<T, Failure> {
+        let (reply, answer) = oneshot::channel();
+        self.core.send(input(reply)).await.map_err(|_closed| Failure::Unled)?;
+        let answer = tokio::time::timeout(TIMEOUT, answer).await;
+        answer.map_err(|_elapsed| Failure::Unknown)?.map_err(|_closed| Failure::Unknown)
+    }
+
+    async fn propose(&self, body: command::Body) -> Result<(u64, Outcome), Failure> {
+        let command = Command { body: Some(body) };
+        match self.ask(|reply| Input::Propose { command, reply }).await? {
+            Verdict::Applied { index, outcome } => Ok((index, outcome)),
+            verdict => Err(failure(&verdict)),
+        }
+    }
+}
+
+fn failure(verdict: &Verdict) -> Failure {
+    match verdict {
+        Verdict::Dropped { not_run: true } => Failure::Unled,
+        Verdict::Refused(Refusal::Busy | Refusal::Early) => Failure::Busy,
+        Verdict::Refused(refusal) => Failure::Membership(*refusal),
+        Verdict::Dropped { not_run: false } | Verdict::Applied { .. } | Verdict::Changed { .. } => {
+            Failure::Unknown
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Announce {
+    server: String,
+    incarnation: u64,
+    group: String,
+    address: String,
+    zone: String,
+    #[serde(default)]
+    labels: BTreeMap<String, String>,
+    connections: u32,
+    slots: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+impl From<Announce> for log::Announce {
+    fn from(announce: Announce) -> Self {
+        let label = |(key, value)| log::Label { key, value };
+        Self {
+            server: announce.server,
+            incarnation: announce.incarnation,
+            group: announce.group,
+            address: announce.address,
+            zone: announce.zone,
+            labels: announce.labels.into_iter().map(label).collect(),
+            connections: announce.connections,
+            slots: announce.slots,
+            leaving: announce.leaving,
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct Renew {
+    renew_ms: u64,
+}
+
+async fn announce(
+    State(shared): State<Shared>,
+    Json(announce): Json<Announce>,
+) -> Result<Json<Renew>, Failure> {
+    let announce = log::Announce::from(announce);
+    if control::Server::read(&announce).is_none() {
+        return Err(Failure::Unreadable);
+    }
+    shared.ask(|reply| Input::Announce { announce, reply }).await??;
+    Ok(Json(Renew { renew_ms: RENEW.as_millis() as u64 }))
+}
+
+#[derive(Debug, Deserialize)]
+struct Change {
+    #[serde(rename = "change")]
+    id: String,
+    base: u64,
+    content: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Changed {
+    version: u64,
+    index: u64,
+}
+
+async fn change(
+    State(shared): State<Shared>,
+    Json(change): Json<Change>,
+) -> Result<Json<Changed>, Failure> {
+    let Change { id, base, content } = change;
+    if id.is_empty() {
+        return Err(Failure::Unnamed);
+    }
+    let configure = log::Configure { change: id, base, content };
+    let (_, outcome) = shared.propose(command::Body::Configure(configure)).await?;
+    match outcome {
+        Outcome::Answered(Answer::Accepted { version, index }) => {
+            Ok(Json(Changed { version, index }))
+        }
+        Outcome::Answered(Answer::Conflict { version }) => Err(Failure::Conflict { version }),
+        Outcome::Answered(Answer::Invalid(faults)) => Err(Failure::Faults(faults)),
+        Outcome::Applied | Outcome::Unchanged | Outcome::Refused(_) => Err(Failure::Unknown),
+    }
+}
+
+async fn config(State(shared): State<Shared>) -> Result<Response, Failure> {
+    let config = shared.ask(|reply| Input::Config { reply }).await??;
+    Ok(Json(config).into_response())
+}
+
+async fn status(State(shared): State<Shared>) -> Result<Response, Failure> {
+    let status = shared.ask(|reply| Input::Status { reply }).await?;
+    Ok(Json(status).into_response())
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "lowercase", tag = "action")]
+enum Membership {
+    Add { name: Name, link: SocketAddr, web: SocketAddr },
+    Remove { name: Name },
+}
+
+#[derive(Debug, Serialize)]
+struct Done {
+    index: u64,
+}
+
+async fn members(
+    State(shared): State<Shared>,
+    Json(wanted): Json<Membership>,
+) -> Result<Json<Done>, Failure> {
+    let change = match wanted {
+        Membership::Add { name, link, web } => add(&shared, &name, link, web).await?,
+        Membership::Remove { name } => {
+            let id = shared.ask(|reply| Input::Status { reply }).await?.id_of(name.as_str());
+            quorum::Change::Remove(id.ok_or(Failure::Stranger { name })?)
+        }
+    };
+    match shared.ask(|reply| Input::Change { change, reply }).await? {
+        Verdict::Changed { index } => Ok(Json(Done { index })),
+        verdict => Err(failure(&verdict)),
+    }
+}
+
+/// Asks the new member for its id, which nobody else knows.
+async fn add(
+    shared: &Shared,
+    name: &Name,
+    link: SocketAddr,
+    web: SocketAddr,
+) -> Result<quorum::Change, Failure> {
+    let greeted = peers::greet(link, &shared.end).await;
+    let found = greeted.ok().and_then(|(hello, _, _)| hello.member);
+    let member = found.ok_or(Failure::Silent { link })?;
+    if member.name != name.as_str() {
+        return Err(Failure::Other { link, name: member.name });
+    }
+    let (link, web) = (link.to_string(), web.to_string());
+    Ok(quorum::Change::Add(wire::quorum::Member { link, web, voter: false, ..member }))
+}
+
+#[derive(Debug, Deserialize)]
+struct Drain {
+    entry: Name,
+    on: bool,
+}
+
+async fn drain(
+    State(shared): State<Shared>,
+    Json(drain): Json<Drain>,
+) -> Result<Json<Done>, Failure> {
+    let drain = log::Drain { entry: drain.entry.to_string(), on: drain.on };
+    let (index, outcome) = shared.propose(command::Body::Drain(drain)).await?;
+    match outcome {
+        Outcome::Refused(refusal) => Err(Failure::Command(refusal)),
+        Outcome::Applied | Outcome::Unchanged | Outcome::Answered(_) => Ok(Json(Done { index })),
+    }
+}
--- a/components/quorum/src/lib.rs
+++ b/components/quorum/src/lib.rs
@@ -28,7 +28,7 @@
 pub use change::quorum;
 pub use hold::{Hard, Write};
 pub use log::Snapshot;
-pub use replica::{Effect, Event, Flaw, Part, Replica, Settings, Stored};
+pub use replica::{Change, Effect, Event, Flaw, Part, Replica, Settings, Stored};
 
 /// Pace of [`Event::Tick`].
 pub const TICK: Duration = Duration::from_millis(10);
--- /dev/null
+++ b/programs/trefoil-control/src/cli.rs
@@ -0,0 +1,203 @@
+//! Settings: each is a flag and an environment variable.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use base::prelude::*;
+use bpaf::{Bpaf, ParseFailure};
+use member::Peer;
+use telemetry::{Format, Level};
+
+/// Width of the help text in columns.
+const HELP_COLUMNS: usize = 100;
+
+/// A member of the control quorum
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub(crate) enum Command {
+    /// Run the member until SIGTERM
+    #[bpaf(command)]
+    Run(#[bpaf(external(options))] Options),
+    /// Show what the data folder of a stopped member holds, as JSON
+    #[bpaf(command)]
+    Inspect(#[bpaf(external(inspect))] Inspect),
+}
+
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Inspect {
+    /// Data folder
+    #[bpaf(long, env("TREFOIL_DATA"), argument("FOLDER"))]
+    pub(crate) data: PathBuf,
+}
+
+/// The settings as they were given.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Options {
+    /// Name of this host
+    #[bpaf(long, env("TREFOIL_NAME"), argument("NAME"))]
+    name: String,
+    /// Data folder
+    #[bpaf(long, env("TREFOIL_DATA"), argument("FOLDER"))]
+    data: String,
+    /// Address for links of members and entries
+    #[bpaf(long, env("TREFOIL_LINK"), argument("IP:PORT"))]
+    link: String,
+    /// Address for HTTP
+    #[bpaf(long, env("TREFOIL_WEB"), argument("IP:PORT"))]
+    web: String,
+    /// Key that the system's processes share, at least 16 bytes
+    #[bpaf(long, env("TREFOIL_KEY"), argument("KEY"), hide_usage)]
+    key: String,
+    /// The first membership, this host included: NAME=LINK/WEB,NAME=LINK/WEB,..
+    #[bpaf(long, env("TREFOIL_PEERS"), argument("PEERS"))]
+    peers: String,
+    /// Least severity to log: error, warning, info or debug
+    #[bpaf(long, env("TREFOIL_LOG_LEVEL"), argument("LEVEL"), fallback("info".to_owned()))]
+    log_level: String,
+    /// Form of the log: auto, human or json
+    #[bpaf(long, env("TREFOIL_LOG_FORMAT"), argument("FORMAT"), fallback("auto".to_owned()))]
+    log_format: String,
+}
+
+/// A setting that is not allowed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Invalid {
+    flag: &'static str,
+    value: String,
+    allowed: &'static str,
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "--{}: `{}` is not allowed; {} is", self.flag, self.value, self.allowed)
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+/// Why the program ended without success.
+#[derive(Debug, Clone, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "title_case")]
+pub(crate) enum Failure {
+    /// The settings are not allowed.
+    #[strum(to_string = "the settings are not allowed")]
+    Settings,
+    /// The member could not start.
+    #[strum(to_string = "the member could not start")]
+    Start,
+    /// The member ended by itself.
+    #[strum(to_string = "the member ended by itself; its log says why")]
+    Ended,
+    /// The data folder could not be read.
+    #[strum(to_string = "the data folder could not be read")]
+    Data,
+}
+
+impl std::error::Error for Failure {}
+
+/// The settings, checked.
+#[derive(Debug)]
+pub(crate) struct Settings {
+    pub(crate) name: Name,
+    pub(crate) data: PathBuf,
+    pub(crate) link: SocketAddr,
+    pub(crate) web: SocketAddr,
+    pub(crate) key: link::Key,
+    pub(crate) peers: Vec<Peer>,
+    pub(crate) level: Level,
+    pub(crate) format: Format,
+}
+
+/// What the command line came to.
+pub(crate) enum Parsed {
+    /// A command to carry out.
+    Command(Command),
+    /// Help or the version, which is shown.
+    Shown,
+    /// A usage error, which is shown.
+    Refused,
+}
+
+/// Reads the command line.
+pub(crate) fn parse() -> Parsed {
+    match command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => Parsed::Command(command),
+        Err(ParseFailure::Stderr(shown)) => {
+            ParseFailure::Stderr(shown).print_message(HELP_COLUMNS);
+            Parsed::Refused
+        }
+        Err(shown) => {
+            shown.print_message(HELP_COLUMNS);
+            Parsed::Shown
+        }
+    }
+}
+
+impl Options {
+    /// Checks all settings.
+    ///
+    /// # Errors
+    /// [`Failure::Settings`] with the first [`Invalid`] one below it.
+    pub(crate) fn check(self) -> Result<Settings, Report<Failure>> {
+        self.checked().map_err(|invalid| Report::new(invalid).change_context(Failure::Settings))
+    }
+
+    fn checked(self) -> Result<Settings, Invalid> {
+        const ADDRESS: &str = "an IP number and port, as 10.0.0.1:7000,";
+        let name = parse_as("name", &self.name, "1 to 128 of letters, digits and -_./:")?;
+        let level = parse_as("log-level", &self.log_level, "error, warning, info or debug")?;
+        let format = parse_as("log-format", &self.log_format, "auto, human or json")?;
+        let peers = peers(&self.peers)?;
+        let invalid = |flag, value: &str, allowed| Invalid { flag, value: value.into(), allowed };
+        if self.data.is_empty() {
+            return Err(invalid("data", &self.data, "the path of a folder"));
+        }
+        if !peers.iter().any(|peer| peer.name == name) {
+            return Err(invalid("peers", &self.peers, "a list that names this host too"));
+        }
+        let key = link::Key::new(self.key.as_bytes());
+        let key = key.map_err(|_short| invalid("key", "..", "a key of at least 16 bytes"))?;
+        Ok(Settings {
+            data: PathBuf::from(&self.data),
+            link: parse_as("link", &self.link, ADDRESS)?,
+            web: parse_as("web", &self.web, ADDRESS)?,
+            name,
+            key,
+            peers,
+            level,
+            format,
+        })
+    }
+}
+
+fn parse_as<T: std::str::FromStr>(
+    flag: &'static str,
+    value: &str,
+    allowed: &'static str,
+) -> Result<T, Invalid> {
+    value.parse().map_err(|_unfit| Invalid { flag, value: value.to_owned(), allowed })
+}
+
+fn peers(list: &str) -> Result<Vec<Peer>, Invalid> {
+    let invalid = || Invalid {
+        flag: "peers",
+        value: list.to_owned(),
+        allowed: "a list of NAME=LINK/WEB with commas between, each name once,",
+    };
+    let mut peers: Vec<Peer> = Vec::new();
+    for part in list.split(',') {
+        let peer = peer(part.trim()).ok_or_else(invalid)?;
+        if peers.iter().any(|known| known.name == peer.name) {
+            return Err(invalid());
+        }
+        peers.push(peer);
+    }
+    Ok(peers)
+}
+
+fn peer(part: &str) -> Option<Peer> {
+    let (name, addresses) = part.split_once('=')?;
+    let (link, web) = addresses.split_once('/')?;
+    Some(Peer { name: name.parse().ok()?, link: link.parse().ok()?, web: web.parse().ok()? })
+}
--- /dev/null
+++ b/programs/trefoil-control/src/cmd/mod.rs
@@ -0,0 +1,7 @@
+//! The program's commands.
+
+mod inspect;
+mod run;
+
+pub(crate) use inspect::inspect;
+pub(crate) use run::run;
