Fuzz the quorum log against a list of committed entries

The promises of the log rest on rules that no straight test reaches. Members with fake disks and a fake network run through loss, repetition, crashes with unsynced writes dropped, splits, clocks of different rates, changes of membership and lost disks.

--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -161,7 +161,7 @@
         })?;
         let now = settings.clock.now();
         let seed = settings.seed ^ draw_id();
-        let quorum = quorum::Settings { id: own.id, seed, keep: quorum::KEPT_ENTRIES, flaw: None };
+        let quorum = quorum::Settings::new(own.id, seed);
         let replica = Replica::new(now, quorum, opened.stored);
         let fresh = Arc::new(AtomicBool::new(replica.is_fresh()));
         let end = link::End {
--- a/components/quorum/src/change.rs
+++ b/components/quorum/src/change.rs
@@ -43,8 +43,8 @@
 
     /// Carries out a change at the leader, or refuses it.
     pub(crate) fn change(&mut self, now: Instant, origin: u64, token: u64, change: Change) {
-        match self.changed(change) {
-            Ok(members) => self.write_members(now, origin, token, members),
+        match self.changed(now, change) {
+            Ok(members) => self.write_members(origin, token, members),
             Err(refusal) if origin == self.settings.id => {
                 self.proposals.remove(&token);
                 self.out.push(Effect::Refused { token, refusal });
@@ -63,7 +63,7 @@
         }
     }
 
-    fn changed(&self, change: Change) -> Result<Members, Refusal> {
+    fn changed(&self, now: Instant, change: Change) -> Result<Members, Refusal> {
         self.may_change()?;
         let mut members = self.members().clone();
         let place = |id| self.members().members.iter().position(|member| member.id == id);
@@ -79,6 +79,9 @@
                 if !members.members.iter().any(|member| member.voter) {
                     return Err(Refusal::Last);
                 }
+                if !self.would_work(now, &members) {
+                    return Err(Refusal::Quorum);
+                }
             }
         }
         Ok(members)
@@ -95,14 +98,14 @@
         Ok(())
     }
 
-    fn write_members(&mut self, now: Instant, origin: u64, token: u64, members: Members) {
+    fn write_members(&mut self, origin: u64, token: u64, members: Members) {
         let dropped = self.peers();
         self.write(origin, token, Some(entry::Body::Members(members)));
         // those that leave are sent the entry too, so that they know
         for id in dropped {
             self.feed(id, false);
         }
-        self.sync_peers(now);
+        self.sync_peers();
         self.feed_all();
     }
 
@@ -118,7 +121,7 @@
             return;
         }
         if let Some(members) = self.next_members(now) {
-            self.write_members(now, 0, 0, members);
+            self.write_members(0, 0, members);
         }
     }
 
@@ -128,24 +131,34 @@
         self.step_down(now, self.hard.term, None);
     }
 
+    /// The next membership towards one in which each learner votes.
     fn next_members(&self, now: Instant) -> Option<Members> {
-        let mut members = self.members().clone();
+        let members = self.members();
         let ready = |id| self.has_caught_up(now, id);
         let place = members.members.iter().position(|member| !member.voter && ready(member.id))?;
-        let name = members.members[place].name.clone();
-        let replaced = members.members[..place].iter().position(|member| member.name == name);
-        match replaced {
-            Some(replaced) => drop(members.members.remove(replaced)),
-            None => members.members[place].voter = true,
+        let name = &members.members[place].name;
+        let replaced = members.members[..place].iter().position(|member| member.name == *name);
+        if let Some(replaced) = replaced {
+            let mut fewer = members.clone();
+            fewer.members.remove(replaced);
+            if self.would_work(now, &fewer) {
+                return Some(fewer);
+            }
         }
-        members.members.iter().any(|member| member.voter).then_some(members)
+        let mut more = members.clone();
+        more.members[place].voter = true;
+        self.would_work(now, &more).then_some(more)
     }
 
     fn has_caught_up(&self, now: Instant, id: u64) -> bool {
         let Role::Leader(lead) = &self.role else { return false };
-        let peer = lead.peers.get(&id);
-        peer.is_some_and(|peer| {
-            peer.matched >= self.commit && now.since(peer.heard) < crate::QUORUM_TIMEOUT
-        })
+        lead.peers.get(&id).is_some_and(|peer| peer.matched >= self.commit) && self.hears(now, id)
+    }
+
+    /// Whether a quorum of a membership is heard at present.
+    fn would_work(&self, now: Instant, members: &Members) -> bool {
+        let voters = || members.members.iter().filter(|member| member.voter);
+        let heard = voters().filter(|member| self.hears(now, member.id)).count();
+        voters().count() > 0 && heard >= quorum(voters().count())
     }
 }
--- a/components/quorum/src/elect.rs
+++ b/components/quorum/src/elect.rs
@@ -19,7 +19,7 @@
     /// Starts an election, with a pre-vote.
     pub(crate) fn stand(&mut self, now: Instant) {
         self.reset_deadline(now);
-        if !self.is_voter(self.settings.id) {
+        if !self.may_stand() {
             return;
         }
         if self.settings.flaw == Some(Flaw::NoPreVote) {
@@ -39,7 +39,7 @@
 
     /// Asks for votes in a new term.
     pub(crate) fn campaign(&mut self, now: Instant, transfer: bool) {
-        if !self.is_voter(self.settings.id) || matches!(self.role, Role::Leader(_)) {
+        if !self.may_stand() || matches!(self.role, Role::Leader(_)) {
             return;
         }
         self.hard = Hard { term: self.hard.term + 1, vote: self.settings.id };
@@ -152,19 +152,34 @@
         self.members().members.iter().map(|member| member.id).filter(|id| *id != own).collect()
     }
 
-    pub(crate) fn is_voter(&self, id: u64) -> bool {
-        self.voters().any(|member| member.id == id)
+    /// Whether this member votes, or still did before a change that may not be
+    /// committed: the others may need it to commit that change.
+    fn may_stand(&self) -> bool {
+        let votes = |members: &Members| {
+            members.members.iter().any(|member| member.voter && member.id == self.settings.id)
+        };
+        let (index, members) = self.log.membership();
+        let open = index > self.commit;
+        votes(members) || (open && self.log.previous_membership().is_some_and(votes))
     }
 
     /// Whether the voters that pass a test are a quorum.
     pub(crate) fn is_quorum(&self, test: impl Fn(u64) -> bool) -> bool {
-        let passed = self.voters().filter(|member| test(member.id)).count();
-        passed >= crate::quorum(self.voters().count())
+        self.counted().filter(|member| test(member.id)).count() >= self.quorum()
+    }
+
+    /// Number of voters that make a quorum.
+    pub(crate) fn quorum(&self) -> usize {
+        crate::quorum(self.voters().count())
     }
 
     pub(crate) fn voters(&self) -> impl Iterator<Item = &Member> {
+        self.members().members.iter().filter(|member| member.voter)
+    }
+
+    /// Members whose copies and votes count.
+    pub(crate) fn counted(&self) -> impl Iterator<Item = &Member> {
         let all = self.settings.flaw == Some(Flaw::Learner);
-        let Members { members } = self.members();
-        members.iter().filter(move |member| member.voter || all)
+        self.members().members.iter().filter(move |member| member.voter || all)
     }
 }
--- a/components/quorum/src/lead.rs
+++ b/components/quorum/src/lead.rs
@@ -13,7 +13,7 @@
 
 use crate::read::Rounds;
 use crate::replica::{Effect, Flaw, Replica, Role};
-use crate::{ELECTION_MAX, HEARTBEAT, PIECE_BYTES, QUORUM_TIMEOUT, WINDOW_ENTRIES};
+use crate::{ELECTION_MAX, HEARTBEAT, QUORUM_TIMEOUT, WINDOW_ENTRIES};
 
 /// What a leader knows of another member.
 #[derive(Debug)]
@@ -21,7 +21,8 @@
     pub(crate) matched: u64,
     pub(crate) next: u64,
     pub(crate) round: u64,
-    pub(crate) heard: Instant,
+    /// When it answered last in this leadership.
+    pub(crate) heard: Option<Instant>,
     /// Index and offset of the snapshot on its way.
     pub(crate) snapshot: Option<(u64, u64)>,
 }
@@ -65,7 +66,7 @@
     /// Begins to lead, with an empty entry of the new term.
     pub(crate) fn take_lead(&mut self, now: Instant) {
         self.set_leader(Some(self.settings.id));
-        self.sync_peers(now);
+        self.sync_peers();
         self.write(0, 0, None);
         self.beat(now);
     }
@@ -100,9 +101,14 @@
         if now.since(lead.since) < QUORUM_TIMEOUT {
             return true;
         }
-        let own = self.settings.id;
-        let fresh = |heard| now.since(heard) < QUORUM_TIMEOUT;
-        self.is_quorum(|id| id == own || lead.peers.get(&id).is_some_and(|peer| fresh(peer.heard)))
+        self.is_quorum(|id| self.hears(now, id))
+    }
+
+    /// Whether a leader has heard a member lately; itself always.
+    pub(crate) fn hears(&self, now: Instant, id: u64) -> bool {
+        let Role::Leader(lead) = &self.role else { return false };
+        let heard = lead.peers.get(&id).and_then(|peer| peer.heard);
+        id == self.settings.id || heard.is_some_and(|heard| now.since(heard) < QUORUM_TIMEOUT)
     }
 
     /// Sends a heartbeat, with what is due, to all.
@@ -116,7 +122,7 @@
     }
 
     /// Keeps one progress for each other member.
-    pub(crate) fn sync_peers(&mut self, now: Instant) {
+    pub(crate) fn sync_peers(&mut self) {
         let peers = self.peers();
         let next = self.log.last_index() + 1;
         let Some(lead) = self.leading() else { return };
@@ -126,7 +132,7 @@
                 matched: 0,
                 next,
                 round: 0,
-                heard: now,
+                heard: None,
                 snapshot: None,
             });
         }
@@ -166,7 +172,7 @@
         }
         let prev_index = peer.next - 1;
         let from = peer.next;
-        let entries = if open { self.log.batch(from) } else { Vec::new() };
+        let entries = if open { self.log.batch(from, self.settings.batch) } else { Vec::new() };
         let prev_term = self.log.term(prev_index).unwrap_or_default();
         let sent = entries.len() as u64;
         if let Some(peer) = self.leading().and_then(|lead| lead.peers.get_mut(&to)) {
@@ -191,7 +197,7 @@
         let snapshot = self.log.snapshot();
         let length = snapshot.data.len() as u64;
         let start = offset.min(length) as usize;
-        let end = (start + PIECE_BYTES).min(snapshot.data.len());
+        let end = (start + self.settings.piece).min(snapshot.data.len());
         let piece = Piece {
             index: snapshot.index,
             term: snapshot.term,
@@ -209,7 +215,7 @@
         let last = self.log.last_index();
         let Some(lead) = self.leading() else { return };
         let Some(peer) = lead.peers.get_mut(&from) else { return };
-        peer.heard = now;
+        peer.heard = Some(now);
         peer.round = peer.round.max(appended.round);
         if appended.matched {
             peer.matched = peer.matched.max(appended.index);
@@ -229,7 +235,7 @@
     pub(crate) fn on_pieced(&mut self, now: Instant, from: u64, pieced: Pieced) {
         let Some(lead) = self.leading() else { return };
         let Some(peer) = lead.peers.get_mut(&from) else { return };
-        peer.heard = now;
+        peer.heard = Some(now);
         let Some((index, offset)) = &mut peer.snapshot else { return };
         if *index != pieced.index {
             return;
@@ -261,9 +267,9 @@
             Some(peer) => peer.matched,
             None => 0,
         };
-        let mut held: Vec<u64> = self.voters().map(|member| matched(member.id)).collect();
+        let mut held: Vec<u64> = self.counted().map(|member| matched(member.id)).collect();
         held.sort_unstable_by(|a, b| b.cmp(a));
-        let Some(index) = held.get(crate::quorum(held.len()) - 1).copied() else { return };
+        let Some(index) = held.get(self.quorum() - 1).copied() else { return };
         let own_term = self.log.term(index) == Some(self.hard.term);
         let allowed = own_term || self.settings.flaw == Some(Flaw::OldTerm);
         if index > self.commit && allowed {
--- a/components/quorum/src/log.rs
+++ b/components/quorum/src/log.rs
@@ -8,7 +8,7 @@
 use wire::quorum::entry::Body;
 use wire::quorum::{Entry, Members};
 
-use crate::{BATCH_BYTES, BATCH_ENTRIES};
+use crate::BATCH_BYTES;
 
 /// The host's state at an index.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -73,13 +73,13 @@
     }
 
     /// Entries from an index on, as many as one message takes.
-    pub(crate) fn batch(&self, from: u64) -> Vec<Entry> {
+    pub(crate) fn batch(&self, from: u64, most: usize) -> Vec<Entry> {
         let mut bytes = 0;
         let mut batch = Vec::new();
         let mut index = from;
         while let Some(entry) = self.get(index) {
             bytes += entry.encoded_len();
-            let full = bytes > BATCH_BYTES || batch.len() >= BATCH_ENTRIES;
+            let full = bytes > BATCH_BYTES || batch.len() >= most;
             if full && !batch.is_empty() {
                 break;
             }
@@ -135,6 +135,12 @@
         (*index, members)
     }
 
+    /// The membership before the newest one.
+    pub(crate) fn previous_membership(&self) -> Option<&Members> {
+        let before = self.memberships.len().checked_sub(2)?;
+        self.memberships.get(before).map(|(_, members)| members)
+    }
+
     fn members_at(&self, index: u64) -> Members {
         let found = self.memberships.iter().rev().find(|(at, _)| *at <= index);
         found.map_or_else(Members::default, |(_, members)| members.clone())
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -13,14 +13,14 @@
 use crate::lead::Lead;
 use crate::log::{Log, Snapshot};
 use crate::read::Asks;
-use crate::{ELECTION_MAX, ELECTION_MIN, STALL};
+use crate::{BATCH_ENTRIES, ELECTION_MAX, ELECTION_MIN, KEPT_ENTRIES, PIECE_BYTES, STALL};
 
 /// A deliberate break of one rule, by which tests check their own checks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumIter)]
 pub enum Flaw {
     /// Answers before the disk does.
     Unsynced,
-    /// Counts learners for the quorum.
+    /// Counts the copies and votes of learners.
     Learner,
     /// Raises the term without a pre-vote.
     NoPreVote,
@@ -39,6 +39,10 @@
     pub seed: u64,
     /// Entries kept in memory behind a snapshot.
     pub keep: u64,
+    /// Entries in one message.
+    pub batch: usize,
+    /// Length of a piece of a snapshot in bytes.
+    pub piece: usize,
     /// A rule to break, in tests only.
     pub flaw: Option<Flaw>,
 }
@@ -194,6 +198,13 @@
     told_part: Part,
 }
 
+impl Settings {
+    /// The settings of a member but for its id and seed.
+    pub fn new(id: u64, seed: u64) -> Self {
+        Self { id, seed, keep: KEPT_ENTRIES, batch: BATCH_ENTRIES, piece: PIECE_BYTES, flaw: None }
+    }
+}
+
 impl Replica {
     /// Starts from what the disk held.
     pub fn new(now: Instant, settings: Settings, stored: Stored) -> Self {
--- /dev/null
+++ b/components/quorum/tests/fuzz/oracle.rs
@@ -0,0 +1,93 @@
+//! What must hold whatever happens, as a plain list of committed entries.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wire::quorum::{Entry, Members, entry};
+
+#[derive(Debug, Default)]
+pub struct Oracle {
+    /// Term and digest of each committed entry; the first has index one.
+    committed: Vec<(u64, u64)>,
+    leaders: BTreeMap<u64, u64>,
+    proposals: BTreeSet<(u64, u64)>,
+    refused: BTreeSet<(u64, u64)>,
+    reads: BTreeMap<(u64, u64), u64>,
+    /// Newest committed membership.
+    pub members: Members,
+    pub acknowledged: u64,
+    pub confirmed: u64,
+}
+
+/// A digest of a list of entries, grown by one.
+pub fn digest(before: u64, entry: &Entry) -> u64 {
+    let body = match &entry.body {
+        Some(entry::Body::Command(bytes)) => format!("{bytes:?}"),
+        Some(entry::Body::Members(members)) => format!("{members:?}"),
+        None => String::new(),
+    };
+    let text =
+        format!("{before} {} {} {} {} {body}", entry.index, entry.term, entry.origin, entry.token);
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+impl Oracle {
+    pub fn len(&self) -> u64 {
+        self.committed.len() as u64
+    }
+
+    pub fn digest_at(&self, index: u64) -> u64 {
+        index.checked_sub(1).map_or(0, |place| self.committed[place as usize].1)
+    }
+
+    /// A member applied an entry and holds a list of this digest.
+    pub fn applied(&mut self, member: u64, entry: &Entry, digest: u64) {
+        if entry.index <= self.len() {
+            assert_eq!(
+                digest,
+                self.digest_at(entry.index),
+                "committed entry {} changed",
+                entry.index
+            );
+            return;
+        }
+        assert_eq!(entry.index, self.len() + 1, "member {member} applied past a gap");
+        self.committed.push((entry.term, digest));
+        if let Some(entry::Body::Members(members)) = &entry.body {
+            self.members = members.clone();
+        }
+        if entry.origin != 0 && matches!(entry.body, Some(entry::Body::Command(_))) {
+            let proposal = (entry.origin, entry.token);
+            assert!(self.proposals.insert(proposal), "a proposal is in the log twice");
+            assert!(!self.refused.contains(&proposal), "a proposal that was not run ran");
+        }
+    }
+
+    pub fn restored(&self, index: u64, digest: u64) {
+        assert!(index <= self.len(), "a snapshot holds what was never committed");
+        assert_eq!(digest, self.digest_at(index), "a snapshot differs from the log");
+    }
+
+    pub fn leads(&mut self, term: u64, member: u64) {
+        let leader = *self.leaders.entry(term).or_insert(member);
+        assert_eq!(leader, member, "two leaders in term {term}");
+    }
+
+    pub fn not_run(&mut self, member: u64, token: u64) {
+        assert!(!self.proposals.contains(&(member, token)), "a proposal that was not run ran");
+        self.refused.insert((member, token));
+    }
+
+    pub fn read(&mut self, member: u64, token: u64) {
+        self.reads.insert((member, token), self.len());
+    }
+
+    pub fn confirmed(&mut self, member: u64, token: u64, index: u64) {
+        let Some(needed) = self.reads.remove(&(member, token)) else {
+            panic!("a read was confirmed twice or never asked for");
+        };
+        assert!(index >= needed, "a read saw {index} of {needed} committed entries");
+        self.confirmed += 1;
+    }
+}
--- a/components/wire/src/quorum.rs
+++ b/components/wire/src/quorum.rs
@@ -315,6 +315,8 @@
     Unknown = 4,
     /// The last voter stays.
     Last = 5,
+    /// The voters that would be left and are heard are no quorum.
+    Quorum = 6,
 }
 
 /// A refused change of membership.
--- a/programs/trefoil-control/src/cli.rs
+++ b/programs/trefoil-control/src/cli.rs
@@ -31,7 +31,7 @@
     pub(crate) data: PathBuf,
 }
 
-/// The settings as they were given.
+/// Settings:
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct Options {
     /// Name of this host
--- a/programs/trefoil-control/src/main.rs
+++ b/programs/trefoil-control/src/main.rs
@@ -23,7 +23,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("trefoil-control: {report}");
+            eprintln!("trefoil-control: {report:#}");
             let usage = report.contains::<cli::Invalid>();
             if usage { ExitCode::from(EXIT_USAGE) } else { ExitCode::FAILURE }
         }
