--- /dev/null
+++ b/components/standin/src/infer.rs
@@ -0,0 +1,120 @@
+//! The types of parameters that a caller leaves open.
+//!
+//! SQLite has none for them. A parameter takes the type of the column that it
+//! is compared with, computed with or inserted into, as far as the words
+//! around it tell; else it is text.
+
+use std::collections::HashMap;
+
+use rusqlite::Connection;
+
+use crate::value::Kind;
+
+const COLUMNS: &str = "SELECT p.name, p.type FROM sqlite_master AS m, pragma_table_info(m.name) \
+                       AS p WHERE m.type = 'table'";
+
+/// Types of the first `count` parameters.
+pub fn parameters(connection: &Connection, sql: &str, count: usize) -> Vec<Kind> {
+    let mut kinds = vec![Kind::Text; count];
+    if count == 0 {
+        return kinds;
+    }
+    let columns = columns(connection).unwrap_or_default();
+    let tokens = tokens(sql);
+    let inserted = inserted(&tokens);
+    for (at, token) in tokens.iter().enumerate() {
+        let Some(slot) = number(token).and_then(|number| kinds.get_mut(number - 1)) else {
+            continue;
+        };
+        let column = neighbour(&tokens, at).or_else(|| inserted.get(&at).cloned());
+        match column.as_deref() {
+            Some("limit" | "offset") => *slot = Kind::Int8,
+            Some(name) => *slot = columns.get(name).copied().unwrap_or(*slot),
+            None => {}
+        }
+    }
+    kinds
+}
+
+fn columns(connection: &Connection) -> rusqlite::Result<HashMap<String, Kind>> {
+    let mut prepared = connection.prepare_cached(COLUMNS)?;
+    let rows = prepared.query_map([], |row| {
+        let (name, declared): (String, String) = (row.get(0)?, row.get(1)?);
+        Ok((name.to_ascii_lowercase(), Kind::of_declared(&declared)))
+    })?;
+    rows.collect()
+}
+
+fn number(token: &str) -> Option<usize> {
+    token.strip_prefix('$')?.parse().ok().filter(|number| *number > 0)
+}
+
+fn is_operator(token: &str) -> bool {
+    token.chars().all(|character| "=<>!+-*/".contains(character))
+}
+
+// the column on the other side of an operator, or the word of a limit
+fn neighbour(tokens: &[String], at: usize) -> Option<String> {
+    let before = at.checked_sub(1).map(|at| tokens[at].as_str());
+    if let Some(word @ ("limit" | "offset")) = before {
+        return Some(word.to_owned());
+    }
+    if before.is_some_and(is_operator) {
+        return at.checked_sub(2).map(|at| tokens[at].clone());
+    }
+    let after = tokens.get(at + 1).is_some_and(|token| is_operator(token));
+    after.then(|| tokens.get(at + 2).cloned()).flatten()
+}
+
+// columns of the values of an INSERT, by the place of the value's token
+fn inserted(tokens: &[String]) -> HashMap<usize, String> {
+    let mut places = HashMap::new();
+    let Some(open) = tokens.iter().position(|token| token == "(") else {
+        return places;
+    };
+    if tokens.first().is_none_or(|token| token != "insert") {
+        return places;
+    }
+    let Some(values) = tokens.iter().position(|token| token == "values") else {
+        return places;
+    };
+    let list = tokens[open..values.max(open)].iter();
+    let names: Vec<_> = list.filter(|token| !["(", ",", ")"].contains(&token.as_str())).collect();
+    let mut column = 0;
+    for (at, token) in tokens.iter().enumerate().skip(values) {
+        match token.as_str() {
+            "(" => column = 0,
+            "," => column += 1,
+            _ => {
+                if let Some(name) = names.get(column) {
+                    places.insert(at, (*name).clone());
+                }
+            }
+        }
+    }
+    places
+}
+
+fn tokens(sql: &str) -> Vec<String> {
+    let mut tokens = Vec::new();
+    let mut word = String::new();
+    let mut operator = String::new();
+    for character in sql.chars() {
+        let in_word = character.is_alphanumeric() || "_$'".contains(character);
+        let in_operator = "=<>!+-*/".contains(character);
+        if !in_word && !word.is_empty() {
+            tokens.push(std::mem::take(&mut word));
+        }
+        if !in_operator && !operator.is_empty() {
+            tokens.push(std::mem::take(&mut operator));
+        }
+        match character {
+            _ if in_word => word.extend(character.to_lowercase()),
+            _ if in_operator => operator.push(character),
+            _ if character.is_whitespace() || character == '.' => {}
+            other => tokens.push(other.to_string()),
+        }
+    }
+    tokens.extend([word, operator].into_iter().filter(|token| !token.is_empty()));
+    tokens
+}
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fault;
 pub mod function;
 pub mod group;
+pub mod infer;
 pub mod log;
 pub mod server;
 pub mod session;
--- a/components/standin/src/log.rs
+++ b/components/standin/src/log.rs
@@ -227,10 +227,14 @@
         if !follows || offer.agreed > self.last().position {
             return Receipt::Refused;
         }
-        let rewound = offer.agreed < self.applied;
         let before = self.last();
-        self.truncate(offer.agreed);
-        for entry in &offer.entries {
+        // a log that has reached the term is a part of its primary's, so an
+        // offer that comes late has nothing to cut
+        let kept = if before.term == term { before.position } else { offer.agreed };
+        let rewound = kept < self.applied;
+        self.truncate(kept);
+        let held = (kept.0 - offer.agreed.0) as usize;
+        for entry in offer.entries.iter().skip(held) {
             self.push(Arc::clone(entry));
         }
         if rewound {
--- a/components/standin/src/store.rs
+++ b/components/standin/src/store.rs
@@ -6,6 +6,7 @@
 use rusqlite::functions::FunctionFlags;
 
 use crate::failure::{Rejection, State};
+use crate::infer;
 use crate::log::Statement;
 use crate::value::{Kind, Value};
 
@@ -140,7 +141,7 @@
 pub fn describe(connection: &Connection, sql: &str) -> Result<Description, Rejection> {
     let prepared = connection.prepare_cached(sql)?;
     let numbers = (1..=prepared.parameter_count()).map(|index| number(&prepared, index));
-    let parameters = vec![Kind::Text; numbers.max().unwrap_or_default()];
+    let parameters = infer::parameters(connection, sql, numbers.max().unwrap_or_default());
     let mut output = Output { columns: columns(&prepared), ..Output::default() };
     let undeclared = output.columns.iter().any(|column| column.declared.is_none());
     if undeclared && prepared.readonly() {
