--- a/components/standin/tests/log.rs
+++ b/components/standin/tests/log.rs
@@ -41,15 +41,13 @@
         match u.int_in_range(0..=14)? {
             0 => self.fence(server, term),
             1 => self.promote(server, term),
-            2 => self.follow(server, other),
-            3 | 4 => self.write(server),
+            2 | 11 => self.follow(server, other),
+            3 | 4 | 12 => self.write(server),
             5 | 6 => self.offer(server),
             7 => self.receive(u)?,
             8 => self.logs[server].apply(Position(u.int_in_range(0..=self.written)?)),
             9 => self.logs[server].restart(),
             10 => self.failover(server, u)?,
-            11 => self.follow(server, other),
-            12 => self.write(server),
             _ => {
                 self.offer(server);
                 self.receive(u)?;
--- a/programs/trefoil-standin/src/main.rs
+++ b/programs/trefoil-standin/src/main.rs
@@ -1,3 +1,13 @@
-//! Entry point.
+//! One stand-in of a database group, as a process of its own.
 
-fn main() {}
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match cli::arguments().run_inner(bpaf::Args::current_args()) {
+        Ok(arguments) => cmd::serve::run(arguments),
+        Err(failure) => telemetry::cli::show(&failure),
+    }
+}
