Load groups with callers and check them by an oracle

Change: components/load: sessions that roam with and without a token, payments in transactions, reads that carry their request's id, a dated pulse for each group, faults in turns, an overload, and an oracle that compares what callers were told with the rows of each primary.

--- /dev/null
+++ b/components/load/src/bench.rs
@@ -0,0 +1,153 @@
+//! What the load runs against, and the faults it can suffer.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use slog::Logger;
+use standin::Group;
+
+use crate::failure::Failure;
+use crate::scenario::{GROUPS, SERVERS, Scenario};
+
+/// A fault, put on the bench again and again during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Fault {
+    /// None.
+    None,
+    /// A primary's process ends.
+    PrimaryCrash,
+    /// A primary loses its replicas.
+    PrimaryPartition,
+    /// Replicas fall far behind.
+    ReplicaLag,
+    /// An entry's process ends.
+    EntryCrash,
+    /// A control member is cut off.
+    ControlIsolated,
+    /// Entries are stopped as planned and started again, one by one.
+    RollingRestart,
+    /// A primary and an entry end at once, and another primary soon after.
+    Double,
+}
+
+impl Fault {
+    /// Whether writes of the group are to be watched for a pause.
+    pub fn pauses(self) -> bool {
+        matches!(self, Self::PrimaryCrash | Self::PrimaryPartition | Self::Double)
+    }
+}
+
+/// What the load runs against.
+pub trait Bench: Send {
+    /// Number of entries that callers may connect to.
+    fn entries(&self) -> usize;
+
+    /// Where callers of a group find an entry.
+    fn address(&self, group: usize, entry: usize) -> SocketAddr;
+
+    /// The stand-in of a group.
+    fn group(&self, group: usize) -> &Group;
+
+    /// Puts a fault on the bench, aimed at a group; `turn` counts the faults.
+    fn inject(
+        &mut self,
+        fault: Fault,
+        group: usize,
+        turn: usize,
+    ) -> impl Future<Output = Result<(), Report<Failure>>> + Send;
+
+    /// Ends all faults.
+    fn heal(&mut self) -> impl Future<Output = Result<(), Report<Failure>>> + Send;
+
+    /// Ends the bench.
+    fn stop(self) -> impl Future<Output = ()> + Send;
+}
+
+/// Groups that callers reach without a proxy, at their primaries.
+#[derive(Debug)]
+pub struct Direct {
+    groups: Vec<Group>,
+}
+
+impl Direct {
+    /// Starts the groups of a workload, each with a primary.
+    ///
+    /// # Errors
+    /// [`Failure::Start`].
+    pub async fn start(
+        scenario: Scenario,
+        seed: u64,
+        log: &Logger,
+    ) -> Result<Self, Report<Failure>> {
+        let mut groups = Vec::new();
+        for index in 0..GROUPS {
+            let settings = settings(scenario, index, seed, log);
+            let settings = standin::Settings { settled: true, ..settings };
+            groups.push(Group::start(settings).await.change_context(Failure::Start)?);
+        }
+        Ok(Self { groups })
+    }
+}
+
+/// Settings of a workload's group, by the workload's sizes.
+pub fn settings(scenario: Scenario, index: usize, seed: u64, log: &Logger) -> standin::Settings {
+    let sizes = scenario.sizes();
+    let name = |text: &str| Name::new(text).expect("the scenarios' names are valid");
+    standin::Settings {
+        zones: scenario.zones().iter().map(|zone| name(zone)).collect(),
+        servers: SERVERS,
+        slots: sizes.slots,
+        connections: sizes.connections,
+        lag: sizes.lags[index],
+        seed,
+        log: log.clone(),
+        ..standin::Settings::new(name(&scenario.group(index)))
+    }
+}
+
+impl Bench for Direct {
+    fn entries(&self) -> usize {
+        1
+    }
+
+    fn address(&self, group: usize, _entry: usize) -> SocketAddr {
+        let group = &self.groups[group];
+        group.servers()[group.primary().unwrap_or_default()]
+    }
+
+    fn group(&self, group: usize) -> &Group {
+        &self.groups[group]
+    }
+
+    async fn inject(
+        &mut self,
+        fault: Fault,
+        group: usize,
+        _turn: usize,
+    ) -> Result<(), Report<Failure>> {
+        let fault = match fault {
+            Fault::ReplicaLag => standin::Fault::ReplicaLag(FAR_BEHIND),
+            Fault::PrimaryPartition => standin::Fault::PrimaryPartition,
+            // without control nobody would promote another primary
+            _ => return Err(Report::new(Failure::Fault)),
+        };
+        self.groups[group].fault(fault).await.change_context(Failure::Fault)
+    }
+
+    async fn heal(&mut self) -> Result<(), Report<Failure>> {
+        for group in &self.groups {
+            group.fault(standin::Fault::Heal).await.change_context(Failure::Fault)?;
+        }
+        Ok(())
+    }
+
+    async fn stop(self) {
+        for group in self.groups {
+            group.stop().await;
+        }
+    }
+}
+
+/// Lag of replicas that are far behind.
+pub const FAR_BEHIND: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/components/load/src/caller.rs
@@ -0,0 +1,326 @@
+//! One caller's session, which roams between entries.
+//!
+//! It goes to another entry every few requests, carries its token or none, and
+//! checks what it reads against what it was acknowledged.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use base::prelude::*;
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::client::{self, Answer, Connection};
+use crate::scenario::{OWN, REPEATABLE, Request};
+use crate::shared::Shared;
+
+const RETRY: Duration = Duration::from_millis(20);
+const ACCOUNTS: u64 = 16;
+
+/// Significant digits of latencies.
+pub const DIGITS: u8 = 3;
+
+/// A write that must run at most once, and what its caller was told.
+#[derive(Clone, Debug)]
+pub struct Record {
+    /// Unique id of the request.
+    pub id: String,
+    /// What its caller was told.
+    pub told: Told,
+    /// Whether it was a payment.
+    pub payment: bool,
+}
+
+/// What a caller was told of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// It was acknowledged.
+    Acked,
+    /// It was not run.
+    NotRun,
+    /// Its outcome is not known.
+    Unknown,
+}
+
+/// All that a caller saw.
+#[derive(Debug, Default)]
+pub struct Journal {
+    /// Group that it used.
+    pub group: usize,
+    /// Number of the session.
+    pub session: usize,
+    /// Writes that must run at most once.
+    pub records: Vec<Record>,
+    /// Value of its counter that was acknowledged last.
+    pub counter: u64,
+    /// Counter updates that were acknowledged.
+    pub counters: u64,
+    /// Latencies in microseconds.
+    pub latencies: BTreeMap<String, Histogram<u64>>,
+    /// Reads that missed the session's own writes.
+    pub ryw_violations: u64,
+    /// Answers of another request.
+    pub mixed_answers: u64,
+    /// Reads older than they accept.
+    pub stale: u64,
+    /// Requests of unknown outcome.
+    pub unknown: u64,
+    /// Requests not run, by SQLSTATE.
+    pub errors: BTreeMap<String, u64>,
+    /// Attempts to connect that failed.
+    pub connects_failed: u64,
+}
+
+/// A caller.
+#[derive(Debug)]
+pub struct Caller {
+    shared: Arc<Shared>,
+    rng: ChaCha8Rng,
+    service: &'static str,
+    name: String,
+    token: Option<String>,
+    tokened: bool,
+    think: Duration,
+    asked: u64,
+    // value that the counter was last told to take
+    attempted: u64,
+    journal: Journal,
+}
+
+impl Caller {
+    /// Makes the caller of a session.
+    pub fn new(shared: &Arc<Shared>, session: usize, seed: u64, think: Duration) -> Self {
+        let scenario = shared.scenario;
+        let services = scenario.services();
+        let group = session % crate::scenario::GROUPS;
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ ((session as u64) << 20));
+        Self {
+            shared: Arc::clone(shared),
+            rng,
+            service: services[(session / crate::scenario::GROUPS) % services.len()],
+            name: scenario.group(group),
+            token: None,
+            tokened: session.is_multiple_of(2),
+            think,
+            asked: 0,
+            attempted: 0,
+            journal: Journal { group, session, ..Journal::default() },
+        }
+    }
+
+    /// Calls until the run stops.
+    pub async fn run(mut self) -> Journal {
+        while !self.shared.is_stopped() {
+            let entry = self.rng.random_range(0..usize::from(u16::MAX));
+            let address = self.shared.address(self.journal.group, entry);
+            let token = self.token.as_deref().filter(|_| self.tokened);
+            let connected = client::connect(address, self.service, &self.name, token).await;
+            let Some(connection) = connected else {
+                self.journal.connects_failed += 1;
+                tokio::time::sleep(RETRY).await;
+                continue;
+            };
+            self.visit(&connection).await;
+            self.token = connection.token().or(self.token.take());
+        }
+        self.journal
+    }
+
+    async fn visit(&mut self, connection: &Connection) {
+        for _ in 0..self.rng.random_range(2..8) {
+            let micros = self.rng.random_range(0..=2 * self.think.as_micros() as u64);
+            tokio::time::sleep(Duration::from_micros(micros)).await;
+            if connection.is_closed() || self.shared.is_stopped() {
+                return;
+            }
+            self.request(connection).await;
+        }
+    }
+
+    async fn request(&mut self, connection: &Connection) {
+        self.asked += 1;
+        let request = self.shared.scenario.draw(&mut self.rng);
+        let started = self.shared.clock.now();
+        let done = match request {
+            Request::Insert => self.insert(connection).await,
+            Request::Payment => self.pay(connection).await,
+            Request::CounterSet => self.set_counter(connection).await,
+            Request::OwnStatus => self.read_own(connection).await,
+            Request::SharedRead => self.read_shared(connection, started).await,
+        };
+        if !done {
+            return;
+        }
+        self.shared.answered.fetch_add(1, Ordering::Relaxed);
+        let elapsed = self.shared.clock.now().since(started).as_micros() as u64;
+        let fresh = || Histogram::new(DIGITS).expect("the digits are in range");
+        let histogram = self.journal.latencies.entry(request.to_string()).or_insert_with(fresh);
+        histogram.saturating_record(elapsed);
+    }
+
+    fn id(&self) -> String {
+        format!("{}-{}", self.journal.session, self.asked)
+    }
+
+    fn tag(&self, kind: &str) -> String {
+        if self.shared.tagged { format!("/*kind='{kind}'*/ ") } else { String::new() }
+    }
+
+    // notes an answer that is not done, and what a write was told by it
+    fn note(&mut self, answer: Answer) -> Told {
+        match answer {
+            Answer::Done(_) => Told::Acked,
+            Answer::NotRun(code) => {
+                *self.journal.errors.entry(code).or_default() += 1;
+                Told::NotRun
+            }
+            Answer::Unknown => {
+                self.journal.unknown += 1;
+                Told::Unknown
+            }
+        }
+    }
+
+    fn record(&mut self, id: String, told: Told, payment: bool) -> bool {
+        if told == Told::Acked {
+            self.shared.acknowledge(self.journal.group);
+        }
+        self.journal.records.push(Record { id, told, payment });
+        told == Told::Acked
+    }
+
+    fn check(&mut self, answer: &Answer, expected: &[&str]) {
+        if let Answer::Done(rows) = answer
+            && (rows.len() != 1 || rows[0] != expected)
+        {
+            self.journal.mixed_answers += 1;
+        }
+    }
+
+    async fn insert(&mut self, connection: &Connection) -> bool {
+        let (id, session) = (self.id(), self.journal.session);
+        let query = format!(
+            "INSERT INTO requests (id, session, marker) VALUES ('{id}', {session}, 'i{id}') \
+             RETURNING id"
+        );
+        let answer = connection.ask(&query).await;
+        self.check(&answer, &[&id]);
+        let told = self.note(answer);
+        self.record(id, told, false)
+    }
+
+    async fn pay(&mut self, connection: &Connection) -> bool {
+        let id = self.id();
+        let told = match self.pay_open(connection, &id).await {
+            Ok(()) => {
+                let answer = connection.ask("COMMIT").await;
+                self.note(answer)
+            }
+            // a transaction whose COMMIT was never sent has not run
+            Err(answer) => {
+                if matches!(self.note(answer), Told::NotRun) {
+                    connection.ask("ROLLBACK").await;
+                }
+                Told::NotRun
+            }
+        };
+        self.record(id, told, true)
+    }
+
+    async fn pay_open(&mut self, connection: &Connection, id: &str) -> Result<(), Answer> {
+        let (session, account) = (self.journal.session, self.rng.random_range(0..ACCOUNTS));
+        let open = connection.ask("BEGIN").await;
+        done(open)?;
+        let update = format!("UPDATE accounts SET paid = paid + 1 WHERE id = {account}");
+        done(connection.ask(&update).await)?;
+        let insert = format!(
+            "INSERT INTO requests (id, session, marker) VALUES ('{id}', {session}, 'p{id}')"
+        );
+        done(connection.ask(&insert).await)?;
+        let count = format!("SELECT count(*), '{id}' FROM requests WHERE marker = 'p{id}'");
+        let answer = connection.ask(&count).await;
+        self.check(&answer, &["1", id]);
+        done(answer)
+    }
+
+    async fn set_counter(&mut self, connection: &Connection) -> bool {
+        self.attempted += 1;
+        let (value, session) = (self.attempted, self.journal.session);
+        let tag = format!("/*kind='{REPEATABLE}'*/");
+        let query = format!("{tag} UPDATE counters SET value = {value} WHERE session = {session}");
+        let answer = connection.ask(&query).await;
+        let acked = self.note(answer) == Told::Acked;
+        if acked {
+            self.journal.counter = value;
+            self.journal.counters += 1;
+            self.shared.acknowledge(self.journal.group);
+        }
+        acked
+    }
+
+    async fn read_own(&mut self, connection: &Connection) -> bool {
+        let (id, session) = (self.id(), self.journal.session);
+        let shared = self.shared.scenario.shared_kind();
+        let kind = if self.rng.random() { OWN } else { shared };
+        let tag = self.tag(kind);
+        let query = format!("{tag}SELECT value, '{id}' FROM counters WHERE session = {session}");
+        let answer = connection.ask(&query).await;
+        let value = self.value(&answer, &id);
+        if value.is_some_and(|value| value < self.journal.counter) {
+            self.journal.ryw_violations += 1;
+        }
+        self.note(answer) == Told::Acked
+    }
+
+    async fn read_shared(&mut self, connection: &Connection, started: Instant) -> bool {
+        let (scenario, id) = (self.shared.scenario, self.id());
+        let tag = self.tag(scenario.shared_kind());
+        let due = self.shared.pulse_due(self.journal.group, started, scenario.shared_age());
+        let query = format!("{tag}SELECT value, '{id}' FROM pulse WHERE id = 1");
+        let answer = connection.ask(&query).await;
+        if self.value(&answer, &id).is_some_and(|value| value < due) {
+            self.journal.stale += 1;
+        }
+        self.note(answer) == Told::Acked
+    }
+
+    // value of a read that carries the request's id
+    fn value(&mut self, answer: &Answer, id: &str) -> Option<u64> {
+        let Answer::Done(rows) = answer else {
+            return None;
+        };
+        match rows.as_slice() {
+            [row] if row.len() == 2 && row[1] == id => row[0].parse().ok(),
+            _ => {
+                self.journal.mixed_answers += 1;
+                None
+            }
+        }
+    }
+}
+
+fn done(answer: Answer) -> Result<(), Answer> {
+    match answer {
+        Answer::Done(_) => Ok(()),
+        other => Err(other),
+    }
+}
+
+/// Statements that make the tables and their first rows.
+pub fn schema(callers: usize) -> Vec<String> {
+    let sessions = (0..callers).map(|session| format!("({session}, 0)"));
+    let accounts = (0..ACCOUNTS).map(|account| format!("({account}, 0)"));
+    let rows = |rows: Vec<String>| rows.join(", ");
+    vec![
+        "CREATE TABLE IF NOT EXISTS requests (id text, session bigint, marker text)".to_owned(),
+        "CREATE INDEX IF NOT EXISTS requests_marker ON requests (marker)".to_owned(),
+        "CREATE TABLE IF NOT EXISTS counters (session bigint primary key, value bigint)".to_owned(),
+        "CREATE TABLE IF NOT EXISTS accounts (id bigint primary key, paid bigint)".to_owned(),
+        "CREATE TABLE IF NOT EXISTS pulse (id bigint primary key, value bigint)".to_owned(),
+        "INSERT INTO pulse VALUES (1, 0) ON CONFLICT DO NOTHING".to_owned(),
+        format!("INSERT INTO counters VALUES {} ON CONFLICT DO NOTHING", rows(sessions.collect())),
+        format!("INSERT INTO accounts VALUES {} ON CONFLICT DO NOTHING", rows(accounts.collect())),
+    ]
+}
--- /dev/null
+++ b/components/load/src/client.rs
@@ -0,0 +1,132 @@
+//! One connection of a caller, and what an answer means.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::Poll;
+
+use base::prelude::*;
+use tokio_postgres::tls::NoTlsStream;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+/// Longest time that a caller waits for an answer.
+pub const TIMEOUT: Duration = Duration::from_secs(20);
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// SQLSTATE of a request that was not run.
+pub const NOT_RUN: &str = "TF001";
+
+/// SQLSTATE of a request that may have run.
+pub const UNKNOWN: &str = "TF002";
+
+/// What a caller was told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It was done; the first values of each row.
+    Done(Vec<Vec<String>>),
+    /// It was not run, or failed as a whole; the SQLSTATE.
+    NotRun(String),
+    /// It may have run.
+    Unknown,
+}
+
+/// Parameter that carries the session's token.
+pub const TOKEN: &str = "trefoil.session";
+
+type Token = Arc<Mutex<Option<String>>>;
+
+/// A connection.
+#[derive(Debug)]
+pub struct Connection {
+    client: Client,
+    token: Token,
+    driver: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Connects as a service to a group, with a session token where there is one.
+pub async fn connect(
+    address: SocketAddr,
+    service: &str,
+    group: &str,
+    token: Option<&str>,
+) -> Option<Connection> {
+    let mut config = tokio_postgres::Config::new();
+    config.host(address.ip().to_string()).port(address.port()).user(service).dbname(group);
+    if let Some(token) = token {
+        config.options(format!("-c {TOKEN}={token}"));
+    }
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, config.connect(NoTls));
+    let (client, connection) = connecting.await.ok()?.ok()?;
+    let token = Token::default();
+    let driver = tokio::spawn(drive(connection, Arc::clone(&token)));
+    Some(Connection { client, token, driver })
+}
+
+type Driver = tokio_postgres::Connection<tokio_postgres::Socket, NoTlsStream>;
+
+async fn drive(mut connection: Driver, token: Token) {
+    let step = std::future::poll_fn(|context| {
+        loop {
+            let polled = connection.poll_message(context);
+            if let Some(reported) = connection.parameter(TOKEN) {
+                let mut token = token.lock().unwrap_or_else(PoisonError::into_inner);
+                if token.as_deref() != Some(reported) {
+                    *token = Some(reported.to_owned());
+                }
+            }
+            match polled {
+                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(Some(Err(_)) | None) => return Poll::Ready(()),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    });
+    step.await;
+}
+
+impl Connection {
+    /// Whether the connection is of no more use.
+    pub fn is_closed(&self) -> bool {
+        self.client.is_closed()
+    }
+
+    /// Asks one thing.
+    pub async fn ask(&self, query: &str) -> Answer {
+        let asked = tokio::time::timeout(TIMEOUT, self.client.simple_query(query)).await;
+        match asked {
+            Ok(Ok(messages)) => Answer::Done(rows(&messages)),
+            Ok(Err(error)) => meaning(&error),
+            Err(_elapsed) => Answer::Unknown,
+        }
+    }
+
+    /// The session's token as it was reported last, also where the connection
+    /// has broken since.
+    pub fn token(&self) -> Option<String> {
+        self.token.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+fn rows(messages: &[SimpleQueryMessage]) -> Vec<Vec<String>> {
+    let row = |message: &SimpleQueryMessage| match message {
+        SimpleQueryMessage::Row(row) => {
+            Some((0..row.len()).map(|at| row.get(at).unwrap_or_default().to_owned()).collect())
+        }
+        _ => None,
+    };
+    messages.iter().filter_map(row).collect()
+}
+
+// a server's own error undoes the statement; without one nothing is known
+fn meaning(error: &tokio_postgres::Error) -> Answer {
+    match error.code().map(tokio_postgres::error::SqlState::code) {
+        None | Some(UNKNOWN | "57P01" | "57P02" | "08006" | "08007" | "40003") => Answer::Unknown,
+        Some(code) => Answer::NotRun(code.to_owned()),
+    }
+}
--- /dev/null
+++ b/components/load/src/oracle.rs
@@ -0,0 +1,116 @@
+//! The check at the end: what callers were told against what groups hold.
+
+use std::collections::HashMap;
+
+use base::prelude::*;
+use standin::Group;
+
+use crate::caller::{Journal, Told};
+use crate::client::{self, Answer, Connection};
+use crate::failure::Failure;
+use crate::verdict::Verdict;
+
+const CONVERGENCE: Duration = Duration::from_secs(30);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Rows of one group at the end.
+#[derive(Debug, Default)]
+pub struct Rows {
+    /// How often each request ran.
+    pub requests: HashMap<String, u64>,
+    /// Last value of each session's counter.
+    pub counters: HashMap<usize, u64>,
+    /// Sum over all accounts.
+    pub paid: u64,
+}
+
+/// Waits until all servers of a group hold and show the same records.
+///
+/// # Errors
+/// [`Failure::Convergence`].
+pub async fn settle(group: &Group) -> Result<(), Report<Failure>> {
+    let settled = async {
+        while !alike(&group.statuses()) {
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    let settled = tokio::time::timeout(CONVERGENCE, settled).await;
+    settled.change_context(Failure::Convergence).attach_with(|| format!("{:#?}", group.statuses()))
+}
+
+fn alike(statuses: &[Status]) -> bool {
+    let primary = statuses.iter().find(|status| status.role == Role::Primary);
+    primary.is_some_and(|primary| {
+        statuses.iter().all(|status| {
+            status.term == primary.term
+                && status.last() == primary.last()
+                && status.applied == primary.received
+        })
+    })
+}
+
+/// Reads all rows from a group's primary.
+///
+/// # Errors
+/// [`Failure::Audit`].
+pub async fn read(group: &Group) -> Result<Rows, Report<Failure>> {
+    let primary = group.primary().ok_or(Failure::Audit)?;
+    let address = group.servers()[primary];
+    // probes find a connection free also when callers hold all others
+    let connection = client::connect(address, "trefoil_probe", group.name().as_str(), None).await;
+    let connection = connection.ok_or(Failure::Audit)?;
+    let requests = ask(&connection, "SELECT id, count(*) FROM requests GROUP BY id").await?;
+    let counters = ask(&connection, "SELECT session, value FROM counters").await?;
+    let paid = ask(&connection, "SELECT sum(paid) FROM accounts").await?;
+    let number = |text: &String| text.parse::<u64>().change_context(Failure::Audit);
+    let mut rows = Rows::default();
+    for row in requests {
+        rows.requests.insert(row[0].clone(), number(&row[1])?);
+    }
+    for row in counters {
+        rows.counters.insert(number(&row[0])? as usize, number(&row[1])?);
+    }
+    for row in paid {
+        rows.paid = number(&row[0])?;
+    }
+    Ok(rows)
+}
+
+async fn ask(connection: &Connection, query: &str) -> Result<Vec<Vec<String>>, Report<Failure>> {
+    match connection.ask(query).await {
+        Answer::Done(rows) => Ok(rows),
+        _ => Err(Report::new(Failure::Audit)),
+    }
+}
+
+/// Checks the journals of a group's callers against its rows.
+pub fn check<'a>(rows: &Rows, journals: impl Iterator<Item = &'a Journal>, verdict: &mut Verdict) {
+    let mut payments = 0;
+    for journal in journals {
+        check_journal(rows, journal, verdict);
+        let records = journal.records.iter().filter(|record| record.payment);
+        payments += records.filter_map(|record| rows.requests.get(&record.id)).sum::<u64>();
+    }
+    verdict.torn_transactions += u64::from(payments != rows.paid);
+}
+
+fn check_journal(rows: &Rows, journal: &Journal, verdict: &mut Verdict) {
+    for record in &journal.records {
+        let ran = rows.requests.get(&record.id).copied().unwrap_or_default();
+        verdict.acked += u64::from(record.told == Told::Acked);
+        verdict.acked_lost += u64::from(record.told == Told::Acked && ran == 0);
+        verdict.not_run_but_ran += u64::from(record.told == Told::NotRun && ran > 0);
+        verdict.doubled += u64::from(ran > 1);
+    }
+    let counter = rows.counters.get(&journal.session).copied().unwrap_or_default();
+    verdict.acked += journal.counters;
+    verdict.acked_lost += u64::from(counter < journal.counter);
+    verdict.ryw_violations += journal.ryw_violations;
+    verdict.mixed_answers += journal.mixed_answers;
+    verdict.stale_beyond_age += journal.stale;
+    verdict.outcome_unknown += journal.unknown;
+    verdict.connects_failed += journal.connects_failed;
+    for (code, count) in &journal.errors {
+        *verdict.errors.entry(code.clone()).or_default() += count;
+    }
+}
--- /dev/null
+++ b/components/load/src/run.rs
@@ -0,0 +1,266 @@
+//! The phases of a run: tables, traffic with faults, overload, check.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use base::prelude::*;
+use hdrhistogram::Histogram;
+use tokio::task::JoinSet;
+
+use crate::bench::{Bench, Fault};
+use crate::caller::{self, Caller, DIGITS, Journal};
+use crate::client::{self, Answer};
+use crate::failure::Failure;
+use crate::scenario::{GROUPS, Scenario};
+use crate::shared::Shared;
+use crate::verdict::{Spread, Verdict};
+use crate::{oracle, overload, pulse};
+
+const SCHEMA_TIMEOUT: Duration = Duration::from_secs(30);
+const SCHEMA_RETRY: Duration = Duration::from_millis(100);
+const WARM: Duration = Duration::from_secs(2);
+const FAULT_LENGTH: Duration = Duration::from_secs(4);
+const REST: Duration = Duration::from_secs(3);
+const TICK: Duration = Duration::from_millis(250);
+// the part of the traffic that is spent in overload
+const OVERLOAD_SHARE: f64 = 0.15;
+
+/// What the proxy is brought to, to be compared with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Baseline {
+    /// Nothing: the proxy as it is.
+    None,
+    /// Reads are not declared, so that primaries serve all.
+    PrimaryOnly,
+}
+
+/// Settings of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// The workload.
+    pub scenario: Scenario,
+    /// The fault.
+    pub fault: Fault,
+    /// The baseline.
+    pub baseline: Baseline,
+    /// Length of the traffic.
+    pub length: Duration,
+    /// Number of sessions.
+    pub callers: usize,
+    /// Mean time between an answer and the session's next request.
+    pub think: Duration,
+    /// Seed of the callers.
+    pub seed: u64,
+}
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Phase {
+    /// Tables are made.
+    Schema,
+    /// Callers call.
+    Traffic,
+    /// More callers call than can be served.
+    Overload,
+    /// The groups come to rest and are read.
+    Check,
+}
+
+/// Tells who watches a run how far it is: the phase, and its share done.
+pub type Progress<'a> = &'a (dyn Fn(Phase, f64) + Sync);
+
+/// Runs the load on a bench and checks the result. All faults are healed at
+/// the end; the bench goes on.
+///
+/// # Errors
+/// A failure of the bench; a broken promise is told by the verdict.
+pub async fn run<B: Bench>(
+    bench: &mut B,
+    settings: &Settings,
+    progress: Progress<'_>,
+) -> Result<Verdict, Report<Failure>> {
+    let tagged = settings.baseline != Baseline::PrimaryOnly;
+    let shared = Arc::new(Shared::new(settings.scenario, tagged, GROUPS));
+    refresh(bench, &shared);
+    progress(Phase::Schema, 0.0);
+    prepare(&shared, settings.callers).await?;
+    let mut verdict = Verdict {
+        scenario: settings.scenario.to_string(),
+        fault: settings.fault.to_string(),
+        baseline: settings.baseline.to_string(),
+        seed: settings.seed,
+        ..Verdict::default()
+    };
+    let before = reads(bench);
+    let started = shared.clock.now();
+    let mut callers = spawn(&shared, settings);
+    let calm = settings.length.mul_f64(1.0 - OVERLOAD_SHARE);
+    let pauses = traffic(bench, &shared, settings, calm, progress, &mut verdict).await?;
+    verdict.seconds = shared.clock.now().since(started).as_secs_f64();
+    let answered = shared.answered.load(Ordering::Relaxed);
+    verdict.statements_per_s = answered as f64 / verdict.seconds;
+    verdict.replica_read_share = share(before, reads(bench));
+    verdict.failover_gap_ms = Spread::of(&pauses);
+    progress(Phase::Overload, 0.0);
+    verdict.overload = overload::run(&shared, settings.length.mul_f64(OVERLOAD_SHARE)).await;
+    verdict.fairness = overload::jain(&verdict.overload);
+    shared.stop();
+    let mut journals = Vec::new();
+    while let Some(journal) = callers.join_next().await {
+        journals.extend(journal.ok().flatten());
+    }
+    progress(Phase::Check, 0.0);
+    check(bench, &journals, &mut verdict).await?;
+    Ok(verdict)
+}
+
+fn refresh(bench: &impl Bench, shared: &Shared) {
+    let entries = |group| (0..bench.entries()).map(|entry| bench.address(group, entry)).collect();
+    shared.set_addresses((0..GROUPS).map(entries).collect());
+}
+
+fn spawn(shared: &Arc<Shared>, settings: &Settings) -> JoinSet<Option<Journal>> {
+    let mut tasks = JoinSet::new();
+    for session in 0..settings.callers {
+        let caller = Caller::new(shared, session, settings.seed, settings.think);
+        tasks.spawn(async { Some(caller.run().await) });
+    }
+    for group in 0..GROUPS {
+        let pulse = pulse::run(Arc::clone(shared), group);
+        tasks.spawn(async {
+            pulse.await;
+            None
+        });
+    }
+    tasks
+}
+
+/// Makes the tables in all groups, trying until they answer.
+async fn prepare(shared: &Arc<Shared>, callers: usize) -> Result<(), Report<Failure>> {
+    let groups = (0..GROUPS).map(|group| prepare_group(shared, group, callers));
+    let made = futures::future::try_join_all(groups);
+    tokio::time::timeout(SCHEMA_TIMEOUT, made).await.change_context(Failure::Schema)??;
+    Ok(())
+}
+
+async fn prepare_group(
+    shared: &Shared,
+    group: usize,
+    callers: usize,
+) -> Result<(), Report<Failure>> {
+    let name = shared.scenario.group(group);
+    let service = shared.scenario.services()[0];
+    let mut left = caller::schema(callers);
+    left.reverse();
+    let mut entry = 0;
+    while !left.is_empty() {
+        let address = shared.address(group, entry);
+        entry += 1;
+        if let Some(connection) = client::connect(address, service, &name, None).await {
+            while let Some(statement) = left.last()
+                && matches!(connection.ask(statement).await, Answer::Done(_))
+            {
+                left.pop();
+            }
+        }
+        if !left.is_empty() {
+            tokio::time::sleep(SCHEMA_RETRY).await;
+        }
+    }
+    Ok(())
+}
+
+/// Lets callers call for a time and puts the fault on the bench again and
+/// again; gives the pauses of acknowledged writes in microseconds.
+async fn traffic<B: Bench>(
+    bench: &mut B,
+    shared: &Shared,
+    settings: &Settings,
+    length: Duration,
+    progress: Progress<'_>,
+    verdict: &mut Verdict,
+) -> Result<Histogram<u64>, Report<Failure>> {
+    let mut pauses = Histogram::new(DIGITS).expect("the digits are in range");
+    let end = shared.clock.now() + length;
+    wait(shared, WARM, end, length, progress).await;
+    let whole = FAULT_LENGTH + REST;
+    while settings.fault != Fault::None && shared.clock.now() + whole <= end {
+        let turn = verdict.faults as usize;
+        let group = turn % GROUPS;
+        let from = shared.clock.now();
+        bench.inject(settings.fault, group, turn).await?;
+        refresh(bench, shared);
+        verdict.faults += 1;
+        wait(shared, FAULT_LENGTH, end, length, progress).await;
+        bench.heal().await?;
+        refresh(bench, shared);
+        wait(shared, REST, end, length, progress).await;
+        if settings.fault.pauses() {
+            let pause = shared.trace(group).longest_pause(from, shared.clock.now());
+            pauses.saturating_record(pause.as_micros() as u64);
+        }
+    }
+    wait(shared, length, end, length, progress).await;
+    Ok(pauses)
+}
+
+// at most until the end of the traffic
+async fn wait(
+    shared: &Shared,
+    pause: Duration,
+    end: Instant,
+    length: Duration,
+    progress: Progress<'_>,
+) {
+    let until = (shared.clock.now() + pause).min(end);
+    while shared.clock.now() < until {
+        let left = until.since(shared.clock.now());
+        tokio::time::sleep(left.min(TICK)).await;
+        let done = 1.0 - end.since(shared.clock.now()).as_secs_f64() / length.as_secs_f64();
+        progress(Phase::Traffic, done);
+    }
+}
+
+fn reads(bench: &impl Bench) -> (u64, u64) {
+    let counts = (0..GROUPS).flat_map(|group| bench.group(group).counts());
+    counts.fold((0, 0), |(replica, primary), counts| {
+        (replica + counts.reads_replica, primary + counts.reads_primary)
+    })
+}
+
+fn share(before: (u64, u64), after: (u64, u64)) -> f64 {
+    let (replica, primary) = (after.0 - before.0, after.1 - before.1);
+    let all = replica + primary;
+    if all == 0 { 0.0 } else { replica as f64 / all as f64 }
+}
+
+async fn check<B: Bench>(
+    bench: &mut B,
+    journals: &[Journal],
+    verdict: &mut Verdict,
+) -> Result<(), Report<Failure>> {
+    bench.heal().await?;
+    let mut latencies = BTreeMap::new();
+    for group in 0..GROUPS {
+        let standin = bench.group(group);
+        oracle::settle(standin).await?;
+        let rows = oracle::read(standin).await?;
+        let own = journals.iter().filter(|journal| journal.group == group);
+        oracle::check(&rows, own, verdict);
+        let counts = standin.counts();
+        verdict.limit_exceeded +=
+            counts.iter().map(|counts| counts.refused + counts.queued).sum::<u64>();
+    }
+    for (kind, histogram) in journals.iter().flat_map(|journal| &journal.latencies) {
+        let fresh = || Histogram::new(DIGITS).expect("the digits are in range");
+        let whole: &mut Histogram<u64> = latencies.entry(kind.clone()).or_insert_with(fresh);
+        // histograms of the same digits that resize always add up
+        let _always_fits = whole.add(histogram);
+    }
+    verdict.latency_ms =
+        latencies.iter().map(|(kind, whole)| (kind.clone(), Spread::of(whole))).collect();
+    Ok(())
+}
--- /dev/null
+++ b/components/load/src/scenario.rs
@@ -0,0 +1,166 @@
+//! The users' workloads: sizes, names, declarations and traffic.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use config::{Class, Declarations, Group, Kind, Selector, Service};
+use rand::{Rng, RngExt};
+
+/// One user's workload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "lowercase")]
+pub enum Scenario {
+    /// Show entries: mostly writes, and reads that must be current.
+    Lakeshore,
+    /// Tour bookings: mostly seat maps, which may be a little old.
+    Egbolt,
+}
+
+/// Sizes of a workload's groups.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sizes {
+    /// Statements that a server runs at once.
+    pub slots: usize,
+    /// Data connections that a server accepts.
+    pub connections: usize,
+    /// Lag of the replicas of each group.
+    pub lags: [Duration; GROUPS],
+}
+
+/// Number of groups.
+pub const GROUPS: usize = 3;
+
+/// Servers of a group.
+pub const SERVERS: usize = 3;
+
+/// Kind of reads that follow a session's own writes.
+pub const OWN: &str = "own-status";
+
+/// Kind of writes that may be repeated.
+pub const REPEATABLE: &str = "counter-set";
+
+/// What a caller may ask next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Request {
+    /// An entry or booking: an insert that must run at most once.
+    Insert,
+    /// A payment: a transaction of several statements.
+    Payment,
+    /// Sets the session's own counter; may be repeated.
+    CounterSet,
+    /// Reads the session's own counter.
+    OwnStatus,
+    /// Reads what all share: a ring list or a seat map.
+    SharedRead,
+}
+
+impl Scenario {
+    /// Sizes of its groups.
+    pub fn sizes(self) -> Sizes {
+        let lags = [20, 80, 200].map(Duration::from_millis);
+        match self {
+            Self::Lakeshore => Sizes { slots: 2, connections: 16, lags },
+            Self::Egbolt => Sizes { slots: 3, connections: 40, lags },
+        }
+    }
+
+    /// Availability zones.
+    pub fn zones(self) -> &'static [&'static str] {
+        match self {
+            Self::Lakeshore => &["lansing", "toledo", "green-bay"],
+            Self::Egbolt => &["hu-central-a", "hu-central-b", "hu-central-c", "hu-central-d"],
+        }
+    }
+
+    /// Name of a group.
+    pub fn group(self, index: usize) -> String {
+        match self {
+            Self::Lakeshore => format!("entries-{}", index + 1),
+            Self::Egbolt => format!("tours-{}", index + 1),
+        }
+    }
+
+    /// Services that callers belong to.
+    pub fn services(self) -> [&'static str; 3] {
+        match self {
+            Self::Lakeshore => ["entry-desk", "payments", "ring-lists"],
+            Self::Egbolt => ["booking", "seat-map", "dispatch"],
+        }
+    }
+
+    /// Kind of the reads that all share.
+    pub fn shared_kind(self) -> &'static str {
+        match self {
+            Self::Lakeshore => "ring-list",
+            Self::Egbolt => "seat-map",
+        }
+    }
+
+    /// Age that those reads accept.
+    pub fn shared_age(self) -> Duration {
+        match self {
+            Self::Lakeshore => Duration::ZERO,
+            Self::Egbolt => Duration::from_secs(5),
+        }
+    }
+
+    /// Draws what a caller asks next.
+    pub fn draw(self, rng: &mut impl Rng) -> Request {
+        let percent = rng.random_range(0..100);
+        let (insert, payment, counter, own) = match self {
+            Self::Lakeshore => (35, 50, 60, 75),
+            Self::Egbolt => (8, 14, 20, 30),
+        };
+        match percent {
+            _ if percent < insert => Request::Insert,
+            _ if percent < payment => Request::Payment,
+            _ if percent < counter => Request::CounterSet,
+            _ if percent < own => Request::OwnStatus,
+            _ => Request::SharedRead,
+        }
+    }
+
+    /// Declarations that the traffic needs.
+    pub fn declarations(self) -> Declarations {
+        let group = || Group { servers: SERVERS as u32, elects: false };
+        let groups = (0..GROUPS).map(|index| (name(&self.group(index)), group())).collect();
+        let service = || Service {
+            labels: BTreeMap::new(),
+            weight: 1,
+            limits: config::Limits::default(),
+            objectives: Vec::new(),
+        };
+        let services = self.services().map(name);
+        let services = services.into_iter().map(|name| (name, service())).collect();
+        let selector = Selector {
+            services: BTreeMap::new(),
+            groups: Vec::new(),
+            backends: BTreeMap::new(),
+            kinds: self.kinds(),
+        };
+        let selectors = BTreeMap::from([(name("all"), selector)]);
+        Declarations { groups, services, selectors }
+    }
+
+    fn kinds(self) -> BTreeMap<Name, Kind> {
+        let read = |age: Duration| Kind {
+            class: Class::Read,
+            age_ms: age.as_millis() as u64,
+            patience_ms: PATIENCE_MS,
+            statements: Vec::new(),
+        };
+        let repeatable = Kind { class: Class::Idempotent, ..Kind::default() };
+        BTreeMap::from([
+            (name(self.shared_kind()), read(self.shared_age())),
+            (name(OWN), read(Duration::ZERO)),
+            (name(REPEATABLE), repeatable),
+        ])
+    }
+}
+
+const PATIENCE_MS: u64 = 50;
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("the scenarios' names are valid")
+}
--- /dev/null
+++ b/components/load/tests/direct.rs
@@ -0,0 +1,59 @@
+//! The load and its oracle against groups without a proxy.
+
+use std::collections::HashMap;
+
+use base::prelude::*;
+use load::caller::{Journal, Record, Told};
+use load::oracle::{self, Rows};
+use load::{Baseline, Bench, Direct, Fault, Scenario, Settings, Verdict};
+use slog::{Discard, Logger, o};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn finds_no_broken_promise_on_primaries() {
+    let log = Logger::root(Discard, o!());
+    let mut bench = Direct::start(Scenario::Egbolt, 7, &log).await.unwrap();
+    let settings = Settings {
+        scenario: Scenario::Egbolt,
+        fault: Fault::None,
+        baseline: Baseline::None,
+        length: Duration::from_secs(4),
+        callers: 30,
+        think: Duration::from_millis(20),
+        seed: 7,
+    };
+    let verdict = load::run(&mut bench, &settings, &|_, _| {}).await.unwrap();
+    assert!(verdict.acked > 0);
+    let broken = Verdict { limit_exceeded: 0, ..verdict.clone() };
+    assert!(!broken.is_broken(), "{verdict:#?}");
+    bench.stop().await;
+}
+
+fn record(id: &str, told: Told) -> Record {
+    Record { id: id.to_owned(), told, payment: id.starts_with('p') }
+}
+
+#[test]
+fn tells_each_kind_of_broken_promise() {
+    let records = vec![
+        record("kept", Told::Acked),
+        record("lost", Told::Acked),
+        record("ran", Told::NotRun),
+        record("skipped", Told::NotRun),
+        record("twice", Told::Acked),
+        record("open", Told::Unknown),
+        record("paid", Told::Acked),
+    ];
+    let journal = Journal { records, counter: 5, session: 3, ..Journal::default() };
+    let ran = [("kept", 1), ("ran", 1), ("twice", 2), ("paid", 1)];
+    let rows = Rows {
+        requests: ran.map(|(id, count)| (id.to_owned(), count)).into_iter().collect(),
+        counters: HashMap::from([(3, 4)]),
+        paid: 0,
+    };
+    let mut verdict = Verdict::default();
+    oracle::check(&rows, std::iter::once(&journal), &mut verdict);
+    assert_eq!((verdict.acked, verdict.acked_lost), (4, 2));
+    assert_eq!((verdict.not_run_but_ran, verdict.doubled), (1, 1));
+    assert_eq!(verdict.torn_transactions, 1);
+    assert!(verdict.is_broken());
+}
