Host the keeper: links, connections, probes and the control view

Effects are carried out after the group's lock is released and in order. Builds and lints; it is not yet run against a server.

--- /dev/null
+++ b/components/entry/src/keep/follow.rs
@@ -0,0 +1,96 @@
+//! Changes of the control state and of the lease, told to the shards.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use control::State;
+use keeper::event::Server;
+use keeper::{Event, Lease, Setup};
+use wire::log;
+
+use super::shard::Shard;
+use super::{Host, lock};
+
+/// Longest time between looks at the lease.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Follows the view until the task is ended.
+pub(super) async fn run(host: Arc<Host>) {
+    let mut changes = host.view.changes();
+    let mut leased = false;
+    tell(&host);
+    loop {
+        let now = host.clock.now();
+        if leased != host.view.leased(now) {
+            leased = !leased;
+            for shard in host.shards() {
+                shard.feed(Event::Leased(leased));
+            }
+        }
+        let left = host.view.lease_until().since(now);
+        let wait = if left.is_zero() { STEP } else { left.min(STEP) };
+        if let Ok(Ok(())) = tokio::time::timeout(wait, changes.changed()).await {
+            changes.borrow_and_update();
+            tell(&host);
+        }
+    }
+}
+
+/// Tells each shard what concerns it; makes one for each lease that is new.
+fn tell(host: &Arc<Host>) {
+    let setups = host.view.read(|state| {
+        let groups = state.groups.iter();
+        let setups = groups.map(|(name, _)| (name.clone(), setup(host, state, name)));
+        setups.collect::<Vec<_>>()
+    });
+    for (group, setup) in setups {
+        let known = host.shard(group.as_str());
+        if known.is_none() && setup.lease == Lease::None {
+            continue;
+        }
+        let shard = known.unwrap_or_else(|| add(host, &group));
+        shard.set_up(setup);
+    }
+}
+
+fn add(host: &Arc<Host>, group: &Name) -> Arc<Shard> {
+    let shard = Shard::start(Arc::clone(host), group.clone());
+    lock(&host.shards).insert(group.clone(), Arc::clone(&shard));
+    shard.feed(Event::Leased(host.view.leased(host.clock.now())));
+    shard
+}
+
+fn setup(host: &Host, state: &State, name: &Name) -> Setup {
+    let group = state.groups.get(name);
+    let own = |lease: &&log::Lease| lease.incarnation == host.incarnation;
+    let lease = group.and_then(|group| group.lease(host.name.as_str())).filter(own);
+    let seats = group.iter().flat_map(|group| &group.seats);
+    let declared = state.declarations.groups.get(name).map(|group| group.servers);
+    let seated = group.map_or(0, |group| group.seats.len() as u32);
+    Setup {
+        declared: declared.unwrap_or(seated),
+        primary: group.and_then(|group| group.primary.clone()),
+        servers: seats.filter_map(|seat| server(state, lease, seat)).collect(),
+        lease: match lease {
+            None => Lease::None,
+            Some(lease) if lease.returning => Lease::Returning,
+            Some(_) => Lease::Held,
+        },
+        declarations: Arc::clone(&state.declarations),
+    }
+}
+
+fn server(state: &State, lease: Option<&log::Lease>, name: &Name) -> Option<Server> {
+    let server = state.servers.get(name)?;
+    let share = lease.and_then(|lease| lease.shares.iter().find(|s| s.server == name.as_str()));
+    Some(Server {
+        name: name.clone(),
+        address: server.address,
+        zone: server.zone.clone(),
+        labels: server.labels.clone(),
+        connections: share.map_or(0, |share| share.connections),
+        slots: share.map_or(0, |share| share.slots),
+        leaving: server.leaving,
+        expired: server.expired,
+    })
+}
--- /dev/null
+++ b/components/entry/src/keep/metrics.rs
@@ -0,0 +1,71 @@
+//! What a keeper counts. No series is kept for a service or a caller.
+
+use keeper::{Cause, Count};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use wire::data::{End, Outcome, Reason};
+
+use super::lock;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ended {
+    outcome: String,
+    reason: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Why {
+    cause: String,
+}
+
+/// Counters of a keeper.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Metrics {
+    ended: Family<Ended, Counter>,
+    replica_reads: Counter,
+    primary_reads: Family<Why, Counter>,
+    repeats: Counter,
+    opened: Counter,
+}
+
+impl Metrics {
+    pub(super) fn register(registry: &telemetry::web::Metrics) -> Self {
+        let metrics = Self::default();
+        let mut registry = lock(registry);
+        let registry = registry.sub_registry_with_prefix("keeper");
+        registry.register("ended", "Requests that ended", metrics.ended.clone());
+        registry.register(
+            "replica_reads",
+            "Declared reads sent to a replica",
+            metrics.replica_reads.clone(),
+        );
+        registry.register(
+            "primary_reads",
+            "Declared reads sent to a primary",
+            metrics.primary_reads.clone(),
+        );
+        registry.register("repeats", "Requests tried again", metrics.repeats.clone());
+        registry.register("opened", "Connections opened", metrics.opened.clone());
+        metrics
+    }
+
+    pub(super) fn count(&self, count: Count) {
+        match count {
+            Count::ReplicaRead => self.replica_reads.inc(),
+            Count::PrimaryRead(cause) => self.primary_read(cause),
+            Count::Repeat => self.repeats.inc(),
+            Count::Opened => self.opened.inc(),
+        };
+    }
+
+    pub(super) fn end(&self, end: &End) {
+        let outcome = Outcome::try_from(end.outcome).unwrap_or(Outcome::Missing).to_string();
+        let reason = Reason::try_from(end.reason).unwrap_or(Reason::None).to_string();
+        self.ended.get_or_create(&Ended { outcome, reason }).inc();
+    }
+
+    fn primary_read(&self, cause: Cause) -> u64 {
+        self.primary_reads.get_or_create(&Why { cause: cause.to_string() }).inc()
+    }
+}
--- /dev/null
+++ b/components/entry/src/keep/shard.rs
@@ -0,0 +1,217 @@
+//! One group under its lock.
+//!
+//! Effects are carried out after the lock is released, in the order in which
+//! they were put out, whichever task puts them out.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+
+use base::clock::Clock;
+use base::prelude::*;
+use keeper::{Connection, Count, Effect, Event, Group, Lease, Setup};
+use slog::{Logger, info};
+use tokio::sync::watch;
+use wire::data::answer;
+
+use super::conn::{self, Command, Control};
+use super::probe::Prober;
+use super::{Host, lock};
+
+/// Least time between two ticks.
+const LEAST_TICK: Duration = Duration::from_millis(2);
+
+/// One group and what the host holds for it.
+#[derive(Debug)]
+pub(super) struct Shard {
+    name: Name,
+    host: Arc<Host>,
+    inner: Mutex<Inner>,
+    /// Held while effects are carried out.
+    tools: Mutex<Tools>,
+    wake: watch::Sender<Instant>,
+    timer: Mutex<Option<tokio::task::AbortHandle>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    group: Group,
+    effects: VecDeque<Effect>,
+    scratch: Vec<Effect>,
+}
+
+#[derive(Debug, Default)]
+struct Tools {
+    conns: HashMap<Key<Connection>, Control>,
+    probers: BTreeMap<Name, Prober>,
+    stopped: bool,
+}
+
+impl Shard {
+    pub(super) fn start(host: Arc<Host>, name: Name) -> Arc<Self> {
+        let group = Group::new(name.clone(), host.zone.clone(), host.incarnation);
+        let inner = Inner { group, effects: VecDeque::new(), scratch: Vec::new() };
+        let shard = Arc::new(Self {
+            name,
+            host,
+            inner: Mutex::new(inner),
+            tools: Mutex::default(),
+            wake: watch::Sender::new(Instant::ZERO),
+            timer: Mutex::default(),
+        });
+        let timer = tokio::spawn(tick(Arc::clone(&shard)));
+        *lock(&shard.timer) = Some(timer.abort_handle());
+        shard
+    }
+
+    pub(super) fn name(&self) -> &Name {
+        &self.name
+    }
+
+    pub(super) fn log(&self) -> &Logger {
+        &self.host.log
+    }
+
+    pub(super) fn clock(&self) -> Clock {
+        self.host.clock
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        lock(&self.inner).group.is_over()
+    }
+
+    /// Feeds an event and carries out what follows.
+    pub(super) fn feed(self: &Arc<Self>, event: Event) {
+        lock(&self.inner).take(self.host.clock.now(), event);
+        self.carry_out();
+    }
+
+    /// Takes a change of the control state in.
+    pub(super) fn set_up(self: &Arc<Self>, setup: Setup) {
+        self.set_probers(&mut lock(&self.tools), &setup);
+        self.feed(Event::Setup(setup));
+    }
+
+    fn set_probers(self: &Arc<Self>, tools: &mut Tools, setup: &Setup) {
+        if tools.stopped || setup.lease == Lease::None {
+            tools.probers.clear();
+            return;
+        }
+        let same = |name: &Name, prober: &Prober| {
+            setup.servers.iter().any(|s| s.name == *name && s.address == prober.address)
+        };
+        tools.probers.retain(|name, prober| same(name, prober));
+        for server in &setup.servers {
+            let start = || Prober::start(self, &server.name, server.address);
+            tools.probers.entry(server.name.clone()).or_insert_with(start);
+        }
+    }
+
+    /// Forgets a connection that has ended.
+    pub(super) fn forget(&self, conn: Key<Connection>) {
+        lock(&self.tools).conns.remove(&conn);
+    }
+
+    /// Drops all at once.
+    pub(super) fn stop(&self) {
+        let tools = {
+            let mut tools = lock(&self.tools);
+            tools.stopped = true;
+            (std::mem::take(&mut tools.conns), std::mem::take(&mut tools.probers))
+        };
+        for control in tools.0.values() {
+            control.abort();
+        }
+        if let Some(timer) = lock(&self.timer).take() {
+            timer.abort();
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>) {
+        let mut tools = lock(&self.tools);
+        loop {
+            let Some(effect) = lock(&self.inner).effects.pop_front() else {
+                return;
+            };
+            if !tools.stopped {
+                self.act(&mut tools, effect);
+            }
+        }
+    }
+
+    fn act(self: &Arc<Self>, tools: &mut Tools, effect: Effect) {
+        match effect {
+            Effect::Connect { conn, address, .. } => {
+                self.host.metrics.count(Count::Opened);
+                tools.conns.insert(conn, conn::open(self, conn, address));
+            }
+            Effect::Send { conn, bytes } => tools.send(conn, Command::Send(bytes)),
+            Effect::Mark { conn } => tools.send(conn, Command::Mark),
+            Effect::Close { conn } => tools.send(conn, Command::Close),
+            Effect::Cancel { conn } => tools.send(conn, Command::Cancel),
+            Effect::Pause { conn } => tools.pause(conn, true),
+            Effect::Resume { conn } => tools.pause(conn, false),
+            Effect::Part { front, part } => {
+                self.host.fronts.tell(front, answer::Body::Part(part));
+            }
+            Effect::End { front, end } => {
+                self.host.metrics.end(&end);
+                self.host.fronts.tell(front, answer::Body::End(end));
+            }
+            Effect::Sample { server } => {
+                if let Some(prober) = tools.probers.get(&server) {
+                    prober.sample();
+                }
+            }
+            Effect::Report(symptom) => {
+                info!(self.host.log, "symptom of a primary"; "group" => %self.name,
+                    "server" => &symptom.server, "sight" => symptom.sight);
+                self.host.view.report(symptom);
+            }
+            Effect::Wake(at) => drop(self.wake.send_replace(at)),
+            Effect::GiveUp => self.host.view.give_up(self.name.clone()),
+            Effect::Count(count) => self.host.metrics.count(count),
+        }
+    }
+}
+
+impl Inner {
+    fn take(&mut self, now: Instant, event: Event) {
+        self.group.on(now, event, &mut self.scratch);
+        self.effects.extend(self.scratch.drain(..));
+    }
+}
+
+impl Tools {
+    fn send(&self, conn: Key<Connection>, command: Command) {
+        if let Some(control) = self.conns.get(&conn) {
+            control.send(command);
+        }
+    }
+
+    fn pause(&self, conn: Key<Connection>, paused: bool) {
+        if let Some(control) = self.conns.get(&conn) {
+            control.pause(paused);
+        }
+    }
+}
+
+/// Ticks when the group asked for it.
+async fn tick(shard: Arc<Shard>) {
+    let mut wake = shard.wake.subscribe();
+    let mut least = Instant::ZERO;
+    loop {
+        let at = (*wake.borrow_and_update()).max(least);
+        let at = tokio::time::Instant::from_std(shard.host.clock.at(at));
+        tokio::select! {
+            () = tokio::time::sleep_until(at) => {
+                shard.feed(Event::Tick);
+                least = shard.host.clock.now() + LEAST_TICK;
+            }
+            changed = wake.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
