--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -215,6 +215,9 @@
         if request.orphan {
             return self.finish(now, key, Outcome::Done, Reason::None, out);
         }
+        if let Some(server) = request.attempt.server.and_then(|key| self.servers.get_mut(key)) {
+            server.marked = server.marked.max(mark);
+        }
         if mark.term == request.attempt.term {
             request.attempt.hi = Some(mark);
             request.stage = Stage::Acking;
--- a/components/keeper/src/pump.rs
+++ b/components/keeper/src/pump.rs
@@ -197,11 +197,13 @@
         let Some(request) = self.requests.get(key) else {
             return attempt;
         };
-        let status = self.servers.get(server).and_then(Server::status);
-        if let Some(status) = status {
+        if let Some(server) = self.servers.get(server)
+            && let Some(status) = server.status()
+        {
             attempt.incarnation = status.incarnation;
             attempt.term = status.term;
-            attempt.lo = status.received;
+            let marked = Some(server.marked).filter(|marked| marked.term == status.term);
+            attempt.lo = status.received.max(marked.map_or(Position(0), |m| m.position));
         }
         let pinned = self.conns.get(conn).filter(|_| request.run.within);
         if let Some(pinned) = pinned.filter(|pinned| pinned.term != attempt.term) {
--- a/components/keeper/src/server.rs
+++ b/components/keeper/src/server.rs
@@ -17,6 +17,8 @@
     /// Whether the setup still names it.
     pub(crate) seated: bool,
     pub(crate) seen: Option<Seen>,
+    /// Newest mark that a cycle's end showed of it.
+    pub(crate) marked: Mark,
     /// When the last report came, or when the server was first heard of.
     pub(crate) heard: Instant,
     /// What the last question met, if it was not a report.
@@ -54,6 +56,7 @@
             setup,
             seated: true,
             seen: None,
+            marked: Mark::default(),
             heard: now,
             trouble: None,
             distrusted: Instant::ZERO,
