Fuzz the keeper against fake servers and an oracle

A schedule now drives one group through crossed, late, doubled and cut answers, crashes, fences, promotions, lease moves, cancels and fronts that vanish, and an oracle recomputes what was told.

--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -254,6 +254,7 @@
         }
         let read = request.class == Class::Read && !request.run.within;
         if read || !request.attempt.primary {
+            request.ran = true;
             if !self.again(now, key, out) {
                 self.finish(now, key, Outcome::Unknown, Reason::Broken, out);
             }
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -28,6 +28,8 @@
         reason: Reason,
         out: &mut Vec<Effect>,
     ) {
+        let ran = self.requests.get(key).is_some_and(|request| request.ran);
+        let outcome = if ran && outcome == Outcome::NotRun { Outcome::Unknown } else { outcome };
         let end = self.end(now, key, outcome, reason);
         let Some(request) = self.requests.get_mut(key) else {
             return;
@@ -134,8 +136,11 @@
         let Some(request) = self.requests.get_mut(key) else {
             return false;
         };
+        if request.parts > 0 || now >= request.deadline {
+            return false;
+        }
         let spent = self.services.get_mut(request.service).is_none_or(|s| !s.budget.spend());
-        if spent || request.parts > 0 || now >= request.deadline {
+        if spent {
             return false;
         }
         let wait = self.backoff.wait(request.tries);
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -61,6 +61,8 @@
     pub(crate) stage: Stage,
     pub(crate) cause: Cause,
     pub(crate) tries: u32,
+    /// An earlier try may have run.
+    pub(crate) ran: bool,
     /// Nobody waits for its answer any more.
     pub(crate) orphan: bool,
     pub(crate) window: u64,
@@ -114,6 +116,7 @@
             stage: Stage::Parked,
             cause: Cause::NoReplica,
             tries: 0,
+            ran: false,
             orphan: false,
             window: run.window,
             parts: 0,
--- a/components/keeper/src/settle.rs
+++ b/components/keeper/src/settle.rs
@@ -100,7 +100,10 @@
             return Some((Outcome::Done, Reason::None));
         }
         if let Some(established) = established.filter(|found| found.term > attempt.term) {
-            return Some((by_history(attempt, established), Reason::Replaced));
+            // where the server leads again, a try without an end may still run
+            let lives = attempt.over.is_none() && attempt.server == Some(established.primary);
+            let reason = if lives { Reason::Broken } else { Reason::Replaced };
+            return Some((by_history(attempt, established), reason));
         }
         let open_end = attempt.hi.is_none() && attempt.over.is_none();
         if open_end && self.outlived(attempt) {
@@ -177,9 +180,10 @@
         reason: Reason,
         out: &mut Vec<Effect>,
     ) {
-        let Some(request) = self.requests.get(key) else {
+        let Some(request) = self.requests.get_mut(key) else {
             return;
         };
+        request.ran |= outcome == Outcome::Unknown;
         let repeatable = request.class != Class::Write && reason == Reason::Replaced;
         let repeatable = repeatable || self.breaks(Fault::Resend);
         if outcome != Outcome::Done && repeatable && self.again(now, key, out) {
--- /dev/null
+++ b/components/keeper/tests/fuzz/main.rs
@@ -0,0 +1,80 @@
+//! The group under random schedules of faults, against a simple oracle.
+//!
+//! A schedule is drawn from its seed alone. `TREFOIL_FUZZ_SCHEDULES` sets how
+//! many are run, `TREFOIL_FUZZ_FIRST` the first seed.
+
+mod oracle;
+mod server;
+mod wire;
+mod world;
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+
+use arbtest::arbitrary::Unstructured;
+use keeper::Fault;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use world::World;
+
+/// Schedules that are run by default.
+const SCHEDULES: u64 = 300;
+
+/// Schedules in which a broken rule must show.
+const FAULT_SCHEDULES: u64 = 4_000;
+
+/// Bytes that a schedule is drawn from.
+const BYTES: usize = 6_000;
+
+const STEPS: usize = 900;
+
+fn schedules() -> u64 {
+    let given = std::env::var("TREFOIL_FUZZ_SCHEDULES").ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(SCHEDULES)
+}
+
+fn first() -> u64 {
+    let given = std::env::var("TREFOIL_FUZZ_FIRST").ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or_default()
+}
+
+fn run(seed: u64, fault: Option<Fault>) {
+    let mut bytes = vec![0; BYTES];
+    ChaCha8Rng::seed_from_u64(seed).fill_bytes(&mut bytes);
+    let mut u = Unstructured::new(&bytes);
+    let mut world = World::new(fault);
+    for _ in 0..STEPS {
+        if u.is_empty() || world.step(&mut u).is_err() {
+            break;
+        }
+    }
+    world.finish();
+}
+
+#[test]
+fn promises_hold_in_each_schedule() {
+    let first = first();
+    for seed in first..first + schedules() {
+        if let Err(panic) = catch_unwind(|| run(seed, None)) {
+            eprintln!(
+                "failing seed: {seed}; run it alone by TREFOIL_FUZZ_FIRST={seed} TREFOIL_FUZZ_SCHEDULES=1"
+            );
+            std::panic::resume_unwind(panic);
+        }
+    }
+}
+
+fn is_found(fault: Fault) -> bool {
+    let found = (0..FAULT_SCHEDULES)
+        .find(|seed| catch_unwind(AssertUnwindSafe(|| run(*seed, Some(fault)))).is_err());
+    eprintln!("{fault} found by schedule {found:?}");
+    found.is_some()
+}
+
+#[test]
+fn each_broken_rule_is_found() {
+    for fault in
+        [Fault::PrimaryAlone, Fault::Termless, Fault::Resend, Fault::EarlyReuse, Fault::Unverified]
+    {
+        assert!(is_found(fault), "{fault} was not found");
+    }
+}
--- /dev/null
+++ b/components/keeper/tests/fuzz/wire.rs
@@ -0,0 +1,112 @@
+//! Fake connections: what a server is to run, and what it has answered.
+
+use std::collections::VecDeque;
+
+use base::prelude::*;
+use bytes::Bytes;
+use keeper::{Connection, Event, Kind, Piece};
+
+use crate::oracle::{Oracle, Reply, Verb};
+use crate::server::Server;
+
+/// Something that a server is to do for a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Job {
+    Run { id: u64, owner: usize },
+    Rollback,
+    Mark,
+}
+
+/// A transaction that is open at a server.
+#[derive(Clone, Debug, Default)]
+pub struct Open {
+    pub owner: usize,
+    pub ops: Vec<u64>,
+    pub term: Term,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub struct Wire {
+    pub conn: Key<Connection>,
+    pub server: usize,
+    pub standing: bool,
+    pub jobs: VecDeque<Job>,
+    pub open: Option<Open>,
+    /// What is on its way to the group.
+    pub events: VecDeque<Event>,
+    /// Cycles sent whose end the group has not seen.
+    pub due: u32,
+    /// Whether a caller's cycle, not a rollback, is due.
+    pub runs: bool,
+    pub paused: bool,
+}
+
+impl Wire {
+    pub fn new(conn: Key<Connection>, server: usize) -> Self {
+        Self {
+            conn,
+            server,
+            standing: false,
+            jobs: VecDeque::new(),
+            open: None,
+            events: VecDeque::new(),
+            due: 0,
+            runs: false,
+            paused: false,
+        }
+    }
+
+    /// Runs the next job at the server.
+    pub fn execute(&mut self, server: &mut Server, oracle: &mut Oracle) {
+        let Some(job) = self.jobs.pop_front() else {
+            return;
+        };
+        let conn = self.conn;
+        match job {
+            Job::Mark => {
+                let mark = Mark { term: server.term, position: server.last().position };
+                self.events.push_back(Event::Marked { conn, mark });
+            }
+            Job::Rollback => {
+                self.open = None;
+                self.events.push_back(Event::Cycle { conn, status: b'I', failed: false });
+            }
+            Job::Run { id, owner } => self.run(id, owner, server, oracle),
+        }
+    }
+
+    fn run(&mut self, id: u64, owner: usize, server: &mut Server, oracle: &mut Oracle) {
+        let asked = oracle.asked.values().find(|asked| asked.id == id).expect("a known request");
+        let (verb, conn) = (asked.verb, self.conn);
+        if let Some(open) = &self.open {
+            assert_eq!(open.owner, owner, "request {id} ran in another caller's transaction");
+        }
+        let primary = server.role == Role::Primary;
+        let mut failed = false;
+        match verb {
+            Verb::Begin => self.open = Some(Open { owner, ops: Vec::new(), term: server.term }),
+            Verb::Read => {}
+            Verb::Rollback => self.open = None,
+            Verb::Write => match &mut self.open {
+                Some(open) => open.ops.push(id),
+                None if primary => server.append(vec![id]),
+                None => failed = true,
+            },
+            Verb::Commit => match self.open.take() {
+                Some(open) if primary && open.term == server.term => server.append(open.ops),
+                _ => failed = true,
+            },
+        }
+        let number = oracle.replies.len();
+        oracle.replies.push(Reply { id, failed, seen: server.visible() });
+        let kind = match verb {
+            Verb::Commit if !failed => Kind::Commit,
+            _ => Kind::Complete,
+        };
+        let piece = Piece { bytes: Bytes::from(number.to_string()), kind };
+        let status = if self.open.is_some() { b'T' } else { b'I' };
+        self.events.push_back(Event::Piece { conn, piece });
+        self.events.push_back(Event::Cycle { conn, status, failed });
+    }
+}
--- /dev/null
+++ b/components/keeper/tests/fuzz/world.rs
@@ -0,0 +1,762 @@
+//! The world around one group: fronts, servers, connections and time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use base::prelude::*;
+use bytes::Bytes;
+use config::Declarations;
+use keeper::{Connection, Effect, Event, Fault, Front, Group, Lease, Setup, Trouble, event};
+use wire::data::{Class, End, Run};
+
+use crate::oracle::{Asked, Oracle, Verb};
+use crate::server::Server;
+use crate::wire::{Job, Wire};
+
+pub const SERVERS: usize = 3;
+const CALLERS: usize = 6;
+const SLOTS: u32 = 2;
+const DEADLINE_MS: u64 = 3_000;
+const AGE_MS: u64 = 200;
+
+/// A question on its way to a server and back.
+#[derive(Debug)]
+enum Probe {
+    Asked { server: usize, sent: Instant },
+    Answered { status: Status, sent: Instant },
+}
+
+#[derive(Debug, Default)]
+struct Caller {
+    front: usize,
+    open: Option<u64>,
+    within: bool,
+    ops: Vec<u64>,
+    floor: Option<Mark>,
+    known: BTreeSet<u64>,
+}
+
+/// A failover that is under way.
+#[derive(Debug)]
+struct Failover {
+    term: Term,
+    fenced: Vec<usize>,
+    primary: Option<usize>,
+}
+
+#[derive(Debug)]
+pub struct World {
+    now: Instant,
+    group: Group,
+    servers: Vec<Server>,
+    wires: BTreeMap<Key<Connection>, Wire>,
+    /// Jobs of closed connections, with the term in which they wait.
+    ghosts: Vec<(Term, Wire)>,
+    probes: Vec<Probe>,
+    callers: Vec<Caller>,
+    fronts: [Front; 2],
+    oracle: Oracle,
+    failover: Option<Failover>,
+    term: Term,
+    setup: Setup,
+    leased: bool,
+    next: u64,
+    out: Vec<Effect>,
+}
+
+fn declarations() -> Declarations {
+    let service = config::Service {
+        labels: config::Labels::new(),
+        weight: 1,
+        limits: config::Limits { queue: 16, retry_share: 1.0, ..config::Limits::default() },
+        objectives: Vec::new(),
+    };
+    let selector = config::Selector {
+        services: config::Labels::new(),
+        groups: Vec::new(),
+        backends: config::Labels::new(),
+        kinds: BTreeMap::new(),
+    };
+    let name = |text| Name::new(text).expect("a name");
+    Declarations {
+        groups: [(name("group"), config::Group { servers: 3, elects: false })].into(),
+        services: [(name("ring"), service)].into(),
+        selectors: [(name("all"), selector)].into(),
+    }
+}
+
+fn setup(servers: &[Server]) -> Setup {
+    let zone = |index: usize| Name::new(&format!("zone-{index}")).expect("a name");
+    let seat = |(index, server): (usize, &Server)| event::Server {
+        name: server.name.clone(),
+        address: ([127, 0, 0, 1], 5432 + index as u16).into(),
+        zone: zone(index),
+        labels: config::Labels::new(),
+        connections: 4,
+        slots: SLOTS,
+        leaving: false,
+        expired: false,
+    };
+    Setup {
+        declared: SERVERS as u32,
+        primary: None,
+        servers: servers.iter().enumerate().map(seat).collect(),
+        lease: Lease::Held,
+        declarations: Arc::new(declarations()),
+    }
+}
+
+impl World {
+    pub fn new(fault: Option<Fault>) -> Self {
+        let name = |text| Name::new(text).expect("a name");
+        let mut group = Group::new(name("group"), name("zone-0"), 1);
+        if let Some(fault) = fault {
+            group.break_rule(fault);
+        }
+        let mut servers: Vec<_> = (0..SERVERS).map(Server::new).collect();
+        servers[0].fence(Term(1));
+        servers[0].promote(Term(1));
+        servers[1].follow(Term(1), 0);
+        servers[2].follow(Term(1), 0);
+        let mut world = Self {
+            now: Instant::from_millis(1_000),
+            group,
+            setup: setup(&servers),
+            servers,
+            wires: BTreeMap::new(),
+            ghosts: Vec::new(),
+            probes: Vec::new(),
+            callers: (0..CALLERS).map(|n| Caller { front: n % 2, ..Caller::default() }).collect(),
+            fronts: [Front(0), Front(1)],
+            oracle: Oracle::default(),
+            failover: None,
+            term: Term(1),
+            leased: true,
+            next: 2,
+            out: Vec::new(),
+        };
+        world.feed(Event::Setup(world.setup.clone()));
+        world.feed(Event::Leased(true));
+        world.settle_in();
+        world
+    }
+
+    /// Lets the group meet its servers before anything happens.
+    fn settle_in(&mut self) {
+        for _ in 0..40 {
+            self.progress();
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let mut out = std::mem::take(&mut self.out);
+        self.group.on(self.now, event, &mut out);
+        for effect in out.drain(..) {
+            self.act(effect);
+        }
+        self.out = out;
+    }
+
+    fn act(&mut self, effect: Effect) {
+        match effect {
+            Effect::Connect { conn, server, .. } => self.connect(conn, &server),
+            Effect::Send { conn, bytes } => self.send(conn, &bytes),
+            Effect::Mark { conn } => self.push(conn, Job::Mark),
+            Effect::Close { conn } => self.close(conn),
+            Effect::Pause { conn } => self.set_paused(conn, true),
+            Effect::Resume { conn } => self.set_paused(conn, false),
+            Effect::Part { front, part } => {
+                assert!(self.fronts.contains(&front), "a part to a front that is gone");
+                self.oracle.part(front, &part);
+            }
+            Effect::End { front, end } => self.end(front, &end),
+            Effect::Sample { server } => {
+                let server = self.index(&server);
+                self.probes.push(Probe::Asked { server, sent: self.now });
+            }
+            Effect::GiveUp => {
+                assert!(self.wires.is_empty(), "the lease was given up with connections open");
+            }
+            Effect::Cancel { .. } | Effect::Report(_) | Effect::Wake(_) | Effect::Count(_) => {}
+        }
+    }
+
+    fn index(&self, name: &Name) -> usize {
+        self.servers.iter().position(|server| server.name == *name).expect("a known server")
+    }
+
+    fn may_start(&self) -> bool {
+        self.leased && self.setup.lease == Lease::Held
+    }
+
+    fn connect(&mut self, conn: Key<Connection>, server: &Name) {
+        let server = self.index(server);
+        let standing = self.wires.values().filter(|wire| wire.server == server).count();
+        let limit = self.setup.servers[server].connections as usize;
+        assert!(standing < limit, "more connections than the lease allows");
+        assert!(self.may_start(), "a connection without a lease");
+        self.wires.insert(conn, Wire::new(conn, server));
+    }
+
+    fn send(&mut self, conn: Key<Connection>, bytes: &Bytes) {
+        let wire = self.wires.get_mut(&conn).expect("a send on a known connection");
+        assert!(wire.standing, "a send before the connection is open");
+        assert_eq!(wire.due, 0, "a connection was used before its last cycle was over");
+        wire.due += 1;
+        if bytes.starts_with(b"Q") {
+            wire.jobs.push_back(Job::Rollback);
+            return;
+        }
+        wire.runs = true;
+        let server = wire.server;
+        let id: u64 = std::str::from_utf8(bytes).expect("text").parse().expect("an id");
+        let asked = self.oracle.asked.values().find(|asked| asked.id == id);
+        let asked = asked.expect("a known request").clone();
+        assert!(!asked.ended, "request {id} was sent after its end");
+        let running = self.wires.values().filter(|w| w.server == server && w.runs).count();
+        assert!(running <= SLOTS as usize, "more statements than slots");
+        if !asked.within {
+            assert!(self.may_start(), "request {id} was started without a lease");
+            assert!(!self.setup.servers[server].leaving, "request {id} went to a leaving server");
+        }
+        if self.oracle.note_sent(id) {
+            let lives = self.ghosts.iter().any(|(term, ghost)| self.may_write(id, *term, ghost));
+            assert!(!lives, "request {id} was repeated while its first try could run");
+        }
+        self.push(conn, Job::Run { id, owner: asked.caller });
+    }
+
+    /// Whether a write that a broken connection left may still be acknowledged.
+    fn may_write(&self, id: u64, term: Term, ghost: &Wire) -> bool {
+        let waits =
+            ghost.jobs.iter().any(|job| matches!(job, Job::Run { id: other, .. } if *other == id));
+        let server = &self.servers[ghost.server];
+        let leads = server.alive && server.term == term && server.role == Role::Primary;
+        let left = self.servers.iter().filter(|other| other.term > term).count();
+        waits && leads && left < 2
+    }
+
+    fn push(&mut self, conn: Key<Connection>, job: Job) {
+        let wire = self.wires.get_mut(&conn).expect("a known connection");
+        wire.jobs.push_back(job);
+    }
+
+    fn set_paused(&mut self, conn: Key<Connection>, paused: bool) {
+        if let Some(wire) = self.wires.get_mut(&conn) {
+            wire.paused = paused;
+        }
+    }
+
+    /// The group closes a connection: the server may still run what it has.
+    fn close(&mut self, conn: Key<Connection>) {
+        let wire = self.wires.get_mut(&conn).expect("a known connection");
+        let mut ghost = Wire::new(conn, wire.server);
+        std::mem::swap(&mut ghost.jobs, &mut wire.jobs);
+        ghost.open = wire.open.take();
+        ghost.standing = wire.standing;
+        wire.events = [Event::Closed { conn }].into();
+        (wire.paused, wire.runs) = (false, false);
+        if ghost.standing && !ghost.jobs.is_empty() {
+            self.ghosts.push((self.servers[ghost.server].term, ghost));
+        }
+    }
+
+    fn end(&mut self, front: Front, end: &End) {
+        assert!(self.fronts.contains(&front), "an end to a front that is gone");
+        let asked = self.oracle.end(self.now, front, end, &self.servers);
+        assert!(!asked.abandoned, "an end to a caller that is gone");
+        let caller = &mut self.callers[asked.caller];
+        caller.open = None;
+        caller.within = end.status != u32::from(b'I');
+        caller.floor = caller.floor.max(end.mark.map(Mark::from));
+        let done = end.outcome() == wire::data::Outcome::Done;
+        let reply = asked.reply.filter(|_| done);
+        let wrote = reply.is_some_and(|reply| !self.oracle.replies[reply as usize].failed);
+        match asked.verb {
+            Verb::Write if wrote && asked.within => caller.ops.push(asked.id),
+            Verb::Write if wrote => drop(caller.known.insert(asked.id)),
+            Verb::Commit if wrote => caller.known.extend(asked.ops.iter().copied()),
+            _ => {}
+        }
+        if !caller.within {
+            caller.ops.clear();
+        }
+    }
+
+    /// A caller asks for something new.
+    fn ask(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let number = u.choose_index(CALLERS)?;
+        let id = self.next;
+        let caller = &mut self.callers[number];
+        if caller.open.is_some() {
+            return Ok(());
+        }
+        let verb = match (caller.within, u.int_in_range(0..=9_u8)?) {
+            (false | true, 0..=3) => Verb::Write,
+            (false, 4..=7) | (true, 4) => Verb::Read,
+            (false, _) => Verb::Begin,
+            (true, 5..=8) => Verb::Commit,
+            (true, _) => Verb::Rollback,
+        };
+        let class = match (verb, caller.within) {
+            (Verb::Write, false) if u.ratio(1, 4)? => Class::Idempotent,
+            (Verb::Read, false) if u.ratio(3, 4)? => Class::Read,
+            _ => Class::Write,
+        };
+        if u.ratio(1, 8)? {
+            caller.floor = None;
+        }
+        let read = class == Class::Read;
+        let aged = read && u.ratio(1, 3)?;
+        let fresh =
+            !caller.within && !aged && (caller.floor.is_none() || (read && u.ratio(1, 2)?));
+        let front = self.fronts[caller.front];
+        let run = Run {
+            request: id,
+            caller: number as u64,
+            service: "ring".to_owned(),
+            group: "group".to_owned(),
+            class: class as i32,
+            within: caller.within,
+            floor: caller.floor.map(Into::into),
+            fresh,
+            age_ms: if aged { AGE_MS } else { 0 },
+            patience_ms: u64::from(u.int_in_range(0..=20_u8)?),
+            deadline_ms: DEADLINE_MS,
+            payload: Bytes::from(id.to_string()),
+            window: if u.ratio(1, 6)? { 0 } else { 1_000 },
+            commits: verb == Verb::Commit,
+            ..Run::default()
+        };
+        let since = if aged { Some(self.now - Duration::from_millis(AGE_MS)) } else { None };
+        let since = if fresh { Some(self.now) } else { since };
+        // without its floor an aged read promises its age alone
+        let known =
+            if aged && caller.floor.is_none() { BTreeSet::new() } else { caller.known.clone() };
+        let asked = Asked {
+            id,
+            verb,
+            class,
+            within: caller.within,
+            caller: number,
+            since,
+            known,
+            ops: caller.ops.clone(),
+            parts: 0,
+            reply: None,
+            ended: false,
+            abandoned: false,
+        };
+        if class != Class::Write {
+            self.oracle.repeatable.insert(id);
+        }
+        self.next += 1;
+        caller.open = Some(id);
+        self.oracle.asked.insert((front, id), asked);
+        self.feed(Event::Run { front, run });
+        Ok(())
+    }
+
+    /// A caller leaves; a new one takes its place.
+    fn leave(&mut self, number: usize) {
+        let front = self.fronts[self.callers[number].front];
+        self.forget(number);
+        self.feed(Event::Leave { front, caller: number as u64 });
+    }
+
+    fn forget(&mut self, number: usize) {
+        let caller = &mut self.callers[number];
+        let front = self.fronts[caller.front];
+        let open = caller.open.and_then(|id| self.oracle.asked.get_mut(&(front, id)));
+        let commits = open.as_ref().is_some_and(|asked| asked.verb == Verb::Commit);
+        if let Some(asked) = open {
+            asked.abandoned = true;
+        }
+        if caller.within && !commits {
+            self.oracle.never.extend(caller.ops.iter().copied());
+        }
+        *caller = Caller { front: caller.front, ..Caller::default() };
+    }
+
+    fn vanish(&mut self, index: usize) {
+        let gone = self.fronts[index];
+        for number in (0..CALLERS).filter(|number| number % 2 == index) {
+            self.forget(number);
+        }
+        self.fronts[index] = Front(gone.0 + 2);
+        self.feed(Event::Gone { front: gone });
+    }
+
+    pub fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if u.ratio(1, 3)? {
+            let micros = if u.ratio(1, 40)? { 300_000 } else { 2_000 };
+            self.now += Duration::from_micros(u.int_in_range(1..=micros)?);
+        }
+        match u.int_in_range(0..=199_u8)? {
+            0..=34 => self.ask(u)?,
+            35..=84 => self.step_wire(u)?,
+            85..=104 => self.step_probe(u)?,
+            105..=119 => {
+                let server = u.choose_index(SERVERS)?;
+                self.probes.push(Probe::Asked { server, sent: self.now });
+            }
+            120..=144 => self.replicate(u.choose_index(SERVERS)?, u.int_in_range(0..=2)?),
+            145..=159 => self.feed(Event::Tick),
+            160..=164 => self.step_failover(u)?,
+            165 => self.crash(u.choose_index(SERVERS)?),
+            166..=167 => self.revive(u.choose_index(SERVERS)?),
+            168 => self.servers[u.choose_index(SERVERS)?].cut = u.arbitrary()?,
+            169..=171 => self.break_wire(u)?,
+            172 => self.leave(u.choose_index(CALLERS)?),
+            173 if u.ratio(1, 3)? => self.vanish(u.choose_index(2)?),
+            174..=176 => self.cancel_or_credit(u)?,
+            177..=178 => self.change_lease(u)?,
+            179 => self.change_servers(u)?,
+            180..=185 => self.step_ghost(u)?,
+            _ => self.progress_one(),
+        }
+        Ok(())
+    }
+
+    fn step_wire(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.wires.is_empty() {
+            return Ok(());
+        }
+        let busy: Vec<_> =
+            self.wires.values().filter(|wire| is_busy(wire)).map(|w| w.conn).collect();
+        if busy.is_empty() {
+            return Ok(());
+        }
+        let conn = busy[u.choose_index(busy.len())?];
+        if u.arbitrary()? {
+            self.execute(conn);
+        } else {
+            self.deliver(conn);
+        }
+        Ok(())
+    }
+
+    fn execute(&mut self, conn: Key<Connection>) {
+        let Some(wire) = self.wires.get_mut(&conn) else {
+            return;
+        };
+        let closed = matches!(wire.events.back(), Some(Event::Closed { .. }));
+        let server = &mut self.servers[wire.server];
+        if !server.alive || closed {
+            return;
+        }
+        if !wire.standing {
+            return;
+        }
+        wire.execute(server, &mut self.oracle);
+        self.oracle.observe(wire.server, server);
+    }
+
+    fn deliver(&mut self, conn: Key<Connection>) {
+        let Some(wire) = self.wires.get_mut(&conn) else {
+            return;
+        };
+        let closing = matches!(wire.events.front(), Some(Event::Closed { .. }));
+        if !wire.standing && !closing {
+            if self.servers[wire.server].alive {
+                wire.standing = true;
+                self.feed(Event::Opened { conn });
+            } else {
+                self.wires.remove(&conn);
+                self.feed(Event::Closed { conn });
+            }
+            return;
+        }
+        if wire.paused {
+            return;
+        }
+        let Some(event) = wire.events.pop_front() else {
+            return;
+        };
+        match event {
+            Event::Cycle { .. } => {
+                wire.due -= 1;
+                wire.runs = false;
+            }
+            Event::Closed { .. } => drop(self.wires.remove(&conn)),
+            _ => {}
+        }
+        self.feed(event);
+    }
+
+    /// A connection breaks; what the server has answered may be cut.
+    fn break_wire(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.wires.is_empty() {
+            return Ok(());
+        }
+        let index = u.choose_index(self.wires.len())?;
+        let conn = *self.wires.keys().nth(index).expect("an index in range");
+        let kept = u.int_in_range(0..=3)?;
+        self.snap(conn, kept);
+        Ok(())
+    }
+
+    fn snap(&mut self, conn: Key<Connection>, kept: usize) {
+        let Some(wire) = self.wires.get_mut(&conn) else {
+            return;
+        };
+        if matches!(wire.events.back(), Some(Event::Closed { .. })) {
+            return;
+        }
+        let mut ghost = Wire::new(conn, wire.server);
+        std::mem::swap(&mut ghost.jobs, &mut wire.jobs);
+        ghost.open = wire.open.take();
+        wire.events.truncate(kept);
+        wire.events.push_back(Event::Closed { conn });
+        wire.paused = false;
+        if wire.standing && !ghost.jobs.is_empty() {
+            self.ghosts.push((self.servers[ghost.server].term, ghost));
+        }
+    }
+
+    /// A server runs what a broken connection left it, unless it was fenced since.
+    fn step_ghost(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.ghosts.is_empty() {
+            return Ok(());
+        }
+        let (term, mut ghost) = self.ghosts.swap_remove(u.choose_index(self.ghosts.len())?);
+        let server = &mut self.servers[ghost.server];
+        if server.alive && server.term == term {
+            ghost.execute(server, &mut self.oracle);
+            self.oracle.observe(ghost.server, server);
+        }
+        Ok(())
+    }
+
+    fn step_probe(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.probes.is_empty() {
+            return Ok(());
+        }
+        let probe = self.probes.swap_remove(u.choose_index(self.probes.len())?);
+        let again = u.ratio(1, 16)?;
+        if let Probe::Answered { status, sent } = &probe
+            && again
+        {
+            self.probes.push(Probe::Answered { status: status.clone(), sent: *sent });
+        }
+        self.pass_probe(probe);
+        Ok(())
+    }
+
+    fn pass_probe(&mut self, probe: Probe) {
+        match probe {
+            Probe::Answered { status, sent } => self.feed(Event::Status { status, sent }),
+            Probe::Asked { server, sent } => {
+                let asked = &self.servers[server];
+                if asked.alive {
+                    let status = asked.status(self.now);
+                    self.probes.push(Probe::Answered { status, sent });
+                } else {
+                    let server = asked.name.clone();
+                    self.feed(Event::Unreached { server, trouble: Trouble::Refused });
+                }
+            }
+        }
+    }
+
+    fn replicate(&mut self, index: usize, count: usize) {
+        let Some(primary) = self.servers[index].following else {
+            return;
+        };
+        let source = &self.servers[primary];
+        let reaches = source.alive && !source.cut && source.role == Role::Primary;
+        let replica = &self.servers[index];
+        let takes = replica.alive && !replica.cut && replica.term == source.term;
+        if reaches && takes {
+            let log = source.log.clone();
+            self.servers[index].copy(&log, count, self.now);
+            self.oracle.observe(index, &self.servers[index]);
+        }
+        self.servers[index].apply(count / 2);
+    }
+
+    fn step_failover(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.failover.is_none() {
+            if u.ratio(1, 6)? {
+                self.term = Term(self.term.0 + 1);
+                self.failover =
+                    Some(Failover { term: self.term, fenced: Vec::new(), primary: None });
+            }
+            return Ok(());
+        }
+        let target = u.choose_index(SERVERS)?;
+        self.advance(target);
+        Ok(())
+    }
+
+    /// Takes one step of the failover under way, at one server.
+    fn advance(&mut self, target: usize) {
+        let Some(failover) = &mut self.failover else {
+            return;
+        };
+        if !self.servers[target].alive {
+            return;
+        }
+        match failover.primary {
+            None if !failover.fenced.contains(&target) => {
+                self.servers[target].fence(failover.term);
+                failover.fenced.push(target);
+            }
+            None if failover.fenced.len() >= 2 => {
+                let best = failover.fenced.iter().copied().max_by_key(|n| self.servers[*n].last());
+                let best = best.filter(|best| self.servers[*best].alive);
+                let promoted = best.filter(|best| self.servers[*best].promote(failover.term));
+                match promoted {
+                    None => self.failover = None,
+                    promoted => failover.primary = promoted,
+                }
+            }
+            Some(primary) if primary != target => {
+                self.servers[target].follow(failover.term, primary);
+                let follows = |server: &Server| server.following == Some(primary);
+                if self.servers.iter().filter(|server| follows(server)).count() == SERVERS - 1 {
+                    self.failover = None;
+                }
+            }
+            None | Some(_) => {}
+        }
+    }
+
+    fn crash(&mut self, index: usize) {
+        self.servers[index].alive = false;
+        self.ghosts.retain(|(_, ghost)| ghost.server != index);
+        let conns: Vec<_> =
+            self.wires.values().filter(|w| w.server == index).map(|w| w.conn).collect();
+        for conn in conns {
+            self.snap(conn, 1);
+        }
+        self.ghosts.retain(|(_, ghost)| ghost.server != index);
+    }
+
+    fn revive(&mut self, index: usize) {
+        if !self.servers[index].alive {
+            self.servers[index].restart();
+        }
+    }
+
+    fn cancel_or_credit(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let caller = &self.callers[u.choose_index(CALLERS)?];
+        let front = self.fronts[caller.front];
+        if let Some(request) = caller.open {
+            let cancels = u.ratio(1, 4)?;
+            let event = if cancels {
+                Event::Cancel { front, request }
+            } else {
+                Event::Credit { front, request, bytes: 1_000 }
+            };
+            self.feed(event);
+        }
+        Ok(())
+    }
+
+    fn change_lease(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if u.arbitrary()? {
+            self.leased = u.ratio(4, 5)?;
+            self.feed(Event::Leased(self.leased));
+            return Ok(());
+        }
+        self.setup.lease = match u.int_in_range(0..=5_u8)? {
+            0 => Lease::Returning,
+            1 => Lease::None,
+            _ => Lease::Held,
+        };
+        self.feed(Event::Setup(self.setup.clone()));
+        Ok(())
+    }
+
+    fn change_servers(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let server = &mut self.setup.servers[u.choose_index(SERVERS)?];
+        server.leaving = u.ratio(1, 4)?;
+        server.connections = u.int_in_range(2..=6)?;
+        self.feed(Event::Setup(self.setup.clone()));
+        Ok(())
+    }
+
+    fn progress_one(&mut self) {
+        let busy: Vec<_> =
+            self.wires.values().filter(|wire| is_busy(wire)).map(|w| w.conn).collect();
+        for conn in busy {
+            self.execute(conn);
+            self.deliver(conn);
+        }
+    }
+
+    /// Lets everything go on by one step.
+    fn progress(&mut self) {
+        self.now += Duration::from_millis(10);
+        for index in 0..SERVERS {
+            self.replicate(index, 100);
+            self.probes.push(Probe::Asked { server: index, sent: self.now });
+        }
+        for _ in 0..2 {
+            for probe in std::mem::take(&mut self.probes) {
+                self.pass_probe(probe);
+            }
+        }
+        self.progress_one();
+        self.feed(Event::Tick);
+    }
+
+    /// Ends all faults, lets all requests end, and checks what is left.
+    pub fn finish(mut self) {
+        for index in 0..SERVERS {
+            self.revive(index);
+            self.servers[index].cut = false;
+        }
+        self.ghosts.clear();
+        self.term = Term(self.term.0 + 1);
+        self.failover = Some(Failover { term: self.term, fenced: Vec::new(), primary: None });
+        for target in (0..SERVERS).cycle().take(SERVERS * 6) {
+            self.advance(target);
+        }
+        assert!(self.failover.is_none(), "the last failover did not finish");
+        self.leased = true;
+        self.setup.lease = Lease::Held;
+        self.setup.servers.iter_mut().for_each(|server| server.leaving = false);
+        self.feed(Event::Setup(self.setup.clone()));
+        self.feed(Event::Leased(true));
+        for _ in 0..450 {
+            self.credit_all();
+            self.progress();
+        }
+        for (key, asked) in &self.oracle.asked {
+            let owed = !asked.abandoned && self.fronts.contains(&key.0);
+            assert!(asked.ended || !owed, "request {} never ended", asked.id);
+        }
+        let primary = self.servers.iter().max_by_key(|server| server.last()).expect("servers");
+        self.oracle.check_log(primary);
+        self.stop();
+    }
+
+    fn credit_all(&mut self) {
+        for number in 0..CALLERS {
+            let front = self.fronts[self.callers[number].front];
+            if let Some(request) = self.callers[number].open {
+                self.feed(Event::Credit { front, request, bytes: 1_000 });
+            }
+        }
+    }
+
+    fn stop(&mut self) {
+        for number in 0..CALLERS {
+            self.leave(number);
+        }
+        self.leased = true;
+        self.feed(Event::Close);
+        self.setup.lease = Lease::Returning;
+        for _ in 0..300 {
+            self.progress();
+        }
+        assert!(self.group.is_over(), "a planned stop left something open");
+    }
+}
+
+fn is_busy(wire: &Wire) -> bool {
+    !wire.standing || !wire.jobs.is_empty() || !wire.events.is_empty()
+}
