--- /dev/null
+++ b/components/pg/tests/cycles.rs
@@ -0,0 +1,195 @@
+//! Cycles out of any bytes, and answers that are right whoever used the
+//! connection before.
+
+mod server;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use arbtest::arbtest;
+use bytes::{Bytes, BytesMut};
+use pg::answer::Status;
+use pg::cycle::{Cycle, Step};
+use pg::{Caller, Filter, Prepared, frame};
+use pgwire::messages::Message as _;
+use pgwire::messages::extendedquery::{Bind, Close, Describe, Execute, Parse, Sync};
+use pgwire::messages::simplequery::Query;
+use server::Server;
+
+/// Schedules of one fuzz run.
+fn schedules() -> u64 {
+    std::env::var("TREFOIL_FUZZ_SCHEDULES").map_or(300, |text| text.parse().unwrap())
+}
+
+const SIZE: u64 = 4_096;
+
+#[derive(Debug, Default)]
+struct Model {
+    caller: Caller,
+    prepared: Prepared,
+    input: BytesMut,
+    /// A connection of its own, which gets the messages as they are.
+    own: Server,
+}
+
+const TEXTS: [&str; 7] =
+    ["select 1", "select 2", "bad", "fail later", "BEGIN", "COMMIT", "ROLLBACK"];
+
+fn text(u: &mut Unstructured<'_>) -> Result<String> {
+    Ok((*u.choose(&TEXTS)?).to_owned())
+}
+
+fn name(u: &mut Unstructured<'_>) -> Result<Option<String>> {
+    Ok(u.choose(&[None, Some("a"), Some("trefoil_0")])?.map(str::to_owned))
+}
+
+fn cycle(u: &mut Unstructured<'_>) -> Result<Bytes> {
+    let mut bytes = BytesMut::new();
+    if u.ratio(1, 4)? {
+        Query::new(text(u)?).encode(&mut bytes).unwrap();
+        return Ok(bytes.freeze());
+    }
+    for _ in 0..u.int_in_range(0..=8)? {
+        let target = *u.choose(b"SP")?;
+        let encoded = match u.int_in_range(0..=4)? {
+            0 => Parse::new(name(u)?, text(u)?, Vec::new()).encode(&mut bytes),
+            1 => Bind::new(name(u)?, name(u)?, vec![], vec![None], vec![1]).encode(&mut bytes),
+            2 => Describe::new(target, name(u)?).encode(&mut bytes),
+            3 => Execute::new(name(u)?, 0).encode(&mut bytes),
+            _ => Close::new(target, name(u)?).encode(&mut bytes),
+        };
+        encoded.unwrap();
+    }
+    Sync::new().encode(&mut bytes).unwrap();
+    Ok(bytes.freeze())
+}
+
+/// Gives bytes to a caller in pieces of any size; one cycle comes out.
+fn feed(u: &mut Unstructured<'_>, model: &mut Model, mut bytes: &[u8]) -> Result<Cycle> {
+    loop {
+        let length = u.int_in_range(1..=bytes.len())?;
+        model.input.extend_from_slice(&bytes[..length]);
+        bytes = &bytes[length..];
+        while let Some(frame) = frame::take(&mut model.input).unwrap() {
+            match model.caller.on(&frame) {
+                Step::Wait => {}
+                Step::Run(cycle) => {
+                    assert!(bytes.is_empty() && model.input.is_empty());
+                    return Ok(cycle);
+                }
+                step => panic!("{step:?}"),
+            }
+        }
+    }
+}
+
+/// Runs a cycle on the shared connection and returns what the caller gets.
+fn run(
+    u: &mut Unstructured<'_>,
+    model: &mut Model,
+    server: &mut Server,
+    cycle: Cycle,
+) -> Result<Bytes> {
+    let plan = match cycle {
+        Cycle::Query { bytes, .. } => {
+            model.prepared.apply(&pg::prepared::Change::Drop(String::new()));
+            pg::prepared::Plan { payload: bytes, ..Default::default() }
+        }
+        Cycle::Extended(messages) => {
+            let survey = model.prepared.survey(&messages);
+            model.prepared.plan(messages, survey).unwrap()
+        }
+    };
+    let mut answer = server.run(plan.payload.clone());
+    let mut filter = Filter::new(&plan.due);
+    let mut passed = BytesMut::new();
+    let mut part = BytesMut::new();
+    while let Some(frame) = frame::next(&mut answer).unwrap() {
+        part.extend_from_slice(&frame.bytes);
+        if u.ratio(1, 2)? || answer.is_empty() {
+            for piece in filter.feed(&part.split().freeze()).unwrap() {
+                passed.extend_from_slice(&piece);
+            }
+        }
+    }
+    for change in &plan.changes[..filter.own()] {
+        model.prepared.apply(change);
+    }
+    if server.status == Status::Idle {
+        model.prepared.settle();
+    }
+    Ok(passed.freeze())
+}
+
+#[test]
+fn answers_are_those_of_a_connection_of_its_own() {
+    for seed in 0..schedules() {
+        arbtest(|u| {
+            let mut shared = Server::default();
+            let mut models = [Model::default(), Model::default(), Model::default()];
+            let mut turn = 0;
+            for _ in 0..u.int_in_range(1..=24)? {
+                // a transaction has the connection to itself
+                if shared.status == Status::Idle {
+                    turn = u.choose_index(models.len())?;
+                }
+                let model = &mut models[turn];
+                let bytes = cycle(u)?;
+                let taken = feed(u, model, &bytes)?;
+                let answer = run(u, model, &mut shared, taken)?;
+                let wanted = model.own.run(bytes);
+                assert_eq!(answer, wanted, "seed {seed}");
+                assert_eq!(shared.status, model.own.status, "seed {seed}");
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | SIZE)
+        .run();
+    }
+}
+
+#[test]
+fn any_bytes_end_in_a_step() {
+    for seed in 0..schedules() {
+        arbtest(|u| {
+            let mut caller = Caller::new();
+            let mut input = BytesMut::from(u.bytes(u.len().min(512))?);
+            while let Ok(Some(frame)) = frame::take(&mut input) {
+                if matches!(caller.on(&frame), Step::Break(_) | Step::Terminate) {
+                    break;
+                }
+            }
+            let mut packet = BytesMut::from(u.bytes(u.len().min(512))?);
+            drop(pg::startup::take(&mut packet));
+            Ok(())
+        })
+        .seed(seed << 32 | SIZE)
+        .run();
+    }
+}
+
+#[test]
+fn mutated_messages_end_in_a_step() {
+    for seed in 0..schedules() {
+        arbtest(|u| {
+            let mut bytes = cycle(u)?.to_vec();
+            for _ in 0..u.int_in_range(1..=3)? {
+                let index = u.choose_index(bytes.len())?;
+                bytes[index] = u.arbitrary()?;
+            }
+            let (mut caller, mut input) = (Caller::new(), BytesMut::from(bytes.as_slice()));
+            while let Ok(Some(frame)) = frame::take(&mut input) {
+                match caller.on(&frame) {
+                    Step::Break(_) | Step::Terminate => break,
+                    Step::Run(Cycle::Extended(messages)) => {
+                        let mut prepared = Prepared::new();
+                        let survey = prepared.survey(&messages);
+                        drop(prepared.plan(messages, survey));
+                    }
+                    _ => {}
+                }
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | SIZE)
+        .run();
+    }
+}
