--- /dev/null
+++ b/components/entry/tests/front.rs
@@ -0,0 +1,333 @@
+//! A front between callers and keepers.
+
+#[path = "../../pg/tests/server/mod.rs"]
+mod server;
+
+mod fake;
+
+use std::time::Duration;
+
+use fake::{Trick, bench, code, connect, rows};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use wire::data::{Class, Reason, ask};
+
+#[tokio::test]
+async fn can_run_a_simple_query() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    assert_eq!(rows(&client, "select 1").await.unwrap(), ["select 1"]);
+    let run = bench.shared.runs().pop().unwrap();
+    assert_eq!((run.service.as_str(), run.group.as_str()), ("web", "booking"));
+    assert_eq!(run.class(), Class::Write);
+    assert!(run.fresh && run.floor.is_none());
+    assert_eq!(run.version, 7);
+}
+
+#[tokio::test]
+async fn can_run_extended_queries_on_one_shared_connection() {
+    let bench = bench(None).await;
+    let (first, second) = (bench.connect().await, bench.connect().await);
+    let one = first.prepare("select one").await.unwrap();
+    let two = second.prepare("select two").await.unwrap();
+    let other = second.prepare("select other").await.unwrap();
+    for _ in 0..3 {
+        assert_eq!(first.query(&one, &[]).await.unwrap()[0].get::<_, &str>(0), "select one");
+        assert_eq!(second.query(&two, &[]).await.unwrap()[0].get::<_, &str>(0), "select two");
+        let (a, b) = tokio::join!(second.query(&other, &[]), second.query(&two, &[]));
+        assert_eq!(a.unwrap()[0].get::<_, &str>(0), "select other");
+        assert_eq!(b.unwrap()[0].get::<_, &str>(0), "select two");
+    }
+}
+
+#[tokio::test]
+async fn recovers_at_sync_after_an_error() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    let fail = client.prepare("fail later").await.unwrap();
+    assert_eq!(code(client.query(&fail, &[]).await), "22023");
+    assert_eq!(code(client.prepare("bad").await), "22023");
+    assert_eq!(rows(&client, "select 1").await.unwrap(), ["select 1"]);
+}
+
+#[tokio::test]
+async fn can_run_a_transaction_at_one_keeper() {
+    let bench = bench(None).await;
+    let mut client = bench.connect().await;
+    let transaction = client.transaction().await.unwrap();
+    let statement = transaction.prepare("select 1").await.unwrap();
+    transaction.query(&statement, &[]).await.unwrap();
+    transaction.commit().await.unwrap();
+    let runs = bench.shared.runs();
+    assert_eq!(runs.iter().map(|run| run.within).collect::<Vec<_>>(), [false, true, true, true]);
+    assert!(runs.iter().all(|run| run.caller == runs[0].caller));
+    assert!(runs[3].commits && !runs[2].commits);
+}
+
+#[tokio::test]
+async fn reads_of_a_declared_kind_carry_the_floor() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    rows(&client, "update t").await.unwrap();
+    rows(&client, "SELECT  seat from map").await.unwrap();
+    rows(&client, "select x /*kind='seat-map'*/").await.unwrap();
+    rows(&client, "select seat from map; delete from map").await.unwrap();
+    let runs = bench.shared.runs();
+    assert_eq!((runs[1].class(), runs[1].floor.unwrap().position), (Class::Read, 1));
+    assert_eq!(runs[2].class(), Class::Read);
+    assert_eq!(runs[3].class(), Class::Write);
+}
+
+#[tokio::test]
+async fn a_session_goes_on_elsewhere_by_its_token() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    rows(&client, "update t").await.unwrap();
+    let token = rows(&client, "SHOW trefoil.session").await.unwrap().remove(0);
+    let elsewhere = fake::bench(None).await;
+    let other = elsewhere.connect().await;
+    rows(&other, &format!("SET trefoil.session = '{token}'")).await.unwrap();
+    rows(&other, "select 1").await.unwrap();
+    let run = elsewhere.shared.runs().pop().unwrap();
+    assert_eq!(run.floor.unwrap().position, 1);
+    assert!(!run.fresh);
+    let mut config = elsewhere.config();
+    config.options(format!("-c trefoil.session={token}"));
+    let third = connect(&config).await.unwrap();
+    rows(&third, "select 1").await.unwrap();
+    assert!(elsewhere.shared.runs().pop().unwrap().floor.is_some());
+    config.user("desk");
+    assert_eq!(code(connect(&config).await), "TF003");
+    assert_eq!(code(other.simple_query("SET trefoil.session = 'forged'").await), "TF003");
+}
+
+#[tokio::test]
+async fn only_a_proved_not_run_goes_to_the_other_keeper() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    for reason in [Reason::WrongKeeper, Reason::Closing, Reason::Unavailable] {
+        bench.shared.trick(Trick::NotRun(reason));
+        assert_eq!(rows(&client, "update t").await.unwrap(), ["update t"]);
+    }
+    bench.shared.trick(Trick::NotRun(Reason::QueueFull));
+    let error = client.simple_query("update t").await.unwrap_err();
+    let error = error.as_db_error().unwrap();
+    assert_eq!((error.code().code(), error.hint()), ("TF001", Some("retry after 70 ms")));
+    bench.shared.trick(Trick::Unknown(Reason::Replaced));
+    assert_eq!(code(client.simple_query("update t").await), "TF002");
+    let before = bench.shared.runs().len();
+    bench.shared.trick(Trick::Break);
+    assert_eq!(code(client.simple_query("update t").await), "TF002");
+    assert_eq!(bench.shared.runs().len(), before + 1);
+    bench.shared.trick(Trick::Repeat);
+    assert_eq!(code(client.simple_query("update t").await), "TF002");
+    assert_eq!(rows(&client, "update t").await.unwrap(), ["update t"]);
+}
+
+#[tokio::test]
+async fn a_declared_read_is_tried_again_when_its_link_breaks() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    bench.shared.trick(Trick::Break);
+    assert_eq!(rows(&client, "select seat").await.unwrap(), ["select seat"]);
+    assert_eq!(bench.shared.runs().len(), 2);
+}
+
+#[tokio::test]
+async fn a_transaction_whose_keeper_is_lost_stays_failed_to_its_end() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    client.simple_query("BEGIN").await.unwrap();
+    bench.shared.trick(Trick::Break);
+    assert_eq!(code(client.simple_query("update t").await), "TF001");
+    let before = bench.shared.runs().len();
+    assert_eq!(code(client.simple_query("update t").await), "25P02");
+    client.simple_query("COMMIT").await.unwrap();
+    assert_eq!(bench.shared.runs().len(), before);
+    client.simple_query("BEGIN").await.unwrap();
+    bench.shared.trick(Trick::Break);
+    assert_eq!(code(client.simple_query("COMMIT").await), "TF002");
+    assert_eq!(rows(&client, "update t").await.unwrap(), ["update t"]);
+}
+
+#[tokio::test]
+async fn a_refused_feature_fails_its_transaction() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    assert_eq!(code(client.simple_query("LISTEN x").await), "TF004");
+    assert_eq!(code(client.simple_query("SET timezone = 'Europe/Budapest'").await), "TF004");
+    client.simple_query("BEGIN").await.unwrap();
+    assert_eq!(code(client.simple_query("LISTEN x").await), "TF004");
+    assert_eq!(code(client.simple_query("update t").await), "25P02");
+    client.simple_query("ROLLBACK").await.unwrap();
+    let asks = bench.shared.asks.lock().unwrap();
+    assert!(asks.iter().any(|body| matches!(body, ask::Body::Leave(_))));
+}
+
+#[tokio::test]
+async fn answers_statements_about_the_session_itself() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    client
+        .batch_execute("SET extra_float_digits = 3; SET client_encoding TO 'UTF8'")
+        .await
+        .unwrap();
+    assert_eq!(rows(&client, "SHOW timezone").await.unwrap(), ["UTC"]);
+    let statement = client.prepare("SHOW trefoil.session").await.unwrap();
+    let row = client.query_one(&statement, &[]).await.unwrap();
+    assert!(row.get::<_, &str>(0).len() > 20);
+    client.batch_execute("DISCARD ALL").await.unwrap();
+    assert!(bench.shared.runs().is_empty());
+}
+
+#[tokio::test]
+async fn refuses_logins_that_are_wrong() {
+    let verifier = pg::scram::Verifier::new("right", &[7; 16]);
+    let bench = bench(Some(&format!("web:{verifier}\n"))).await;
+    let mut config = bench.config();
+    config.password("right");
+    connect(&config).await.unwrap();
+    assert_eq!(code(connect(config.clone().password("wrong")).await), "28P01");
+    assert_eq!(code(connect(config.clone().user("nobody")).await), "28P01");
+    assert_eq!(code(connect(config.clone().dbname("nowhere")).await), "3D000");
+    assert_eq!(code(connect(config.clone().dbname("closed")).await), "28000");
+    let open = fake::bench(None).await;
+    assert_eq!(code(connect(open.config().user("nobody")).await), "28000");
+    assert_eq!(code(connect(open.config().options("-c timezone=CET")).await), "TF004");
+}
+
+#[tokio::test]
+async fn can_cancel_its_own_statement_only() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    bench.shared.trick(Trick::Late(Duration::from_millis(300)));
+    let token = client.cancel_token();
+    let query = client.simple_query("update t");
+    let cancel = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        token.cancel_query(tokio_postgres::NoTls).await.unwrap();
+    };
+    let (answer, ()) = tokio::join!(query, cancel);
+    answer.unwrap();
+    let asks = bench.shared.asks.lock().unwrap();
+    let cancelled = |body: &ask::Body| matches!(body, ask::Body::Cancel(c) if c.request == 1);
+    assert!(asks.iter().any(cancelled));
+}
+
+#[tokio::test]
+async fn large_answers_are_given_credit() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    bench.shared.trick(Trick::Large(200 << 10));
+    assert_eq!(rows(&client, "select all").await.unwrap().len(), 203);
+    let asks = bench.shared.asks.lock().unwrap();
+    assert!(asks.iter().any(|body| matches!(body, ask::Body::Credit(_))));
+}
+
+async fn answer_to(address: std::net::SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    drop(tokio::time::timeout(Duration::from_secs(5), read).await.expect("it closes"));
+    answer
+}
+
+fn startup() -> Vec<u8> {
+    let body = b"\0\x03\0\0user\0web\0database\0booking\0\0";
+    let mut packet = (body.len() as u32 + 4).to_be_bytes().to_vec();
+    packet.extend_from_slice(body);
+    packet
+}
+
+fn holds(answer: &[u8], text: &str) -> bool {
+    answer.windows(text.len()).any(|window| window == text.as_bytes())
+}
+
+#[tokio::test]
+async fn garbage_ends_in_an_error() {
+    let bench = bench(None).await;
+    assert!(holds(&answer_to(bench.address, b"GET / HTTP/1.1\r\n\r\n").await, "08P01"));
+    let oversized = [&0x7fff_ffff_u32.to_be_bytes()[..], b"\0\x03\0\0"].concat();
+    assert!(holds(&answer_to(bench.address, &oversized).await, "08P01"));
+    for message in [
+        &b"Q\x7f\0\0\0"[..],
+        b"Z\0\0\0\x04",
+        b"Q\0\0\0\x03",
+        b"P\0\0\0\x05\0",
+        b"Q\0\0\0\x06\xff\0",
+    ] {
+        let answer = answer_to(bench.address, &[startup().as_slice(), message].concat()).await;
+        assert!(holds(&answer, "08P01") || holds(&answer, "22021"), "{message:?}");
+    }
+    let client = bench.connect().await;
+    assert_eq!(rows(&client, "select 1").await.unwrap(), ["select 1"]);
+}
+
+#[tokio::test]
+async fn half_open_starts_hold_nobody_up() {
+    let bench = bench(None).await;
+    let mut open = Vec::new();
+    for length in [0, 1, 4, 8, 20] {
+        let mut stream = TcpStream::connect(bench.address).await.unwrap();
+        stream.write_all(&startup()[..length]).await.unwrap();
+        open.push(stream);
+    }
+    let client = bench.connect().await;
+    assert_eq!(rows(&client, "select 1").await.unwrap(), ["select 1"]);
+}
+
+#[tokio::test]
+async fn pipelined_messages_are_answered_in_order() {
+    let bench = bench(None).await;
+    let mut bytes = startup();
+    for text in ["one", "two", "three"] {
+        let length = (text.len() as u32 + 5).to_be_bytes();
+        bytes.extend_from_slice(&[b"Q", &length[..], text.as_bytes(), b"\0"].concat());
+    }
+    bytes.extend_from_slice(b"H\0\0\0\x04S\0\0\0\x04X\0\0\0\x04");
+    let answer = answer_to(bench.address, &bytes).await;
+    let at = |text: &str| answer.windows(text.len()).position(|w| w == text.as_bytes());
+    assert!(at("one") < at("two") && at("two") < at("three") && at("three") < at("TF004"));
+    assert!(answer.ends_with(b"Z\0\0\0\x05I"));
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_nothing() {
+    let bench = bench(None).await;
+    let (idle, busy, open) = (bench.connect().await, bench.connect().await, bench.connect().await);
+    rows(&idle, "select 1").await.unwrap();
+    open.simple_query("BEGIN").await.unwrap();
+    bench.shared.trick(Trick::Late(Duration::from_millis(200)));
+    let running = busy.simple_query("update t");
+    let ending = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        open.simple_query("update t").await.unwrap();
+        open.simple_query("COMMIT").await.unwrap();
+    };
+    let close = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        bench.front.close(Duration::from_secs(10)).await
+    };
+    let (answer, (), cut) = tokio::join!(running, ending, close);
+    answer.unwrap();
+    assert_eq!(cut, 0);
+    assert!(idle.is_closed() && open.is_closed());
+    assert!(connect(&bench.config()).await.is_err());
+}
+
+#[tokio::test]
+async fn an_entry_without_a_lease_takes_no_callers() {
+    let bench = fake::bench_with(None, Duration::ZERO, std::sync::Arc::default(), &[]).await;
+    assert_eq!(code(connect(&bench.config()).await), "57P03");
+}
+
+#[tokio::test]
+async fn a_group_without_a_keeper_runs_nothing() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    bench.view.write(|state| state.groups.clear());
+    let error = client.simple_query("update t").await.unwrap_err();
+    assert_eq!(error.code().unwrap().code(), "TF001");
+    assert!(bench.shared.runs().is_empty());
+}
--- /dev/null
+++ b/programs/trefoil-entry/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! The commands.
+
+pub mod run;
+pub mod user;
--- /dev/null
+++ b/programs/trefoil-entry/src/cmd/run.rs
@@ -0,0 +1,77 @@
+//! Runs an entry until it is told to stop.
+
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use base::clock::Clock;
+use entry::front::tls::Tls;
+use slog::{error, info};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::cli::Run;
+
+/// Runs an entry. SIGTERM and SIGINT stop it as planned.
+pub fn run(run: Run) -> ExitCode {
+    let log = telemetry::logger("trefoil-entry", run.level, run.format);
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            error!(log, "could not start"; "error" => %error);
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(serve(run, log))
+}
+
+async fn serve(run: Run, log: slog::Logger) -> ExitCode {
+    let signals = signal(SignalKind::terminate()).and_then(|terminate| {
+        signal(SignalKind::interrupt()).map(|interrupt| (terminate, interrupt))
+    });
+    let (terminate, interrupt) = match signals {
+        Ok(signals) => signals,
+        Err(error) => {
+            error!(log, "could not listen for signals"; "error" => %error);
+            return ExitCode::FAILURE;
+        }
+    };
+    let stop = run.stop;
+    let bound = match entry::bind(settings(run, log.clone())).await {
+        Ok(bound) => bound,
+        Err(report) => {
+            error!(log, "could not start"; "error" => ?report);
+            return ExitCode::FAILURE;
+        }
+    };
+    let addresses = bound.addresses();
+    let handle = bound.start();
+    info!(log, "started"; "callers" => %addresses.callers, "link" => %addresses.link,
+        "web" => %addresses.web);
+    told(terminate, interrupt).await;
+    handle.stop_as(stop).await;
+    ExitCode::SUCCESS
+}
+
+async fn told(mut terminate: Signal, mut interrupt: Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+fn settings(run: Run, log: slog::Logger) -> entry::Settings {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    entry::Settings {
+        name: run.name,
+        zone: run.zone,
+        incarnation: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
+        callers: run.callers,
+        link: run.link,
+        web: run.web,
+        controls: run.controls,
+        key: run.key,
+        users: run.users,
+        tls: run.tls.map(|(cert, key)| Tls { cert, key }),
+        log,
+        clock: Clock::start(),
+    }
+}
--- a/programs/trefoil-entry/src/main.rs
+++ b/programs/trefoil-entry/src/main.rs
@@ -1,3 +1,14 @@
 //! Entry point.
 
-fn main() {}
+mod cli;
+mod cmd;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match cli::parse() {
+        Ok(cli::Command::Run(settings)) => cmd::run::run(*settings),
+        Ok(cli::Command::User(name)) => cmd::user::user(&name),
+        Err(failure) => telemetry::cli::show(failure),
+    }
+}
