--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -215,6 +215,9 @@
         if request.orphan {
             return self.finish(now, key, Outcome::Done, Reason::None, out);
         }
+        if let Some(server) = request.attempt.server.and_then(|key| self.servers.get_mut(key)) {
+            server.marked = server.marked.max(mark);
+        }
         if mark.term == request.attempt.term {
             request.attempt.hi = Some(mark);
             request.stage = Stage::Acking;
@@ -251,6 +254,7 @@
         }
         let read = request.class == Class::Read && !request.run.within;
         if read || !request.attempt.primary {
+            request.ran = true;
             if !self.again(now, key, out) {
                 self.finish(now, key, Outcome::Unknown, Reason::Broken, out);
             }
--- a/programs/trefoil-entry/src/main.rs
+++ b/programs/trefoil-entry/src/main.rs
@@ -9,6 +9,6 @@
     match cli::parse() {
         Ok(cli::Command::Run(settings)) => cmd::run::run(*settings),
         Ok(cli::Command::User(name)) => cmd::user::user(&name),
-        Err(failure) => telemetry::cli::show(failure),
+        Err(failure) => telemetry::cli::show(&failure),
     }
 }
