Run the whole path in one process, for a newcomer

Cause: the parts stood side by side and had not met. Change: local starts control members, entries and stand-in groups on loopback; trefoil-local is its command. A member can be cut off in silence for tests.

--- /dev/null
+++ b/components/local/src/cluster.rs
@@ -0,0 +1,390 @@
+//! Starts all parts in one process, and stops or breaks them.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+
+use base::clock::Clock;
+use base::prelude::*;
+use slog::{Logger, info};
+use tempfile::TempDir;
+use tokio::sync::Mutex;
+
+use crate::fault;
+use crate::scenario::{self, Scenario};
+
+/// Longest time for the parts to find each other.
+pub const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+const READY_POLL: Duration = Duration::from_millis(20);
+
+/// What to start.
+#[derive(Debug)]
+pub struct Settings {
+    /// Sizes and declarations.
+    pub scenario: Scenario,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of control members.
+    pub controls: usize,
+    /// Address of the first entry; the others take the ports after it.
+    /// Port 0 takes free ones.
+    pub listen: SocketAddr,
+    /// Address of the first control member's web server.
+    pub admin: SocketAddr,
+    /// Folder for the control members' data; a temporary one when not given.
+    pub data: Option<PathBuf>,
+    /// Lag of the replicas.
+    pub lag: Duration,
+    /// Seed of all chance.
+    pub seed: u64,
+    /// Where events go.
+    pub log: Logger,
+}
+
+impl Settings {
+    /// Settings on free ports of loopback.
+    pub fn new(scenario: Scenario, log: Logger) -> Self {
+        let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            scenario,
+            entries: 3,
+            controls: 3,
+            listen: free,
+            admin: free,
+            data: None,
+            lag: scenario::LAG,
+            seed: 1,
+            log,
+        }
+    }
+}
+
+/// Why the parts did not come up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+pub enum Failure {
+    /// No folder for data.
+    Data,
+    /// A control member did not start.
+    Member,
+    /// An entry did not start.
+    Entry,
+    /// A stand-in group did not start.
+    Group,
+    /// The declarations of the example were not accepted.
+    Declarations,
+    /// The parts did not find each other in time.
+    Timeout,
+}
+
+impl std::error::Error for Failure {}
+
+/// A running set of all parts.
+#[derive(Debug)]
+pub struct Cluster {
+    settings: Settings,
+    clock: Clock,
+    key: link::Key,
+    // kept so that a temporary folder lives as long as its users
+    _folder: Option<TempDir>,
+    members: Vec<Member>,
+    entries: Mutex<Vec<Entry>>,
+    groups: fault::Groups,
+}
+
+#[derive(Debug)]
+struct Member {
+    peer: member::Peer,
+    handle: Mutex<Option<member::Handle>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    name: Name,
+    zone: Name,
+    callers: SocketAddr,
+    link: SocketAddr,
+    web: SocketAddr,
+    starts: u64,
+    handle: Option<entry::Handle>,
+}
+
+impl Cluster {
+    /// Starts all parts and waits until each entry can serve callers.
+    ///
+    /// # Errors
+    /// [`Failure`], with the part's own failure below it.
+    pub async fn start(settings: Settings) -> Result<Self, Report<Failure>> {
+        let clock = Clock::start();
+        let key = draw_key();
+        let (data, folder) = data(&settings)?;
+        let groups = fault::Groups::default();
+        let members = members(&settings, &data, &key, clock, &groups).await?;
+        let webs: Vec<_> = members.iter().map(|member| member.peer.web).collect();
+        groups.start(&settings, &webs).await?;
+        let cluster = Self {
+            entries: Mutex::new(entries(&settings)?),
+            settings,
+            clock,
+            key,
+            _folder: folder,
+            members,
+            groups,
+        };
+        cluster.declare().await?;
+        for index in 0..cluster.settings.entries {
+            cluster.start_entry(index).await?;
+        }
+        cluster.settle().await?;
+        Ok(cluster)
+    }
+
+    /// Callers' address of each entry.
+    pub async fn entries(&self) -> Vec<SocketAddr> {
+        self.entries.lock().await.iter().map(|entry| entry.callers).collect()
+    }
+
+    /// Web address of each entry.
+    pub async fn webs(&self) -> Vec<SocketAddr> {
+        self.entries.lock().await.iter().map(|entry| entry.web).collect()
+    }
+
+    /// Web address of each control member.
+    pub fn admins(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|member| member.peer.web).collect()
+    }
+
+    /// The stand-in groups.
+    pub fn groups(&self) -> &fault::Groups {
+        &self.groups
+    }
+
+    /// Ends an entry as a planned stop does.
+    pub async fn stop_entry(&self, index: usize) {
+        let handle = self.entries.lock().await[index].handle.take();
+        if let Some(handle) = handle {
+            handle.stop().await;
+        }
+    }
+
+    /// Ends an entry as a crash does.
+    pub async fn kill_entry(&self, index: usize) {
+        let handle = self.entries.lock().await[index].handle.take();
+        if let Some(handle) = handle {
+            handle.kill();
+        }
+    }
+
+    /// Starts an entry that does not run, at its old addresses.
+    ///
+    /// # Errors
+    /// [`Failure::Entry`].
+    pub async fn start_entry(&self, index: usize) -> Result<(), Report<Failure>> {
+        let mut entries = self.entries.lock().await;
+        let controls = self.members.iter().map(|member| member.peer.link).collect();
+        let entry = &mut entries[index];
+        entry.starts += 1;
+        let bound = entry::bind(entry::Settings {
+            name: entry.name.clone(),
+            zone: entry.zone.clone(),
+            incarnation: entry.starts,
+            callers: entry.callers,
+            link: entry.link,
+            web: entry.web,
+            controls,
+            key: self.key.clone(),
+            users: None,
+            tls: None,
+            log: self.settings.log.clone(),
+            clock: self.clock,
+        });
+        let bound = bound.await.change_context(Failure::Entry)?;
+        let addresses = bound.addresses();
+        entry.callers = addresses.callers;
+        entry.link = addresses.link;
+        entry.web = addresses.web;
+        entry.handle = Some(bound.start());
+        Ok(())
+    }
+
+    /// Stops an entry as planned and starts it again.
+    ///
+    /// # Errors
+    /// [`Failure::Entry`].
+    pub async fn restart_entry(&self, index: usize) -> Result<(), Report<Failure>> {
+        self.stop_entry(index).await;
+        self.start_entry(index).await
+    }
+
+    /// Cuts a control member off from all others, or lets it back.
+    pub async fn isolate_control(&self, index: usize, isolated: bool) {
+        if let Some(handle) = self.members[index].handle.lock().await.as_ref() {
+            handle.isolate(isolated);
+        }
+    }
+
+    /// Stops all parts, callers first.
+    pub async fn stop(self) {
+        for index in 0..self.settings.entries {
+            self.stop_entry(index).await;
+        }
+        self.groups.stop().await;
+        for member in &self.members {
+            let handle = member.handle.lock().await.take();
+            if let Some(handle) = handle {
+                handle.stop().await;
+            }
+        }
+        info!(self.settings.log, "all parts stopped");
+    }
+
+    async fn declare(&self) -> Result<(), Report<Failure>> {
+        let declarations = self.settings.scenario.declarations();
+        let declarations = declarations.change_context(Failure::Declarations)?;
+        let change = serde_json::json!({
+            "change": "first",
+            "base": 0,
+            "content": declarations.canonical(),
+        });
+        let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
+        let client = reqwest::Client::new();
+        for admin in self.admins().into_iter().cycle() {
+            let url = format!("http://{admin}/v1/changes");
+            let answer = client.post(url).json(&change).send().await;
+            match answer.map(|answer| answer.status()) {
+                Ok(status) if status.is_success() => return Ok(()),
+                // data of an earlier run holds a configuration already
+                Ok(reqwest::StatusCode::CONFLICT) => return Ok(()),
+                Ok(reqwest::StatusCode::BAD_REQUEST) => break,
+                Ok(_) | Err(_) => tokio::time::sleep(READY_POLL).await,
+            }
+            if tokio::time::Instant::now() > deadline {
+                return Err(Report::new(Failure::Timeout));
+            }
+        }
+        Err(Report::new(Failure::Declarations))
+    }
+
+    /// Waits until each entry is ready and each group has a primary.
+    async fn settle(&self) -> Result<(), Report<Failure>> {
+        let client = reqwest::Client::new();
+        let waits = async {
+            for web in self.webs().await {
+                until(async || is_ready(&client, web).await).await;
+            }
+            for address in self.entries().await {
+                for group in self.settings.scenario.groups() {
+                    until(async || serves(address, self.settings.scenario, group).await).await;
+                }
+            }
+        };
+        tokio::time::timeout(READY_TIMEOUT, waits).await.change_context(Failure::Timeout)
+    }
+}
+
+async fn until(holds: impl AsyncFn() -> bool) {
+    while !holds().await {
+        tokio::time::sleep(READY_POLL).await;
+    }
+}
+
+async fn is_ready(client: &reqwest::Client, web: SocketAddr) -> bool {
+    let answer = client.get(format!("http://{web}/ready")).send().await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
+
+async fn serves(address: SocketAddr, scenario: Scenario, group: &str) -> bool {
+    let mut config = tokio_postgres::Config::new();
+    config.host(address.ip().to_string()).port(address.port());
+    config.user(scenario.service()).dbname(group);
+    let Ok((client, connection)) = config.connect(tokio_postgres::NoTls).await else {
+        return false;
+    };
+    let driver = tokio::spawn(connection);
+    let served = client.simple_query("select 1").await.is_ok();
+    drop(client);
+    drop(driver.await);
+    served
+}
+
+fn data(settings: &Settings) -> Result<(PathBuf, Option<TempDir>), Report<Failure>> {
+    if let Some(path) = &settings.data {
+        return Ok((path.clone(), None));
+    }
+    let folder = TempDir::with_prefix("trefoil-").change_context(Failure::Data)?;
+    Ok((folder.path().to_owned(), Some(folder)))
+}
+
+fn draw_key() -> link::Key {
+    let mut bytes = [0; link::key::LEAST_BYTES * 2];
+    rand::Rng::fill_bytes(&mut rand::rng(), &mut bytes);
+    link::Key::new(&bytes).expect("the key is long enough")
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).expect("names of the examples are valid")
+}
+
+fn zone(scenario: Scenario, index: usize) -> Name {
+    let zones = scenario.zones();
+    name(zones[index % zones.len()])
+}
+
+async fn members(
+    settings: &Settings,
+    data: &std::path::Path,
+    key: &link::Key,
+    clock: Clock,
+    groups: &fault::Groups,
+) -> Result<Vec<Member>, Report<Failure>> {
+    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let mut bound = Vec::new();
+    let mut peers = Vec::new();
+    for index in 0..settings.controls {
+        let name = name(&format!("control-{}", index + 1));
+        let member = member::bind(member::Settings {
+            data: data.join(name.as_str()),
+            name: name.clone(),
+            link: free,
+            web: if index == 0 { settings.admin } else { free },
+            key: key.clone(),
+            log: settings.log.clone(),
+            clock,
+            seed: settings.seed.wrapping_add(index as u64),
+        });
+        let member = member.await.change_context(Failure::Member)?;
+        let addresses = member.addresses();
+        peers.push(member::Peer { name, link: addresses.link, web: addresses.web });
+        bound.push(member);
+    }
+    let mut members = Vec::new();
+    for (member, peer) in bound.into_iter().zip(&peers) {
+        let handle = member.start(peers.clone(), fault::routes(groups.clone()));
+        let handle = handle.change_context(Failure::Member)?;
+        members.push(Member { peer: peer.clone(), handle: Mutex::new(Some(handle)) });
+    }
+    Ok(members)
+}
+
+fn entries(settings: &Settings) -> Result<Vec<Entry>, Report<Failure>> {
+    let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let first = settings.listen.port();
+    let address = |index: usize| -> Result<SocketAddr, Report<Failure>> {
+        if first == 0 {
+            return Ok(settings.listen);
+        }
+        let port = u16::try_from(index).ok().and_then(|index| first.checked_add(index));
+        Ok(SocketAddr::new(settings.listen.ip(), port.ok_or(Failure::Entry)?))
+    };
+    let entry = |index: usize| {
+        Ok(Entry {
+            name: name(&format!("entry-{}", index + 1)),
+            zone: zone(settings.scenario, index),
+            callers: address(index)?,
+            link: free,
+            web: free,
+            starts: 0,
+            handle: None,
+        })
+    };
+    (0..settings.entries).map(entry).collect()
+}
--- a/components/member/src/entry.rs
+++ b/components/member/src/entry.rs
@@ -8,6 +8,7 @@
 
 use crate::follow::Follower;
 use crate::input::{Input, Sender};
+use crate::link::End;
 
 /// Messages that may wait for one entry; a slower one is dropped and comes back.
 const QUEUE: usize = 512;
@@ -22,6 +23,7 @@
 pub(crate) async fn serve(
     mut reader: Reader,
     mut writer: Writer,
+    end: &End,
     core: &Sender,
 ) -> Result<(), Report<Failure>> {
     let first = tokio::time::timeout(FOLLOW_TIMEOUT, reader.next::<Up>()).await;
@@ -36,8 +38,8 @@
         return refuse(&mut writer).await;
     };
     let ended = tokio::select! {
-        ended = take(&mut reader, key, core) => ended,
-        ended = give(&mut writer, &mut due) => ended,
+        ended = take(&mut reader, key, end, core) => ended,
+        ended = give(&mut writer, end, &mut due) => ended,
     };
     drop(core.send(Input::Closed { key }).await);
     ended
@@ -51,6 +53,7 @@
 async fn take(
     reader: &mut Reader,
     key: Key<Follower>,
+    end: &End,
     core: &Sender,
 ) -> Result<(), Report<Failure>> {
     while let Some(up) = reader.next::<Up>().await? {
@@ -61,6 +64,9 @@
             Some(up::Body::Follow(_)) => return Err(Report::new(Failure::Garbled)),
             None => continue,
         };
+        if end.is_cut() {
+            continue;
+        }
         if core.send(input).await.is_err() {
             return Ok(());
         }
@@ -68,10 +74,18 @@
     Ok(())
 }
 
-async fn give(writer: &mut Writer, due: &mut mpsc::Receiver<Down>) -> Result<(), Report<Failure>> {
+async fn give(
+    writer: &mut Writer,
+    end: &End,
+    due: &mut mpsc::Receiver<Down>,
+) -> Result<(), Report<Failure>> {
     let mut burst = Vec::with_capacity(BURST);
     while due.recv_many(&mut burst, BURST).await > 0 {
         for down in burst.drain(..) {
+            if end.is_cut() {
+                // a gap would look like a broken member, so the link ends
+                return Err(Report::new(Failure::Cut));
+            }
             writer.put(&down)?;
         }
         writer.flush().await?;
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -164,10 +164,12 @@
         let quorum = quorum::Settings::new(own.id, seed);
         let replica = Replica::new(now, quorum, opened.stored);
         let fresh = Arc::new(AtomicBool::new(replica.is_fresh()));
+        let cut = Arc::new(AtomicBool::new(false));
         let end = link::End {
             own: own.clone(),
             key: settings.key.clone(),
             fresh: Arc::clone(&fresh),
+            cut: Arc::clone(&cut),
             log: log.clone(),
         };
         let (meter, metrics) = Meter::new();
@@ -217,7 +219,7 @@
             core_task.run(inputs).await;
             ended.cancel();
         });
-        Ok(Handle { core, scope, disk, addresses })
+        Ok(Handle { core, scope, disk, addresses, cut })
     }
 }
 
@@ -263,6 +265,7 @@
     scope: Scope,
     disk: Disk,
     addresses: Addresses,
+    cut: Arc<AtomicBool>,
 }
 
 impl Handle {
@@ -276,6 +279,11 @@
         self.scope.token.cancelled().await;
     }
 
+    /// Cuts the member off from members and entries, in silence, or ends that.
+    pub fn isolate(&self, cut: bool) {
+        self.cut.store(cut, std::sync::atomic::Ordering::Release);
+    }
+
     /// A planned stop: hands leadership over, finishes answers, ends.
     pub async fn stop(mut self) {
         if self.core.send(Input::Stop).await.is_ok() {
--- a/components/member/src/link.rs
+++ b/components/member/src/link.rs
@@ -22,6 +22,8 @@
     pub(crate) own: Member,
     pub(crate) key: Key,
     pub(crate) fresh: Arc<AtomicBool>,
+    /// Whether the member is cut off from all others, for tests of that.
+    pub(crate) cut: Arc<AtomicBool>,
     pub(crate) log: Logger,
 }
 
@@ -31,6 +33,10 @@
         Peer::new(&self.own.name, self.own.id, purpose)
     }
 
+    pub(crate) fn is_cut(&self) -> bool {
+        self.cut.load(Ordering::Acquire)
+    }
+
     pub(crate) fn hello(&self) -> Hello {
         Hello { member: Some(self.own.clone()), fresh: self.fresh.load(Ordering::Acquire) }
     }
@@ -50,6 +56,9 @@
 }
 
 async fn take(stream: TcpStream, end: End, core: Sender) {
+    if end.is_cut() {
+        return;
+    }
     let accepted = ::link::accept(stream, &end.peer(Purpose::Quorum), &end.key).await;
     let (peer, reader, writer) = match accepted {
         Ok(accepted) => accepted,
@@ -60,7 +69,7 @@
     };
     let ended = match peer.purpose() {
         Purpose::Quorum => member(reader, writer, &end, &core).await,
-        Purpose::Control => entry::serve(reader, writer, &core).await,
+        Purpose::Control => entry::serve(reader, writer, &end, &core).await,
         Purpose::Data | Purpose::Other => Ok(()),
     };
     if let Err(report) = ended {
@@ -84,6 +93,9 @@
         if message.from != id {
             return Err(Report::new(Failure::Garbled));
         }
+        if end.is_cut() {
+            continue;
+        }
         if core.send(Input::Message(message)).await.is_err() {
             return Ok(());
         }
--- a/components/member/src/peers.rs
+++ b/components/member/src/peers.rs
@@ -48,6 +48,9 @@
 
     /// Sends to a member, or drops the message.
     pub(crate) fn send(&self, message: Message) {
+        if self.end.is_cut() {
+            return;
+        }
         if let Some(line) = self.lines.get(&message.to) {
             drop(line.queue.try_send(message));
         }
--- /dev/null
+++ b/programs/trefoil-local/src/cmd/mod.rs
@@ -0,0 +1,3 @@
+//! One file a command.
+
+pub(crate) mod run;
--- /dev/null
+++ b/programs/trefoil-local/src/cmd/run.rs
@@ -0,0 +1,69 @@
+//! Runs until a signal, then stops as planned.
+
+use std::process::ExitCode;
+
+use local::Cluster;
+use serde::Serialize;
+use slog::{Logger, error};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::cli::Settings;
+
+#[derive(Serialize)]
+struct Line {
+    ready: bool,
+    entries: Vec<String>,
+    admin: String,
+}
+
+pub(crate) fn run(settings: Settings) -> ExitCode {
+    let log = telemetry::logger("trefoil-local", settings.log_level, settings.log_format);
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            error!(log, "could not start threads"; "error" => %error);
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(serve(settings, log))
+}
+
+async fn serve(settings: Settings, log: Logger) -> ExitCode {
+    let cluster = Cluster::start(local::Settings {
+        entries: settings.entries,
+        controls: settings.controls,
+        listen: settings.listen,
+        admin: settings.admin,
+        data: settings.data,
+        ..local::Settings::new(settings.example, log.clone())
+    });
+    let cluster = match cluster.await {
+        Ok(cluster) => cluster,
+        Err(report) => {
+            error!(log, "could not start"; "error" => format!("{report:?}"));
+            return ExitCode::FAILURE;
+        }
+    };
+    announce(&cluster).await;
+    ended().await;
+    cluster.stop().await;
+    ExitCode::SUCCESS
+}
+
+async fn announce(cluster: &Cluster) {
+    let entries = cluster.entries().await.iter().map(ToString::to_string).collect();
+    let admin = cluster.admins().first().map(ToString::to_string).unwrap_or_default();
+    println!("{}", serde_json::json!(Line { ready: true, entries, admin }));
+}
+
+async fn ended() {
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
