Add the operators' command line and the overview that it shows

Operators had no way to change or see the system. trefoilctl applies, diffs and shows declarations, status and members, drains entries and causes stand-in faults; a lost answer is asked for again under the same change id. control::Overview is the body of /v1/status. Exit codes 0, 1 and 2 seen by hand for a bad directory, members that refuse connections, and wrong use.

--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`leader`]: what the leading member does about it. [`lives`] and
 //!   [`renewals`] follow which entries and servers live, [`planner`] hands
 //!   out leases, and [`failover`] gives groups their primaries.
+//! - [`overview`]: what operators are told.
 
 pub mod apply;
 pub mod changes;
@@ -17,6 +18,7 @@
 pub mod leader;
 pub mod lease;
 pub mod lives;
+pub mod overview;
 pub mod planner;
 pub mod rendezvous;
 pub mod renewals;
@@ -30,5 +32,6 @@
 pub use evidence::Cause;
 pub use flaw::Flaw;
 pub use leader::{Ask, Effect, Event, Leader, Unreached};
+pub use overview::Overview;
 pub use state::{Entry, Group, Phase, Server, State};
 pub use trace::Trace;
--- /dev/null
+++ b/programs/trefoilctl/src/cmd.rs
@@ -0,0 +1,31 @@
+//! One module for each command.
+
+mod apply;
+mod diff;
+mod drain;
+mod fault;
+mod get;
+mod members;
+mod status;
+
+use error_stack::Report;
+
+use crate::cli::{Command, Options};
+use crate::client::Client;
+use crate::failure::Failure;
+
+/// Runs a command.
+pub async fn run(options: Options) -> Result<(), Report<Failure>> {
+    let client = Client::new(options.admin.into_iter().flat_map(|some| some.0).collect())?;
+    match options.command {
+        Command::Apply { files, wait, change, base } => {
+            apply::run(&client, &files, apply::Wish { wait, change, base }).await
+        }
+        Command::Diff { files } => diff::run(&client, &files).await,
+        Command::Get => get::run(&client).await,
+        Command::Status { json, watch } => status::run(&client, json, watch).await,
+        Command::Members { change } => members::run(&client, change).await,
+        Command::Drain { off, entry } => drain::run(&client, entry, !off).await,
+        Command::Fault { group, fault } => fault::run(&client, group, fault).await,
+    }
+}
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/apply.rs
@@ -0,0 +1,80 @@
+//! `apply`: puts a directory of declarations in force.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use config::Declarations;
+use error_stack::Report;
+
+use crate::client::{Accepted, Change, Client};
+use crate::failure::Failure;
+
+/// Longest time to wait for the entries.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// Time between two looks at them.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// How to apply.
+#[derive(Debug)]
+pub struct Wish {
+    /// Whether to wait for the entries.
+    pub wait: bool,
+    /// Id of the change.
+    pub change: Option<String>,
+    /// Version to start from.
+    pub base: Option<u64>,
+}
+
+/// Runs the command.
+pub async fn run(client: &Client, files: &Path, wish: Wish) -> Result<(), Report<Failure>> {
+    let declarations =
+        config::files::read(files).map_err(|problems| Report::new(Failure::Files(problems)))?;
+    let content = declarations.canonical();
+    let current = match wish.base {
+        Some(_) => None,
+        None => Some(client.config().await?),
+    };
+    let same = current.as_ref().is_some_and(|current| {
+        Declarations::parse(&current.content).is_ok_and(|current| current == declarations)
+    });
+    if same && wish.change.is_none() {
+        println!("nothing to change: these declarations are in force");
+        return Ok(());
+    }
+    let base = wish.base.or(current.map(|current| current.version)).unwrap_or_default();
+    let id = wish.change.unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
+    let change = Change { id, base, content };
+    let answer = client.change(&change).await;
+    let accepted = answer.inspect_err(|report| {
+        if matches!(report.current_context(), Failure::Unreachable { .. }) {
+            eprintln!("ask again with: --change {} --base {base}", change.id);
+        }
+    })?;
+    println!("version {} is accepted", accepted.version);
+    if wish.wait { wait(client, accepted).await } else { Ok(()) }
+}
+
+async fn wait(client: &Client, accepted: Accepted) -> Result<(), Report<Failure>> {
+    let began = Instant::now();
+    loop {
+        let overview = client.status().await?;
+        let behind = |entry: &&control::overview::Entry| {
+            entry.applied.is_none_or(|applied| applied < accepted.index)
+        };
+        let entries: Vec<String> =
+            overview.entries.iter().filter(behind).map(|entry| entry.name.clone()).collect();
+        if entries.is_empty() && overview.index >= accepted.index {
+            println!(
+                "version {} is in force at {} entries",
+                accepted.version,
+                overview.entries.len()
+            );
+            return Ok(());
+        }
+        if began.elapsed() >= PATIENCE {
+            return Err(Report::new(Failure::Behind { entries }));
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/diff.rs
@@ -0,0 +1,27 @@
+//! `diff`: shows what a directory of declarations would change.
+
+use std::path::Path;
+
+use config::Declarations;
+use error_stack::Report;
+
+use crate::client::Client;
+use crate::failure::Failure;
+
+/// Runs the command.
+pub async fn run(client: &Client, files: &Path) -> Result<(), Report<Failure>> {
+    let wanted =
+        config::files::read(files).map_err(|problems| Report::new(Failure::Files(problems)))?;
+    let current = client.config().await?;
+    let content = current.content;
+    let current = if content.is_empty() {
+        Ok(Declarations::default())
+    } else {
+        Declarations::parse(&content)
+    };
+    let current = current.map_err(|_faults| Report::new(Failure::Answer))?;
+    for change in config::diff(&current, &wanted) {
+        println!("{change}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/drain.rs
@@ -0,0 +1,14 @@
+//! `drain`: has an entry keep no groups and take no callers.
+
+use error_stack::Report;
+
+use crate::client::{Client, Drain};
+use crate::failure::Failure;
+
+/// Runs the command.
+pub async fn run(client: &Client, entry: String, on: bool) -> Result<(), Report<Failure>> {
+    let drain = Drain { entry, on };
+    client.wish("/v1/drain", &drain).await?;
+    println!("{} is {}", drain.entry, if on { "being drained" } else { "in use" });
+    Ok(())
+}
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/fault.rs
@@ -0,0 +1,14 @@
+//! `fault`: causes a fault in a stand-in group.
+
+use error_stack::Report;
+
+use crate::client::{Client, Fault};
+use crate::failure::Failure;
+
+/// Runs the command.
+pub async fn run(client: &Client, group: String, fault: String) -> Result<(), Report<Failure>> {
+    let fault = Fault { group, fault };
+    client.wish("/v1/fault", &fault).await?;
+    println!("{}: {}", fault.group, fault.fault);
+    Ok(())
+}
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/get.rs
@@ -0,0 +1,16 @@
+//! `get`: shows the declarations in force.
+
+use error_stack::{Report, ResultExt};
+
+use crate::client::Client;
+use crate::failure::Failure;
+
+/// Runs the command.
+pub async fn run(client: &Client) -> Result<(), Report<Failure>> {
+    let current = client.config().await?;
+    let content: serde_json::Value =
+        serde_json::from_str(&current.content).change_context(Failure::Answer)?;
+    eprintln!("version {}", current.version);
+    println!("{content:#}");
+    Ok(())
+}
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/members.rs
@@ -0,0 +1,23 @@
+//! `members`: shows or changes the members of control.
+
+use error_stack::Report;
+
+use crate::cli;
+use crate::client::{Client, Membership};
+use crate::failure::Failure;
+use crate::screen;
+
+/// Runs the command.
+pub async fn run(client: &Client, change: Option<cli::Membership>) -> Result<(), Report<Failure>> {
+    let change = match change {
+        None => {
+            println!("{}", screen::members(&client.status().await?));
+            return Ok(());
+        }
+        Some(cli::Membership::Add { link, web, name }) => Membership::Add { name, link, web },
+        Some(cli::Membership::Remove { name }) => Membership::Remove { name },
+    };
+    client.wish("/v1/members", &change).await?;
+    println!("done");
+    Ok(())
+}
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/status.rs
@@ -0,0 +1,40 @@
+//! `status`: shows members, groups, entries and the last failovers.
+
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+
+use crate::client::Client;
+use crate::failure::Failure;
+use crate::screen;
+
+/// Time between two looks.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Moves to the top left corner and clears what is below.
+const CLEAR: &str = "\x1b[H\x1b[J";
+
+/// Runs the command.
+pub async fn run(client: &Client, json: bool, watch: bool) -> Result<(), Report<Failure>> {
+    loop {
+        let overview = client.status().await;
+        let text = match &overview {
+            Ok(overview) if json => {
+                serde_json::to_string(overview).change_context(Failure::Answer)?
+            }
+            Ok(overview) => screen::draw(overview),
+            Err(report) if watch => report.current_context().to_string(),
+            Err(_) => String::new(),
+        };
+        if watch && !json {
+            print!("{CLEAR}");
+        }
+        if !watch {
+            overview?;
+            println!("{text}");
+            return Ok(());
+        }
+        println!("{text}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/programs/trefoilctl/src/screen.rs
@@ -0,0 +1,126 @@
+//! Tables for people.
+
+use comfy_table::Table;
+use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use control::Overview;
+use control::overview::{Failover, Group, Server};
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(UTF8_HORIZONTAL_ONLY).set_header(header);
+    table
+}
+
+fn known<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
+
+/// Everything.
+pub fn draw(overview: &Overview) -> String {
+    let head = format!(
+        "version {}, index {}, term {}, leader {}",
+        overview.version,
+        overview.index,
+        overview.term,
+        known(overview.leader.as_ref())
+    );
+    let parts = [
+        head,
+        members(overview).to_string(),
+        groups(overview).to_string(),
+        servers(overview).to_string(),
+        entries(overview).to_string(),
+        failovers(overview).to_string(),
+    ];
+    parts.join("\n\n")
+}
+
+/// Members of control.
+pub fn members(overview: &Overview) -> Table {
+    let mut table = table(&["member", "leads", "votes", "link", "web"]);
+    for member in &overview.members {
+        let leads = overview.leader.as_ref() == Some(&member.name);
+        let mark = |yes| if yes { "yes" } else { "" };
+        table.add_row([&member.name, mark(leads), mark(member.voter), &member.link, &member.web]);
+    }
+    table
+}
+
+fn groups(overview: &Overview) -> Table {
+    let mut table = table(&["group", "primary", "term", "phase", "keepers (connections/slots)"]);
+    for group in &overview.groups {
+        let (term, primary) = (group.term.to_string(), known(group.primary.as_ref()));
+        table.add_row([&group.name, &primary, &term, &group.phase, &keepers(group)]);
+    }
+    table
+}
+
+fn keepers(group: &Group) -> String {
+    let keeper = |lease: &control::overview::Lease| {
+        let returning = if lease.returning { " returning" } else { "" };
+        format!("{} {}/{}{returning}", lease.entry, lease.connections, lease.slots)
+    };
+    let keepers: Vec<String> = group.leases.iter().map(keeper).collect();
+    keepers.join(", ")
+}
+
+fn servers(overview: &Overview) -> Table {
+    let mut table = table(&["group", "server", "zone", "role", "term", "applied", "lag", "note"]);
+    for group in &overview.groups {
+        for server in &group.servers {
+            table.add_row([
+                group.name.clone(),
+                server.name.clone(),
+                server.zone.clone(),
+                known(server.role),
+                known(server.term),
+                known(server.applied),
+                known(server.lag),
+                note(server).to_owned(),
+            ]);
+        }
+    }
+    table
+}
+
+fn note(server: &Server) -> &'static str {
+    match (server.expired, server.leaving) {
+        (true, _) => "gone",
+        (false, true) => "leaving",
+        (false, false) if server.role.is_none() => "not reached",
+        (false, false) => "",
+    }
+}
+
+fn entries(overview: &Overview) -> Table {
+    let mut table = table(&["entry", "zone", "keeper", "applied", "note"]);
+    for entry in &overview.entries {
+        let note = if entry.draining { "draining" } else { "" };
+        let applied = known(entry.applied);
+        table.add_row([&entry.name, &entry.zone, &entry.address, &applied, note]);
+    }
+    table
+}
+
+fn failovers(overview: &Overview) -> Table {
+    let mut table =
+        table(&["failover", "term", "cause", "noticed", "fenced", "promoted", "established"]);
+    for failover in &overview.failovers {
+        table.add_row(row(failover));
+    }
+    table
+}
+
+fn row(failover: &Failover) -> [String; 7] {
+    let after =
+        |millis: Option<u64>| millis.map_or_else(|| "-".to_owned(), |ms| format!("+{ms} ms"));
+    [
+        failover.group.clone(),
+        failover.term.to_string(),
+        failover.cause.clone(),
+        format!("{} s ago", failover.noticed_ms_ago / 1_000),
+        after(failover.fenced_ms),
+        after(failover.promoted_ms),
+        after(failover.established_ms),
+    ]
+}
