--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -226,7 +226,9 @@
     let Some(server) = state.servers.get(seat) else {
         return;
     };
-    cut(server, seat, leases, |lease| open.iter().any(|target| target.as_str() == lease.entry));
+    let is_cut =
+        cut(server, seat, leases, |lease| open.iter().any(|target| target.as_str() == lease.entry));
+    let may_grow = may_grow && !is_cut;
     let share_of =
         |lease: &Lease| lease.shares.iter().find(|share| share.server == seat.as_str()).cloned();
     let is_open = |lease: &Lease| open.iter().any(|target| target.as_str() == lease.entry);
@@ -267,15 +269,20 @@
 }
 
 /// Cuts shares of a server that lowered its limits, but for those of the
-/// targets, which are split anew.
-fn cut(server: &Server, seat: &Name, leases: &mut [Lease], spared: impl Fn(&Lease) -> bool) {
+/// targets, which are split anew. Whether it did: none may grow with it.
+fn cut(
+    server: &Server,
+    seat: &Name,
+    leases: &mut [Lease],
+    spared: impl Fn(&Lease) -> bool,
+) -> bool {
     let count = leases.len() as u32;
     let held =
         || leases.iter().flat_map(|lease| &lease.shares).filter(|s| s.server == seat.as_str());
     let over = held().map(|share| share.connections).sum::<u32>() > server.grantable()
         || held().map(|share| share.slots).sum::<u32>() > server.slots;
     if !over {
-        return;
+        return false;
     }
     for lease in leases.iter_mut().filter(|lease| !spared(lease)) {
         for share in lease.shares.iter_mut().filter(|share| share.server == seat.as_str()) {
@@ -283,4 +290,5 @@
             share.slots = share.slots.min(server.slots / count);
         }
     }
+    true
 }
