See a bench's groups through messages, not references

Cause: a bench that keeps its groups behind an async lock could not give a reference to one. Change: a bench tells addresses and sights of groups; current reads wait for a replica up to 250 ms, aged ones 50 ms. Conclusion: the whole path can be a bench.

--- a/components/load/src/run.rs
+++ b/components/load/src/run.rs
@@ -84,7 +84,7 @@
 ) -> Result<Verdict, Report<Failure>> {
     let tagged = settings.baseline != Baseline::PrimaryOnly;
     let shared = Arc::new(Shared::new(settings.scenario, tagged, GROUPS));
-    refresh(bench, &shared);
+    refresh(bench, &shared).await;
     progress(Phase::Schema, 0.0);
     prepare(&shared, settings.callers).await?;
     let mut verdict = Verdict {
@@ -94,7 +94,7 @@
         seed: settings.seed,
         ..Verdict::default()
     };
-    let before = reads(bench);
+    let before = reads(bench).await;
     let started = shared.clock.now();
     let mut callers = spawn(&shared, settings);
     let calm = settings.length.mul_f64(1.0 - OVERLOAD_SHARE);
@@ -102,7 +102,7 @@
     verdict.seconds = shared.clock.now().since(started).as_secs_f64();
     let answered = shared.answered.load(Ordering::Relaxed);
     verdict.statements_per_s = answered as f64 / verdict.seconds;
-    verdict.replica_read_share = share(before, reads(bench));
+    verdict.replica_read_share = share(before, reads(bench).await);
     verdict.failover_gap_ms = Spread::of(&pauses);
     progress(Phase::Overload, 0.0);
     verdict.overload = overload::run(&shared, settings.length.mul_f64(OVERLOAD_SHARE)).await;
@@ -117,9 +117,8 @@
     Ok(verdict)
 }
 
-fn refresh(bench: &impl Bench, shared: &Shared) {
-    let entries = |group| (0..bench.entries()).map(|entry| bench.address(group, entry)).collect();
-    shared.set_addresses((0..GROUPS).map(entries).collect());
+async fn refresh(bench: &impl Bench, shared: &Shared) {
+    shared.set_addresses(bench.addresses().await);
 }
 
 fn spawn(shared: &Arc<Shared>, settings: &Settings) -> JoinSet<Option<Journal>> {
@@ -192,11 +191,11 @@
         let group = turn % GROUPS;
         let from = shared.clock.now();
         bench.inject(settings.fault, group, turn).await?;
-        refresh(bench, shared);
+        refresh(bench, shared).await;
         verdict.faults += 1;
         wait(shared, FAULT_LENGTH, end, length, progress).await;
         bench.heal().await?;
-        refresh(bench, shared);
+        refresh(bench, shared).await;
         wait(shared, REST, end, length, progress).await;
         if settings.fault.pauses() {
             let pause = shared.trace(group).longest_pause(from, shared.clock.now());
@@ -224,11 +223,14 @@
     }
 }
 
-fn reads(bench: &impl Bench) -> (u64, u64) {
-    let counts = (0..GROUPS).flat_map(|group| bench.group(group).counts());
-    counts.fold((0, 0), |(replica, primary), counts| {
-        (replica + counts.reads_replica, primary + counts.reads_primary)
-    })
+async fn reads(bench: &impl Bench) -> (u64, u64) {
+    let mut sum = (0, 0);
+    for group in 0..GROUPS {
+        for counts in bench.see(group).await.counts {
+            sum = (sum.0 + counts.reads_replica, sum.1 + counts.reads_primary);
+        }
+    }
+    sum
 }
 
 fn share(before: (u64, u64), after: (u64, u64)) -> f64 {
@@ -245,14 +247,12 @@
     bench.heal().await?;
     let mut latencies = BTreeMap::new();
     for group in 0..GROUPS {
-        let standin = bench.group(group);
-        oracle::settle(standin).await?;
-        let rows = oracle::read(standin).await?;
+        let sight = oracle::settle(bench, group).await?;
+        let rows = oracle::read(&sight).await?;
         let own = journals.iter().filter(|journal| journal.group == group);
         oracle::check(&rows, own, verdict);
-        let counts = standin.counts();
-        verdict.limit_exceeded +=
-            counts.iter().map(|counts| counts.refused + counts.queued).sum::<u64>();
+        let beyond = sight.counts.iter().map(|counts| counts.refused + counts.queued);
+        verdict.limit_exceeded += beyond.sum::<u64>();
     }
     for (kind, histogram) in journals.iter().flat_map(|journal| &journal.latencies) {
         let fresh = || Histogram::new(DIGITS).expect("the digits are in range");
--- a/components/load/src/scenario.rs
+++ b/components/load/src/scenario.rs
@@ -147,7 +147,7 @@
         let read = |age: Duration| Kind {
             class: Class::Read,
             age_ms: age.as_millis() as u64,
-            patience_ms: PATIENCE_MS,
+            patience_ms: if age.is_zero() { PATIENCE_CURRENT_MS } else { PATIENCE_AGED_MS },
             statements: Vec::new(),
         };
         let repeatable = Kind { class: Class::Idempotent, ..Kind::default() };
@@ -159,7 +159,8 @@
     }
 }
 
-const PATIENCE_MS: u64 = 50;
+const PATIENCE_CURRENT_MS: u64 = 250;
+const PATIENCE_AGED_MS: u64 = 50;
 
 fn name(text: &str) -> Name {
     Name::new(text).expect("the scenarios' names are valid")
