Show that the load notices reads served too early

Cause: the live checks of reads had never failed, so nothing showed that they can. Change: a bench whose callers reach any server of a group, whatever it shows. Conclusion: the live checks can fail.

--- a/components/load/src/bench.rs
+++ b/components/load/src/bench.rs
@@ -105,6 +105,11 @@
         }
         Ok(Self { groups })
     }
+
+    /// The groups, in their order.
+    pub fn groups(&self) -> &[Group] {
+        &self.groups
+    }
 }
 
 /// Settings of a workload's group, by the workload's sizes.
--- a/components/load/tests/direct.rs
+++ b/components/load/tests/direct.rs
@@ -1,11 +1,13 @@
 //! The load and its oracle against groups without a proxy.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use base::prelude::*;
+use load::bench::Sight;
 use load::caller::{Journal, Record, Told};
 use load::oracle::{self, Rows};
-use load::{Baseline, Bench, Direct, Fault, Scenario, Settings, Verdict};
+use load::{Baseline, Bench, Direct, Failure, Fault, Scenario, Settings, Verdict};
 use slog::{Discard, Logger, o};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -28,6 +30,56 @@
     bench.stop().await;
 }
 
+/// Callers reach any server of a group, whatever it shows.
+struct Any(Direct);
+
+impl Bench for Any {
+    async fn addresses(&self) -> Vec<Vec<SocketAddr>> {
+        self.0.groups().iter().map(standin::Group::servers).collect()
+    }
+
+    async fn see(&self, group: usize) -> Sight {
+        self.0.see(group).await
+    }
+
+    async fn inject(
+        &mut self,
+        fault: Fault,
+        group: usize,
+        turn: usize,
+    ) -> Result<(), Report<Failure>> {
+        self.0.inject(fault, group, turn).await
+    }
+
+    async fn heal(&mut self) -> Result<(), Report<Failure>> {
+        self.0.heal().await
+    }
+
+    async fn stop(self) {
+        self.0.stop().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn notices_reads_that_replicas_serve_too_early() {
+    let log = Logger::root(Discard, o!());
+    let mut bench = Any(Direct::start(Scenario::Lakeshore, 3, &log).await.unwrap());
+    let settings = Settings {
+        scenario: Scenario::Lakeshore,
+        fault: Fault::None,
+        baseline: Baseline::None,
+        length: Duration::from_secs(4),
+        callers: 30,
+        think: Duration::from_millis(20),
+        seed: 3,
+    };
+    let verdict = load::run(&mut bench, &settings, &|_, _| {}).await.unwrap();
+    assert!(verdict.ryw_violations > 0 && verdict.stale_beyond_age > 0, "{verdict:#?}");
+    assert!(verdict.errors.contains_key("25006") && verdict.replica_read_share > 0.0);
+    assert_eq!((verdict.acked_lost, verdict.doubled, verdict.not_run_but_ran), (0, 0, 0));
+    bench.stop().await;
+}
+
 fn record(id: &str, told: Told) -> Record {
     Record { id: id.to_owned(), told, payment: id.starts_with('p') }
 }
