Count only reports asked for after a break, and tell no failure of a second try

The fuzz met a report of the very instant at which a cycle ended, taken as a bound for it, and an idempotent write whose repeat failed while its first try stood.

--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -7,7 +7,14 @@
 use crate::conn::{Connection, IDLE, Work};
 use crate::event::{Effect, Kind, Piece, Trouble};
 use crate::group::Group;
-use crate::request::{HELD_BYTES, Request, Stage};
+use crate::request::{HELD_BYTES, Over, Request, Stage};
+
+/// What ReadyForQuery closed a cycle with.
+#[derive(Clone, Copy, Debug)]
+struct Ready {
+    status: u8,
+    failed: bool,
+}
 
 impl Group {
     pub(crate) fn opened(&mut self, now: Instant, key: Key<Connection>) {
@@ -129,7 +136,7 @@
             Work::RollingBack(_) if status == IDLE && !failed => {
                 connection.work = Work::Idle(now);
             }
-            Work::Busy(key) => self.cycle_over(now, conn, key, status, out),
+            Work::Busy(key) => self.cycle_over(now, conn, key, Ready { status, failed }, out),
             Work::Closing => {}
             _ => self.cut(now, conn, out),
         }
@@ -140,9 +147,10 @@
         now: Instant,
         conn: Key<Connection>,
         key: Key<Request>,
-        status: u8,
+        ready: Ready,
         out: &mut Vec<Effect>,
     ) {
+        let Ready { status, failed } = ready;
         self.resume_conn(conn, out);
         let Some(request) = self.requests.get_mut(key) else {
             return self.cut(now, conn, out);
@@ -150,7 +158,7 @@
         let (service, owner, orphan) = (request.service, request.owner(), request.orphan);
         let holds = request.holds();
         let attempt = &mut request.attempt;
-        attempt.over = Some(now);
+        attempt.over = Some(Over { at: now, failed });
         attempt.status = if attempt.primary { status } else { IDLE };
         attempt.durable = attempt.primary && (attempt.committed || (holds && status == IDLE));
         let (durable, primary, term) = (attempt.durable, attempt.primary, attempt.term);
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -28,8 +28,7 @@
         reason: Reason,
         out: &mut Vec<Effect>,
     ) {
-        let ran = self.requests.get(key).is_some_and(|request| request.ran);
-        let outcome = if ran && outcome == Outcome::NotRun { Outcome::Unknown } else { outcome };
+        let outcome = self.honest(key, outcome);
         let end = self.end(now, key, outcome, reason);
         let Some(request) = self.requests.get_mut(key) else {
             return;
@@ -49,6 +48,17 @@
         self.drain(key, out);
     }
 
+    /// What may be told of a request: that it was not run, or that it failed,
+    /// only where no earlier try may have run.
+    fn honest(&self, key: Key<Request>, outcome: Outcome) -> Outcome {
+        let ran = self.requests.get(key).filter(|request| request.ran);
+        match outcome {
+            Outcome::NotRun if ran.is_some() => Outcome::Unknown,
+            Outcome::Done if ran.is_some_and(Request::is_failed) => Outcome::Unknown,
+            outcome => outcome,
+        }
+    }
+
     fn unqueue(&mut self, key: Key<Request>, service: Key<crate::service::Service>, lane: Lane) {
         match lane {
             Lane::Primary => self.lanes.primary.remove(service, key),
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -183,7 +183,7 @@
         let primary = self.primary().map(|(key, _)| key);
         self.servers.iter().filter_map(move |(key, server)| {
             let seen = server.seen.as_ref()?;
-            let usable = server.is_open(now) && !server.expired && seen.sent >= server.distrusted;
+            let usable = server.is_open(now) && !server.expired && seen.sent > server.distrusted;
             let replica = Some(key) != primary && seen.status.role == Role::Replica;
             let reached = service.is_some_and(|service| service.reaches(key));
             (usable && replica && reached).then_some((key, server, seen))
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -71,6 +71,14 @@
     pub(crate) end: Option<End>,
 }
 
+/// The end of a cycle.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Over {
+    pub(crate) at: Instant,
+    /// Whether the server answered with an error.
+    pub(crate) failed: bool,
+}
+
 /// One try of a request at a server.
 #[derive(Debug, Default)]
 pub(crate) struct Attempt {
@@ -85,8 +93,8 @@
     pub(crate) lo: Position,
     /// Position of the primary after its cycle.
     pub(crate) hi: Option<Mark>,
-    /// When its cycle was over.
-    pub(crate) over: Option<Instant>,
+    /// How its cycle ended, once it has.
+    pub(crate) over: Option<Over>,
     /// When its connection broke.
     pub(crate) broken: Option<Instant>,
     /// Whether a COMMIT came.
@@ -145,6 +153,11 @@
         self.attempt.primary && (!self.run.within || self.run.commits)
     }
 
+    /// Whether the last try ended with an error of the server.
+    pub(crate) fn is_failed(&self) -> bool {
+        self.attempt.over.is_some_and(|over| over.failed)
+    }
+
     /// Whether it must see all that was acknowledged before it came.
     pub(crate) fn is_fresh(&self) -> bool {
         self.run.fresh || (self.floor.is_none() && self.run.age_ms == 0)
--- a/components/keeper/src/settle.rs
+++ b/components/keeper/src/settle.rs
@@ -78,7 +78,7 @@
         // a later position of the same primary bounds the cycle as a mark does
         if let (None, Some(over)) = (attempt.hi, attempt.over)
             && attempt.durable
-            && seen.sent >= over
+            && seen.sent > over.at
             && is_same(attempt, &seen.status)
         {
             attempt.hi = Some(Mark { term: attempt.term, position: seen.status.received });
@@ -118,7 +118,7 @@
         let Some(seen) = server.and_then(|server| server.seen.as_ref()) else {
             return false;
         };
-        let after = attempt.broken.is_some_and(|broken| seen.sent >= broken);
+        let after = attempt.broken.is_some_and(|broken| seen.sent > broken);
         let primary = seen.status.role == Role::Primary && seen.status.term == attempt.term;
         after && primary
     }
@@ -184,9 +184,10 @@
             return;
         };
         request.ran |= outcome == Outcome::Unknown;
+        let spoiled = outcome != Outcome::Done || (request.is_failed() && !request.orphan);
         let repeatable = request.class != Class::Write && reason == Reason::Replaced;
         let repeatable = repeatable || self.breaks(Fault::Resend);
-        if outcome != Outcome::Done && repeatable && self.again(now, key, out) {
+        if spoiled && repeatable && self.again(now, key, out) {
             return;
         }
         if outcome != Outcome::Done {
