--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -252,6 +252,12 @@
     bench_with(users, Duration::from_mins(10), shared, &[("one", first), ("two", second)]).await
 }
 
+/// Files of a certificate that vouches for itself, and its key.
+pub fn tls() -> front::tls::Tls {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fake");
+    front::tls::Tls { cert: folder.join("cert.pem"), key: folder.join("key.pem") }
+}
+
 pub async fn bench_with(
     users: Option<&str>,
     lease: Duration,
@@ -271,7 +277,7 @@
         listener,
         key: key(),
         users: users.map(|text| text.parse().unwrap()),
-        tls: None,
+        tls: Some(front::tls::load(&tls()).unwrap()),
         view: view.clone(),
         clock,
         metrics: Arc::default(),
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -233,6 +233,39 @@
     answer
 }
 
+#[tokio::test]
+async fn can_talk_over_tls() {
+    use rustls::pki_types::pem::PemObject;
+    let bench = bench(None).await;
+    let mut stream = TcpStream::connect(bench.address).await.unwrap();
+    stream.write_all(b"\0\0\0\x08\x04\xd2\x16\x2f").await.unwrap();
+    assert_eq!(stream.read_u8().await.unwrap(), b'S');
+    let mut roots = rustls::RootCertStore::empty();
+    let cert = rustls::pki_types::CertificateDer::from_pem_file(fake::tls().cert).unwrap();
+    roots.add(cert).unwrap();
+    let provider = std::sync::Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .unwrap()
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let connector = tokio_rustls::TlsConnector::from(std::sync::Arc::new(config));
+    let own = rustls::pki_types::ServerName::try_from("127.0.0.1").unwrap();
+    let mut stream = connector.connect(own, stream).await.unwrap();
+    let query = b"Q\0\0\0\x0dselect 1\0X\0\0\0\x04";
+    stream.write_all(&[startup().as_slice(), query].concat()).await.unwrap();
+    let mut answer = Vec::new();
+    drop(stream.read_to_end(&mut answer).await);
+    assert!(holds(&answer, "select 1") && answer.ends_with(b"Z\0\0\0\x05I"));
+}
+
+#[tokio::test]
+async fn bytes_before_the_tls_handshake_end_the_connection() {
+    let bench = bench(None).await;
+    let early = [b"\0\0\0\x08\x04\xd2\x16\x2f".as_slice(), &startup()].concat();
+    assert!(answer_to(bench.address, &early).await.is_empty());
+}
+
 fn startup() -> Vec<u8> {
     let body = b"\0\x03\0\0user\0web\0database\0booking\0\0";
     let mut packet = (body.len() as u32 + 4).to_be_bytes().to_vec();
