--- a/programs/trefoil-entry/src/cli.rs
+++ b/programs/trefoil-entry/src/cli.rs
@@ -35,7 +35,7 @@
     /// Links of the control members.
     pub controls: Vec<SocketAddr>,
     /// The key that the system's processes share.
-    pub key: Key,
+    pub key: Result<Key, Invalid>,
     /// File of users.
     pub users: Option<PathBuf>,
     /// Files of certificate and key.
@@ -117,10 +117,11 @@
     })
 }
 
-fn key() -> impl Parser<Key> {
+/// The key. It is checked later, since the parser would print a wrong one.
+fn key() -> impl Parser<Result<Key, Invalid>> {
     let help = "key that the system's processes share, at least 16 bytes";
     let text = long("key").env("TREFOIL_KEY").help(help).argument::<String>("KEY").hide_usage();
-    text.parse(|text| {
+    text.map(|text| {
         let invalid = |_short| Invalid::new("--key", "..", "at least 16 bytes");
         Key::new(text.as_bytes()).map_err(invalid)
     })
--- a/programs/trefoil-entry/src/cmd/run.rs
+++ b/programs/trefoil-entry/src/cmd/run.rs
@@ -5,13 +5,22 @@
 
 use base::clock::Clock;
 use entry::front::tls::Tls;
+use link::Key;
 use slog::{error, info};
+use telemetry::cli::USAGE;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::cli::Run;
 
 /// Runs an entry. SIGTERM and SIGINT stop it as planned.
 pub fn run(run: Run) -> ExitCode {
+    let key = match run.key.clone() {
+        Ok(key) => key,
+        Err(invalid) => {
+            eprintln!("Error: {invalid}");
+            return ExitCode::from(USAGE);
+        }
+    };
     let log = telemetry::logger("trefoil-entry", run.level, run.format);
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
@@ -20,10 +29,10 @@
             return ExitCode::FAILURE;
         }
     };
-    runtime.block_on(serve(run, log))
+    runtime.block_on(serve(run, key, log))
 }
 
-async fn serve(run: Run, log: slog::Logger) -> ExitCode {
+async fn serve(run: Run, key: Key, log: slog::Logger) -> ExitCode {
     let signals = signal(SignalKind::terminate()).and_then(|terminate| {
         signal(SignalKind::interrupt()).map(|interrupt| (terminate, interrupt))
     });
@@ -35,7 +44,7 @@
         }
     };
     let stop = run.stop;
-    let bound = match entry::bind(settings(run, log.clone())).await {
+    let bound = match entry::bind(settings(run, key, log.clone())).await {
         Ok(bound) => bound,
         Err(report) => {
             error!(log, "could not start"; "error" => ?report);
@@ -58,7 +67,7 @@
     }
 }
 
-fn settings(run: Run, log: slog::Logger) -> entry::Settings {
+fn settings(run: Run, key: Key, log: slog::Logger) -> entry::Settings {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     entry::Settings {
         name: run.name,
@@ -68,7 +77,7 @@
         link: run.link,
         web: run.web,
         controls: run.controls,
-        key: run.key,
+        key,
         users: run.users,
         tls: run.tls.map(|(cert, key)| Tls { cert, key }),
         log,
