Run again what is proved not to have run

Cause: an insert on its way to a crashed primary was settled as not run and told so, though its deadline was far away. Change: the front runs a request again when its end says not run for a reason that passes, as it did for a keeper that stops. Conclusion: callers see a pause, and no request runs twice, since only the proof of not run allows it.

--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -330,11 +330,18 @@
     Attempt::Ended { end, passed: false, own: 0 }
 }
 
-/// Whether the other keeper may run it.
+/// Whether it may be run again, here or at the other keeper: it is proved not
+/// to have run, and the reason is one that passes.
 fn is_movable(end: &End) -> bool {
-    let reason = end.reason();
-    let movable = [Reason::WrongKeeper, Reason::Closing, Reason::Unavailable].contains(&reason);
-    end.outcome() == Outcome::NotRun && movable
+    let passes = matches!(
+        end.reason(),
+        Reason::WrongKeeper
+            | Reason::Closing
+            | Reason::Unavailable
+            | Reason::Replaced
+            | Reason::Broken
+    );
+    end.outcome() == Outcome::NotRun && passes
 }
 
 fn rolled_back() -> Problem {
