Avoid a primary that failed to gather its group, and measure the gap

A leader that found a failover unfinished could choose a cut-off primary again and again, for its log is the longest.

--- a/components/control/src/failover.rs
+++ b/components/control/src/failover.rs
@@ -17,13 +17,16 @@
 //! and so does a leader that finds a failover unfinished. A group that elects
 //! its own primary is only adopted.
 
+mod orders;
+mod takeover;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
 use wire::control::Symptom;
-use wire::log::{Choose, Establish, Intend, command};
+use wire::log::{Establish, Intend, command};
 
-use crate::choice::{Choice, Fenced, choose};
+use crate::choice::{Choice, Fenced};
 use crate::evidence::{self, Cause, Sights, Watches};
 use crate::flaw::Flaw;
 use crate::leader::{Ask, Effect, PROPOSAL_TIMEOUT, Unreached};
@@ -123,7 +126,8 @@
     calm: Instant,
     waiting: Option<Instant>,
     switched: Option<Instant>,
-    cause: Cause,
+    /// Server that had better not be chosen: it failed last.
+    avoided: Option<Name>,
     trace: Option<Trace>,
 }
 
@@ -139,7 +143,7 @@
             calm: now + CALM,
             waiting: None,
             switched: None,
-            cause: Cause::New,
+            avoided: None,
             trace: None,
         }
     }
@@ -222,38 +226,6 @@
         }
     }
 
-    fn watch(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
-        for seat in &context.group.seats {
-            let watch = self.watches.of(seat);
-            if watch.is_due(context.now)
-                && let Some(probe) = probe(context, seat, Ask::Status)
-            {
-                watch.ask(context.now);
-                out.push(probe);
-            }
-        }
-    }
-
-    fn order(
-        &mut self,
-        context: &Context<'_>,
-        server: &Name,
-        ask: Ask,
-        pace: Duration,
-        out: &mut Vec<Effect>,
-    ) {
-        let recent = self.ordered.get(server).is_some_and(|&at| context.now.since(at) < pace);
-        let watch = self.watches.of(server);
-        if recent || !watch.is_free(context.now) {
-            return;
-        }
-        if let Some(probe) = probe(context, server, ask) {
-            watch.order(context.now, ask);
-            self.ordered.insert(server.clone(), context.now);
-            out.push(probe);
-        }
-    }
-
     fn idle(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
         let group = context.group;
         if group.phase == Phase::Settled {
@@ -280,6 +252,7 @@
 
     /// Notes that a term is established.
     fn close(&mut self, now: Instant, term: Term) {
+        self.avoided = None;
         let open = |trace: &&mut Trace| trace.established.is_none() && trace.term <= term;
         if let Some(trace) = self.trace.as_mut().filter(open) {
             trace.established = Some(now);
@@ -357,36 +330,6 @@
         }
     }
 
-    /// Tells servers that do not follow the primary to do so.
-    fn gather(
-        &mut self,
-        context: &Context<'_>,
-        term: Term,
-        primary: &Name,
-        pace: Duration,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(server) = context.state.servers.get(primary) else {
-            return;
-        };
-        if self.watches.get(primary).is_none_or(|watch| watch.fresh(context.now).is_none()) {
-            return;
-        }
-        let strays = |status: &Status| {
-            status.term < term
-                || (status.term == term && (status.log_term < term || status.silence > LONELY))
-        };
-        let astray: Vec<Name> = self
-            .watches
-            .fresh(context.now)
-            .filter(|(name, status)| *name != primary && strays(status))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for stray in astray {
-            self.order(context, &stray, Ask::Follow { term, primary: server.address }, pace, out);
-        }
-    }
-
     /// Starts a failover at a term above every one seen, when a majority can
     /// be reached.
     fn begin(&mut self, context: &Context<'_>, cause: Cause, out: &mut Vec<Effect>) {
@@ -400,199 +343,18 @@
         if cause == Cause::Unfinished && unfinished {
             self.note(|trace| trace.term = term);
         } else {
-            self.cause = cause;
             self.trace = Some(Trace::new(now, context.name.clone(), term, cause));
         }
-        if cause == Cause::Leaving {
-            self.switched = Some(now);
+        match cause {
+            Cause::Refused | Cause::Silent | Cause::CutOff => {
+                self.avoided.clone_from(&context.group.primary);
+            }
+            Cause::Leaving => self.switched = Some(now),
+            Cause::New | Cause::Demoted | Cause::Unfinished => {}
         }
         self.waiting = None;
         self.stage = Stage::Intending { term, asked: now };
         let intend = Intend { group: context.name.to_string(), term: term.0 };
         out.push(Effect::propose(command::Body::Intend(intend)));
     }
-
-    fn intending(
-        &mut self,
-        context: &Context<'_>,
-        term: Term,
-        asked: Instant,
-        out: &mut Vec<Effect>,
-    ) {
-        let group = context.group;
-        if group.term == term && group.phase == Phase::Intended {
-            self.ordered.clear();
-            let (fenced, failed) = (BTreeMap::new(), BTreeSet::new());
-            self.stage = Stage::Fencing { term, fenced, failed, enough: None };
-            return self.step(context, out);
-        }
-        if group.term >= term || context.now.since(asked) >= PROPOSAL_TIMEOUT {
-            self.stage = Stage::Idle;
-        }
-    }
-
-    /// Whether the log has moved on from a step of this failover.
-    fn is_over(&mut self, context: &Context<'_>, term: Term) -> bool {
-        let over = context.group.term != term;
-        if over {
-            self.stage = Stage::Idle;
-        }
-        over
-    }
-
-    fn fencing(
-        &mut self,
-        context: &Context<'_>,
-        term: Term,
-        fenced: &BTreeMap<Name, Fenced>,
-        failed: &BTreeSet<Name>,
-        enough: Option<Instant>,
-        out: &mut Vec<Effect>,
-    ) {
-        if self.is_over(context, term) {
-            return;
-        }
-        if context.group.phase != Phase::Intended || self.watches.highest() > term {
-            return self.begin(context, Cause::Unfinished, out);
-        }
-        for seat in context.group.seats.iter().filter(|seat| !fenced.contains_key(*seat)) {
-            self.order(context, seat, Ask::Fence(term), ORDER_PACE, out);
-        }
-        let needed = if context.flaw == Flaw::FenceMinority { 1 } else { context.majority() };
-        if fenced.len() < needed {
-            return;
-        }
-        let enough = enough.unwrap_or(context.now);
-        if let Stage::Fencing { enough: known, .. } = &mut self.stage {
-            *known = Some(enough);
-        }
-        let all = context.group.seats.iter().all(|s| fenced.contains_key(s) || failed.contains(s));
-        if all || context.now.since(enough) >= FENCE_GRACE {
-            self.choose(context, term, fenced, needed, out);
-        }
-    }
-
-    fn choose(
-        &mut self,
-        context: &Context<'_>,
-        term: Term,
-        fenced: &BTreeMap<Name, Fenced>,
-        majority: usize,
-        out: &mut Vec<Effect>,
-    ) {
-        let (state, group) = (context.state, context.group);
-        let cut_off = matches!(self.cause, Cause::CutOff | Cause::Silent);
-        let avoided = group.primary.as_ref().filter(|_| cut_off);
-        let Some(choice) = choose(state, group, fenced, majority, avoided, context.flaw) else {
-            return;
-        };
-        let now = context.now;
-        self.note(|trace| trace.fenced = Some(now));
-        self.stage = Stage::Choosing { term, choice, asked: now };
-        self.propose_choice(context, out);
-    }
-
-    fn propose_choice(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
-        let Stage::Choosing { term, choice, asked } = &mut self.stage else {
-            return;
-        };
-        *asked = context.now;
-        let choose = Choose {
-            group: context.name.to_string(),
-            term: term.0,
-            server: choice.server.to_string(),
-            start: Some(choice.start.into()),
-        };
-        out.push(Effect::propose(command::Body::Choose(choose)));
-    }
-
-    fn choosing(
-        &mut self,
-        context: &Context<'_>,
-        term: Term,
-        asked: Instant,
-        out: &mut Vec<Effect>,
-    ) {
-        if self.is_over(context, term) {
-            return;
-        }
-        match &context.group.phase {
-            Phase::Chosen { server, .. } => {
-                self.ordered.clear();
-                let (server, since) = (server.clone(), context.now);
-                self.stage = Stage::Promoting { term, server, since };
-                self.step(context, out);
-            }
-            Phase::Intended if context.now.since(asked) >= PROPOSAL_TIMEOUT => {
-                self.propose_choice(context, out);
-            }
-            Phase::Intended => {}
-            Phase::Settled => self.stage = Stage::Idle,
-        }
-    }
-
-    fn promoting(
-        &mut self,
-        context: &Context<'_>,
-        term: Term,
-        server: &Name,
-        since: Instant,
-        out: &mut Vec<Effect>,
-    ) {
-        if self.is_over(context, term) {
-            return;
-        }
-        let overdue = context.now.since(since) >= PROMOTE_TIMEOUT;
-        if overdue || self.watches.highest() > term || self.watches.of(server).is_down(context.now)
-        {
-            return self.begin(context, Cause::Unfinished, out);
-        }
-        self.order(context, server, Ask::Promote(term), ORDER_PACE, out);
-    }
-
-    fn following(
-        &mut self,
-        context: &Context<'_>,
-        term: Term,
-        server: &Name,
-        since: Instant,
-        out: &mut Vec<Effect>,
-    ) {
-        if self.is_over(context, term) {
-            return;
-        }
-        if context.group.phase == Phase::Settled {
-            self.close(context.now, term);
-            self.stage = Stage::Idle;
-            self.establishing = None;
-            self.calm = context.now + CALM;
-            return;
-        }
-        let overdue = context.now.since(since) >= FOLLOW_TIMEOUT;
-        if overdue || self.watches.highest() > term || self.watches.of(server).is_down(context.now)
-        {
-            return self.begin(context, Cause::Unfinished, out);
-        }
-        let Some(primary) = context.state.servers.get(server).map(|server| server.address) else {
-            return;
-        };
-        for seat in context.group.seats.iter().filter(|seat| *seat != server) {
-            let joined = |status: &Status| status.term == term && status.log_term == term;
-            let follows =
-                self.watches.get(seat).and_then(|w| w.fresh(context.now)).is_some_and(joined);
-            if !follows {
-                self.order(context, seat, Ask::Follow { term, primary }, ORDER_PACE, out);
-            }
-        }
-        let leading = self.watches.leading(context.now, context.majority());
-        if leading.is_some_and(|(led, primary)| led == term && primary == *server) {
-            self.establish(context, term, server, out);
-        }
-    }
-}
-
-fn probe(context: &Context<'_>, server: &Name, ask: Ask) -> Option<Effect> {
-    let address = context.state.servers.get(server)?.address;
-    let (group, server) = (context.name.clone(), server.clone());
-    Some(Effect::Probe { group, server, address, ask })
 }
--- /dev/null
+++ b/components/control/src/failover/orders.rs
@@ -0,0 +1,76 @@
+//! Questions and orders to the servers of a group.
+
+use base::prelude::*;
+
+use super::{Context, Failover, LONELY};
+use crate::leader::{Ask, Effect};
+
+impl Failover {
+    pub(super) fn watch(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
+        for seat in &context.group.seats {
+            let watch = self.watches.of(seat);
+            if watch.is_due(context.now)
+                && let Some(probe) = probe(context, seat, Ask::Status)
+            {
+                watch.ask(context.now);
+                out.push(probe);
+            }
+        }
+    }
+
+    pub(super) fn order(
+        &mut self,
+        context: &Context<'_>,
+        server: &Name,
+        ask: Ask,
+        pace: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let recent = self.ordered.get(server).is_some_and(|&at| context.now.since(at) < pace);
+        let watch = self.watches.of(server);
+        if recent || !watch.is_free(context.now) {
+            return;
+        }
+        if let Some(probe) = probe(context, server, ask) {
+            watch.order(context.now, ask);
+            self.ordered.insert(server.clone(), context.now);
+            out.push(probe);
+        }
+    }
+
+    /// Tells servers that do not follow the primary to do so.
+    pub(super) fn gather(
+        &mut self,
+        context: &Context<'_>,
+        term: Term,
+        primary: &Name,
+        pace: Duration,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(server) = context.state.servers.get(primary) else {
+            return;
+        };
+        if self.watches.get(primary).is_none_or(|watch| watch.fresh(context.now).is_none()) {
+            return;
+        }
+        let strays = |status: &Status| {
+            status.term < term
+                || (status.term == term && (status.log_term < term || status.silence > LONELY))
+        };
+        let astray: Vec<Name> = self
+            .watches
+            .fresh(context.now)
+            .filter(|(name, status)| *name != primary && strays(status))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for stray in astray {
+            self.order(context, &stray, Ask::Follow { term, primary: server.address }, pace, out);
+        }
+    }
+}
+
+fn probe(context: &Context<'_>, server: &Name, ask: Ask) -> Option<Effect> {
+    let address = context.state.servers.get(server)?.address;
+    let (group, server) = (context.name.clone(), server.clone());
+    Some(Effect::Probe { group, server, address, ask })
+}
--- a/components/control/tests/failover.rs
+++ b/components/control/tests/failover.rs
@@ -48,6 +48,8 @@
     acked: Vec<(Mark, Record)>,
     written: u64,
     trouble: bool,
+    /// Time that a server takes for each answer.
+    slow: BTreeMap<usize, Duration>,
 }
 
 fn wrap(body: command::Body) -> Command {
@@ -90,6 +92,7 @@
             acked: Vec::new(),
             written: 0,
             trouble: true,
+            slow: BTreeMap::new(),
         }
     }
 
@@ -124,7 +127,8 @@
         let epoch = self.epoch;
         let fate = if self.trouble { u.int_in_range(0..=15u8)? } else { 0 };
         let wait = if ask == Ask::Status { 20 } else { 1 };
-        let run = Duration::from_millis(wait + u.int_in_range(0..=3)?);
+        let slow = self.slow.get(&index).copied().unwrap_or_default();
+        let run = slow + Duration::from_millis(wait + u.int_in_range(0..=3)?);
         let silent = Duration::from_millis(400);
         match fate {
             15 if ask != Ask::Status => {
@@ -422,3 +426,123 @@
 fn finds_a_fence_of_a_minority() {
     assert!(schedule::find(2_000, |u| property(u, Flaw::FenceMinority)).is_some());
 }
+
+impl World {
+    /// A whole group with a primary, and the primary's number.
+    fn calm(u: &mut Unstructured<'_>) -> Result<(Self, usize)> {
+        let mut world = Self::new(3, Flaw::None);
+        world.trouble = false;
+        let ticks = 150 + u.int_in_range(0..=20)?;
+        world.pass(u, ticks)?.unwrap();
+        let primary = world.state.groups["g"].primary.clone().expect("a primary after 3 s");
+        let at = world.servers.iter().position(|server| server.name == primary).unwrap();
+        let offset = Duration::from_millis(u.int_in_range(0..=19)?);
+        world.now += offset;
+        Ok((world, at))
+    }
+
+    /// Time until another primary is established; at most 10 s.
+    fn gap(&mut self, u: &mut Unstructured<'_>, was: usize) -> Result<Duration> {
+        let (began, name) = (self.now, self.servers[was].name.clone());
+        for _ in 0..500 {
+            self.pass(u, 1)?.unwrap();
+            let group = &self.state.groups["g"];
+            if group.phase == Phase::Settled && group.primary != Some(name.clone()) {
+                break;
+            }
+        }
+        Ok(self.now.since(began))
+    }
+}
+
+/// 99th percentile of the gap after a fault, over fixed seeds.
+fn p99(fault: impl Fn(&mut World, usize)) -> Duration {
+    let mut gaps = Vec::new();
+    for seed in 1..=200 {
+        let run = |u: &mut Unstructured<'_>| {
+            let (mut world, primary) = World::calm(u)?;
+            fault(&mut world, primary);
+            gaps.push(world.gap(u, primary)?);
+            Ok(Ok(()))
+        };
+        schedule::once::<()>(seed, run).unwrap();
+    }
+    gaps.sort();
+    println!("median {:?}, p99 {:?}, longest {:?}", gaps[99], gaps[197], gaps[199]);
+    gaps[197]
+}
+
+#[test]
+fn replaces_a_crashed_primary_within_500_ms() {
+    assert!(p99(|world, primary| world.servers[primary].crash()) < Duration::from_millis(500));
+}
+
+#[test]
+fn replaces_a_partitioned_primary_within_1_s() {
+    let cut = |world: &mut World, primary: usize| {
+        world.servers[primary].isolated = true;
+        world.servers[primary].unheard = true;
+    };
+    assert!(p99(cut) < Duration::from_secs(1));
+}
+
+#[test]
+fn replaces_a_primary_that_only_its_replicas_lost_within_1_s() {
+    let cut = |world: &mut World, primary: usize| world.servers[primary].isolated = true;
+    assert!(p99(cut) < Duration::from_secs(1));
+}
+
+#[test]
+fn another_leader_replaces_a_primary_that_only_its_replicas_lost() {
+    let run = |u: &mut Unstructured<'_>| {
+        let (mut world, primary) = World::calm(u)?;
+        world.servers[primary].isolated = true;
+        world.pass(u, 21)?.unwrap();
+        for _ in 0..3 {
+            world.elect(u)?;
+            world.pass(u, 4)?.unwrap();
+        }
+        let gap = world.gap(u, primary)?;
+        assert!(gap < Duration::from_secs(6), "{gap:?}");
+        Ok(Ok(()))
+    };
+    for seed in 1..=100 {
+        schedule::once::<()>(seed, run).unwrap();
+    }
+}
+
+#[test]
+fn never_replaces_a_primary_for_being_slow() {
+    let run = |u: &mut Unstructured<'_>| {
+        let (mut world, primary) = World::calm(u)?;
+        world.slow.insert(primary, Duration::from_millis(200));
+        let term = world.state.groups["g"].term;
+        for _ in 0..40 {
+            world.symptom(u)?;
+            world.pass(u, 10)?.unwrap();
+        }
+        assert_eq!(world.state.groups["g"].term, term);
+        Ok(Ok(()))
+    };
+    for seed in 1..=50 {
+        schedule::once::<()>(seed, run).unwrap();
+    }
+}
+
+#[test]
+fn hands_over_from_a_primary_that_leaves() {
+    let run = |u: &mut Unstructured<'_>| {
+        let (mut world, primary) = World::calm(u)?;
+        let name = world.servers[primary].name.clone();
+        let mut announce = world.state.servers[&name].announce(&name);
+        announce.leaving = true;
+        let index = world.state.index + 1;
+        world.state.apply(index, &wrap(command::Body::Announce(announce)));
+        let gap = world.gap(u, primary)?;
+        assert!(gap < Duration::from_millis(500), "{gap:?}");
+        Ok(Ok(()))
+    };
+    for seed in 1..=50 {
+        schedule::once::<()>(seed, run).unwrap();
+    }
+}
--- a/components/control/tests/schedule/mod.rs
+++ b/components/control/tests/schedule/mod.rs
@@ -18,9 +18,10 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
-fn once<V>(
+/// Runs the schedule of one seed.
+pub fn once<V>(
     seed: u64,
-    property: impl Fn(&mut Unstructured<'_>) -> Result<Outcome<V>>,
+    mut property: impl FnMut(&mut Unstructured<'_>) -> Result<Outcome<V>>,
 ) -> Outcome<V> {
     let mut found = Ok(());
     let run = |u: &mut Unstructured<'_>| {
