--- a/components/control/src/evidence.rs
+++ b/components/control/src/evidence.rs
@@ -50,6 +50,7 @@
 impl Sights {
     /// Takes what a keeper sees.
     pub fn take(&mut self, now: Instant, keeper: Name, symptom: Symptom) {
+        self.keepers.retain(|_, (_, at)| now.since(*at) <= STANDS);
         self.keepers.insert(keeper, (symptom, now));
     }
 
--- /dev/null
+++ b/components/control/tests/leader.rs
@@ -0,0 +1,289 @@
+//! Single decisions of a leader.
+
+use base::prelude::*;
+use control::lease::{LEASE, MARGIN};
+use control::{Ask, Effect, Event, Leader, Outcome, Refusal, State};
+use wire::log::{Announce, Assign, Command, Configure, Establish, Join, command};
+
+const TICK: Duration = control::leader::TICK;
+
+fn wrap(body: command::Body) -> Command {
+    Command { body: Some(body) }
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn announce(server: &str, slots: u32) -> Announce {
+    let index: u16 = server.trim_start_matches('s').parse().unwrap();
+    Announce {
+        server: server.to_owned(),
+        incarnation: 1,
+        group: "g".to_owned(),
+        address: format!("127.0.0.1:{}", 7_000 + index),
+        zone: "z".to_owned(),
+        connections: 16,
+        slots,
+        ..Announce::default()
+    }
+}
+
+fn join(entry: &str, incarnation: u64, zone: &str) -> Join {
+    let address = "127.0.0.1:1".to_owned();
+    Join { entry: entry.to_owned(), incarnation, address, zone: zone.to_owned() }
+}
+
+/// A leader whose proposals are committed at once.
+struct World {
+    now: Instant,
+    state: State,
+    leader: Leader,
+    proposed: Vec<command::Body>,
+    probes: Vec<(Name, Ask)>,
+}
+
+impl World {
+    fn new(slots: u32, elects: bool) -> Self {
+        let mut world = Self {
+            now: Instant::ZERO,
+            state: State::default(),
+            leader: Leader::new(Instant::ZERO),
+            proposed: Vec::new(),
+            probes: Vec::new(),
+        };
+        let content = format!(r#"{{"groups":{{"g":{{"servers":3,"elects":{elects}}}}}}}"#);
+        let configure = Configure { change: "c".to_owned(), base: 0, content };
+        world.commit(command::Body::Configure(configure));
+        for server in ["s0", "s1", "s2"] {
+            world.commit(command::Body::Announce(announce(server, slots)));
+        }
+        world
+    }
+
+    fn commit(&mut self, body: command::Body) -> Outcome {
+        let index = self.state.index + 1;
+        self.state.apply(index, &wrap(body))
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.leader.on(self.now, &self.state, event, &mut out);
+        for effect in out {
+            match effect {
+                Effect::Propose(command) => {
+                    let body = command.body.unwrap();
+                    self.proposed.push(body.clone());
+                    self.commit(body);
+                    let index = self.state.index;
+                    self.tell(Event::Applied { index });
+                }
+                Effect::Probe { server, ask, .. } => self.probes.push((server, ask)),
+            }
+        }
+    }
+
+    fn pass(&mut self, time: Duration, beats: &[(&str, u64)]) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += TICK;
+            for (entry, incarnation) in beats {
+                let (entry, incarnation) = (name(entry), *incarnation);
+                let applied = self.state.index;
+                let groups = self.state.groups.values();
+                let returns = groups
+                    .filter_map(|group| group.lease(entry.as_str()))
+                    .any(|lease| lease.returning && lease.incarnation == incarnation);
+                let returned = if returns { vec![name("g")] } else { Vec::new() };
+                self.tell(Event::Beat { entry, incarnation, applied, returned });
+            }
+            for server in ["s0", "s1", "s2"] {
+                let renewed = self.state.servers[server].slots;
+                self.tell(Event::Announced(announce(server, renewed)));
+            }
+            self.tell(Event::Tick);
+        }
+    }
+
+    fn slots(&self, entry: &str) -> Vec<u32> {
+        let lease = self.state.groups["g"].lease(entry).unwrap();
+        lease.shares.iter().map(|share| share.slots).collect()
+    }
+
+    fn report(&mut self, server: &str, term: u64, role: Role) {
+        let status = Status {
+            server: name(server),
+            incarnation: 1,
+            term: Term(term),
+            log_term: Term(term),
+            received: Position(5),
+            applied: Position(5),
+            role,
+            silence: Duration::ZERO,
+            history: History::default(),
+            version: 1,
+        };
+        let (group, server) = (name("g"), name(server));
+        self.tell(Event::Probed { group, server, ask: Ask::Status, result: Ok(status) });
+    }
+}
+
+#[test]
+fn splits_two_slots_evenly_and_three_by_turns() {
+    for (slots, totals) in [(2, [3, 3]), (3, [5, 4]), (1, [2, 1])] {
+        let mut world = World::new(slots, false);
+        world.tell(Event::Joined(join("e1", 1, "a")));
+        world.tell(Event::Joined(join("e2", 1, "b")));
+        world.pass(Duration::from_secs(2), &[("e1", 1), ("e2", 1)]);
+        let mut found = ["e1", "e2"].map(|entry| world.slots(entry).iter().sum::<u32>());
+        found.sort_by(|one, other| other.cmp(one));
+        assert_eq!(found, totals);
+    }
+}
+
+#[test]
+fn gives_a_sole_entry_all_until_another_joins() {
+    let mut world = World::new(2, false);
+    world.tell(Event::Joined(join("e1", 1, "a")));
+    world.pass(Duration::from_secs(1), &[("e1", 1)]);
+    assert_eq!(world.slots("e1"), [2, 2, 2]);
+    world.tell(Event::Joined(join("e2", 1, "b")));
+    world.pass(Duration::from_secs(1), &[("e1", 1), ("e2", 1)]);
+    assert_eq!((world.slots("e1"), world.slots("e2")), (vec![1, 1, 1], vec![1, 1, 1]));
+}
+
+#[test]
+fn keeps_a_group_in_two_zones_where_it_can() {
+    let mut world = World::new(2, false);
+    for (entry, zone) in [("e1", "a"), ("e2", "a"), ("e3", "a"), ("e4", "b")] {
+        world.tell(Event::Joined(join(entry, 1, zone)));
+    }
+    world.pass(Duration::from_secs(2), &[("e1", 1), ("e2", 1), ("e3", 1), ("e4", 1)]);
+    let leases = &world.state.groups["g"].leases;
+    assert_eq!(leases.len(), 2);
+    assert!(leases.iter().any(|lease| lease.entry == "e4"));
+}
+
+#[test]
+fn gives_a_silent_entry_up_only_after_lease_and_margin() {
+    let mut world = World::new(2, false);
+    world.tell(Event::Joined(join("e1", 1, "a")));
+    world.pass(Duration::from_secs(1), &[("e1", 1)]);
+    world.pass(LEASE + MARGIN, &[]);
+    assert!(world.state.entries.contains_key("e1"));
+    world.pass(TICK * 3, &[]);
+    assert!(!world.state.entries.contains_key("e1"));
+    assert!(world.state.groups["g"].leases.is_empty());
+}
+
+#[test]
+fn waits_a_whole_lease_as_a_new_leader() {
+    let mut world = World::new(2, false);
+    world.tell(Event::Joined(join("e1", 1, "a")));
+    world.pass(Duration::from_secs(1), &[("e1", 1)]);
+    world.pass(LEASE, &[]);
+    world.leader = Leader::new(world.now);
+    world.pass(LEASE, &[]);
+    assert!(world.state.entries.contains_key("e1"));
+}
+
+#[test]
+fn keeps_the_lease_of_a_restarted_entry_until_it_ran_out() {
+    let mut world = World::new(2, false);
+    world.tell(Event::Joined(join("e1", 1, "a")));
+    world.pass(Duration::from_secs(1), &[("e1", 1)]);
+    world.tell(Event::Joined(join("e1", 2, "a")));
+    world.pass(LEASE, &[("e1", 2)]);
+    assert_eq!(world.state.groups["g"].lease("e1").unwrap().incarnation, 1);
+    world.pass(Duration::from_secs(1), &[("e1", 2)]);
+    assert_eq!(world.state.groups["g"].lease("e1").unwrap().incarnation, 2);
+}
+
+#[test]
+fn takes_the_leases_of_an_entry_that_left_at_once() {
+    let mut world = World::new(2, false);
+    world.tell(Event::Joined(join("e1", 1, "a")));
+    world.pass(Duration::from_secs(1), &[("e1", 1)]);
+    world.tell(Event::Left { entry: name("e1"), incarnation: 1 });
+    assert!(world.state.entries.is_empty());
+}
+
+#[test]
+fn logs_no_renewal_and_expires_what_is_not_renewed() {
+    let mut world = World::new(2, false);
+    world.pass(Duration::from_secs(5), &[]);
+    assert!(world.proposed.is_empty(), "{:?}", world.proposed);
+    for _ in 0..200 {
+        world.now += TICK;
+        world.tell(Event::Tick);
+    }
+    assert!(world.state.servers.values().all(|server| server.expired));
+    assert_eq!(world.state.groups["g"].seats.len(), 3);
+    world.tell(Event::Announced(announce("s1", 2)));
+    assert!(!world.state.servers["s1"].expired);
+}
+
+#[test]
+fn refuses_what_an_announcement_may_not_say() {
+    let mut world = World::new(2, false);
+    let refused = |refusal| Outcome::Refused(refusal);
+    let fourth = announce("s3", 2);
+    assert_eq!(world.commit(command::Body::Announce(fourth)), refused(Refusal::Seats));
+    let moved = Announce { address: "127.0.0.1:9".to_owned(), ..announce("s1", 2) };
+    assert_eq!(world.commit(command::Body::Announce(moved.clone())), refused(Refusal::Address));
+    let restarted = Announce { incarnation: 2, ..moved };
+    assert_eq!(world.commit(command::Body::Announce(restarted)), Outcome::Applied);
+    let old = announce("s1", 2);
+    assert_eq!(world.commit(command::Body::Announce(old)), refused(Refusal::Incarnation));
+}
+
+#[test]
+fn refuses_shares_beyond_a_limit_and_of_an_old_generation() {
+    let mut world = World::new(2, false);
+    let share = |connections| wire::log::Share { server: "s0".to_owned(), connections, slots: 1 };
+    let lease = |entry: &str, connections| wire::log::Lease {
+        entry: entry.to_owned(),
+        incarnation: 1,
+        shares: vec![share(connections)],
+        returning: false,
+    };
+    let assign =
+        |base, leases| command::Body::Assign(Assign { group: "g".to_owned(), base, leases });
+    let over = world.commit(assign(0, vec![lease("e1", 6), lease("e2", 7)]));
+    assert_eq!(over, Outcome::Refused(Refusal::Limit));
+    let fits = world.commit(assign(0, vec![lease("e1", 6), lease("e2", 6)]));
+    assert_eq!(fits, Outcome::Applied);
+    let stale = world.commit(assign(0, vec![lease("e1", 6)]));
+    assert_eq!(stale, Outcome::Refused(Refusal::Generation));
+}
+
+#[test]
+fn adopts_the_primary_that_a_majority_follows() {
+    for elects in [false, true] {
+        let mut world = World::new(2, elects);
+        world.report("s0", 4, Role::Primary);
+        world.report("s1", 4, Role::Replica);
+        let group = &world.state.groups["g"];
+        assert_eq!((group.primary.clone(), group.term), (Some(name("s0")), Term(4)));
+    }
+}
+
+#[test]
+fn only_follows_a_group_that_elects() {
+    let mut world = World::new(2, true);
+    let establish = Establish { group: "g".to_owned(), term: 4, server: "s0".to_owned() };
+    world.commit(command::Body::Establish(establish));
+    for _ in 0..100 {
+        let (group, server) = (name("g"), name("s0"));
+        let result = Err(control::Unreached::Refused);
+        world.tell(Event::Probed { group, server, ask: Ask::Status, result });
+        world.report("s1", 4, Role::Replica);
+        world.report("s2", 4, Role::Replica);
+        world.pass(TICK, &[]);
+    }
+    assert!(world.probes.iter().all(|(_, ask)| *ask == Ask::Status));
+    assert_eq!(world.state.groups["g"].term, Term(4));
+    world.report("s1", 5, Role::Primary);
+    world.report("s2", 5, Role::Replica);
+    assert_eq!(world.state.groups["g"].primary, Some(name("s1")));
+}
