--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -1,7 +1,6 @@
 //! How one command of the log changes the state.
 
 use std::collections::btree_map::Entry as Slot;
-use std::fmt;
 use std::sync::Arc;
 
 use base::prelude::*;
@@ -320,31 +319,20 @@
 }
 
 impl Group {
-    /// Drops seats beyond `seats`, those of servers that are gone first.
+    /// Drops seats beyond `seats`: those of servers that are gone first, and
+    /// the primary's last.
     fn shrink(&mut self, seats: usize, gone: impl Fn(&Name) -> bool) {
+        let primary = self.primary.clone();
+        let replica = |seat: &Name| Some(seat) != primary.as_ref();
         while self.seats.len() > seats {
             let last = self.seats.len() - 1;
-            let drop = self.seats.iter().rposition(&gone).unwrap_or(last);
+            let spare = self.seats.iter().rposition(|seat| replica(seat) && gone(seat));
+            let drop = spare.or_else(|| self.seats.iter().rposition(replica)).unwrap_or(last);
             self.seats.remove(drop);
         }
     }
 }
 
-impl fmt::Display for Answer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Accepted { version, .. } => write!(f, "accepted as version {version}"),
-            Self::Conflict { version } => write!(f, "the current version is {version}"),
-            Self::Invalid(faults) => {
-                for (at, fault) in faults.iter().enumerate() {
-                    write!(f, "{}{fault}", if at > 0 { "; " } else { "" })?;
-                }
-                Ok(())
-            }
-        }
-    }
-}
-
 /// Whether new leases take something from the holder of an old one. One that
 /// was returning and is gone was given up before.
 fn reduces(assign: &log::Assign, old: &log::Lease) -> bool {
--- a/components/control/src/changes.rs
+++ b/components/control/src/changes.rs
@@ -5,6 +5,7 @@
 //! newest answers are kept.
 
 use std::collections::{HashMap, VecDeque};
+use std::fmt;
 
 use config::Fault;
 
@@ -30,6 +31,21 @@
     Invalid(Vec<Fault>),
 }
 
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted { version, .. } => write!(f, "accepted as version {version}"),
+            Self::Conflict { version } => write!(f, "the current version is {version}"),
+            Self::Invalid(faults) => {
+                for (at, fault) in faults.iter().enumerate() {
+                    write!(f, "{}{fault}", if at > 0 { "; " } else { "" })?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
+
 /// The newest answers, by the id of the change.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
--- a/components/control/src/failover/takeover.rs
+++ b/components/control/src/failover/takeover.rs
@@ -69,7 +69,9 @@
         if let Stage::Fencing { enough: known, .. } = &mut self.stage {
             *known = Some(enough);
         }
-        let all = context.group.seats.iter().all(|s| fenced.contains_key(s) || failed.contains(s));
+        let answered = |seat: &Name| fenced.contains_key(seat) || failed.contains(seat);
+        let is_down = |seat: &Name| self.watches.get(seat).is_some_and(|w| w.is_down(context.now));
+        let all = context.group.seats.iter().all(|seat| answered(seat) || is_down(seat));
         if all || context.now.since(enough) >= FENCE_GRACE {
             self.choose(context, term, fenced, needed, out);
         }
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -287,3 +287,19 @@
     world.report("s2", 5, Role::Replica);
     assert_eq!(world.state.groups["g"].primary, Some(name("s1")));
 }
+
+#[test]
+fn drops_the_seats_of_lost_servers_first_and_never_the_primarys() {
+    let mut world = World::new(2, false);
+    let establish = Establish { group: "g".to_owned(), term: 4, server: "s2".to_owned() };
+    world.commit(command::Body::Establish(establish));
+    let expire = wire::log::Expire { server: "s0".to_owned(), incarnation: 1 };
+    world.commit(command::Body::Expire(expire));
+    for (base, left) in [(1, vec!["s1", "s2"]), (2, vec!["s2"])] {
+        let content = format!(r#"{{"groups":{{"g":{{"servers":{}}}}}}}"#, left.len());
+        let configure = Configure { change: format!("c{base}"), base, content };
+        world.commit(command::Body::Configure(configure));
+        let seats = world.state.groups["g"].seats.iter();
+        assert_eq!(seats.map(Name::as_str).collect::<Vec<_>>(), left);
+    }
+}
