Beat at once when a lease is taken back

A share grows only once every holder is known to have applied what was taken from it, and the holders' next beat could be 500 ms away; a moved share lay idle for that long.

--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -177,6 +177,9 @@
                 let message = message.change_context(Fault::Link)?.ok_or(Fault::Closed)?;
                 progress.on(&view, message)?;
                 progress.collect(&view, given);
+                if progress.has_news(&view) {
+                    beat(settings, progress, given, &mut writer).await?;
+                }
             }
             _ = beats.tick() => beat(settings, progress, given, &mut writer).await?,
             () = view.given_up() => beat(settings, progress, given, &mut writer).await?,
--- a/components/entry/src/follow/progress.rs
+++ b/components/entry/src/follow/progress.rs
@@ -85,6 +85,7 @@
     pieces: Option<Pieces>,
     known: Instant,
     confirmed: bool,
+    told: u64,
 }
 
 impl Progress {
@@ -98,6 +99,7 @@
             pieces: None,
             known: now,
             confirmed: false,
+            told: 0,
         }
     }
 
@@ -122,11 +124,26 @@
         })
     }
 
+    /// Whether something was taken from a lease of this entry since the last
+    /// beat. Control grants it to another only once it hears that this entry
+    /// knows, so a beat is due at once.
+    pub fn has_news(&self, view: &View) -> bool {
+        view.read(|state| self.reduced(state)) > self.told
+    }
+
+    /// Index of the newest command that took something from its leases.
+    fn reduced(&self, state: &State) -> u64 {
+        let holds = |group: &&control::Group| group.lease(&self.join.entry).is_some();
+        let reduced = state.groups.values().filter(holds).map(|group| group.reduced);
+        reduced.max().unwrap_or_default()
+    }
+
     /// Makes the next beat; it names all that was given up.
     pub fn beat(&mut self, now: Instant, view: &View, given: &mut Vec<Name>) -> Beat {
         self.sequence += 1;
         self.sent.push_back((self.sequence, now));
         let applied = self.collect(view, given);
+        self.told = view.read(|state| self.reduced(state)).min(applied);
         let returned = given.iter().map(Name::to_string).collect();
         Beat { sequence: self.sequence, applied, returned }
     }
--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -5,7 +5,7 @@
 use base::clock::Clock;
 use base::prelude::*;
 use entry::View;
-use entry::follow;
+use entry::follow::{self, progress::Progress};
 use link::{Key, Peer, Purpose, Reader, Writer};
 use tokio::net::TcpListener;
 use wire::control::{self as messages, Confirm, Down, Entries, Image, Up, down, up};
@@ -185,6 +185,32 @@
     }
 }
 
+fn assign(base: u64, returning: bool) -> Command {
+    let lease =
+        wire::log::Lease { entry: "e1".to_owned(), incarnation: 7, shares: Vec::new(), returning };
+    let assign = wire::log::Assign { group: "g1".to_owned(), base, leases: vec![lease] };
+    Command { body: Some(command::Body::Assign(assign)) }
+}
+
+#[test]
+fn owes_a_beat_when_a_lease_is_taken_back() {
+    let (view, _symptoms) = View::new();
+    let mut progress = Progress::new(Instant::ZERO, join());
+    let content = r#"{"groups":{"g1":{"servers":3}}}"#.to_owned();
+    let configure = wire::log::Configure { change: "c".to_owned(), base: 0, content };
+    let configure = Command { body: Some(command::Body::Configure(configure)) };
+    let commands = [configure, assign(0, false), assign(1, true)];
+    for (at, command) in commands.into_iter().enumerate() {
+        assert!(!progress.has_news(&view));
+        let entry = messages::Entry { index: at as u64 + 1, command: Some(command) };
+        let entries = Entries { entries: vec![entry] };
+        progress.on(&view, Down { body: Some(down::Body::Entries(entries)) }).unwrap();
+    }
+    assert!(progress.has_news(&view));
+    assert_eq!(progress.beat(Instant::ZERO, &view, &mut Vec::new()).applied, 3);
+    assert!(!progress.has_news(&view));
+}
+
 #[tokio::test]
 async fn tells_at_once_what_it_gave_up_and_until_it_is_taken() {
     let (listener, address) = listen().await;
