Keep a failover's first cause and time over its retries

A retry began a new trace, so the gap that status shows left out the first tries. A trace now lives until its group is established, or until the need for it has gone. cargo test -p control: all passed.

--- a/components/control/src/failover.rs
+++ b/components/control/src/failover.rs
@@ -238,9 +238,11 @@
             (Phase::Settled, Some(primary)) => {
                 let judged =
                     evidence::judge(context.now, context.state, group, &self.watches, &self.sights);
-                match judged.filter(|&cause| self.counts(context.now, cause)) {
-                    Some(cause) => self.begin(context, cause, out),
-                    None => self.gather(context, group.term, primary, FOLLOW_PACE, out),
+                if let Some(cause) = judged.filter(|&cause| self.counts(context.now, cause)) {
+                    self.begin(context, cause, out);
+                } else {
+                    self.trace.take_if(|trace| trace.established.is_none());
+                    self.gather(context, group.term, primary, FOLLOW_PACE, out);
                 }
             }
             (Phase::Settled, None) => self.bootstrap(context, out),
@@ -250,6 +252,11 @@
         }
     }
 
+    /// Whether a failover is under way or was wanted.
+    pub fn is_open(&self) -> bool {
+        self.trace.as_ref().is_some_and(|trace| trace.established.is_none())
+    }
+
     /// Notes that a term is established.
     fn close(&mut self, now: Instant, term: Term) {
         self.avoided = None;
@@ -339,8 +346,7 @@
             return;
         }
         let term = Term(self.watches.highest().max(context.group.term).0 + 1);
-        let unfinished = self.trace.as_ref().is_some_and(|trace| trace.established.is_none());
-        if cause == Cause::Unfinished && unfinished {
+        if self.is_open() {
             self.note(|trace| trace.term = term);
         } else {
             self.trace = Some(Trace::new(now, context.name.clone(), term, cause));
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -247,7 +247,7 @@
         };
         let context = Context { now, state, name, group, flaw: self.flaw };
         let failover = self.failover(now, name);
-        let open = failover.trace().is_some_and(|trace| trace.established.is_none());
+        let open = failover.is_open();
         failover.step(&context, out);
         let over = failover.trace().filter(|trace| open && trace.established.is_some()).cloned();
         if let Some(trace) = over {
--- a/components/control/tests/failover.rs
+++ b/components/control/tests/failover.rs
@@ -463,6 +463,9 @@
             let (mut world, primary) = World::calm(u)?;
             fault(&mut world, primary);
             gaps.push(world.gap(u, primary)?);
+            let trace = world.leader.traces().last().expect("a failover");
+            let steps = [Some(trace.noticed), trace.fenced, trace.promoted, trace.established];
+            assert!(steps.is_sorted() && steps[1].is_some(), "{trace:?}");
             Ok(Ok(()))
         };
         schedule::once::<()>(seed, run).unwrap();
