Free no share while a lease of an entry that was given up may run

What a given-up entry held is now free only once its last beat's lease is over or it is known to have applied the Part, and a new leader, which can't know, waits a whole lease.

--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -165,7 +165,7 @@
     pub fn flawed(now: Instant, flaw: Flaw) -> Self {
         Self {
             began: now,
-            lives: Lives::new(),
+            lives: Lives::new(now),
             renewals: Renewals::new(),
             planner: Planner::new(flaw),
             failovers: BTreeMap::new(),
--- a/components/control/src/lives.rs
+++ b/components/control/src/lives.rs
@@ -4,6 +4,10 @@
 //! renewed it was sent, so an incarnation is given up only once [`LEASE`] and
 //! [`MARGIN`] passed since it was heard of. Of what came before it began, a
 //! leader knows nothing, and counts from its own beginning.
+//!
+//! A beat may still be confirmed while the command that gives its entry up is
+//! on its way: what that entry held is not free before this beat's lease is
+//! over too, unless the entry is known to have applied the command.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,23 +26,29 @@
     heard: Instant,
     applied: u64,
     left: bool,
+    /// Whether the state has known it.
+    known: bool,
+    /// Index by which it was found to be given up.
+    parted: Option<u64>,
     asked: Option<Instant>,
 }
 
 /// Entries as the leader hears of them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Lives {
+    began: Instant,
     starts: BTreeMap<Start, Life>,
 }
 
 impl Lives {
     /// Knows of no entry yet.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(now: Instant) -> Self {
+        Self { began: now, starts: BTreeMap::new() }
     }
 
     fn life(&mut self, now: Instant, entry: Name, incarnation: u64) -> &mut Life {
-        let fresh = Life { heard: now, applied: 0, left: false, asked: None };
+        let fresh =
+            Life { heard: now, applied: 0, left: false, known: false, parted: None, asked: None };
         self.starts.entry((entry, incarnation)).or_insert(fresh)
     }
 
@@ -64,8 +74,24 @@
         self.starts.get(&(entry.clone(), incarnation)).map_or(0, |life| life.applied)
     }
 
-    /// Whether every holder of a group's leases knows what was taken from it.
-    pub fn know(&self, group: &Group) -> bool {
+    /// Whether no entry can believe that it still holds what is free of a
+    /// group: each holder knows what was taken from it, and no lease of an
+    /// entry that was given up, by this leader or an earlier one, still runs.
+    pub fn is_free(&self, now: Instant, group: &Group) -> bool {
+        if group.generation == 0 {
+            return true;
+        }
+        now.since(self.began) > LEASE + MARGIN && !self.lingers(now) && self.know(group)
+    }
+
+    fn lingers(&self, now: Instant) -> bool {
+        self.starts.values().any(|life| {
+            let unaware = life.parted.is_some_and(|parted| life.applied < parted);
+            unaware && !life.left && now.since(life.heard) <= LEASE + MARGIN
+        })
+    }
+
+    fn know(&self, group: &Group) -> bool {
         group.leases.iter().all(|lease| {
             Name::new(&lease.entry)
                 .is_ok_and(|entry| self.applied(&entry, lease.incarnation) >= group.reduced)
@@ -77,6 +103,7 @@
         let known = starts(state);
         for (entry, incarnation) in &known {
             let life = self.life(now, entry.clone(), *incarnation);
+            life.known = true;
             let silent = now.since(life.heard) > LEASE + MARGIN;
             let waits = life.asked.is_some_and(|asked| now.since(asked) < PROPOSAL_TIMEOUT);
             if (silent || life.left) && !waits {
@@ -85,6 +112,10 @@
                 out.push(Effect::propose(command::Body::Part(part)));
             }
         }
+        let gone = self.starts.iter_mut().filter(|(start, _)| !known.contains(start));
+        for (_, life) in gone.filter(|(_, life)| life.known) {
+            life.parted.get_or_insert(state.index);
+        }
         self.starts
             .retain(|start, life| known.contains(start) || now.since(life.heard) <= LEASE + MARGIN);
     }
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -6,7 +6,8 @@
 //!   granted again only once the entry has told that it gave it up, in a beat
 //!   sent after it had applied that mark, or once the entry was parted.
 //! - A share grows only while every holder knows what was taken from it, so
-//!   that none still believes an earlier, larger share.
+//!   that none still believes an earlier, larger share, and while no lease of
+//!   an entry that was given up may still run.
 //! - A restarted entry gets no lease on a group while an earlier incarnation
 //!   of it still holds one.
 //!
@@ -96,7 +97,7 @@
             if asked || !self.settled(now, state, name, group) {
                 continue;
             }
-            if let Some(leases) = self.plan(state, lives, name, group) {
+            if let Some(leases) = self.plan(now, state, lives, name, group) {
                 self.proposed.insert(name.clone(), (group.generation, now));
                 let assign = Assign { group: name.to_string(), base: group.generation, leases };
                 out.push(Effect::propose(command::Body::Assign(assign)));
@@ -114,7 +115,14 @@
         now.since(since) >= SETTLE
     }
 
-    fn plan(&self, state: &State, lives: &Lives, name: &Name, group: &Group) -> Option<Vec<Lease>> {
+    fn plan(
+        &self,
+        now: Instant,
+        state: &State,
+        lives: &Lives,
+        name: &Name,
+        group: &Group,
+    ) -> Option<Vec<Lease>> {
         let live = state
             .entries
             .iter()
@@ -123,8 +131,10 @@
             if state.declares(name.as_str()) { keepers(name, live) } else { Targets::new() };
         let mut leases: Vec<Lease> = group.leases.to_vec();
         leases.retain(|lease| !self.is_returned(name, group, lease));
-        mark(state, group, &targets, &mut leases);
-        let may_grow = self.flaw == Flaw::GrantEarly || lives.know(group);
+        let may_grow = self.flaw == Flaw::GrantEarly || lives.is_free(now, group);
+        if may_grow {
+            mark(state, group, &targets, &mut leases);
+        }
         let leases = share(state, group, &targets, leases, may_grow);
         (leases[..] != group.leases[..]).then_some(leases)
     }
@@ -183,7 +193,8 @@
 }
 
 /// Marks one lease as returning, where none is: that of an entry which is no
-/// target, or one that holds what the other target lacks.
+/// target, or one that holds what the other target lacks. Due only while its
+/// shares could be granted again.
 fn mark(state: &State, group: &Group, targets: &Targets<'_>, leases: &mut [Lease]) {
     if leases.iter().any(|lease| lease.returning) {
         return;
