Keep links between members ready, and ask for votes again

A planned stop took 190 ms at the median and up to 430 ms: the vote request of the next leader was the first message after a restart and went into a dead connection, which shows only when written to. Links now watch for the other end going, requests for votes are repeated, a proposal that can't be queued is answered at once, and a stopping member sends entries elsewhere.

--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -108,8 +108,9 @@
 
     fn is_over(&self) -> bool {
         let Some(since) = self.stopping else { return false };
-        let waited = self.now().since(since);
-        waited >= STOP_TIMEOUT || !self.part.leads || self.links.is_alone()
+        let late = self.now().since(since) >= STOP_TIMEOUT;
+        let handed_over = !self.part.leads || self.links.is_alone();
+        late || (handed_over && self.proposals.is_empty())
     }
 
     pub(crate) fn now(&self) -> Instant {
@@ -131,6 +132,7 @@
 
     fn tidy(&mut self) {
         self.proposals.retain(|_, pending| !pending.is_closed());
+        self.seen.retain(|entry, _| self.state.entries.contains_key(entry.as_str()));
         self.compact();
         self.meter.set(&self.replica, self.followers.len());
     }
@@ -170,5 +172,6 @@
         self.health.set_ready(false);
         self.stopping = Some(self.now());
         self.due.push_back(Event::Transfer);
+        self.refuse_all();
     }
 }
--- a/components/member/src/effects.rs
+++ b/components/member/src/effects.rs
@@ -5,6 +5,8 @@
 use base::prelude::*;
 use quorum::{Effect, Part};
 use slog::info;
+use wire::quorum::Message;
+use wire::quorum::message::Body;
 
 use crate::core::Core;
 use crate::input::Verdict;
@@ -26,7 +28,7 @@
         match effect {
             // a disk thread that is gone has told why
             Effect::Persist(write) => drop(self.writes.send(write)),
-            Effect::Send(message) => self.links.send(message),
+            Effect::Send(message) => self.send(message),
             Effect::Apply(entry) => self.apply(&entry),
             Effect::Restore(snapshot) => self.restore(&snapshot),
             Effect::Confirmed { token, index } => self.confirm(token, index),
@@ -44,6 +46,19 @@
         }
     }
 
+    fn send(&mut self, message: Message) {
+        let proposal = match &message.body {
+            Some(Body::Propose(propose)) => Some(propose.token),
+            _ => None,
+        };
+        if self.links.send(message) {
+            return;
+        }
+        if let Some(token) = proposal {
+            self.resolve(token, Verdict::Dropped { not_run: true });
+        }
+    }
+
     fn play(&mut self, part: Part) {
         info!(self.log, "plays a part"; "term" => part.term, "leads" => part.leads,
             "leader" => part.leader.and_then(|id| self.name_of(id)));
--- a/components/member/src/follow.rs
+++ b/components/member/src/follow.rs
@@ -47,7 +47,7 @@
         sender: mpsc::Sender<Down>,
         reply: oneshot::Sender<Key<Follower>>,
     ) {
-        let Some(join) = follow.join else { return };
+        let Some(join) = follow.join.filter(|_| self.stopping.is_none()) else { return };
         let next = follow.applied + 1;
         let follower = Follower {
             join: join.clone(),
@@ -190,9 +190,13 @@
 
     /// Sends entries elsewhere when this member has lost its leader.
     pub(crate) fn refuse_unled(&mut self) {
-        if self.followers.is_empty() || self.unled_for() < UNLED_TIMEOUT {
-            return;
+        if !self.followers.is_empty() && self.unled_for() >= UNLED_TIMEOUT {
+            self.refuse_all();
         }
+    }
+
+    /// Sends all entries elsewhere.
+    pub(crate) fn refuse_all(&mut self) {
         let keys: Vec<_> = self.followers.iter().map(|(key, _)| key).collect();
         for key in keys {
             self.give(key, Down { body: Some(down::Body::Refuse(Refuse {})) });
--- a/components/member/src/lead.rs
+++ b/components/member/src/lead.rs
@@ -67,7 +67,8 @@
             Some(to) => {
                 let (from, term) = (self.own.id, self.part.term);
                 let body = Some(Body::Forward(forward));
-                self.links.send(Message { from, to, term, body });
+                // each part is told again by its source
+                let _sent = self.links.send(Message { from, to, term, body });
             }
             None => {}
         }
--- a/components/member/src/peers.rs
+++ b/components/member/src/peers.rs
@@ -46,11 +46,11 @@
         Self { end, scope, lines: BTreeMap::new(), guests: Vec::new() }
     }
 
-    /// Sends to a member, or drops the message.
-    pub(crate) fn send(&self, message: Message) {
-        if let Some(line) = self.lines.get(&message.to) {
-            drop(line.queue.try_send(message));
-        }
+    /// Sends to a member; a message that can't be queued is dropped, and the
+    /// answer is false.
+    pub(crate) fn send(&self, message: Message) -> bool {
+        let line = self.lines.get(&message.to);
+        line.is_some_and(|line| line.queue.try_send(message).is_ok())
     }
 
     /// Whether there is no other member.
@@ -115,6 +115,8 @@
         if let Err(report) = carry(address, id, &end, &mut due).await {
             debug!(end.log, "no link to a member"; "address" => address, "failure" => %report);
         }
+        // what waits is soon old news
+        while due.try_recv().is_ok() {}
         tokio::time::sleep(REDIAL_PAUSE).await;
     }
 }
@@ -125,18 +127,26 @@
     end: &End,
     due: &mut mpsc::Receiver<Message>,
 ) -> Result<(), Report<Failure>> {
-    let (hello, _reader, mut writer) = greet(address, end).await?;
+    let (hello, mut reader, mut writer) = greet(address, end).await?;
     if hello.member.is_none_or(|member| member.id != id) {
         return Err(Report::new(Failure::Unproved));
     }
-    // what waited is old news
-    while due.try_recv().is_ok() {}
     let mut burst = Vec::with_capacity(BURST);
-    while due.recv_many(&mut burst, BURST).await > 0 {
+    loop {
+        tokio::select! {
+            // nothing more is due from there: this tells when the other end goes
+            ended = reader.next::<Hello>() => {
+                return ended.and(Err(Report::new(Failure::Cut)));
+            }
+            count = due.recv_many(&mut burst, BURST) => {
+                if count == 0 {
+                    return Ok(());
+                }
+            }
+        }
         for message in burst.drain(..) {
             writer.put(&message)?;
         }
         writer.flush().await?;
     }
-    Ok(())
 }
--- a/components/quorum/src/elect.rs
+++ b/components/quorum/src/elect.rs
@@ -10,10 +10,10 @@
 use wire::quorum::message::Body;
 use wire::quorum::{Member, Members, Vote, Voted};
 
-use crate::ELECTION_MIN;
 use crate::hold::{Hard, Item};
 use crate::lead::Lead;
 use crate::replica::{Flaw, Replica, Role};
+use crate::{ELECTION_MIN, HEARTBEAT};
 
 impl Replica {
     /// Starts an election, with a pre-vote.
@@ -28,6 +28,7 @@
         }
         self.set_leader(None);
         self.role = Role::Asking { votes: BTreeSet::from([self.settings.id]) };
+        self.asked = now;
         let term = self.hard.term + 1;
         let vote = self.own_log(false);
         for peer in self.peers() {
@@ -47,21 +48,42 @@
         self.incoming = None;
         self.set_leader(None);
         self.reset_deadline(now);
-        self.role = Role::Candidate { votes: BTreeSet::new() };
+        self.role = Role::Candidate { votes: BTreeSet::new(), transfer };
         self.hold.after(Item::Vote(self.hard.term));
+        self.asked = now;
         let vote = self.own_log(transfer);
         for peer in self.peers() {
             self.send_durable(peer, Body::Vote(vote));
         }
     }
 
+    /// Asks those again that have not given their vote.
+    pub(crate) fn ask_votes_again(&mut self, now: Instant) {
+        let (term, votes, transfer) = match &self.role {
+            Role::Candidate { votes, transfer } => (self.hard.term, votes, Some(*transfer)),
+            Role::Asking { votes } => (self.hard.term + 1, votes, None),
+            Role::Follower | Role::Leader(_) => return,
+        };
+        if now.since(self.asked) < HEARTBEAT {
+            return;
+        }
+        let missing = self.peers().into_iter().filter(|id| !votes.contains(id));
+        let vote = self.own_log(transfer == Some(true));
+        let body = |vote| transfer.map_or(Body::PreVote(vote), |_| Body::Vote(vote));
+        let messages: Vec<_> = missing.map(|id| self.message(id, term, body(vote))).collect();
+        self.asked = now;
+        for message in messages {
+            self.hold.after(Item::Send(message));
+        }
+    }
+
     /// The member's vote for itself is durable.
     pub(crate) fn own_vote(&mut self, term: u64) {
         let id = self.settings.id;
         if term != self.hard.term {
             return;
         }
-        if let Role::Candidate { votes } = &mut self.role {
+        if let Role::Candidate { votes, .. } = &mut self.role {
             votes.insert(id);
         }
     }
@@ -109,14 +131,14 @@
         if !voted.granted {
             return;
         }
-        if let Role::Candidate { votes } = &mut self.role {
+        if let Role::Candidate { votes, .. } = &mut self.role {
             votes.insert(from);
             self.count_votes(now);
         }
     }
 
     pub(crate) fn count_votes(&mut self, now: Instant) {
-        let Role::Candidate { votes } = &self.role else { return };
+        let Role::Candidate { votes, .. } = &self.role else { return };
         if votes.contains(&self.settings.id) && self.is_quorum(|id| votes.contains(&id)) {
             self.role = Role::Leader(Box::new(Lead::new(now, self.log.last_index() + 1)));
             self.take_lead(now);
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -171,7 +171,7 @@
 pub(crate) enum Role {
     Follower,
     Asking { votes: BTreeSet<u64> },
-    Candidate { votes: BTreeSet<u64> },
+    Candidate { votes: BTreeSet<u64>, transfer: bool },
     Leader(Box<Lead>),
 }
 
@@ -189,6 +189,8 @@
     pub(crate) leader: Option<u64>,
     pub(crate) heard: Instant,
     pub(crate) deadline: Instant,
+    /// When votes were asked for last.
+    pub(crate) asked: Instant,
     pub(crate) ticked: Instant,
     pub(crate) proposals: BTreeSet<u64>,
     pub(crate) asks: Asks,
@@ -224,6 +226,7 @@
             leader: None,
             heard: now,
             deadline: now,
+            asked: now,
             ticked: now,
             proposals: BTreeSet::new(),
             asks: Asks::new(first_batch),
@@ -354,6 +357,7 @@
             return;
         }
         self.ask_again(now);
+        self.ask_votes_again(now);
         if stalled {
             self.reset_deadline(now);
         }
