--- a/components/quorum/src/elect.rs
+++ b/components/quorum/src/elect.rs
@@ -7,13 +7,14 @@
 use std::collections::BTreeSet;
 
 use base::prelude::*;
+use rand::RngExt;
 use wire::quorum::message::Body;
 use wire::quorum::{Member, Members, Vote, Voted};
 
 use crate::hold::{Hard, Item};
 use crate::lead::Lead;
 use crate::replica::{Flaw, Replica, Role};
-use crate::{ELECTION_MIN, HEARTBEAT};
+use crate::{ELECTION_MIN, HEARTBEAT, RETRY_MAX, RETRY_MIN};
 
 impl Replica {
     /// Starts an election, with a pre-vote.
@@ -100,6 +101,8 @@
         if !voted.granted {
             if term > self.hard.term {
                 self.step_down(now, term, None);
+            } else if matches!(self.role, Role::Asking { .. }) {
+                self.hasten(now);
             }
             return;
         }
@@ -129,6 +132,9 @@
 
     pub(crate) fn on_voted(&mut self, now: Instant, from: u64, voted: Voted) {
         if !voted.granted {
+            if matches!(self.role, Role::Candidate { .. }) {
+                self.hasten(now);
+            }
             return;
         }
         if let Role::Candidate { votes, .. } = &mut self.role {
@@ -137,6 +143,14 @@
         }
     }
 
+    /// After a refusal, stands again soon: a split vote must not cost a whole
+    /// timeout, and a pre-vote that comes too early costs nothing.
+    fn hasten(&mut self, now: Instant) {
+        let (min, max) = (RETRY_MIN.as_micros() as u64, RETRY_MAX.as_micros() as u64);
+        let soon = now + Duration::from_micros(self.rng.random_range(min..=max));
+        self.deadline = self.deadline.min(soon);
+    }
+
     pub(crate) fn count_votes(&mut self, now: Instant) {
         let Role::Candidate { votes, .. } = &self.role else { return };
         if votes.contains(&self.settings.id) && self.is_quorum(|id| votes.contains(&id)) {
--- a/components/quorum/src/lib.rs
+++ b/components/quorum/src/lib.rs
@@ -42,6 +42,12 @@
 /// Longest silence of a leader before a member campaigns.
 pub const ELECTION_MAX: Duration = Duration::from_millis(300);
 
+/// Shortest wait of a refused candidate before it stands again.
+pub const RETRY_MIN: Duration = Duration::from_millis(20);
+
+/// Longest wait of a refused candidate before it stands again.
+pub const RETRY_MAX: Duration = Duration::from_millis(100);
+
 /// Time without word of a quorum after which a leader steps down.
 pub const QUORUM_TIMEOUT: Duration = ELECTION_MAX;
 
