Publish how far each member is, over nng

Only the leader knew how far the others are, so a member that is cut off could show an operator nothing. Each member now publishes its index, term and leader over nng with a MAC; /v1/status shows the newest of each. Nothing rests on it. nng's option for a listener's local address gives the port's bytes swapped, so the URL option is read.

--- a/components/member/src/boot.rs
+++ b/components/member/src/boot.rs
@@ -48,8 +48,12 @@
     Some,
 }
 
+fn voter(member: Member) -> Member {
+    Member { voter: true, beacon: String::new(), ..member }
+}
+
 async fn ask(peers: &[Peer], end: &End) -> Found {
-    let mut members = vec![Member { voter: true, ..end.own.clone() }];
+    let mut members = vec![voter(end.own.clone())];
     let others = peers.iter().filter(|peer| peer.name.as_str() != end.own.name);
     let asked = others.map(|peer| async move { (peer, peers::greet(peer.link, end).await) });
     let mut complete = true;
@@ -63,7 +67,7 @@
             return Found::Log(member.name);
         }
         complete &= member.name == peer.name.as_str();
-        members.push(Member { voter: true, ..member });
+        members.push(voter(member));
     }
     if complete { Found::All(Members { members }) } else { Found::Some }
 }
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -16,6 +16,7 @@
 use wire::quorum::{Forward, Member, Message};
 
 use crate::answer::{Pending, Read};
+use crate::beacon::{Beacon, Beacons};
 use crate::disk::Writes;
 use crate::follow::Follower;
 use crate::host::STOP_TIMEOUT;
@@ -32,6 +33,9 @@
 const CONTROL_TICKS: u64 =
     control::leader::TICK.as_micros() as u64 / quorum::TICK.as_micros() as u64;
 
+/// Ticks between two beacons.
+const BEACON_TICKS: u64 = 20;
+
 /// Ticks between two rounds of tidying.
 const TIDY_TICKS: u64 = 100;
 
@@ -48,6 +52,9 @@
     pub(crate) leader: Option<Leader>,
     pub(crate) writes: Writes,
     pub(crate) links: Links,
+    pub(crate) beacons: Option<Beacons>,
+    /// The newest beacon of each member, and when it came.
+    pub(crate) heard: BTreeMap<u64, (Beacon, Instant)>,
     pub(crate) probes: Probes,
     pub(crate) followers: Arena<Follower>,
     /// Entries applied since followers were told.
@@ -124,6 +131,9 @@
         if self.ticks.is_multiple_of(CONTROL_TICKS) {
             self.tick_leader();
         }
+        if self.ticks.is_multiple_of(BEACON_TICKS) {
+            self.publish();
+        }
         if self.ticks.is_multiple_of(TIDY_TICKS) {
             self.tidy();
         }
@@ -139,7 +149,8 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Greeted(member) => self.links.greet(&member),
+            Input::Greeted(member) => self.greet(&member),
+            Input::Beacon(beacon) => self.hear_beacon(beacon),
             Input::Message(message) => self.receive(message),
             Input::Persisted(token) => self.due.push_back(Event::Persisted(token)),
             Input::Bootstrap(members) => self.due.push_back(Event::Bootstrap(members)),
@@ -168,6 +179,31 @@
         self.fresh.store(self.replica.is_fresh(), Ordering::Release);
     }
 
+    fn greet(&mut self, member: &Member) {
+        self.links.greet(member);
+        if let Some(beacons) = &mut self.beacons {
+            beacons.hear(member);
+        }
+    }
+
+    fn publish(&mut self) {
+        let (id, sequence) = (self.own.id, self.next_token());
+        let (index, term) = (self.state.index, self.part.term);
+        let leader = self.part.leader.unwrap_or(0);
+        if let Some(beacons) = &self.beacons {
+            beacons.publish(&Beacon { id, sequence, index, term, leader });
+        }
+    }
+
+    fn hear_beacon(&mut self, beacon: Beacon) {
+        let newest = self.heard.get(&beacon.id).map_or(0, |(known, _)| known.sequence);
+        let listed = self.name_of(beacon.id).is_some();
+        if listed && beacon.sequence > newest {
+            let now = self.now();
+            self.heard.insert(beacon.id, (beacon, now));
+        }
+    }
+
     fn stop(&mut self) {
         self.health.set_ready(false);
         self.stopping = Some(self.now());
--- a/components/member/src/disk.rs
+++ b/components/member/src/disk.rs
@@ -61,6 +61,9 @@
 /// [`Failure::Data`].
 pub fn inspect(path: &Path) -> Result<Stored, Report<Failure>> {
     let failure = || Failure::Data { path: path.to_owned() };
+    if !path.is_dir() {
+        return Err(Report::new(failure()));
+    }
     let folder = Folder::open(path).change_context_lazy(failure)?;
     let recovered = journal::inspect(&folder).change_context_lazy(failure)?;
     read(recovered).change_context_lazy(failure)
--- a/components/member/src/effects.rs
+++ b/components/member/src/effects.rs
@@ -41,6 +41,11 @@
             Effect::Members(members) => {
                 self.fresh.store(self.replica.is_fresh(), Ordering::Release);
                 self.links.keep(&members);
+                let listed = |id| members.members.iter().any(|member| member.id == id);
+                self.heard.retain(|id, _| listed(*id));
+                if let Some(beacons) = &mut self.beacons {
+                    beacons.keep(listed);
+                }
             }
             Effect::Part(part) => self.play(part),
         }
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -11,7 +11,7 @@
 use base::prelude::*;
 use quorum::Replica;
 use rand::Rng;
-use slog::{Logger, info, o};
+use slog::{Logger, info, o, warn};
 use telemetry::Health;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 use wire::quorum::Member;
 
+use crate::beacon::Beacons;
 use crate::core::Core;
 use crate::disk::{self, Disk};
 use crate::input::{self, Input};
@@ -147,7 +148,10 @@
         let Self { settings, link: listener, web, addresses, opened } = self;
         let log = settings.log.new(o!("member" => settings.name.to_string()));
         let failure = || Failure::Data { path: settings.data.clone() };
-        let own = own(&settings, addresses, &peers, opened.id);
+        let mut own = own(&settings, addresses, &peers, opened.id);
+        let beacons = Beacons::open(addresses.link.ip(), settings.key.clone());
+        let beacons = beacons.inspect_err(|error| warn!(log, "no beacons"; "error" => %error)).ok();
+        own.beacon = beacons.as_ref().map(Beacons::address).unwrap_or_default();
         info!(log, "starts"; "id" => own.id, "link" => own.link.clone(), "web" => own.web.clone(),
             "cut_bytes" => opened.cut_bytes);
 
@@ -173,6 +177,10 @@
         let (meter, metrics) = Meter::new();
         let health = Health::new();
 
+        if let Some(beacons) = &beacons {
+            let received = beacons.receive(core.clone(), scope.token.clone());
+            received.change_context_lazy(failure)?;
+        }
         scope.spawn(link::serve(listener, end.clone(), core.clone(), scope.clone()));
         if replica.is_fresh() {
             scope.spawn(boot::find(peers, end.clone(), core.clone()));
@@ -194,6 +202,8 @@
             leader: None,
             writes: disk.writes(),
             links: Links::new(end, scope.clone()),
+            beacons,
+            heard: BTreeMap::new(),
             probes: Probes::new(core.clone(), scope.clone()),
             followers: Arena::new(),
             applied: Vec::new(),
@@ -236,6 +246,7 @@
         link: link.to_string(),
         web: web.to_string(),
         voter: true,
+        beacon: String::new(),
     }
 }
 
--- a/components/member/src/input.rs
+++ b/components/member/src/input.rs
@@ -6,6 +6,7 @@
 use wire::log::{Announce, Command};
 use wire::quorum::{Member, Members, Message, Refusal};
 
+use crate::beacon::Beacon;
 use crate::follow::Follower;
 use crate::status::{Config, Status};
 
@@ -24,6 +25,8 @@
     Message(Message),
     /// A write and all before it are durable.
     Persisted(u64),
+    /// What a member published.
+    Beacon(Beacon),
     /// The disk failed; the member ends.
     Broken(Report<journal::Failure>),
     /// The first membership is known.
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -8,10 +8,12 @@
 //! - `link`, `peers`, `boot`: links between members, and the first membership.
 //! - `entry`, `follow`: what entries are served, at the link and in the core.
 //! - `probe`: questions to backend servers on standing connections.
+//! - `beacon`: how far each member is, published over nng.
 //! - `web`, `status`, `meter`: HTTP, what it shows, and metrics.
 
 mod answer;
 mod apply;
+mod beacon;
 mod boot;
 mod core;
 mod disk;
--- a/components/member/src/status.rs
+++ b/components/member/src/status.rs
@@ -60,6 +60,16 @@
     voter: bool,
     /// Last index known to be on its disk; told by the leader only.
     matched: Option<u64>,
+    beacon: Option<Heard>,
+}
+
+/// The newest beacon of a member.
+#[derive(Clone, Debug, Serialize)]
+struct Heard {
+    index: u64,
+    term: u64,
+    leader: Option<String>,
+    age_ms: u64,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -185,10 +195,21 @@
             web: member.web.clone(),
             voter: member.voter,
             matched: progress.get(&member.id).copied(),
+            beacon: self.show_beacon(member.id),
         };
         members.map(member).collect()
     }
 
+    fn show_beacon(&self, id: u64) -> Option<Heard> {
+        let (beacon, at) = self.heard.get(&id)?;
+        Some(Heard {
+            index: beacon.index,
+            term: beacon.term,
+            leader: self.name_of(beacon.leader),
+            age_ms: self.now().since(*at).as_millis() as u64,
+        })
+    }
+
     fn show_entries(&self) -> Vec<Entry> {
         let entry = |(name, entry): (&base::name::Name, &control::Entry)| Entry {
             name: name.to_string(),
--- a/components/member/src/web.rs
+++ b/components/member/src/web.rs
@@ -314,7 +314,13 @@
         return Err(Failure::Other { link, name: member.name });
     }
     let (link, web) = (link.to_string(), web.to_string());
-    Ok(quorum::Change::Add(wire::quorum::Member { link, web, voter: false, ..member }))
+    Ok(quorum::Change::Add(wire::quorum::Member {
+        link,
+        web,
+        voter: false,
+        beacon: String::new(),
+        ..member
+    }))
 }
 
 #[derive(Debug, Deserialize)]
--- a/components/member/tests/follow.rs
+++ b/components/member/tests/follow.rs
@@ -95,3 +95,24 @@
     });
     assert!(!confirmed.await.unwrap_or(false), "a beat was confirmed without a quorum");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn shows_how_far_the_others_are() {
+    let trio = Trio::start().await;
+    let leader = trio.leader().await;
+    let (status, answer) = trio.change(leader, "one", 0, &json!({})).await;
+    assert_eq!(status, StatusCode::OK);
+    let start = std::time::Instant::now();
+    for place in 0..3 {
+        loop {
+            let (_, status) = trio.get(place, "/v1/status").await.expect("an answer");
+            let members = status["members"].as_array().expect("a list");
+            let heard = members.iter().filter(|m| m["beacon"]["index"] == answer["index"]);
+            if heard.count() == 2 {
+                break;
+            }
+            assert!(start.elapsed() < PATIENCE, "{status}");
+            tokio::time::sleep(trio::PAUSE).await;
+        }
+    }
+}
--- a/components/wire/src/quorum.rs
+++ b/components/wire/src/quorum.rs
@@ -38,6 +38,9 @@
     /// Whether it counts for the quorum; a learner only copies.
     #[prost(bool, tag = "5")]
     pub voter: bool,
+    /// Where it publishes beacons, in its own [`Hello`] only.
+    #[prost(string, tag = "6")]
+    pub beacon: String,
 }
 
 /// The whole membership.
