Put the load on the whole path

Cause: the load had met only primaries. Change: trefoil-load runs nine entries, three control members and three groups in one process, puts its own declarations in force and aims its faults there; `--direct` still leaves the proxy out.

--- a/programs/trefoil-load/src/cli.rs
+++ b/programs/trefoil-load/src/cli.rs
@@ -14,6 +14,8 @@
     pub fault: Fault,
     /// The baseline.
     pub baseline: Baseline,
+    /// Whether callers reach primaries without the proxy.
+    pub direct: bool,
     /// Length of the traffic in seconds.
     pub seconds: u64,
     /// Number of sessions.
@@ -48,6 +50,7 @@
         .parse(|text| cli::read("--baseline", &text, "none or primary-only"))
         .fallback(Baseline::None)
         .display_fallback();
+    let direct = long("direct").help("callers reach primaries without the proxy").switch();
     let seconds = long("seconds")
         .help("length of the traffic in seconds")
         .argument("S")
@@ -66,7 +69,7 @@
     let level = cli::level(Level::Error);
     let format = cli::format();
     construct!(Arguments {
-        scenario, fault, baseline, seconds, callers, think_ms, seed, json, level, format
+        scenario, fault, baseline, direct, seconds, callers, think_ms, seed, json, level, format
     })
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
--- a/programs/trefoil-load/src/cmd/run.rs
+++ b/programs/trefoil-load/src/cmd/run.rs
@@ -13,6 +13,7 @@
 use slog::{Logger, error};
 
 use crate::cli::Arguments;
+use crate::whole::Whole;
 
 const DIRECT_LENGTH: Duration = Duration::from_secs(5);
 const DIRECT_CALLERS: usize = 6;
@@ -78,9 +79,16 @@
 
 async fn measure(arguments: &Arguments, log: &Logger) -> Result<Verdict, Report<Failure>> {
     let direct = direct_latencies(arguments, log).await?;
-    let bench = Direct::start(arguments.scenario, arguments.seed, log).await;
-    let bench = bench.change_context(Failure::Bench)?;
-    let mut verdict = watched(bench, &settings(arguments)).await?;
+    let (scenario, seed) = (arguments.scenario, arguments.seed);
+    let settings = settings(arguments);
+    let verdict = if arguments.direct {
+        let bench = Direct::start(scenario, seed, log).await.change_context(Failure::Bench)?;
+        watched(bench, &settings).await
+    } else {
+        let bench = Whole::start(scenario, seed, log).await.change_context(Failure::Bench)?;
+        watched(bench, &settings).await
+    };
+    let mut verdict = verdict?;
     verdict.direct_latency_ms = direct;
     Ok(verdict)
 }
--- a/programs/trefoil-load/src/main.rs
+++ b/programs/trefoil-load/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod cmd;
+mod whole;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/programs/trefoil-load/src/whole.rs
@@ -0,0 +1,161 @@
+//! The whole path in this process, as a bench.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use load::bench::{FAR_BEHIND, Sight};
+use load::scenario::GROUPS;
+use load::{Bench, Failure, Fault, Scenario};
+use local::Cluster;
+use slog::{Logger, warn};
+
+const ENTRIES: usize = 9;
+const CONTROLS: usize = 3;
+const ATTEMPTS: usize = 50;
+const RETRY: Duration = Duration::from_millis(100);
+const SECOND_CRASH: Duration = Duration::from_millis(700);
+// entries that one rolling restart stops in turn
+const RESTARTED: usize = 3;
+
+/// Entries, control members and groups on loopback.
+#[derive(Debug)]
+pub struct Whole {
+    cluster: Cluster,
+    scenario: Scenario,
+    killed: Vec<usize>,
+    isolated: Vec<usize>,
+    log: Logger,
+}
+
+impl Whole {
+    /// Starts all parts and puts the load's declarations in force.
+    ///
+    /// # Errors
+    /// [`Failure::Start`].
+    pub async fn start(
+        scenario: Scenario,
+        seed: u64,
+        log: &Logger,
+    ) -> Result<Self, Report<Failure>> {
+        let example = match scenario {
+            Scenario::Lakeshore => local::Scenario::Lakeshore,
+            Scenario::Egbolt => local::Scenario::Egbolt,
+        };
+        let settings = local::Settings {
+            entries: ENTRIES,
+            controls: CONTROLS,
+            seed,
+            ..local::Settings::new(example, log.clone())
+        };
+        let cluster = Cluster::start(settings).await.change_context(Failure::Start)?;
+        let (killed, isolated) = (Vec::new(), Vec::new());
+        let mut whole = Self { cluster, scenario, killed, isolated, log: log.clone() };
+        whole.declare().await?;
+        whole.heal().await?;
+        Ok(whole)
+    }
+
+    // the first change is that of the example
+    async fn declare(&self) -> Result<(), Report<Failure>> {
+        let client = reqwest::Client::new();
+        let content = self.scenario.declarations().canonical();
+        let change = serde_json::json!({ "change": "load", "base": 1, "content": content });
+        for admin in self.cluster.admins().into_iter().cycle().take(ATTEMPTS) {
+            let url = format!("http://{admin}/v1/changes");
+            let answer = client.post(url).json(&change).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return Ok(());
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+        Err(Report::new(Failure::Start))
+    }
+
+    // a group that has no primary yet after an earlier fault is passed over
+    async fn fault(&self, group: usize, fault: standin::Fault) {
+        let name = self.scenario.group(group);
+        if let Err(report) = self.cluster.groups().fault(&name, fault).await {
+            warn!(self.log, "a fault was passed over"; "group" => name, "error" => ?report);
+        }
+    }
+
+    async fn kill_entry(&mut self, turn: usize) {
+        let entry = turn % ENTRIES;
+        self.cluster.kill_entry(entry).await;
+        self.killed.push(entry);
+    }
+
+    async fn double(&mut self, group: usize, turn: usize) {
+        self.fault(group, standin::Fault::PrimaryCrash).await;
+        self.kill_entry(turn).await;
+        tokio::time::sleep(SECOND_CRASH).await;
+        let other = (group + 1) % GROUPS;
+        self.fault(other, standin::Fault::PrimaryPartition).await;
+    }
+}
+
+impl Bench for Whole {
+    async fn addresses(&self) -> Vec<Vec<SocketAddr>> {
+        let entries = self.cluster.entries().await;
+        vec![entries; GROUPS]
+    }
+
+    async fn see(&self, group: usize) -> Sight {
+        let name = self.scenario.group(group);
+        let sight = self.cluster.groups().read(&name, Sight::of).await;
+        sight.expect("the cluster has the scenario's groups")
+    }
+
+    async fn inject(
+        &mut self,
+        fault: Fault,
+        group: usize,
+        turn: usize,
+    ) -> Result<(), Report<Failure>> {
+        match fault {
+            Fault::None => {}
+            Fault::PrimaryCrash => self.fault(group, standin::Fault::PrimaryCrash).await,
+            Fault::PrimaryPartition => {
+                self.fault(group, standin::Fault::PrimaryPartition).await;
+            }
+            Fault::ReplicaLag => {
+                self.fault(group, standin::Fault::ReplicaLag(FAR_BEHIND)).await;
+            }
+            Fault::EntryCrash => self.kill_entry(turn).await,
+            Fault::ControlIsolated => {
+                let control = turn % CONTROLS;
+                self.cluster.isolate_control(control, true).await;
+                self.isolated.push(control);
+            }
+            Fault::RollingRestart => {
+                for step in 0..RESTARTED {
+                    let entry = (turn * RESTARTED + step) % ENTRIES;
+                    let restarted = self.cluster.restart_entry(entry).await;
+                    restarted.change_context(Failure::Fault)?;
+                }
+            }
+            Fault::Double => self.double(group, turn).await,
+        }
+        Ok(())
+    }
+
+    async fn heal(&mut self) -> Result<(), Report<Failure>> {
+        let lags = self.scenario.sizes().lags;
+        for (group, lag) in lags.into_iter().enumerate() {
+            self.fault(group, standin::Fault::Heal).await;
+            self.fault(group, standin::Fault::ReplicaLag(lag)).await;
+        }
+        for control in std::mem::take(&mut self.isolated) {
+            self.cluster.isolate_control(control, false).await;
+        }
+        for entry in std::mem::take(&mut self.killed) {
+            let started = self.cluster.start_entry(entry).await;
+            started.change_context(Failure::Fault)?;
+        }
+        Ok(())
+    }
+
+    async fn stop(self) {
+        self.cluster.stop().await;
+    }
+}
