--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`scenario`]: the users' workloads, sizes and declarations.
 //! - [`bench`]: what the load runs against, and the faults it can suffer.
+//! - [`whole`]: the whole path as a bench.
 //! - [`client`]: one connection of a caller, and what an answer means.
 //! - [`caller`]: one caller's session, which roams between entries.
 //! - [`pulse`]: a steady writer for each group, which dates what reads show.
@@ -21,9 +22,11 @@
 pub mod scenario;
 pub mod shared;
 pub mod verdict;
+pub mod whole;
 
 pub use bench::{Bench, Direct, Fault};
 pub use failure::Failure;
 pub use run::{Baseline, Settings, run};
 pub use scenario::Scenario;
 pub use verdict::Verdict;
+pub use whole::Whole;
--- a/components/load/src/run.rs
+++ b/components/load/src/run.rs
@@ -199,6 +199,7 @@
         wait(shared, REST, end, length, progress).await;
         if settings.fault.pauses() {
             let pause = shared.trace(group).longest_pause(from, shared.clock.now());
+            verdict.failover_gaps_ms.push(pause.as_secs_f64() * 1_000.0);
             let _always_fits = pauses.record(pause.as_micros() as u64);
         }
     }
@@ -249,6 +250,7 @@
     for group in 0..GROUPS {
         let sight = oracle::settle(bench, group).await?;
         let rows = oracle::read(&sight).await?;
+        verdict.terms.extend(sight.statuses.iter().map(|status| status.term.0).max());
         let own = journals.iter().filter(|journal| journal.group == group);
         oracle::check(&rows, own, verdict);
         let beyond = sight.counts.iter().map(|counts| counts.refused + counts.queued);
--- a/components/load/src/verdict.rs
+++ b/components/load/src/verdict.rs
@@ -71,6 +71,10 @@
     pub faults: u64,
     /// Longest pauses of acknowledged writes on a faulted group, in milliseconds.
     pub failover_gap_ms: Spread,
+    /// The same, one by one, in the order of the faults.
+    pub failover_gaps_ms: Vec<f64>,
+    /// Term of each group at the end.
+    pub terms: Vec<u64>,
     /// Latencies in milliseconds, by kind.
     pub latency_ms: BTreeMap<String, Spread>,
     /// Latencies against one stand-in without the proxy, by kind.
--- a/programs/trefoil-load/src/whole.rs
+++ b/components/load/src/whole.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use load::bench::{FAR_BEHIND, Sight};
-use load::scenario::GROUPS;
-use load::{Bench, Failure, Fault, Scenario};
 use local::Cluster;
 use slog::{Logger, warn};
 
+use crate::bench::{Bench, FAR_BEHIND, Fault, Sight};
+use crate::failure::Failure;
+use crate::scenario::{GROUPS, Scenario};
+
 const ENTRIES: usize = 9;
 const CONTROLS: usize = 3;
 const ATTEMPTS: usize = 50;
@@ -79,6 +80,20 @@
         }
     }
 
+    // while an entry is down, a caller's own socket may sit on its port
+    async fn start_entry(&self, entry: usize) -> Result<(), Report<Failure>> {
+        for _ in 0..ATTEMPTS {
+            match self.cluster.start_entry(entry).await {
+                Ok(()) => return Ok(()),
+                Err(report) => {
+                    warn!(self.log, "an entry did not start"; "entry" => entry, "error" => ?report);
+                }
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+        Err(Report::new(Failure::Fault))
+    }
+
     async fn kill_entry(&mut self, turn: usize) {
         let entry = turn % ENTRIES;
         self.cluster.kill_entry(entry).await;
@@ -130,8 +145,8 @@
             Fault::RollingRestart => {
                 for step in 0..RESTARTED {
                     let entry = (turn * RESTARTED + step) % ENTRIES;
-                    let restarted = self.cluster.restart_entry(entry).await;
-                    restarted.change_context(Failure::Fault)?;
+                    self.cluster.stop_entry(entry).await;
+                    self.start_entry(entry).await?;
                 }
             }
             Fault::Double => self.double(group, turn).await,
@@ -149,8 +164,7 @@
             self.cluster.isolate_control(control, false).await;
         }
         for entry in std::mem::take(&mut self.killed) {
-            let started = self.cluster.start_entry(entry).await;
-            started.change_context(Failure::Fault)?;
+            self.start_entry(entry).await?;
         }
         Ok(())
     }
--- a/programs/trefoil-load/src/cmd/run.rs
+++ b/programs/trefoil-load/src/cmd/run.rs
@@ -9,11 +9,10 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use load::run::Phase;
 use load::verdict::Spread;
-use load::{Baseline, Bench, Direct, Fault, Settings, Verdict};
+use load::{Baseline, Bench, Direct, Fault, Settings, Verdict, Whole};
 use slog::{Logger, error};
 
 use crate::cli::Arguments;
-use crate::whole::Whole;
 
 const DIRECT_LENGTH: Duration = Duration::from_secs(5);
 const DIRECT_CALLERS: usize = 6;
--- a/programs/trefoil-load/src/main.rs
+++ b/programs/trefoil-load/src/main.rs
@@ -2,7 +2,6 @@
 
 mod cli;
 mod cmd;
-mod whole;
 
 use std::process::ExitCode;
 
