Settle by history only where no later term had begun, and fuzz partitions

A schedule showed a request sent to a server whose reports were two failovers old: it led again in a term that the keeper did not know, ran the request, and the history of the term between said that it could not have. Without a mark a try is now settled only once a majority confirmed the established term after the try ended.

--- a/components/keeper/src/settle.rs
+++ b/components/keeper/src/settle.rs
@@ -99,7 +99,8 @@
         if attempt.over.is_some() && (held || !attempt.durable) && attempt.verify.is_none() {
             return Some((Outcome::Done, Reason::None));
         }
-        if let Some(established) = established.filter(|found| found.term > attempt.term) {
+        let later = established.filter(|found| found.term > attempt.term);
+        if let Some(established) = later.filter(|found| self.is_current(attempt, found)) {
             // where the server leads again, a try without an end may still run
             let lives = attempt.over.is_none() && attempt.server == Some(established.primary);
             let reason = if lives { Reason::Broken } else { Reason::Replaced };
@@ -112,6 +113,17 @@
         None
     }
 
+    /// Whether no term beyond the established one had begun when the try ended.
+    /// Else the try may have run in such a term, unless a mark names its own.
+    fn is_current(&self, attempt: &Attempt, established: &Established) -> bool {
+        let ended = attempt.broken.or(attempt.over.map(|over| over.at));
+        let Some(ended) = ended.filter(|_| attempt.hi.is_none()) else {
+            return true;
+        };
+        let sample = self.sampling.verified;
+        sample.is_some_and(|s| s.mark.term == established.term && s.taken > ended)
+    }
+
     /// Whether the request's primary went on after the connection broke.
     fn outlived(&self, attempt: &Attempt) -> bool {
         let server = attempt.server.and_then(|server| self.servers.get(server));
--- a/components/keeper/tests/fuzz/oracle.rs
+++ b/components/keeper/tests/fuzz/oracle.rs
@@ -53,6 +53,8 @@
     /// How often each request was sent.
     pub sent: HashMap<u64, u32>,
     pub acked: Vec<(u64, Instant)>,
+    /// Writes of another keeper that it has not acknowledged yet.
+    pub elsewhere: Vec<u64>,
     pub never: BTreeSet<u64>,
     pub repeatable: BTreeSet<u64>,
     /// Servers that held a write in the term that it was written in.
@@ -117,8 +119,24 @@
         }
     }
 
+    /// Lets the other keeper acknowledge what a majority holds.
+    pub fn acknowledge_elsewhere(&mut self, now: Instant) {
+        let waiting = std::mem::take(&mut self.elsewhere);
+        for op in waiting {
+            if self.is_held(op) {
+                self.acked.push((op, now));
+            } else {
+                self.elsewhere.push(op);
+            }
+        }
+    }
+
+    fn is_held(&self, op: u64) -> bool {
+        self.holders.iter().any(|((other, _), by)| *other == op && by.len() >= 2)
+    }
+
     fn check_majority(&self, op: u64, servers: &[Server]) {
-        let held = self.holders.iter().any(|((other, _), by)| *other == op && by.len() >= 2);
+        let held = self.is_held(op);
         let holds = |server: &&Server| server.log.iter().any(|entry| entry.ops.contains(&op));
         let now = servers.iter().filter(holds).count();
         assert!(held || now >= 2, "write {op} was acknowledged without a majority");
--- a/components/keeper/tests/fuzz/world.rs
+++ b/components/keeper/tests/fuzz/world.rs
@@ -61,6 +61,8 @@
     term: Term,
     setup: Setup,
     leased: bool,
+    /// Servers that the group is cut off from.
+    lost: [bool; SERVERS],
     next: u64,
     out: Vec<Effect>,
 }
@@ -133,6 +135,7 @@
             failover: None,
             term: Term(1),
             leased: true,
+            lost: [false; SERVERS],
             next: 2,
             out: Vec::new(),
         };
@@ -357,6 +360,19 @@
         Ok(())
     }
 
+    /// Cuts one server, and the group's keeper with it, off from the others.
+    fn part(&mut self, index: usize) {
+        for (other, server) in self.servers.iter_mut().enumerate() {
+            server.cut = other == index;
+            self.lost[other] = other != index;
+        }
+    }
+
+    fn join(&mut self) {
+        self.servers.iter_mut().for_each(|server| server.cut = false);
+        self.lost = [false; SERVERS];
+    }
+
     /// A caller leaves; a new one takes its place.
     fn leave(&mut self, number: usize) {
         let front = self.fronts[self.callers[number].front];
@@ -413,6 +429,10 @@
             177..=178 => self.change_lease(u)?,
             179 => self.change_servers(u)?,
             180..=185 => self.step_ghost(u)?,
+            186..=189 => self.write_elsewhere(),
+            190 => self.lost[u.choose_index(SERVERS)?] = u.ratio(2, 3)?,
+            191 => self.part(u.choose_index(SERVERS)?),
+            192 => self.join(),
             _ => self.progress_one(),
         }
         Ok(())
@@ -422,8 +442,7 @@
         if self.wires.is_empty() {
             return Ok(());
         }
-        let busy: Vec<_> =
-            self.wires.values().filter(|wire| is_busy(wire)).map(|w| w.conn).collect();
+        let busy = self.busy();
         if busy.is_empty() {
             return Ok(());
         }
@@ -436,6 +455,11 @@
         Ok(())
     }
 
+    fn busy(&self) -> Vec<Key<Connection>> {
+        let busy = |wire: &&Wire| is_busy(wire) && !self.lost[wire.server];
+        self.wires.values().filter(busy).map(|wire| wire.conn).collect()
+    }
+
     fn execute(&mut self, conn: Key<Connection>) {
         let Some(wire) = self.wires.get_mut(&conn) else {
             return;
@@ -528,11 +552,28 @@
         Ok(())
     }
 
+    /// Another keeper writes at the primary of the highest term.
+    fn write_elsewhere(&mut self) {
+        let leads = |server: &Server| server.alive && server.role == Role::Primary;
+        let primaries = (0..SERVERS).filter(|index| leads(&self.servers[*index]));
+        if let Some(index) = primaries.max_by_key(|index| self.servers[*index].term) {
+            self.servers[index].append(vec![self.next]);
+            self.oracle.elsewhere.push(self.next);
+            self.oracle.observe(index, &self.servers[index]);
+            self.next += 1;
+        }
+        self.oracle.acknowledge_elsewhere(self.now);
+    }
+
     fn step_probe(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         if self.probes.is_empty() {
             return Ok(());
         }
         let probe = self.probes.swap_remove(u.choose_index(self.probes.len())?);
+        if self.lost[self.probed(&probe)] {
+            self.probes.push(probe);
+            return Ok(());
+        }
         let again = u.ratio(1, 16)?;
         if let Probe::Answered { status, sent } = &probe
             && again
@@ -543,6 +584,13 @@
         Ok(())
     }
 
+    fn probed(&self, probe: &Probe) -> usize {
+        match probe {
+            Probe::Asked { server, .. } => *server,
+            Probe::Answered { status, .. } => self.index(&status.server),
+        }
+    }
+
     fn pass_probe(&mut self, probe: Probe) {
         match probe {
             Probe::Answered { status, sent } => self.feed(Event::Status { status, sent }),
@@ -567,6 +615,7 @@
         let reaches = source.alive && !source.cut && source.role == Role::Primary;
         let replica = &self.servers[index];
         let takes = replica.alive && !replica.cut && replica.term == source.term;
+        self.oracle.acknowledge_elsewhere(self.now);
         if reaches && takes {
             let log = source.log.clone();
             self.servers[index].copy(&log, count, self.now);
@@ -577,24 +626,39 @@
 
     fn step_failover(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         if self.failover.is_none() {
-            if u.ratio(1, 6)? {
+            if u.ratio(1, 3)? {
                 self.term = Term(self.term.0 + 1);
                 self.failover =
                     Some(Failover { term: self.term, fenced: Vec::new(), primary: None });
             }
+            self.rejoin(u.choose_index(SERVERS)?);
             return Ok(());
         }
-        let target = u.choose_index(SERVERS)?;
-        self.advance(target);
+        for _ in 0..u.int_in_range(1..=6)? {
+            let target = u.choose_index(SERVERS)?;
+            self.advance(target);
+        }
         Ok(())
     }
 
+    /// Tells a server that was left out of a failover whom to follow.
+    fn rejoin(&mut self, target: usize) {
+        let term = self.servers[target].term;
+        let leads = |server: &Server| server.role == Role::Primary && server.term > term;
+        let primaries = (0..SERVERS).filter(|index| leads(&self.servers[*index]));
+        let primary = primaries.max_by_key(|index| self.servers[*index].term);
+        if let Some(primary) = primary.filter(|_| !self.servers[target].cut) {
+            let term = self.servers[primary].term;
+            self.servers[target].follow(term, primary);
+        }
+    }
+
     /// Takes one step of the failover under way, at one server.
     fn advance(&mut self, target: usize) {
         let Some(failover) = &mut self.failover else {
             return;
         };
-        if !self.servers[target].alive {
+        if !self.servers[target].alive || self.servers[target].cut {
             return;
         }
         match failover.primary {
@@ -614,7 +678,7 @@
             Some(primary) if primary != target => {
                 self.servers[target].follow(failover.term, primary);
                 let follows = |server: &Server| server.following == Some(primary);
-                if self.servers.iter().filter(|server| follows(server)).count() == SERVERS - 1 {
+                if self.servers.iter().filter(|server| follows(server)).count() >= 1 {
                     self.failover = None;
                 }
             }
@@ -678,9 +742,7 @@
     }
 
     fn progress_one(&mut self) {
-        let busy: Vec<_> =
-            self.wires.values().filter(|wire| is_busy(wire)).map(|w| w.conn).collect();
-        for conn in busy {
+        for conn in self.busy() {
             self.execute(conn);
             self.deliver(conn);
         }
@@ -709,11 +771,13 @@
             self.servers[index].cut = false;
         }
         self.ghosts.clear();
+        self.lost = [false; SERVERS];
         self.term = Term(self.term.0 + 1);
         self.failover = Some(Failover { term: self.term, fenced: Vec::new(), primary: None });
         for target in (0..SERVERS).cycle().take(SERVERS * 6) {
             self.advance(target);
         }
+        (0..SERVERS).for_each(|target| self.rejoin(target));
         assert!(self.failover.is_none(), "the last failover did not finish");
         self.leased = true;
         self.setup.lease = Lease::Held;
