--- a/components/entry/src/keep/probe.rs
+++ b/components/entry/src/keep/probe.rs
@@ -113,9 +113,11 @@
     let mut probe = None;
     let mut after = 0;
     loop {
+        let stood = probe.is_some();
         let asked = target.ask(&mut probe, after, WAIT).await;
         after = asked.unwrap_or_default();
-        if asked.is_none() {
+        // a connection that broke is tried again at once: it may be refused now
+        if asked.is_none() && !stood {
             tokio::time::sleep(PAUSE).await;
         }
     }
--- a/components/keeper/src/conn.rs
+++ b/components/keeper/src/conn.rs
@@ -63,8 +63,8 @@
         }
     }
 
-    /// Whether it takes one of the server's slots.
+    /// Whether it takes one of the server's slots; a mark takes none.
     pub(crate) fn runs(&self) -> bool {
-        matches!(self.work, Work::Busy(_) | Work::Marking(_) | Work::RollingBack(_))
+        matches!(self.work, Work::Busy(_) | Work::RollingBack(_))
     }
 }
--- /dev/null
+++ b/components/keeper/tests/group.rs
@@ -0,0 +1,305 @@
+//! Single rules of a group, one by one.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::Declarations;
+use keeper::{Connection, Effect, Event, Front, Group, Kind, Lease, Piece, Setup, Trouble, event};
+use wire::control::{Sight, Symptom};
+use wire::data::{Class, End, Outcome, Reason, Run};
+
+const FRONT: Front = Front(1);
+
+struct Bench {
+    group: Group,
+    now: Instant,
+    out: Vec<Effect>,
+    next: u64,
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn declarations(servers: u32, queue: u32) -> Declarations {
+    let limits = config::Limits { queue, ..config::Limits::default() };
+    let service = config::Service {
+        labels: config::Labels::new(),
+        weight: 1,
+        limits,
+        objectives: Vec::new(),
+    };
+    let selector = config::Selector {
+        services: config::Labels::new(),
+        groups: Vec::new(),
+        backends: config::Labels::new(),
+        kinds: std::collections::BTreeMap::new(),
+    };
+    Declarations {
+        groups: [(name("group"), config::Group { servers, elects: false })].into(),
+        services: [(name("ring"), service)].into(),
+        selectors: [(name("all"), selector)].into(),
+    }
+}
+
+fn seat(index: u16) -> event::Server {
+    event::Server {
+        name: name(&format!("server-{index}")),
+        address: ([127, 0, 0, 1], 5432 + index).into(),
+        zone: name("zone"),
+        labels: config::Labels::new(),
+        connections: 4,
+        slots: 1,
+        leaving: false,
+        expired: false,
+    }
+}
+
+fn status(index: u16, term: u64, received: u64, version: u64) -> Status {
+    Status {
+        server: name(&format!("server-{index}")),
+        incarnation: 1,
+        term: Term(term),
+        log_term: Term(term),
+        received: Position(received),
+        applied: Position(received),
+        role: if index == 0 { Role::Primary } else { Role::Replica },
+        silence: Duration::ZERO,
+        history: format!("{term}:0").parse().unwrap(),
+        version,
+    }
+}
+
+impl Bench {
+    fn new(servers: u16, queue: u32) -> Self {
+        let group = Group::new(name("group"), name("zone"), 1);
+        let now = Instant::from_millis(1_000);
+        let mut bench = Self { group, now, out: Vec::new(), next: 0 };
+        bench.feed(Event::Setup(Setup {
+            declared: u32::from(servers),
+            primary: None,
+            servers: (0..servers).map(seat).collect(),
+            lease: Lease::Held,
+            declarations: Arc::new(declarations(u32::from(servers), queue)),
+        }));
+        bench.feed(Event::Leased(true));
+        bench
+    }
+
+    /// A group whose servers report and whose connections are open.
+    fn ready(servers: u16) -> Self {
+        let mut bench = Self::new(servers, 100);
+        bench.report_all(servers, 1);
+        let opened: Vec<_> = bench.out.iter().filter_map(opened).collect();
+        for conn in opened {
+            bench.feed(Event::Opened { conn });
+        }
+        bench.out.clear();
+        bench
+    }
+
+    fn report_all(&mut self, servers: u16, version: u64) {
+        for index in 0..servers {
+            self.feed(Event::Status { status: status(index, 1, 10, version), sent: self.now });
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        self.group.on(self.now, event, &mut self.out);
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.feed(Event::Tick);
+    }
+
+    fn ask(&mut self, run: Run) -> u64 {
+        self.next += 1;
+        let run = Run {
+            request: self.next,
+            caller: self.next,
+            service: "ring".to_owned(),
+            group: "group".to_owned(),
+            deadline_ms: 1_000,
+            payload: Bytes::from(self.next.to_string()),
+            window: if run.window == 0 { 1_000 } else { run.window },
+            ..run
+        };
+        self.feed(Event::Run { front: FRONT, run });
+        self.next
+    }
+
+    fn sent(&mut self) -> Vec<(Key<Connection>, u64)> {
+        let sent = self.out.drain(..).filter_map(|effect| match effect {
+            Effect::Send { conn, bytes } => {
+                Some((conn, std::str::from_utf8(&bytes).unwrap().parse().unwrap()))
+            }
+            _ => None,
+        });
+        sent.collect()
+    }
+
+    fn ends(&mut self) -> Vec<End> {
+        let ends = self.out.drain(..).filter_map(|effect| match effect {
+            Effect::End { end, .. } => Some(end),
+            _ => None,
+        });
+        ends.collect()
+    }
+
+    fn piece(&mut self, conn: Key<Connection>, bytes: usize, kind: Kind) {
+        let piece = Piece { bytes: Bytes::from(vec![b'x'; bytes]), kind };
+        self.feed(Event::Piece { conn, piece });
+    }
+}
+
+fn opened(effect: &Effect) -> Option<Key<Connection>> {
+    match effect {
+        Effect::Connect { conn, .. } => Some(*conn),
+        _ => None,
+    }
+}
+
+fn fresh_read() -> Run {
+    Run { class: Class::Read as i32, fresh: true, ..Run::default() }
+}
+
+fn aged_read() -> Run {
+    Run { class: Class::Read as i32, age_ms: 500, ..Run::default() }
+}
+
+#[test]
+fn one_round_of_samples_serves_all_fresh_reads_that_wait() {
+    let mut bench = Bench::ready(3);
+    bench.now += Duration::from_millis(1);
+    for _ in 0..5 {
+        bench.ask(fresh_read());
+    }
+    let samples = bench.out.iter().filter(|e| matches!(e, Effect::Sample { .. })).count();
+    assert_eq!(samples, 3);
+    assert!(bench.sent().is_empty());
+    bench.report_all(3, 2);
+    assert_eq!(bench.sent().len(), 2, "each replica has one slot");
+}
+
+#[test]
+fn a_full_queue_refuses_with_a_time_to_come_back() {
+    let mut bench = Bench::new(3, 2);
+    for _ in 0..3 {
+        bench.ask(Run::default());
+    }
+    let ends = bench.ends();
+    assert_eq!(ends.len(), 1);
+    let end = &ends[0];
+    assert_eq!((end.outcome(), end.reason()), (Outcome::NotRun, Reason::QueueFull));
+    assert!(end.retry_after_ms > 0);
+}
+
+#[test]
+fn a_request_waits_for_a_primary_up_to_its_deadline() {
+    let mut bench = Bench::new(3, 100);
+    bench.ask(Run::default());
+    bench.pass(990);
+    assert!(bench.ends().is_empty());
+    bench.pass(10);
+    let ends = bench.ends();
+    assert_eq!((ends[0].outcome(), ends[0].reason()), (Outcome::NotRun, Reason::Unavailable));
+    assert!(ends[0].retry_after_ms > 0);
+}
+
+#[test]
+fn writes_go_before_reads_that_accept_an_age() {
+    let mut bench = Bench::ready(1);
+    bench.ask(Run::default());
+    let (conn, _) = bench.sent()[0];
+    bench.report_all(1, 2);
+    bench.ask(aged_read());
+    let write = bench.ask(Run::default());
+    bench.feed(Event::Cycle { conn, status: b'I', failed: false });
+    assert_eq!(bench.sent().first().map(|(_, number)| *number), Some(write));
+}
+
+#[test]
+fn an_answer_too_large_to_hold_back_is_unknown() {
+    let mut bench = Bench::ready(3);
+    bench.ask(Run::default());
+    let (conn, _) = bench.sent()[0];
+    for _ in 0..2 {
+        bench.piece(conn, 600 << 10, Kind::Complete);
+    }
+    assert!(bench.out.contains(&Effect::Close { conn }));
+    let ends = bench.ends();
+    assert_eq!((ends[0].outcome(), ends[0].reason()), (Outcome::Unknown, Reason::TooLarge));
+}
+
+#[test]
+fn a_caller_that_takes_nothing_pauses_its_connection_alone() {
+    let mut bench = Bench::ready(3);
+    let request = bench.ask(Run { window: 100, ..Run::default() });
+    let (conn, _) = bench.sent()[0];
+    bench.piece(conn, 100, Kind::Plain);
+    assert!(bench.out.contains(&Effect::Pause { conn }));
+    bench.out.clear();
+    bench.feed(Event::Credit { front: FRONT, request, bytes: 50 });
+    assert!(bench.out.contains(&Effect::Resume { conn }));
+}
+
+#[test]
+fn what_was_held_back_goes_out_as_the_caller_takes_it() {
+    let mut bench = Bench::ready(3);
+    let request = bench.ask(Run { window: 10, ..Run::default() });
+    let (conn, _) = bench.sent()[0];
+    bench.piece(conn, 10, Kind::Complete);
+    bench.piece(conn, 10, Kind::Plain);
+    bench.feed(Event::Cycle { conn, status: b'I', failed: false });
+    bench.feed(Event::Marked { conn, mark: Mark::new(1, 11) });
+    bench.now += Duration::from_millis(1);
+    for index in 0..2 {
+        bench.feed(Event::Status { status: status(index, 1, 11, 2), sent: bench.now });
+    }
+    let parts = |out: &[Effect]| out.iter().filter(|e| matches!(e, Effect::Part { .. })).count();
+    assert_eq!(parts(&bench.out), 1);
+    assert!(bench.ends().is_empty());
+    bench.feed(Event::Credit { front: FRONT, request, bytes: 10 });
+    assert_eq!(parts(&bench.out), 1);
+    let ends = bench.ends();
+    assert_eq!((ends[0].outcome(), ends[0].parts), (Outcome::Done, 2));
+}
+
+fn sights(out: &mut Vec<Effect>) -> Vec<Sight> {
+    let sight = |symptom: Symptom| Sight::try_from(symptom.sight).unwrap();
+    let reports = out.drain(..).filter_map(|effect| match effect {
+        Effect::Report(symptom) => Some(sight(symptom)),
+        _ => None,
+    });
+    reports.collect()
+}
+
+#[test]
+fn a_symptom_is_reported_when_it_changes_and_again_while_it_lasts() {
+    let mut bench = Bench::ready(3);
+    let (server, trouble) = (name("server-0"), Trouble::Refused);
+    bench.feed(Event::Unreached { server, trouble });
+    assert_eq!(sights(&mut bench.out), [Sight::Refused]);
+    bench.pass(500);
+    assert!(sights(&mut bench.out).is_empty());
+    bench.pass(500);
+    assert_eq!(sights(&mut bench.out), [Sight::Refused]);
+    bench.report_all(3, 2);
+    bench.pass(10);
+    assert_eq!(sights(&mut bench.out), [Sight::Healthy]);
+}
+
+#[test]
+fn a_primary_that_its_replicas_have_lost_is_cut_off() {
+    let mut bench = Bench::ready(3);
+    let silence = Duration::from_millis(450);
+    for index in 1..3 {
+        let status = Status { silence, ..status(index, 1, 10, 2) };
+        bench.feed(Event::Status { status, sent: bench.now });
+        bench.pass(1);
+        let lost = if index == 2 { vec![Sight::CutOff] } else { Vec::new() };
+        assert_eq!(sights(&mut bench.out), lost);
+    }
+}
