Make the fuzz depose primaries, so that each broken rule shows early

Freeing the slot of a mark moved all schedules, and the unverified sample was no longer found within 4,000 schedules: the fault needs a primary that is cut off with the keeper while another keeper writes at its successor. A step now does just that, probes of lost servers no longer use up steps, and the world is split by what it does.

--- a/components/keeper/tests/fuzz/main.rs
+++ b/components/keeper/tests/fuzz/main.rs
@@ -20,7 +20,7 @@
 const SCHEDULES: u64 = 300;
 
 /// Schedules in which a broken rule must show.
-const FAULT_SCHEDULES: u64 = 4_000;
+const FAULT_SCHEDULES: u64 = 2_000;
 
 /// Bytes that a schedule is drawn from.
 const BYTES: usize = 6_000;
--- a/components/keeper/tests/fuzz/world.rs
+++ b/components/keeper/tests/fuzz/world.rs
@@ -1,5 +1,8 @@
 //! The world around one group: fronts, servers, connections and time.
 
+mod ask;
+mod fault;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -8,9 +11,8 @@
 use bytes::Bytes;
 use config::Declarations;
 use keeper::{Connection, Effect, Event, Fault, Front, Group, Lease, Setup, Trouble, event};
-use wire::data::{Class, End, Run};
 
-use crate::oracle::{Asked, Oracle, Verb};
+use crate::oracle::Oracle;
 use crate::server::Server;
 use crate::wire::{Job, Wire};
 
@@ -229,16 +231,6 @@
         self.push(conn, Job::Run { id, owner: asked.caller });
     }
 
-    /// Whether a write that a broken connection left may still be acknowledged.
-    fn may_write(&self, id: u64, term: Term, ghost: &Wire) -> bool {
-        let waits =
-            ghost.jobs.iter().any(|job| matches!(job, Job::Run { id: other, .. } if *other == id));
-        let server = &self.servers[ghost.server];
-        let leads = server.alive && server.term == term && server.role == Role::Primary;
-        let left = self.servers.iter().filter(|other| other.term > term).count();
-        waits && leads && left < 2
-    }
-
     fn push(&mut self, conn: Key<Connection>, job: Job) {
         let wire = self.wires.get_mut(&conn).expect("a known connection");
         // what is written to a broken connection reaches nobody
@@ -267,142 +259,6 @@
         }
     }
 
-    fn end(&mut self, front: Front, end: &End) {
-        assert!(self.fronts.contains(&front), "an end to a front that is gone");
-        let asked = self.oracle.end(self.now, front, end, &self.servers);
-        assert!(!asked.abandoned, "an end to a caller that is gone");
-        let caller = &mut self.callers[asked.caller];
-        caller.open = None;
-        caller.within = end.status != u32::from(b'I');
-        caller.floor = caller.floor.max(end.mark.map(Mark::from));
-        let done = end.outcome() == wire::data::Outcome::Done;
-        let reply = asked.reply.filter(|_| done);
-        let wrote = reply.is_some_and(|reply| !self.oracle.replies[reply as usize].failed);
-        match asked.verb {
-            Verb::Write if wrote && asked.within => caller.ops.push(asked.id),
-            Verb::Write if wrote => drop(caller.known.insert(asked.id)),
-            Verb::Commit if wrote => caller.known.extend(asked.ops.iter().copied()),
-            _ => {}
-        }
-        if !caller.within {
-            caller.ops.clear();
-        }
-    }
-
-    /// A caller asks for something new.
-    fn ask(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        let number = u.choose_index(CALLERS)?;
-        let id = self.next;
-        let caller = &mut self.callers[number];
-        if caller.open.is_some() {
-            return Ok(());
-        }
-        let verb = match (caller.within, u.int_in_range(0..=9_u8)?) {
-            (false | true, 0..=3) => Verb::Write,
-            (false, 4..=7) | (true, 4) => Verb::Read,
-            (false, _) => Verb::Begin,
-            (true, 5..=8) => Verb::Commit,
-            (true, _) => Verb::Rollback,
-        };
-        let class = match (verb, caller.within) {
-            (Verb::Write, false) if u.ratio(1, 4)? => Class::Idempotent,
-            (Verb::Read, false) if u.ratio(3, 4)? => Class::Read,
-            _ => Class::Write,
-        };
-        if u.ratio(1, 8)? {
-            caller.floor = None;
-        }
-        let read = class == Class::Read;
-        let aged = read && caller.floor.is_some() && u.ratio(1, 3)?;
-        let fresh =
-            !caller.within && !aged && (caller.floor.is_none() || (read && u.ratio(1, 2)?));
-        let front = self.fronts[caller.front];
-        let run = Run {
-            request: id,
-            caller: number as u64,
-            service: "ring".to_owned(),
-            group: "group".to_owned(),
-            class: class as i32,
-            within: caller.within,
-            floor: caller.floor.map(Into::into),
-            fresh,
-            age_ms: if aged { AGE_MS } else { 0 },
-            patience_ms: u64::from(u.int_in_range(0..=20_u8)?),
-            deadline_ms: DEADLINE_MS,
-            payload: Bytes::from(id.to_string()),
-            window: if u.ratio(1, 6)? { 0 } else { 1_000 },
-            commits: verb == Verb::Commit,
-            ..Run::default()
-        };
-        let since = if aged { Some(self.now - Duration::from_millis(AGE_MS)) } else { None };
-        let since = if fresh { Some(self.now) } else { since };
-        let asked = Asked {
-            id,
-            verb,
-            class,
-            within: caller.within,
-            caller: number,
-            since,
-            known: caller.known.clone(),
-            ops: caller.ops.clone(),
-            parts: 0,
-            reply: None,
-            ended: false,
-            abandoned: false,
-        };
-        if class != Class::Write {
-            self.oracle.repeatable.insert(id);
-        }
-        self.next += 1;
-        caller.open = Some(id);
-        self.oracle.asked.insert((front, id), asked);
-        self.feed(Event::Run { front, run });
-        Ok(())
-    }
-
-    /// Cuts one server, and the group's keeper with it, off from the others.
-    fn part(&mut self, index: usize) {
-        for (other, server) in self.servers.iter_mut().enumerate() {
-            server.cut = other == index;
-            self.lost[other] = other != index;
-        }
-    }
-
-    fn join(&mut self) {
-        self.servers.iter_mut().for_each(|server| server.cut = false);
-        self.lost = [false; SERVERS];
-    }
-
-    /// A caller leaves; a new one takes its place.
-    fn leave(&mut self, number: usize) {
-        let front = self.fronts[self.callers[number].front];
-        self.forget(number);
-        self.feed(Event::Leave { front, caller: number as u64 });
-    }
-
-    fn forget(&mut self, number: usize) {
-        let caller = &mut self.callers[number];
-        let front = self.fronts[caller.front];
-        let open = caller.open.and_then(|id| self.oracle.asked.get_mut(&(front, id)));
-        let commits = open.as_ref().is_some_and(|asked| asked.verb == Verb::Commit);
-        if let Some(asked) = open {
-            asked.abandoned = true;
-        }
-        if caller.within && !commits {
-            self.oracle.never.extend(caller.ops.iter().copied());
-        }
-        *caller = Caller { front: caller.front, ..Caller::default() };
-    }
-
-    fn vanish(&mut self, index: usize) {
-        let gone = self.fronts[index];
-        for number in (0..CALLERS).filter(|number| number % 2 == index) {
-            self.forget(number);
-        }
-        self.fronts[index] = Front(gone.0 + 2);
-        self.feed(Event::Gone { front: gone });
-    }
-
     pub fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         if u.ratio(1, 3)? {
             let micros = if u.ratio(1, 40)? { 300_000 } else { 2_000 };
@@ -431,8 +287,9 @@
             180..=185 => self.step_ghost(u)?,
             186..=189 => self.write_elsewhere(),
             190 => self.lost[u.choose_index(SERVERS)?] = u.ratio(2, 3)?,
-            191 => self.part(u.choose_index(SERVERS)?),
+            191 => self.part(u.choose_index(SERVERS)?, u.arbitrary()?, u.arbitrary()?),
             192 => self.join(),
+            193 => self.depose(u.arbitrary()?),
             _ => self.progress_one(),
         }
         Ok(())
@@ -508,72 +365,13 @@
         self.feed(event);
     }
 
-    /// A connection breaks; what the server has answered may be cut.
-    fn break_wire(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        if self.wires.is_empty() {
-            return Ok(());
-        }
-        let index = u.choose_index(self.wires.len())?;
-        let conn = *self.wires.keys().nth(index).expect("an index in range");
-        let kept = u.int_in_range(0..=3)?;
-        self.snap(conn, kept);
-        Ok(())
-    }
-
-    fn snap(&mut self, conn: Key<Connection>, kept: usize) {
-        let Some(wire) = self.wires.get_mut(&conn) else {
-            return;
-        };
-        if matches!(wire.events.back(), Some(Event::Closed { .. })) {
-            return;
-        }
-        let mut ghost = Wire::new(conn, wire.server);
-        std::mem::swap(&mut ghost.jobs, &mut wire.jobs);
-        ghost.open = wire.open.take();
-        wire.events.truncate(kept);
-        wire.events.push_back(Event::Closed { conn });
-        wire.paused = false;
-        if wire.standing && !ghost.jobs.is_empty() {
-            self.ghosts.push((self.servers[ghost.server].term, ghost));
-        }
-    }
-
-    /// A server runs what a broken connection left it, unless it was fenced since.
-    fn step_ghost(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        if self.ghosts.is_empty() {
-            return Ok(());
-        }
-        let (term, mut ghost) = self.ghosts.swap_remove(u.choose_index(self.ghosts.len())?);
-        let server = &mut self.servers[ghost.server];
-        if server.alive && server.term == term {
-            ghost.execute(server, &mut self.oracle);
-            self.oracle.observe(ghost.server, server);
-        }
-        Ok(())
-    }
-
-    /// Another keeper writes at the primary of the highest term.
-    fn write_elsewhere(&mut self) {
-        let leads = |server: &Server| server.alive && server.role == Role::Primary;
-        let primaries = (0..SERVERS).filter(|index| leads(&self.servers[*index]));
-        if let Some(index) = primaries.max_by_key(|index| self.servers[*index].term) {
-            self.servers[index].append(vec![self.next]);
-            self.oracle.elsewhere.push(self.next);
-            self.oracle.observe(index, &self.servers[index]);
-            self.next += 1;
-        }
-        self.oracle.acknowledge_elsewhere(self.now);
-    }
-
     fn step_probe(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        if self.probes.is_empty() {
-            return Ok(());
-        }
-        let probe = self.probes.swap_remove(u.choose_index(self.probes.len())?);
-        if self.lost[self.probed(&probe)] {
-            self.probes.push(probe);
+        let passing = |index: &usize| !self.lost[self.probed(&self.probes[*index])];
+        let passing: Vec<_> = (0..self.probes.len()).filter(passing).collect();
+        if passing.is_empty() {
             return Ok(());
         }
+        let probe = self.probes.swap_remove(passing[u.choose_index(passing.len())?]);
         let again = u.ratio(1, 16)?;
         if let Probe::Answered { status, sent } = &probe
             && again
@@ -624,123 +422,6 @@
         self.servers[index].apply(count / 2);
     }
 
-    fn step_failover(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        if self.failover.is_none() {
-            if u.ratio(1, 3)? {
-                self.term = Term(self.term.0 + 1);
-                self.failover =
-                    Some(Failover { term: self.term, fenced: Vec::new(), primary: None });
-            }
-            self.rejoin(u.choose_index(SERVERS)?);
-            return Ok(());
-        }
-        for _ in 0..u.int_in_range(1..=6)? {
-            let target = u.choose_index(SERVERS)?;
-            self.advance(target);
-        }
-        Ok(())
-    }
-
-    /// Tells a server that was left out of a failover whom to follow.
-    fn rejoin(&mut self, target: usize) {
-        let term = self.servers[target].term;
-        let leads = |server: &Server| server.role == Role::Primary && server.term > term;
-        let primaries = (0..SERVERS).filter(|index| leads(&self.servers[*index]));
-        let primary = primaries.max_by_key(|index| self.servers[*index].term);
-        if let Some(primary) = primary.filter(|_| !self.servers[target].cut) {
-            let term = self.servers[primary].term;
-            self.servers[target].follow(term, primary);
-        }
-    }
-
-    /// Takes one step of the failover under way, at one server.
-    fn advance(&mut self, target: usize) {
-        let Some(failover) = &mut self.failover else {
-            return;
-        };
-        if !self.servers[target].alive || self.servers[target].cut {
-            return;
-        }
-        match failover.primary {
-            None if !failover.fenced.contains(&target) => {
-                self.servers[target].fence(failover.term);
-                failover.fenced.push(target);
-            }
-            None if failover.fenced.len() >= 2 => {
-                let best = failover.fenced.iter().copied().max_by_key(|n| self.servers[*n].last());
-                let best = best.filter(|best| self.servers[*best].alive);
-                let promoted = best.filter(|best| self.servers[*best].promote(failover.term));
-                match promoted {
-                    None => self.failover = None,
-                    promoted => failover.primary = promoted,
-                }
-            }
-            Some(primary) if primary != target => {
-                self.servers[target].follow(failover.term, primary);
-                let follows = |server: &Server| server.following == Some(primary);
-                if self.servers.iter().filter(|server| follows(server)).count() >= 1 {
-                    self.failover = None;
-                }
-            }
-            None | Some(_) => {}
-        }
-    }
-
-    fn crash(&mut self, index: usize) {
-        self.servers[index].alive = false;
-        self.ghosts.retain(|(_, ghost)| ghost.server != index);
-        let conns: Vec<_> =
-            self.wires.values().filter(|w| w.server == index).map(|w| w.conn).collect();
-        for conn in conns {
-            self.snap(conn, 1);
-        }
-        self.ghosts.retain(|(_, ghost)| ghost.server != index);
-    }
-
-    fn revive(&mut self, index: usize) {
-        if !self.servers[index].alive {
-            self.servers[index].restart();
-        }
-    }
-
-    fn cancel_or_credit(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        let caller = &self.callers[u.choose_index(CALLERS)?];
-        let front = self.fronts[caller.front];
-        if let Some(request) = caller.open {
-            let cancels = u.ratio(1, 4)?;
-            let event = if cancels {
-                Event::Cancel { front, request }
-            } else {
-                Event::Credit { front, request, bytes: 1_000 }
-            };
-            self.feed(event);
-        }
-        Ok(())
-    }
-
-    fn change_lease(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        if u.arbitrary()? {
-            self.leased = u.ratio(4, 5)?;
-            self.feed(Event::Leased(self.leased));
-            return Ok(());
-        }
-        self.setup.lease = match u.int_in_range(0..=5_u8)? {
-            0 => Lease::Returning,
-            1 => Lease::None,
-            _ => Lease::Held,
-        };
-        self.feed(Event::Setup(self.setup.clone()));
-        Ok(())
-    }
-
-    fn change_servers(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
-        let server = &mut self.setup.servers[u.choose_index(SERVERS)?];
-        server.leaving = u.ratio(1, 4)?;
-        server.connections = u.int_in_range(2..=6)?;
-        self.feed(Event::Setup(self.setup.clone()));
-        Ok(())
-    }
-
     fn progress_one(&mut self) {
         for conn in self.busy() {
             self.execute(conn);
@@ -797,15 +478,6 @@
         self.stop();
     }
 
-    fn credit_all(&mut self) {
-        for number in 0..CALLERS {
-            let front = self.fronts[self.callers[number].front];
-            if let Some(request) = self.callers[number].open {
-                self.feed(Event::Credit { front, request, bytes: 1_000 });
-            }
-        }
-    }
-
     fn stop(&mut self) {
         for number in 0..CALLERS {
             self.leave(number);
--- /dev/null
+++ b/components/keeper/tests/fuzz/world/fault.rs
@@ -0,0 +1,234 @@
+//! What goes wrong: servers, connections, failovers, leases and fronts.
+
+use arbtest::arbitrary::{Result, Unstructured};
+use base::prelude::*;
+use keeper::{Connection, Event, Front, Lease};
+
+use super::{CALLERS, Failover, SERVERS, World};
+use crate::server::Server;
+use crate::wire::{Job, Wire};
+
+impl World {
+    /// Whether a write that a broken connection left may still be acknowledged.
+    pub(super) fn may_write(&self, id: u64, term: Term, ghost: &Wire) -> bool {
+        let waits =
+            ghost.jobs.iter().any(|job| matches!(job, Job::Run { id: other, .. } if *other == id));
+        let server = &self.servers[ghost.server];
+        let leads = server.alive && server.term == term && server.role == Role::Primary;
+        let left = self.servers.iter().filter(|other| other.term > term).count();
+        waits && leads && left < 2
+    }
+
+    /// Cuts one server off from the others, and the group from one or both of those.
+    pub(super) fn part(&mut self, index: usize, first: bool, second: bool) {
+        for (other, server) in self.servers.iter_mut().enumerate() {
+            server.cut = other == index;
+        }
+        self.lost = [false; SERVERS];
+        self.lost[(index + 1) % SERVERS] = first || !second;
+        self.lost[(index + 2) % SERVERS] = second;
+    }
+
+    /// Cuts the primary off and replaces it; the group may still reach the
+    /// replica that follows the new one.
+    pub(super) fn depose(&mut self, both: bool) {
+        let leads = |server: &Server| server.alive && server.role == Role::Primary;
+        let primaries = (0..SERVERS).filter(|index| leads(&self.servers[*index]));
+        let Some(old) = primaries.max_by_key(|index| self.servers[*index].term) else {
+            return;
+        };
+        let others = [(old + 1) % SERVERS, (old + 2) % SERVERS];
+        let heir = others.into_iter().max_by_key(|index| self.servers[*index].last());
+        let second = heir == Some(others[1]);
+        self.part(old, both || !second, both || second);
+        self.term = Term(self.term.0 + 1);
+        self.failover = Some(Failover { term: self.term, fenced: Vec::new(), primary: None });
+        for target in others.into_iter().cycle().take(6) {
+            self.advance(target);
+        }
+        self.write_elsewhere();
+        for target in others.into_iter().cycle().take(8) {
+            self.replicate(target, 1);
+        }
+    }
+
+    pub(super) fn join(&mut self) {
+        self.servers.iter_mut().for_each(|server| server.cut = false);
+        self.lost = [false; SERVERS];
+    }
+
+    /// A caller leaves; a new one takes its place.
+    pub(super) fn leave(&mut self, number: usize) {
+        let front = self.fronts[self.callers[number].front];
+        self.forget(number);
+        self.feed(Event::Leave { front, caller: number as u64 });
+    }
+
+    pub(super) fn vanish(&mut self, index: usize) {
+        let gone = self.fronts[index];
+        for number in (0..CALLERS).filter(|number| number % 2 == index) {
+            self.forget(number);
+        }
+        self.fronts[index] = Front(gone.0 + 2);
+        self.feed(Event::Gone { front: gone });
+    }
+
+    /// A connection breaks; what the server has answered may be cut.
+    pub(super) fn break_wire(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.wires.is_empty() {
+            return Ok(());
+        }
+        let index = u.choose_index(self.wires.len())?;
+        let conn = *self.wires.keys().nth(index).expect("an index in range");
+        let kept = u.int_in_range(0..=3)?;
+        self.snap(conn, kept);
+        Ok(())
+    }
+
+    pub(super) fn snap(&mut self, conn: Key<Connection>, kept: usize) {
+        let Some(wire) = self.wires.get_mut(&conn) else {
+            return;
+        };
+        if matches!(wire.events.back(), Some(Event::Closed { .. })) {
+            return;
+        }
+        let mut ghost = Wire::new(conn, wire.server);
+        std::mem::swap(&mut ghost.jobs, &mut wire.jobs);
+        ghost.open = wire.open.take();
+        wire.events.truncate(kept);
+        wire.events.push_back(Event::Closed { conn });
+        wire.paused = false;
+        if wire.standing && !ghost.jobs.is_empty() {
+            self.ghosts.push((self.servers[ghost.server].term, ghost));
+        }
+    }
+
+    /// A server runs what a broken connection left it, unless it was fenced since.
+    pub(super) fn step_ghost(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.ghosts.is_empty() {
+            return Ok(());
+        }
+        let (term, mut ghost) = self.ghosts.swap_remove(u.choose_index(self.ghosts.len())?);
+        let server = &mut self.servers[ghost.server];
+        if server.alive && server.term == term {
+            ghost.execute(server, &mut self.oracle);
+            self.oracle.observe(ghost.server, server);
+        }
+        Ok(())
+    }
+
+    /// Another keeper writes at the primary of the highest term.
+    pub(super) fn write_elsewhere(&mut self) {
+        let leads = |server: &Server| server.alive && server.role == Role::Primary;
+        let primaries = (0..SERVERS).filter(|index| leads(&self.servers[*index]));
+        if let Some(index) = primaries.max_by_key(|index| self.servers[*index].term) {
+            self.servers[index].append(vec![self.next]);
+            self.oracle.elsewhere.push(self.next);
+            self.oracle.observe(index, &self.servers[index]);
+            self.next += 1;
+        }
+        self.oracle.acknowledge_elsewhere(self.now);
+    }
+
+    pub(super) fn step_failover(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if self.failover.is_none() {
+            if u.ratio(1, 3)? {
+                self.term = Term(self.term.0 + 1);
+                self.failover =
+                    Some(Failover { term: self.term, fenced: Vec::new(), primary: None });
+            }
+            self.rejoin(u.choose_index(SERVERS)?);
+            return Ok(());
+        }
+        for _ in 0..u.int_in_range(1..=6)? {
+            let target = u.choose_index(SERVERS)?;
+            self.advance(target);
+        }
+        Ok(())
+    }
+
+    /// Tells a server that was left out of a failover whom to follow.
+    pub(super) fn rejoin(&mut self, target: usize) {
+        let term = self.servers[target].term;
+        let leads = |server: &Server| server.role == Role::Primary && server.term > term;
+        let primaries = (0..SERVERS).filter(|index| leads(&self.servers[*index]));
+        let primary = primaries.max_by_key(|index| self.servers[*index].term);
+        if let Some(primary) = primary.filter(|_| !self.servers[target].cut) {
+            let term = self.servers[primary].term;
+            self.servers[target].follow(term, primary);
+        }
+    }
+
+    /// Takes one step of the failover under way, at one server.
+    pub(super) fn advance(&mut self, target: usize) {
+        let Some(failover) = &mut self.failover else {
+            return;
+        };
+        if !self.servers[target].alive || self.servers[target].cut {
+            return;
+        }
+        match failover.primary {
+            None if !failover.fenced.contains(&target) => {
+                self.servers[target].fence(failover.term);
+                failover.fenced.push(target);
+            }
+            None if failover.fenced.len() >= 2 => {
+                let best = failover.fenced.iter().copied().max_by_key(|n| self.servers[*n].last());
+                let best = best.filter(|best| self.servers[*best].alive);
+                let promoted = best.filter(|best| self.servers[*best].promote(failover.term));
+                match promoted {
+                    None => self.failover = None,
+                    promoted => failover.primary = promoted,
+                }
+            }
+            Some(primary) if primary != target => {
+                self.servers[target].follow(failover.term, primary);
+                let follows = |server: &Server| server.following == Some(primary);
+                if self.servers.iter().filter(|server| follows(server)).count() >= 1 {
+                    self.failover = None;
+                }
+            }
+            None | Some(_) => {}
+        }
+    }
+
+    pub(super) fn crash(&mut self, index: usize) {
+        self.servers[index].alive = false;
+        self.ghosts.retain(|(_, ghost)| ghost.server != index);
+        let conns: Vec<_> =
+            self.wires.values().filter(|w| w.server == index).map(|w| w.conn).collect();
+        for conn in conns {
+            self.snap(conn, 1);
+        }
+        self.ghosts.retain(|(_, ghost)| ghost.server != index);
+    }
+
+    pub(super) fn revive(&mut self, index: usize) {
+        if !self.servers[index].alive {
+            self.servers[index].restart();
+        }
+    }
+
+    pub(super) fn change_lease(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        if u.arbitrary()? {
+            self.leased = u.ratio(4, 5)?;
+            self.feed(Event::Leased(self.leased));
+            return Ok(());
+        }
+        self.setup.lease = match u.int_in_range(0..=5_u8)? {
+            0 => Lease::Returning,
+            1 => Lease::None,
+            _ => Lease::Held,
+        };
+        self.feed(Event::Setup(self.setup.clone()));
+        Ok(())
+    }
+
+    pub(super) fn change_servers(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let server = &mut self.setup.servers[u.choose_index(SERVERS)?];
+        server.leaving = u.ratio(1, 4)?;
+        server.connections = u.int_in_range(2..=6)?;
+        self.feed(Event::Setup(self.setup.clone()));
+        Ok(())
+    }
+}
