--- a/components/entry/src/front/keepers.rs
+++ b/components/entry/src/front/keepers.rs
@@ -96,7 +96,7 @@
         let dialled = link::dial(keeper.address, &self.own, &self.key).await;
         let (peer, reader, writer) = dialled.change_context(NotLeft).inspect_err(|report| {
             warn!(self.log, "a keeper can't be reached";
-                "keeper" => %keeper.name, "address" => %keeper.address, "error" => ?report);
+                "keeper" => %keeper.name, "address" => %keeper.address, "error" => #%report);
         })?;
         if peer.name != keeper.name.as_str() {
             return Err(Report::new(NotLeft));
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -109,7 +109,11 @@
             if !self.front.view.leased(self.front.clock.now()) {
                 return Ok((ended(not_run(Reason::Lease)), None));
             }
-            for link in self.links().await {
+            let links = self.links().await;
+            if links.is_empty() {
+                last = not_run(Reason::WrongKeeper);
+            }
+            for link in links {
                 let attempt = self.attempt(&link, work, started, false).await?;
                 match attempt {
                     Attempt::NotLeft => {}
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -236,7 +236,7 @@
     async move {
         let served = telemetry::web::serve(listener, routes, ended.cancelled_owned()).await;
         if let Err(report) = served {
-            error!(log, "health and metrics are not served any more"; "error" => ?report);
+            error!(log, "health and metrics are not served any more"; "error" => #%report);
         }
     }
 }
--- a/programs/trefoil-entry/src/cmd/run.rs
+++ b/programs/trefoil-entry/src/cmd/run.rs
@@ -47,7 +47,7 @@
     let bound = match entry::bind(settings(run, key, log.clone())).await {
         Ok(bound) => bound,
         Err(report) => {
-            error!(log, "could not start"; "error" => ?report);
+            error!(log, "could not start"; "error" => #%report);
             return ExitCode::FAILURE;
         }
     };
