Dial keepers one at a time, and count requests against objectives

A keeper that does not answer held each request up for the three seconds of a handshake, even where it was only the second choice. Links are dialled as they are needed and given up after 500 ms, and a keeper whose entry lost its lease is passed over too, since it says not run. GET /v1/burn gives the entry's page.

--- a/components/entry/src/front/admit.rs
+++ b/components/entry/src/front/admit.rs
@@ -1,15 +1,17 @@
 //! What the declarations say of a request.
 
-use config::Rule;
 use config::model::Class;
+use config::{Declarations, Rule};
 use control::State;
 use pg::scan::{Scan, Statement, Verb, beginning};
 
+use std::sync::Arc;
+
 use base::prelude::*;
 use pg::{Code, Problem};
 
 /// How a request is to be run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Admission {
     /// Its rule.
     pub rule: Rule,
@@ -17,6 +19,8 @@
     pub deadline: Duration,
     /// Version of the declarations.
     pub version: u64,
+    /// The declarations of that version.
+    pub declarations: Arc<Declarations>,
 }
 
 /// Whether a service may use a group, and why not.
@@ -53,7 +57,8 @@
     let rule = if rules.all(|rule| rule == first) { first } else { Rule::UNDECLARED };
     let limits = state.declarations.services.get(service);
     let deadline = limits.map_or(Duration::ZERO, config::Service::deadline);
-    Ok(Admission { rule, deadline, version: state.version })
+    let declarations = Arc::clone(&state.declarations);
+    Ok(Admission { rule, deadline, version: state.version, declarations })
 }
 
 fn rule(state: &State, service: &str, group: &str, text: &str, scan: &Scan) -> Rule {
--- a/components/entry/src/front/keepers.rs
+++ b/components/entry/src/front/keepers.rs
@@ -20,6 +20,9 @@
 /// Longest time between two attempts to dial one keeper.
 const BACKOFF_MOST: Duration = Duration::from_secs(1);
 
+/// Longest time of one attempt; callers wait for it.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 #[derive(Debug, Default)]
 struct Slot {
     live: Mutex<Option<Arc<Link>>>,
@@ -92,9 +95,17 @@
         }
     }
 
+    /// Whether a keeper said that it is stopping.
+    pub fn is_closing(&self, keeper: &Keeper) -> bool {
+        let slot = self.slots().get(&keeper.address).cloned();
+        slot.and_then(|slot| slot.live()).is_some_and(|link| link.is_closing())
+    }
+
     async fn dial(&self, keeper: &Keeper) -> Result<Arc<Link>, Report<NotLeft>> {
-        let dialled = link::dial(keeper.address, &self.own, &self.key).await;
-        let (peer, reader, writer) = dialled.change_context(NotLeft).inspect_err(|report| {
+        let dial = link::dial(keeper.address, &self.own, &self.key);
+        let dialled = tokio::time::timeout(DIAL_TIMEOUT, dial).await.change_context(NotLeft);
+        let dialled = dialled.and_then(|dialled| dialled.change_context(NotLeft));
+        let (peer, reader, writer) = dialled.inspect_err(|report| {
             warn!(self.log, "a keeper can't be reached";
                 "keeper" => %keeper.name, "address" => %keeper.address, "error" => #%report);
         })?;
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -30,8 +30,8 @@
 pub mod tls;
 
 use std::fmt;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use ::session::Keys;
 use base::clock::Clock;
@@ -95,6 +95,7 @@
 pub struct Front {
     name: Name,
     zone: Name,
+    incarnation: u64,
     view: View,
     clock: Clock,
     keys: Keys,
@@ -106,6 +107,7 @@
     phase: watch::Sender<Phase>,
     numbers: AtomicU64,
     metrics: metrics::Metrics,
+    ledger: Mutex<burn::Ledger>,
     log: Logger,
 }
 
@@ -121,6 +123,15 @@
         self.numbers.fetch_add(1, Ordering::Relaxed)
     }
 
+    fn ledger(&self) -> MutexGuard<'_, burn::Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What was counted against the objectives of services.
+    pub fn page(&self) -> burn::Page {
+        self.ledger().page(self.clock.now(), &self.name, self.incarnation)
+    }
+
     /// The salt of a user that is not known: the same each time.
     fn salt(&self, user: &str) -> [u8; SALT_BYTES] {
         let proof = self.key.prove(&[b"salt", user.as_bytes()]);
@@ -143,13 +154,14 @@
     let log = settings.log;
     let metrics = {
         let registry = settings.metrics.lock();
-        let mut registry = registry.unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut registry = registry.unwrap_or_else(PoisonError::into_inner);
         metrics::Metrics::new(&mut registry)
     };
     let links = keepers::Keepers::new(&name, incarnation, key.clone(), clock, log.clone());
     let front = Arc::new(Front {
         name,
         zone,
+        incarnation,
         view,
         clock,
         keys: Keys::new(key.bytes()),
@@ -161,6 +173,7 @@
         phase: watch::Sender::new(Phase::Open),
         numbers: AtomicU64::new(1),
         metrics,
+        ledger: Mutex::default(),
         log,
     });
     let handle = Handle {
@@ -181,6 +194,11 @@
 }
 
 impl Handle {
+    /// What its callers share.
+    pub fn front(&self) -> Arc<Front> {
+        Arc::clone(&self.front)
+    }
+
     /// Takes no new callers, lets go of idle ones at once and of each other one
     /// when its transaction ends. After `limit` those that still run are cut.
     /// Returns how many were.
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -12,11 +12,12 @@
 use pg::answer::Status;
 use pg::prepared::Plan;
 use pg::{Code, Filter, Problem};
+use smallvec::SmallVec;
 use wire::data::{End, Leave, Outcome, Reason, Run, ask};
 
 use super::admit::{self, Admission};
 use super::caller::Caller;
-use super::choose;
+use super::choose::{self, Keeper};
 use super::conn::{FLUSH_BYTES, Gone};
 use super::link::{Event, Link, Request};
 use super::session::Transaction;
@@ -82,6 +83,7 @@
         let running = self.session.cancel.set(None);
         match result {
             Ok((attempt, link)) => {
+                self.record(&work, &attempt, started);
                 self.settle(&work, attempt, link).await;
                 Ok(())
             }
@@ -109,11 +111,14 @@
             if !self.front.view.leased(self.front.clock.now()) {
                 return Ok((ended(not_run(Reason::Lease)), None));
             }
-            let links = self.links().await;
-            if links.is_empty() {
+            let keepers = self.keepers();
+            if keepers.is_empty() {
                 last = not_run(Reason::WrongKeeper);
             }
-            for link in links {
+            for keeper in keepers {
+                let Ok(link) = self.front.keepers.link(&keeper).await else {
+                    continue;
+                };
                 let attempt = self.attempt(&link, work, started, false).await?;
                 match attempt {
                     Attempt::NotLeft => {}
@@ -135,21 +140,15 @@
         }
     }
 
-    /// Links to the keepers of the group, the best first; those that are
-    /// stopping last.
-    async fn links(&self) -> Vec<Arc<Link>> {
-        let front = &self.front;
-        let session = &self.session;
-        let keepers = front.view.read(|state| {
+    /// Keepers of the group, the best first; those that are stopping last.
+    fn keepers(&self) -> SmallVec<[Keeper; 2]> {
+        let (front, session) = (&self.front, &self.session);
+        let mut keepers = front.view.read(|state| {
             let group = session.group.as_str();
             choose::keepers(state, group, &front.name, &front.zone, session.number)
         });
-        let mut links = Vec::with_capacity(keepers.len());
-        for keeper in &keepers {
-            links.extend(front.keepers.link(keeper).await.ok());
-        }
-        links.sort_by_key(|link| link.is_closing());
-        links
+        keepers.sort_by_key(|keeper| front.keepers.is_closing(keeper));
+        keepers
     }
 
     /// Asks one keeper and passes its answer on.
@@ -265,6 +264,24 @@
         self.ready();
     }
 
+    /// Counts the request against the objectives of its service.
+    fn record(&self, work: &Work, attempt: &Attempt, started: Instant) {
+        let now = self.front.clock.now();
+        let rule = &work.admission.rule;
+        let read = rule.class == Class::Read;
+        let done = |end: &End| end.outcome() == Outcome::Done;
+        let event = burn::Event {
+            latency: now.since(started),
+            done: matches!(attempt, Attempt::Ended { end, .. } if done(end)),
+            write: !read,
+            age: (read && !rule.age.is_zero()).then_some(rule.age),
+        };
+        let service = &self.session.service;
+        if let Some(declared) = work.admission.declarations.services.get(service) {
+            self.front.ledger().record(now, service, &declared.objectives, event);
+        }
+    }
+
     fn keep(&mut self, work: &Work, own: usize) {
         for change in &work.plan.changes[..own.min(work.plan.changes.len())] {
             self.session.prepared.apply(change);
@@ -337,8 +354,8 @@
 /// Whether the other keeper may run it.
 fn is_movable(end: &End) -> bool {
     let reason = end.reason();
-    let movable = [Reason::WrongKeeper, Reason::Closing, Reason::Unavailable].contains(&reason);
-    end.outcome() == Outcome::NotRun && movable
+    let movable = [Reason::WrongKeeper, Reason::Closing, Reason::Lease, Reason::Unavailable];
+    end.outcome() == Outcome::NotRun && movable.contains(&reason)
 }
 
 fn rolled_back() -> Problem {
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -5,6 +5,8 @@
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 
+use axum::Router;
+use axum::routing::get;
 use base::clock::Clock;
 use base::prelude::*;
 use link::Key;
@@ -171,23 +173,25 @@
         let ended = CancellationToken::new();
         let ready = readiness(self.settings.clone(), view.clone(), health.clone());
         let ready = tokio::spawn(ended.clone().run_until_cancelled_owned(ready));
-        let web = web(&self.settings, self.web, &health, &metrics, ended.clone());
-        tokio::spawn(web);
+        let front = front::start(front::Settings {
+            name: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            incarnation: self.settings.incarnation,
+            listener: self.callers,
+            key: self.settings.key.clone(),
+            users: self.users,
+            tls: self.tls.map(|acceptor| acceptor.0),
+            view: view.clone(),
+            clock: self.settings.clock,
+            metrics: Arc::clone(&metrics),
+            log: self.settings.log.clone(),
+        });
+        let routes = telemetry::web::routes(health.clone(), Arc::clone(&metrics));
+        let routes = routes.merge(burn_routes(front.front()));
+        tokio::spawn(web(self.settings.log.clone(), self.web, routes, ended.clone()));
         Handle {
             log: self.settings.log.clone(),
-            front: front::start(front::Settings {
-                name: self.settings.name.clone(),
-                zone: self.settings.zone.clone(),
-                incarnation: self.settings.incarnation,
-                listener: self.callers,
-                key: self.settings.key.clone(),
-                users: self.users,
-                tls: self.tls.map(|acceptor| acceptor.0),
-                view: view.clone(),
-                clock: self.settings.clock,
-                metrics: Arc::clone(&metrics),
-                log: self.settings.log.clone(),
-            }),
+            front,
             keep: keep::start(keep::Settings {
                 name: self.settings.name.clone(),
                 zone: self.settings.zone.clone(),
@@ -224,20 +228,15 @@
     follow::start(follow::Settings { join, controls, key, view, symptoms, clock, log })
 }
 
-fn web(
-    settings: &Settings,
-    listener: TcpListener,
-    health: &Health,
-    metrics: &telemetry::web::Metrics,
-    ended: CancellationToken,
-) -> impl Future<Output = ()> + Send + 'static {
-    let routes = telemetry::web::routes(health.clone(), Arc::clone(metrics));
-    let log = settings.log.clone();
-    async move {
-        let served = telemetry::web::serve(listener, routes, ended.cancelled_owned()).await;
-        if let Err(report) = served {
-            error!(log, "health and metrics are not served any more"; "error" => #%report);
-        }
+/// `GET /v1/burn`: what the entry counted against the objectives of services.
+fn burn_routes(front: Arc<front::Front>) -> Router {
+    Router::new().route("/v1/burn", get(async move || axum::Json(front.page())))
+}
+
+async fn web(log: Logger, listener: TcpListener, routes: Router, ended: CancellationToken) {
+    let served = telemetry::web::serve(listener, routes, ended.cancelled_owned()).await;
+    if let Err(report) = served {
+        error!(log, "health and metrics are not served any more"; "error" => #%report);
     }
 }
 
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -124,6 +124,22 @@
     assert_eq!(rows(&client, "update t").await.unwrap(), ["update t"]);
 }
 
+#[tokio::test]
+async fn a_keeper_that_does_not_answer_is_passed_over() {
+    let shared = std::sync::Arc::default();
+    // it accepts and says nothing
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = silent.local_addr().unwrap();
+    let other = fake::keeper("two", std::sync::Arc::clone(&shared)).await;
+    let keepers = [("one", address), ("two", other)];
+    let bench = fake::bench_with(None, Duration::from_mins(10), shared, &keepers).await;
+    // whichever keeper is the first choice of each
+    for _ in 0..4 {
+        let client = bench.connect().await;
+        assert_eq!(rows(&client, "update t").await.unwrap(), ["update t"]);
+    }
+}
+
 #[tokio::test]
 async fn a_declared_read_is_tried_again_when_its_link_breaks() {
     let bench = bench(None).await;
