Decide apart from sockets what follows from an attempt

A declared read that may have run at a keeper whose link broke could in the end be told not run, when the next keeper refused it. What stands of several attempts is now decided in one module without sockets, and a fuzz holds what a caller is told against how often its statement ran at the keepers.

--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -9,7 +9,7 @@
 //! - [`session`]: what is kept of a caller between two cycles.
 //! - [`caller`]: its task.
 //! - [`admit`]: what the declarations say of a request.
-//! - [`run`]: one cycle at a keeper.
+//! - [`run`]: one cycle at a keeper; [`verdict`]: what follows from an attempt.
 //! - [`local`]: cycles that the front answers by itself.
 //! - [`choose`], [`keepers`], [`link`]: keepers and the links to them.
 //! - [`cancels`]: cancel requests.
@@ -28,6 +28,7 @@
 mod run;
 pub mod session;
 pub mod tls;
+pub mod verdict;
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -11,7 +11,7 @@
 use config::model::Class;
 use pg::answer::Status;
 use pg::prepared::Plan;
-use pg::{Code, Filter, Problem};
+use pg::{Filter, Problem};
 use smallvec::SmallVec;
 use wire::data::{End, Leave, Outcome, Reason, Run, ask};
 
@@ -21,6 +21,7 @@
 use super::conn::{FLUSH_BYTES, Gone};
 use super::link::{Event, Link, Request};
 use super::session::Transaction;
+use super::verdict::{self, Attempt};
 
 /// Time within which a lease is expected to move from one keeper to another.
 const LEASE_MOVE: Duration = Duration::from_secs(1);
@@ -31,9 +32,6 @@
 /// Longest random addition to that wait.
 const PAUSE_SPREAD: Duration = Duration::from_millis(30);
 
-/// When it is worth asking again, where a keeper does not say.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
-
 /// Time beyond its deadline after which a request is given up.
 const GRACE: Duration = Duration::from_secs(1);
 
@@ -51,23 +49,6 @@
     pub commits: bool,
 }
 
-/// What became of one attempt.
-#[derive(Debug)]
-enum Attempt {
-    /// A keeper ended it.
-    Ended {
-        end: End,
-        /// Whether a part of the answer was passed on.
-        passed: bool,
-        /// Number of own answers that were passed on.
-        own: usize,
-    },
-    /// It never reached a keeper.
-    NotLeft,
-    /// The link or the answer broke, or it took too long.
-    Broken { passed: bool, own: usize },
-}
-
 impl Caller {
     /// Runs a cycle and writes its whole answer.
     pub(super) async fn run(&mut self, work: Work) -> Result<(), Report<Gone>> {
@@ -105,35 +86,32 @@
         started: Instant,
     ) -> Result<(Attempt, Option<Arc<Link>>), Report<Gone>> {
         let until = started + LEASE_MOVE.min(work.admission.deadline);
-        let mut last = not_run(Reason::Unavailable);
+        let mut last = verdict::not_run(Reason::Unavailable);
         let mut changes = self.front.view.changes();
         loop {
             if !self.front.view.leased(self.front.clock.now()) {
-                return Ok((ended(not_run(Reason::Lease)), None));
+                let lease = verdict::not_run(Reason::Lease);
+                return Ok((Attempt::last(verdict::worse(last, lease)), None));
             }
             let keepers = self.keepers();
             if keepers.is_empty() {
-                last = not_run(Reason::WrongKeeper);
+                last = verdict::worse(last, verdict::not_run(Reason::WrongKeeper));
             }
             for keeper in keepers {
                 let Ok(link) = self.front.keepers.link(&keeper).await else {
                     continue;
                 };
                 let attempt = self.attempt(&link, work, started, false).await?;
-                match attempt {
-                    Attempt::NotLeft => {}
-                    Attempt::Ended { end, passed: false, .. } if is_movable(&end) => last = end,
-                    Attempt::Broken { passed: false, .. }
-                        if work.admission.rule.class == Class::Read =>
-                    {
-                        last = not_run(Reason::Unavailable);
-                        self.session.number = self.front.number();
-                    }
-                    attempt => return Ok((attempt, Some(link))),
+                match verdict::passes_on(&attempt, work.admission.rule.class) {
+                    Some(end) => last = verdict::worse(last, end),
+                    None => return Ok((verdict::stands(last, attempt), Some(link))),
+                }
+                if matches!(attempt, Attempt::Broken { .. }) {
+                    self.session.number = self.front.number();
                 }
             }
             if self.front.clock.now() >= until {
-                return Ok((ended(last), None));
+                return Ok((Attempt::last(last), None));
             }
             let pause = PAUSE_LEAST + PAUSE_SPREAD.mul_f64(rand::random());
             drop(tokio::time::timeout(pause, changes.changed()).await);
@@ -248,17 +226,15 @@
     /// Takes the end of the last attempt and ends the answer.
     async fn settle(&mut self, work: &Work, attempt: Attempt, link: Option<Arc<Link>>) {
         let within = self.session.transaction.is_open();
-        match attempt {
-            Attempt::Ended { end, own, .. } => {
-                self.keep(work, own);
-                self.end(work, &end, link, within).await;
-            }
-            // outside a transaction this was tried again elsewhere
-            Attempt::NotLeft => self.lose(work, &rolled_back(), link, within).await,
-            Attempt::Broken { own, .. } => {
-                self.keep(work, own);
-                let problem = if within && !work.commits { rolled_back() } else { lost() };
-                self.lose(work, &problem, link, within).await;
+        self.keep(work, attempt.own());
+        if let Attempt::Ended { end, .. } = &attempt {
+            self.front.metrics.cycle(end);
+        }
+        match verdict::problem(&attempt, within, work.commits) {
+            None => self.done(work, &attempt, link, within),
+            Some(problem) => {
+                let held = link.filter(|_| verdict::holds(&attempt, within));
+                self.lose(work, &problem, held, within).await;
             }
         }
         self.ready();
@@ -288,15 +264,11 @@
         }
     }
 
-    async fn end(&mut self, work: &Work, end: &End, link: Option<Arc<Link>>, within: bool) {
-        self.front.metrics.cycle(end);
-        let outcome = end.outcome();
-        if outcome != Outcome::Done {
-            // a keeper holds nothing of what was not run outside a transaction
-            let held = link.filter(|_| within || outcome != Outcome::NotRun);
-            self.lose(work, &explain(end), held, within).await;
+    /// Takes what an end that is done says of the session.
+    fn done(&mut self, work: &Work, attempt: &Attempt, link: Option<Arc<Link>>, within: bool) {
+        let Attempt::Ended { end, .. } = attempt else {
             return;
-        }
+        };
         if let Some(mark) = end.mark {
             let rose = self.session.floors.raise(&self.session.group, mark.into());
             let wrote = work.admission.rule.class != Class::Read || within;
@@ -342,62 +314,3 @@
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
-
-fn not_run(reason: Reason) -> End {
-    End { outcome: Outcome::NotRun as i32, reason: reason as i32, ..End::default() }
-}
-
-fn ended(end: End) -> Attempt {
-    Attempt::Ended { end, passed: false, own: 0 }
-}
-
-/// Whether the other keeper may run it.
-fn is_movable(end: &End) -> bool {
-    let reason = end.reason();
-    let movable = [Reason::WrongKeeper, Reason::Closing, Reason::Lease, Reason::Unavailable];
-    end.outcome() == Outcome::NotRun && movable.contains(&reason)
-}
-
-fn rolled_back() -> Problem {
-    let message = "the keeper was lost and the transaction was rolled back";
-    Problem::new(Code::NotRun, message).after(RETRY_AFTER)
-}
-
-fn lost() -> Problem {
-    Problem::new(Code::Unknown, "the keeper was lost; the outcome is unknown")
-}
-
-/// What a caller is told of an end that is not done.
-fn explain(end: &End) -> Problem {
-    let reason = end.reason();
-    if end.outcome() == Outcome::NotRun {
-        if reason == Reason::Cancelled {
-            return Problem::new(Code::Cancelled, "cancelled as the caller asked; it was not run");
-        }
-        let after = match end.retry_after_ms {
-            0 => RETRY_AFTER,
-            millis => Duration::from_millis(millis),
-        };
-        return Problem::new(Code::NotRun, format!("not run: {}", cause(reason))).after(after);
-    }
-    Problem::new(Code::Unknown, format!("the outcome is unknown: {}", cause(reason)))
-}
-
-fn cause(reason: Reason) -> &'static str {
-    match reason {
-        Reason::None => "no reason was given",
-        Reason::QueueFull => "the queue of the service is full",
-        Reason::Deadline => "the deadline would pass first",
-        Reason::WrongKeeper => "the group has no keeper at present",
-        Reason::Closing => "the keeper is stopping",
-        Reason::Lease => "this entry has lost touch with control",
-        Reason::Unavailable => "no server of the group can be used",
-        Reason::Replaced => "the primary was replaced",
-        Reason::Broken => "the connection to the backend server broke",
-        Reason::TransactionGone => "the transaction is gone",
-        Reason::Refused => "no selector lets the service reach a server of the group",
-        Reason::TooLarge => "the answer is too large to be held back",
-        Reason::Cancelled => "it was cancelled",
-        Reason::RetryBudget => "the service spent its retries",
-    }
-}
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -27,6 +27,8 @@
     Unknown(Reason),
     /// Breaks the link.
     Break,
+    /// Runs it and breaks the link.
+    RunAndBreak,
     /// Sends a part twice.
     Repeat,
     /// Runs it late.
@@ -43,6 +45,8 @@
     server: Mutex<Server>,
     /// Connections within a transaction, by caller.
     pinned: Mutex<HashMap<u64, Server>>,
+    /// How often each payload ran.
+    pub ran: Mutex<HashMap<bytes::Bytes, usize>>,
     pub position: Mutex<u64>,
 }
 
@@ -56,6 +60,7 @@
         let mut idle = self.server.lock().unwrap();
         assert_eq!(run.within, pinned.contains_key(&run.caller));
         let mut server = pinned.remove(&run.caller).unwrap_or_else(|| std::mem::take(&mut idle));
+        *self.ran.lock().unwrap().entry(run.payload.clone()).or_default() += 1;
         let answer = server.run(run.payload.clone());
         let status = server.status;
         if status == Status::Idle {
@@ -118,7 +123,10 @@
         match body {
             ask::Body::Run(run) => {
                 let trick = shared.tricks.lock().unwrap().pop_front();
-                if trick == Some(Trick::Break) {
+                if trick == Some(Trick::RunAndBreak) {
+                    drop(shared.run(&run));
+                }
+                if matches!(trick, Some(Trick::Break | Trick::RunAndBreak)) {
                     drop(answers.send(None));
                     return;
                 }
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use fake::{Trick, bench, code, connect, rows};
+use rand::{RngExt as _, SeedableRng as _};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use wire::data::{Class, Reason, ask};
@@ -240,6 +241,47 @@
     assert!(asks.iter().any(|body| matches!(body, ask::Body::Credit(_))));
 }
 
+/// Runs statements against keepers that fail as drawn; what the caller is told
+/// of each must be true of how often it ran.
+#[tokio::test]
+async fn what_a_caller_is_told_is_what_ran() {
+    let schedules = std::env::var("TREFOIL_FUZZ_SCHEDULES");
+    let schedules: u64 = schedules.map_or(100, |text| text.parse().unwrap());
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    for seed in 0..schedules {
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let tricks = [
+            None,
+            Some(Trick::Break),
+            Some(Trick::RunAndBreak),
+            Some(Trick::Repeat),
+            Some(Trick::NotRun(Reason::Closing)),
+            Some(Trick::NotRun(Reason::WrongKeeper)),
+            Some(Trick::NotRun(Reason::Deadline)),
+            Some(Trick::Unknown(Reason::Replaced)),
+        ];
+        let drawn: Vec<_> = (0..3).map(|_| tricks[random.random_range(0..tricks.len())]).collect();
+        let drawn: Vec<_> = drawn.into_iter().map_while(|trick| trick).collect();
+        *bench.shared.tricks.lock().unwrap() = drawn.iter().copied().collect();
+        let read = random.random_bool(0.3);
+        let text = format!("{} {seed}", if read { "select seat" } else { "update t" });
+        let told = client.simple_query(&text).await;
+        let payload = bytes::Bytes::from(
+            [b"Q", &(text.len() as u32 + 5).to_be_bytes()[..], text.as_bytes(), b"\0"].concat(),
+        );
+        let ran = bench.shared.ran.lock().unwrap().get(&payload).copied().unwrap_or_default();
+        match told.map_err(|error| error.code().unwrap().code().to_owned()) {
+            Ok(_) => assert!(ran == 1 || (read && ran > 0), "seed {seed}: {drawn:?}"),
+            Err(code) if code == "TF001" => assert_eq!(ran, 0, "seed {seed}: {drawn:?}"),
+            Err(code) => {
+                assert_eq!(code, "TF002", "seed {seed}: {drawn:?}");
+                assert!(ran <= 1 || read, "seed {seed}: {drawn:?}");
+            }
+        }
+    }
+}
+
 async fn answer_to(address: std::net::SocketAddr, bytes: &[u8]) -> Vec<u8> {
     let mut stream = TcpStream::connect(address).await.unwrap();
     stream.write_all(bytes).await.unwrap();
