--- a/components/entry/src/front/verdict.rs
+++ b/components/entry/src/front/verdict.rs
@@ -87,9 +87,18 @@
     }
 }
 
+/// Whether it is proved not to have run, for a reason that passes.
 fn is_movable(end: &End) -> bool {
-    let movable = [Reason::WrongKeeper, Reason::Closing, Reason::Lease, Reason::Unavailable];
-    end.outcome() == Outcome::NotRun && movable.contains(&end.reason())
+    let passes = matches!(
+        end.reason(),
+        Reason::WrongKeeper
+            | Reason::Closing
+            | Reason::Lease
+            | Reason::Unavailable
+            | Reason::Replaced
+            | Reason::Broken
+    );
+    end.outcome() == Outcome::NotRun && passes
 }
 
 /// What the caller is told of an attempt that is not done.
