--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -197,7 +197,8 @@
     let (view, _symptoms) = View::new();
     let mut progress = Progress::new(Instant::ZERO, join());
     let content = r#"{"groups":{"g1":{"servers":3}}}"#.to_owned();
-    let configure = wire::log::Configure { change: "c".to_owned(), base: 0, content };
+    let configure =
+        wire::log::Configure { change: "c".to_owned(), base: 0, content, patch: String::new() };
     let configure = Command { body: Some(command::Body::Configure(configure)) };
     let commands = [configure, assign(0, false), assign(1, true)];
     for (at, command) in commands.into_iter().enumerate() {
