Log a statement that finds no free slot

Change: a stand-in logs it, with the part that it plays. Conclusion: slots are passed for about a millisecond where a keeper gives up connections of a replaced primary whose statements still run there; the check stays as strict as it was.

--- a/components/standin/src/session/run.rs
+++ b/components/standin/src/session/run.rs
@@ -7,6 +7,7 @@
 use pgwire::messages::response::{EmptyQueryResponse, TransactionStatus};
 use pgwire::messages::{PgWireBackendMessage as Reply, PgWireFrontendMessage as Message};
 use rusqlite::Connection;
+use slog::debug;
 use tokio::sync::{Notify, SemaphorePermit};
 
 use crate::answer::{self, Severity};
@@ -280,6 +281,10 @@
     pause: Duration,
 ) -> Result<(SemaphorePermit<'a>, Held<'a>), Rejection> {
     let queued = server.slots.available_permits() == 0;
+    if queued {
+        let role = server.read(|core| core.log.role());
+        debug!(server.log, "a statement found no free slot"; "role" => %role);
+    }
     let held = server.counters.statement(queued);
     let work = async {
         let permit = server.slots.acquire().await;
