Join again only once the log is caught up with

An entry that took over a second to load a large state counted itself as absent from it, dialled again, and would never have ended loading. Absence now counts only once a confirmed beat's index is applied. cargo test -p entry: 8 passed.

--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Times in a row that its process was found gone.
+    /// Failures in a row, when the last one found its process gone.
     pub fn refusals(&self) -> u32 {
         match self.failed {
             Some((Unreached::Refused, _)) => self.failures,
--- a/components/entry/src/follow/progress.rs
+++ b/components/entry/src/follow/progress.rs
@@ -180,7 +180,8 @@
         }
         let own =
             |state: &State| state.entries.get(self.join.entry.as_str()).map(|e| e.incarnation);
-        if view.read(own) == Some(self.join.incarnation) {
+        let behind = !self.confirmed || !self.waiting.is_empty();
+        if behind || view.read(own) == Some(self.join.incarnation) {
             self.known = now;
         }
         if now.since(self.known) > ABSENCE {
--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -5,7 +5,8 @@
 use base::clock::Clock;
 use base::prelude::*;
 use entry::View;
-use entry::follow::{self, progress::Progress};
+use entry::follow;
+use entry::follow::progress::{Fault, Progress};
 use link::{Key, Peer, Purpose, Reader, Writer};
 use tokio::net::TcpListener;
 use wire::control::{self as messages, Confirm, Down, Entries, Image, Up, down, up};
@@ -192,6 +193,23 @@
     Command { body: Some(command::Body::Assign(assign)) }
 }
 
+#[test]
+fn joins_again_only_when_the_log_it_has_caught_up_with_lacks_it() {
+    let (view, _symptoms) = View::new();
+    let mut progress = Progress::new(Instant::ZERO, join());
+    let later = |millis| Instant::from_millis(millis);
+    let sequence = progress.beat(Instant::ZERO, &view, &mut Vec::new()).sequence;
+    let confirm = |index| Down { body: Some(confirm(sequence, index)) };
+    progress.on(&view, confirm(1)).unwrap();
+    assert!(progress.check(later(5_000), &view).is_ok());
+    progress.on(&view, Down { body: Some(entries(1..=1)) }).unwrap();
+    assert!(progress.check(later(10_000), &view).is_ok());
+    view.write(|state| state.entries.clear());
+    assert!(progress.check(later(10_500), &view).is_ok());
+    let report = progress.check(later(11_500), &view).unwrap_err();
+    assert_eq!(*report.current_context(), Fault::Absent);
+}
+
 #[test]
 fn owes_a_beat_when_a_lease_is_taken_back() {
     let (view, _symptoms) = View::new();
