Show a failover's steps from any member

Members tell of failovers by the wall clock of what they applied, the leader by what it saw; the status screen knew the second form only and would have shown dates as spans. Both read now. cargo test -p trefoilctl: 5 passed.

--- a/components/control/src/overview.rs
+++ b/components/control/src/overview.rs
@@ -121,7 +121,8 @@
     pub applied: Option<u64>,
 }
 
-/// A failover. Times are in milliseconds after it was noticed.
+/// A failover. A leader tells how long after it was noticed each step was
+/// taken; a member that only applied the steps tells when, by its wall clock.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Failover {
@@ -129,15 +130,23 @@
     pub group: String,
     /// Its term.
     pub term: u64,
+    /// The new primary.
+    pub server: Option<String>,
     /// Why it began.
-    pub cause: String,
+    pub cause: Option<String>,
     /// How long ago it was noticed, in milliseconds.
-    pub noticed_ms_ago: u64,
-    /// When a majority was fenced.
-    pub fenced_ms: Option<u64>,
-    /// When the new primary was promoted.
-    pub promoted_ms: Option<u64>,
-    /// When a majority had followed.
+    pub noticed_ms_ago: Option<u64>,
+    /// Time until a majority was fenced, in milliseconds.
+    pub fenced_after_ms: Option<u64>,
+    /// Time until the new primary was promoted, in milliseconds.
+    pub promoted_after_ms: Option<u64>,
+    /// Time until a majority had followed, in milliseconds.
+    pub established_after_ms: Option<u64>,
+    /// When its term was intended, in milliseconds since 1970.
+    pub intended_ms: Option<u64>,
+    /// When the new primary was chosen, in milliseconds since 1970.
+    pub chosen_ms: Option<u64>,
+    /// When it was established, in milliseconds since 1970.
     pub established_ms: Option<u64>,
 }
 
@@ -232,10 +241,11 @@
     Failover {
         group: trace.group.to_string(),
         term: trace.term.0,
-        cause: cause.to_string(),
-        noticed_ms_ago: now.since(trace.noticed).as_millis() as u64,
-        fenced_ms: trace.fenced.map(millis),
-        promoted_ms: trace.promoted.map(millis),
-        established_ms: trace.established.map(millis),
+        cause: Some(cause.to_string()),
+        noticed_ms_ago: Some(now.since(trace.noticed).as_millis() as u64),
+        fenced_after_ms: trace.fenced.map(millis),
+        promoted_after_ms: trace.promoted.map(millis),
+        established_after_ms: trace.established.map(millis),
+        ..Failover::default()
     }
 }
--- a/programs/trefoilctl/src/screen.rs
+++ b/programs/trefoilctl/src/screen.rs
@@ -1,5 +1,7 @@
 //! Tables for people.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use comfy_table::Table;
 use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
 use control::Overview;
@@ -112,15 +114,23 @@
 }
 
 fn row(failover: &Failover) -> [String; 7] {
-    let after =
-        |millis: Option<u64>| millis.map_or_else(|| "-".to_owned(), |ms| format!("+{ms} ms"));
+    let began = failover.intended_ms;
+    let since = |at: Option<u64>| Some(at?.saturating_sub(began?));
+    let ago = failover.noticed_ms_ago.or_else(|| since(Some(wall_ms())));
+    let after = |millis: Option<u64>| {
+        millis.map_or_else(|| "-".to_owned(), |millis| format!("+{millis} ms"))
+    };
     [
         failover.group.clone(),
         failover.term.to_string(),
-        failover.cause.clone(),
-        format!("{} s ago", failover.noticed_ms_ago / 1_000),
-        after(failover.fenced_ms),
-        after(failover.promoted_ms),
-        after(failover.established_ms),
+        known(failover.cause.as_ref()),
+        ago.map_or_else(|| "-".to_owned(), |millis| format!("{} s ago", millis / 1_000)),
+        after(failover.fenced_after_ms.or_else(|| since(failover.chosen_ms))),
+        after(failover.promoted_after_ms),
+        after(failover.established_after_ms.or_else(|| since(failover.established_ms))),
     ]
 }
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- a/programs/trefoilctl/tests/commands.rs
+++ b/programs/trefoilctl/tests/commands.rs
@@ -32,7 +32,10 @@
     let config = || async { Json(json!({"version": 4, "index": 9, "content": "{}"})) };
     let status = || async {
         let entry = |name: &str, applied: u64| json!({"name": name, "applied": applied});
-        Json(json!({"index": 12, "entries": [entry("e1", 12), entry("e2", 12)]}))
+        let failover = json!({"group": "g", "term": 7, "intended_ms": 5_000, "chosen_ms": 5_040,
+            "established_ms": 5_095});
+        let entries = [entry("e1", 12), entry("e2", 12)];
+        Json(json!({"index": 12, "entries": entries, "failovers": [failover]}))
     };
     let routes = Router::new()
         .route("/v1/changes", post(change))
@@ -105,5 +108,7 @@
     assert!(text.contains("+ groups.entries-1 = "), "{text}");
     let output = run(address, &["status"]).await;
     let text = String::from_utf8(output.stdout).unwrap();
-    assert!(text.contains("e1") && text.contains("12"), "{text}");
+    for due in ["e1", "12", "+40 ms", "+95 ms"] {
+        assert!(text.contains(due), "{due}: {text}");
+    }
 }
