--- a/components/control/src/lives.rs
+++ b/components/control/src/lives.rs
@@ -55,7 +55,10 @@
     /// Takes a beat.
     pub fn beat(&mut self, now: Instant, entry: Name, incarnation: u64, applied: u64) {
         let life = self.life(now, entry, incarnation);
-        life.heard = now;
+        // once it is given up, a beat is confirmed beyond that only
+        if life.parted.is_none() {
+            life.heard = now;
+        }
         life.applied = life.applied.max(applied);
     }
 
@@ -104,6 +107,9 @@
         for (entry, incarnation) in &known {
             let life = self.life(now, entry.clone(), *incarnation);
             life.known = true;
+            if life.parted.take().is_some() {
+                life.heard = now;
+            }
             let silent = now.since(life.heard) > LEASE + MARGIN;
             let waits = life.asked.is_some_and(|asked| now.since(asked) < PROPOSAL_TIMEOUT);
             if (silent || life.left) && !waits {
