--- a/programs/trefoil-control/src/cli.rs
+++ b/programs/trefoil-control/src/cli.rs
@@ -70,7 +70,7 @@
 
 impl fmt::Display for Invalid {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "--{}: `{}` is not allowed; {} is", self.flag, self.value, self.allowed)
+        write!(f, "--{} is `{}`, but must be {}", self.flag, self.value, self.allowed)
     }
 }
 
@@ -144,7 +144,7 @@
     }
 
     fn checked(self) -> Result<Settings, Invalid> {
-        const ADDRESS: &str = "an IP number and port, as 10.0.0.1:7000,";
+        const ADDRESS: &str = "an IP number and port, as 10.0.0.1:7000";
         let name = parse_as("name", &self.name, "1 to 128 of letters, digits and -_./:")?;
         let level = parse_as("log-level", &self.log_level, "error, warning, info or debug")?;
         let format = parse_as("log-format", &self.log_format, "auto, human or json")?;
@@ -183,7 +183,7 @@
     let invalid = || Invalid {
         flag: "peers",
         value: list.to_owned(),
-        allowed: "a list of NAME=LINK/WEB with commas between, each name once,",
+        allowed: "a list of NAME=LINK/WEB with commas between, each name once",
     };
     let mut peers: Vec<Peer> = Vec::new();
     for part in list.split(',') {
