--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -1,11 +1,12 @@
 //! How one command of the log changes the state.
 
+use std::collections::BTreeMap;
 use std::collections::btree_map::Entry as Slot;
-use std::fmt;
 use std::sync::Arc;
 
 use base::prelude::*;
-use config::Declarations;
+use config::{Declarations, Patch};
+use smallvec::SmallVec;
 use wire::log::command::Body;
 use wire::log::{self, Command};
 
@@ -66,7 +67,7 @@
             Some(Body::Announce(announce)) => self.announce(announce),
             Some(Body::Expire(expire)) => self.expire(expire),
             Some(Body::Join(join)) => self.join(join),
-            Some(Body::Part(part)) => self.part(index, part),
+            Some(Body::Part(part)) => self.part(part),
             Some(Body::Assign(assign)) => self.assign(index, assign),
             Some(Body::Intend(intend)) => self.intend(intend),
             Some(Body::Choose(choose)) => self.choose(choose),
@@ -90,7 +91,7 @@
         if configure.base != self.version {
             return Answer::Conflict { version: self.version };
         }
-        let declarations = match Declarations::parse(&configure.content) {
+        let declarations = match self.declared(configure) {
             Ok(declarations) => declarations,
             Err(faults) => return Answer::Invalid(faults),
         };
@@ -100,15 +101,27 @@
         Answer::Accepted { version: self.version, index }
     }
 
+    /// The declarations as the change leaves them.
+    fn declared(&self, configure: &log::Configure) -> Result<Declarations, Vec<config::Fault>> {
+        if configure.patch.is_empty() {
+            return Declarations::parse(&configure.content);
+        }
+        let patch = Patch::parse(&configure.patch).map_err(|fault| vec![fault])?;
+        patch.apply(&self.declarations)
+    }
+
     /// Makes each declared group known and fills its seats.
     fn seat(&mut self) {
+        let mut wanting: BTreeMap<&Name, SmallVec<[&Name; 3]>> = BTreeMap::new();
+        for (server, known) in self.servers.iter().filter(|(_, known)| !known.expired) {
+            wanting.entry(&known.group).or_default().push(server);
+        }
         for (name, declared) in &self.declarations.groups {
             let group = self.groups.entry(name.clone()).or_default();
             let seats = declared.servers as usize;
             group.shrink(seats, |seat| self.servers.get(seat).is_none_or(|server| server.expired));
-            for (server, known) in &self.servers {
-                let wants = known.group == *name && !known.expired;
-                if wants && group.seats.len() < seats && !group.seats.contains(server) {
+            for &server in wanting.get(name).into_iter().flatten() {
+                if group.seats.len() < seats && !group.seats.contains(server) {
                     group.seats.push(server.clone());
                 }
             }
@@ -116,6 +129,24 @@
     }
 
     fn announce(&mut self, announce: &log::Announce) -> Result<Outcome, Refusal> {
+        let Some((name, server)) = self.judge(announce)? else {
+            return Ok(Outcome::Unchanged);
+        };
+        if self.declares(server.group.as_str()) {
+            let group = self.groups.entry(server.group.clone()).or_default();
+            if !group.seats.contains(&name) {
+                group.seats.push(name.clone());
+            }
+        }
+        self.servers.insert(name, server);
+        Ok(Outcome::Applied)
+    }
+
+    /// What an announcement would change, `None` when it says what is known.
+    ///
+    /// # Errors
+    /// Why it would be refused.
+    pub fn judge(&self, announce: &log::Announce) -> Result<Option<(Name, Server)>, Refusal> {
         let (name, server) = Server::read(announce).ok_or(Refusal::Malformed)?;
         if let Some(known) = self.servers.get(&name) {
             if known.incarnation > server.incarnation {
@@ -125,32 +156,25 @@
                 return Err(Refusal::Address);
             }
             if *known == server {
-                return Ok(Outcome::Unchanged);
+                return Ok(None);
             }
         }
-        self.take_seat(&name, &server)?;
-        self.servers.insert(name, server);
-        Ok(Outcome::Applied)
+        self.judge_seat(&name, &server.group)?;
+        Ok(Some((name, server)))
     }
 
-    fn take_seat(&mut self, name: &Name, server: &Server) -> Result<(), Refusal> {
-        let elsewhere =
-            |(group, known): (&Name, &Group)| *group != server.group && known.seats.contains(name);
-        if self.groups.iter().any(elsewhere) {
+    fn judge_seat(&self, name: &Name, group: &Name) -> Result<(), Refusal> {
+        let seats = |known: &Group| known.seats.contains(name);
+        if self.groups.iter().any(|(other, known)| other != group && seats(known)) {
             return Err(Refusal::Group);
         }
-        let Some(declared) = self.declarations.groups.get(&server.group) else {
+        let declared = self.declarations.groups.get(group);
+        let known = self.groups.get(group);
+        let (Some(declared), Some(known)) = (declared, known) else {
             return Ok(());
         };
-        let group = self.groups.entry(server.group.clone()).or_default();
-        if group.seats.contains(name) {
-            return Ok(());
-        }
-        if group.seats.len() >= declared.servers as usize {
-            return Err(Refusal::Seats);
-        }
-        group.seats.push(name.clone());
-        Ok(())
+        let free = known.seats.len() < declared.servers as usize;
+        if free || seats(known) { Ok(()) } else { Err(Refusal::Seats) }
     }
 
     fn expire(&mut self, expire: &log::Expire) -> Result<Outcome, Refusal> {
@@ -191,7 +215,7 @@
 
     /// Takes all leases of the incarnation, and of earlier ones, and forgets
     /// the entry unless it started again since.
-    fn part(&mut self, index: u64, part: &log::Part) -> Result<Outcome, Refusal> {
+    fn part(&mut self, part: &log::Part) -> Result<Outcome, Refusal> {
         let mut found = false;
         for group in self.groups.values_mut() {
             let held = group.leases.len();
@@ -200,7 +224,6 @@
                 .retain(|lease| lease.entry != part.entry || lease.incarnation > part.incarnation);
             if group.leases.len() < held {
                 group.generation += 1;
-                group.assigned = index;
                 found = true;
             }
         }
@@ -222,22 +245,28 @@
         if (0..assign.leases.len()).any(twice) {
             return Err(Refusal::Malformed);
         }
-        self.check_limits(assign)?;
+        self.check_limits(group, assign)?;
         let group = self.groups.get_mut(assign.group.as_str()).ok_or(Refusal::Unknown)?;
+        if group.leases.iter().any(|lease| reduces(assign, lease)) {
+            group.reduced = index;
+        }
         group.leases = assign.leases.iter().cloned().collect();
         group.generation += 1;
-        group.assigned = index;
         Ok(Outcome::Applied)
     }
 
-    fn check_limits(&self, assign: &log::Assign) -> Result<(), Refusal> {
+    /// Refuses shares that pass a server's limit, unless they only shrink
+    /// there, as they must after the server lowered it.
+    fn check_limits(&self, group: &Group, assign: &log::Assign) -> Result<(), Refusal> {
         let shares = || assign.leases.iter().flat_map(|lease| &lease.shares);
         for share in shares() {
             let server = self.servers.get(share.server.as_str()).ok_or(Refusal::Unknown)?;
             let same = || shares().filter(|other| other.server == share.server);
             let connections: u64 = same().map(|other| u64::from(other.connections)).sum();
             let slots: u64 = same().map(|other| u64::from(other.slots)).sum();
-            if connections > u64::from(server.grantable()) || slots > u64::from(server.slots) {
+            let over =
+                connections > u64::from(server.grantable()) || slots > u64::from(server.slots);
+            if over && grows(group, assign, &share.server) {
                 return Err(Refusal::Limit);
             }
         }
@@ -304,27 +333,51 @@
 }
 
 impl Group {
-    /// Drops seats beyond `seats`, those of servers that are gone first.
+    /// Drops seats beyond `seats`: those of servers that are gone first, and
+    /// the primary's last.
     fn shrink(&mut self, seats: usize, gone: impl Fn(&Name) -> bool) {
+        let primary = self.primary.clone();
+        let replica = |seat: &Name| Some(seat) != primary.as_ref();
         while self.seats.len() > seats {
             let last = self.seats.len() - 1;
-            let drop = self.seats.iter().rposition(&gone).unwrap_or(last);
+            let spare = self.seats.iter().rposition(|seat| replica(seat) && gone(seat));
+            let drop = spare.or_else(|| self.seats.iter().rposition(replica)).unwrap_or(last);
             self.seats.remove(drop);
         }
     }
 }
 
-impl fmt::Display for Answer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Accepted { version, .. } => write!(f, "accepted as version {version}"),
-            Self::Conflict { version } => write!(f, "the current version is {version}"),
-            Self::Invalid(faults) => {
-                for (at, fault) in faults.iter().enumerate() {
-                    write!(f, "{}{fault}", if at > 0 { "; " } else { "" })?;
-                }
-                Ok(())
-            }
-        }
+/// Whether new leases take something from the holder of an old one. One that
+/// was returning and is gone was given up before.
+fn reduces(assign: &log::Assign, old: &log::Lease) -> bool {
+    let new = assign
+        .leases
+        .iter()
+        .find(|new| new.entry == old.entry && new.incarnation == old.incarnation);
+    let Some(new) = new else {
+        return !old.returning;
+    };
+    if new.returning && !old.returning {
+        return true;
     }
+    old.shares.iter().any(|old| {
+        let new = new.shares.iter().find(|new| new.server == old.server);
+        new.is_none_or(|new| new.connections < old.connections || new.slots < old.slots)
+    })
+}
+
+/// Whether a lease has a larger share of a server than before.
+fn grows(group: &Group, assign: &log::Assign, server: &str) -> bool {
+    let share = |lease: &log::Lease| {
+        let share = lease.shares.iter().find(|share| share.server == server);
+        share.map_or((0, 0), |share| (share.connections, share.slots))
+    };
+    assign.leases.iter().any(|lease| {
+        let old = group
+            .leases
+            .iter()
+            .find(|old| old.entry == lease.entry && old.incarnation == lease.incarnation);
+        let (connections, slots) = old.map_or((0, 0), share);
+        share(lease).0 > connections || share(lease).1 > slots
+    })
 }
--- a/components/member/src/peers.rs
+++ b/components/member/src/peers.rs
@@ -50,7 +50,8 @@
     /// answer is false.
     pub(crate) fn send(&self, message: Message) -> bool {
         let line = self.lines.get(&message.to);
-        line.is_some_and(|line| line.queue.try_send(message).is_ok())
+        let open = line.filter(|_| !self.end.is_cut());
+        open.is_some_and(|line| line.queue.try_send(message).is_ok())
     }
 
     /// Whether there is no other member.
