Answer reads that a leader or a member outside the quorum gives up

Both are told at once now. The fuzz checks that no read stays unanswered at the end; without the mend it fails. A test cuts a leader off and lets it return: it confirms nothing old.

--- a/components/member/tests/failover.rs
+++ b/components/member/tests/failover.rs
@@ -38,3 +38,23 @@
     assert_ne!(next, leader);
     assert_eq!(trio.version(next).await, 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn confirms_nothing_old_when_it_returns_from_isolation() {
+    let trio = Trio::start().await;
+    let leader = trio.leader().await;
+    let other = (leader + 1) % 3;
+    let (status, _) = trio.change(leader, "one", 0, &json!({})).await;
+    assert_eq!(status, StatusCode::OK);
+
+    trio.handles[leader].as_ref().expect("runs").isolate(true);
+    let (status, answer) = trio.change(other, "two", 1, &json!({})).await;
+    assert_eq!((status, &answer["version"]), (StatusCode::OK, &json!(2)), "{answer}");
+    let (status, answer) = trio.get(leader, "/v1/config").await.expect("an answer");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{answer}");
+
+    trio.handles[leader].as_ref().expect("runs").isolate(false);
+    assert_eq!(trio.version(leader).await, 2);
+    let (status, answer) = trio.change(leader, "three", 1, &json!({})).await;
+    assert_eq!((status, &answer["version"]), (StatusCode::CONFLICT, &json!(2)), "{answer}");
+}
--- a/components/quorum/src/elect.rs
+++ b/components/quorum/src/elect.rs
@@ -20,6 +20,8 @@
     /// Starts an election, with a pre-vote.
     pub(crate) fn stand(&mut self, now: Instant) {
         self.reset_deadline(now);
+        // also one that can't stand must know that it is led no more
+        self.set_leader(None);
         if !self.may_stand() {
             return;
         }
@@ -27,7 +29,6 @@
             self.campaign(now, false);
             return;
         }
-        self.set_leader(None);
         self.role = Role::Asking { votes: BTreeSet::from([self.settings.id]) };
         self.asked = now;
         let term = self.hard.term + 1;
--- a/components/quorum/src/read.rs
+++ b/components/quorum/src/read.rs
@@ -32,6 +32,14 @@
     pub(crate) fn current(&self) -> u64 {
         self.round
     }
+
+    /// Reads of the leader itself that are not confirmed.
+    pub(crate) fn own(&self) -> impl Iterator<Item = u64> {
+        self.open.iter().chain(&self.waiting).filter_map(|ask| match ask {
+            Ask::Own { token } => Some(*token),
+            Ask::Peer { .. } => None,
+        })
+    }
 }
 
 /// What a follower has asked its leader.
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -414,7 +414,11 @@
             self.hold.hard(self.hard);
             self.incoming = None;
         }
-        self.role = Role::Follower;
+        let role = std::mem::replace(&mut self.role, Role::Follower);
+        if let Role::Leader(lead) = role {
+            let given_up = lead.rounds.own();
+            self.out.extend(given_up.map(|token| Effect::Unconfirmed { token }));
+        }
         self.set_leader(leader);
         self.reset_deadline(now);
     }
--- a/components/quorum/tests/fuzz/schedule.rs
+++ b/components/quorum/tests/fuzz/schedule.rs
@@ -313,6 +313,9 @@
         "no read succeeds although all faults are over\n{}",
         world.describe()
     );
+    for node in &world.nodes {
+        assert!(node.reads.is_empty(), "a read is never answered\n{}", world.describe());
+    }
     let len = world.oracle.len();
     for member in world.oracle.members.members.clone() {
         let node = world.nodes.iter().find(|node| node.id == member.id);
--- a/components/quorum/tests/fuzz/world.rs
+++ b/components/quorum/tests/fuzz/world.rs
@@ -38,6 +38,8 @@
     digest: u64,
     pub applied: u64,
     waiting: BTreeSet<u64>,
+    /// Reads that are not answered.
+    pub reads: BTreeSet<u64>,
 }
 
 #[derive(Debug)]
@@ -108,6 +110,7 @@
             digest: 0,
             applied: 0,
             waiting: BTreeSet::new(),
+            reads: BTreeSet::new(),
         };
         self.nodes.push(node);
         let place = self.nodes.len() - 1;
@@ -137,6 +140,7 @@
         let node = &mut self.nodes[place];
         node.replica = None;
         node.waiting.clear();
+        node.reads.clear();
         let lasting = self.rng.random_range(0..=node.pending.len());
         for write in std::mem::take(&mut node.pending).into_iter().take(lasting) {
             persist(&mut node.durable, write);
@@ -173,6 +177,7 @@
         self.token += 1;
         let token = self.token;
         self.oracle.read(self.nodes[place].id, token);
+        self.nodes[place].reads.insert(token);
         self.event(place, Event::Read { token, note: None });
     }
 
@@ -300,7 +305,13 @@
                 node.digest = read_digest(&snapshot.data);
                 self.oracle.restored(snapshot.index, node.digest);
             }
-            Effect::Confirmed { token, index } => self.oracle.confirmed(id, token, index),
+            Effect::Confirmed { token, index } => {
+                assert!(self.nodes[place].reads.remove(&token), "a read was answered twice");
+                self.oracle.confirmed(id, token, index);
+            }
+            Effect::Unconfirmed { token } => {
+                assert!(self.nodes[place].reads.remove(&token), "a read was answered twice");
+            }
             Effect::Dropped { token, not_run } => {
                 self.nodes[place].waiting.remove(&token);
                 if not_run {
@@ -308,11 +319,7 @@
                 }
             }
             Effect::Part(part) if part.leads => self.oracle.leads(part.term, id),
-            Effect::Part(_)
-            | Effect::Members(_)
-            | Effect::Noted(_)
-            | Effect::Refused { .. }
-            | Effect::Unconfirmed { .. } => {}
+            Effect::Part(_) | Effect::Members(_) | Effect::Noted(_) | Effect::Refused { .. } => {}
         }
     }
 
