Know proposals again by number, whatever the wall clock does

The leader dropped proposals whose number was not above the last one, and a member counted on from its wall clock at each start: a clock set back would have made its proposals vanish until the next election. Numbers now start at random and a leader knows the newest 1024 of each member again.

--- a/components/member/src/beacon.rs
+++ b/components/member/src/beacon.rs
@@ -32,7 +32,7 @@
     /// The member.
     #[prost(uint64, tag = "1")]
     pub(crate) id: u64,
-    /// Number of the beacon; it rises, also over restarts.
+    /// When it was sent, in milliseconds of its wall clock; it rises.
     #[prost(uint64, tag = "2")]
     pub(crate) sequence: u64,
     /// Last index that it applied.
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use base::clock::Clock;
 use base::prelude::*;
@@ -187,7 +188,9 @@
     }
 
     fn publish(&mut self) {
-        let (id, sequence) = (self.own.id, self.next_token());
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let sequence = since.unwrap_or_default().as_millis() as u64;
+        let id = self.own.id;
         let (index, term) = (self.state.index, self.part.term);
         let leader = self.part.leader.unwrap_or(0);
         if let Some(beacons) = &self.beacons {
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -212,7 +212,7 @@
             proposals: BTreeMap::new(),
             reads: BTreeMap::new(),
             confirmed: Vec::new(),
-            token: first_token(),
+            token: draw_id() >> 1,
             forward: wire::quorum::Forward::default(),
             failovers: std::collections::VecDeque::new(),
             seen: BTreeMap::new(),
@@ -233,12 +233,6 @@
     }
 }
 
-/// Numbers of proposals rise, also over restarts.
-fn first_token() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.unwrap_or_default().as_micros() as u64
-}
-
 fn own(settings: &Settings, addresses: Addresses, peers: &[Peer], id: u64) -> Member {
     let listed = peers.iter().find(|peer| peer.name == settings.name);
     let (link, web) = listed.map_or((addresses.link, addresses.web), |peer| (peer.link, peer.web));
--- a/components/quorum/src/lead.rs
+++ b/components/quorum/src/lead.rs
@@ -13,6 +13,7 @@
 
 use crate::read::Rounds;
 use crate::replica::{Effect, Flaw, Replica, Role};
+use crate::seen::Seen;
 use crate::{ELECTION_MAX, HEARTBEAT, QUORUM_TIMEOUT, WINDOW_ENTRIES};
 
 /// What a leader knows of another member.
@@ -37,8 +38,8 @@
     pub(crate) since: Instant,
     /// Who is to lead next, and until when this is tried.
     pub(crate) transfer: Option<(u64, Instant)>,
-    /// Last proposal of each member.
-    pub(crate) seen: BTreeMap<u64, u64>,
+    /// Proposals of each member.
+    pub(crate) seen: BTreeMap<u64, Seen>,
 }
 
 impl Lead {
@@ -311,11 +312,9 @@
 
     pub(crate) fn on_propose(&mut self, now: Instant, from: u64, propose: Propose) {
         let Some(lead) = self.leading() else { return };
-        let seen = lead.seen.entry(from).or_default();
-        if propose.token <= *seen {
+        if !lead.seen.entry(from).or_default().insert(propose.token) {
             return;
         }
-        *seen = propose.token;
         if let Some(body) = propose.body {
             self.accept(now, from, propose.token, body);
         }
--- a/components/quorum/src/lib.rs
+++ b/components/quorum/src/lib.rs
@@ -12,7 +12,8 @@
 //! - [`Event::Tick`] comes about every [`TICK`].
 //! - A data folder's id is drawn at random when the folder is made: a member
 //!   that lost its disk comes back as another one, never with a forgotten vote.
-//! - Numbers of proposals rise, also over restarts of the same id.
+//! - A number of a proposal or read is never used again, also over restarts of
+//!   the same id: the host counts on from a random one.
 
 mod change;
 mod elect;
@@ -22,6 +23,7 @@
 mod log;
 mod read;
 mod replica;
+mod seen;
 
 use base::prelude::*;
 
@@ -67,5 +69,8 @@
 /// A piece of a snapshot, in bytes.
 pub const PIECE_BYTES: usize = 256 << 10;
 
+/// Proposals of one member that a leader knows again when they come twice.
+pub const SEEN_PROPOSALS: usize = 1_024;
+
 /// Entries kept behind a snapshot for members that are a little behind.
 pub const KEPT_ENTRIES: u64 = 1_024;
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -67,14 +67,14 @@
     Message(Message),
     /// The write with this token and all before it are synced.
     Persisted(u64),
-    /// A command is proposed, under a number that rises.
+    /// A command is proposed, under a number of its own.
     Propose {
         /// The number.
         token: u64,
         /// The encoded command.
         command: Bytes,
     },
-    /// A change of membership is proposed, under a number that rises.
+    /// A change of membership is proposed, under a number of its own.
     Change {
         /// The number.
         token: u64,
--- a/components/wire/src/quorum.rs
+++ b/components/wire/src/quorum.rs
@@ -274,7 +274,7 @@
 /// A proposal on its way to the leader.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Propose {
-    /// Number of the proposal at the sender; rises.
+    /// Number of the proposal at the sender.
     #[prost(uint64, tag = "1")]
     pub token: u64,
     /// What is proposed.
