--- a/components/quorum/src/change.rs
+++ b/components/quorum/src/change.rs
@@ -8,8 +8,9 @@
 use wire::quorum::message::Body;
 use wire::quorum::{Entry, Members, Refusal, Refused, entry, propose};
 
+use crate::event::{Change, Effect};
 use crate::hold::Hard;
-use crate::replica::{Change, Effect, Replica, Role};
+use crate::replica::{Replica, Role};
 
 /// Number of voters that make a quorum.
 pub fn quorum(voters: usize) -> usize {
--- a/components/quorum/src/elect.rs
+++ b/components/quorum/src/elect.rs
@@ -11,9 +11,10 @@
 use wire::quorum::message::Body;
 use wire::quorum::{Member, Members, Vote, Voted};
 
+use crate::event::Flaw;
 use crate::hold::{Hard, Item};
 use crate::lead::Lead;
-use crate::replica::{Flaw, Replica, Role};
+use crate::replica::{Replica, Role};
 use crate::{ELECTION_MIN, HEARTBEAT, RETRY_MAX, RETRY_MIN};
 
 impl Replica {
--- a/components/quorum/src/follow.rs
+++ b/components/quorum/src/follow.rs
@@ -4,8 +4,9 @@
 use wire::quorum::message::Body;
 use wire::quorum::{Append, Appended, Members, Piece, Pieced};
 
+use crate::event::Effect;
 use crate::log::Snapshot;
-use crate::replica::{Effect, Replica};
+use crate::replica::Replica;
 
 /// A snapshot that comes in pieces.
 #[derive(Debug)]
--- a/components/quorum/src/lead.rs
+++ b/components/quorum/src/lead.rs
@@ -11,8 +11,9 @@
 use wire::quorum::message::Body;
 use wire::quorum::{Append, Appended, Campaign, Entry, Piece, Pieced, Propose, entry, propose};
 
+use crate::event::{Effect, Flaw};
 use crate::read::Rounds;
-use crate::replica::{Effect, Flaw, Replica, Role};
+use crate::replica::{Replica, Role};
 use crate::seen::Seen;
 use crate::{ELECTION_MAX, HEARTBEAT, QUORUM_TIMEOUT, WINDOW_ENTRIES};
 
@@ -328,10 +329,10 @@
         let command = match body {
             propose::Body::Command(command) => command,
             propose::Body::Add(member) => {
-                return self.change(now, origin, token, crate::replica::Change::Add(member));
+                return self.change(now, origin, token, crate::event::Change::Add(member));
             }
             propose::Body::Remove(id) => {
-                return self.change(now, origin, token, crate::replica::Change::Remove(id));
+                return self.change(now, origin, token, crate::event::Change::Remove(id));
             }
         };
         self.write_command(origin, token, command);
--- a/components/quorum/src/lib.rs
+++ b/components/quorum/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod change;
 mod elect;
+mod event;
 mod follow;
 mod hold;
 mod lead;
@@ -28,9 +29,10 @@
 use base::prelude::*;
 
 pub use change::quorum;
+pub use event::{Change, Effect, Event, Flaw, Part, Settings, Stored};
 pub use hold::{Hard, Write};
 pub use log::Snapshot;
-pub use replica::{Change, Effect, Event, Flaw, Part, Replica, Settings, Stored};
+pub use replica::Replica;
 
 /// Pace of [`Event::Tick`].
 pub const TICK: Duration = Duration::from_millis(10);
--- a/components/quorum/src/read.rs
+++ b/components/quorum/src/read.rs
@@ -10,7 +10,8 @@
 use wire::quorum::{Confirmed, Read};
 
 use crate::HEARTBEAT;
-use crate::replica::{Effect, Flaw, Replica, Role};
+use crate::event::{Effect, Flaw};
+use crate::replica::{Replica, Role};
 
 /// Who asked for a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
