--- a/components/quorum/src/elect.rs
+++ b/components/quorum/src/elect.rs
@@ -11,15 +11,18 @@
 use wire::quorum::message::Body;
 use wire::quorum::{Member, Members, Vote, Voted};
 
+use crate::event::Flaw;
 use crate::hold::{Hard, Item};
 use crate::lead::Lead;
-use crate::replica::{Flaw, Replica, Role};
+use crate::replica::{Replica, Role};
 use crate::{ELECTION_MIN, HEARTBEAT, RETRY_MAX, RETRY_MIN};
 
 impl Replica {
     /// Starts an election, with a pre-vote.
     pub(crate) fn stand(&mut self, now: Instant) {
         self.reset_deadline(now);
+        // also one that can't stand must know that it is led no more
+        self.set_leader(None);
         if !self.may_stand() {
             return;
         }
@@ -27,7 +30,6 @@
             self.campaign(now, false);
             return;
         }
-        self.set_leader(None);
         self.role = Role::Asking { votes: BTreeSet::from([self.settings.id]) };
         self.asked = now;
         let term = self.hard.term + 1;
--- a/components/quorum/src/read.rs
+++ b/components/quorum/src/read.rs
@@ -10,7 +10,8 @@
 use wire::quorum::{Confirmed, Read};
 
 use crate::HEARTBEAT;
-use crate::replica::{Effect, Flaw, Replica, Role};
+use crate::event::{Effect, Flaw};
+use crate::replica::{Replica, Role};
 
 /// Who asked for a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +33,14 @@
     pub(crate) fn current(&self) -> u64 {
         self.round
     }
+
+    /// Reads of the leader itself that are not confirmed.
+    pub(crate) fn own(&self) -> impl Iterator<Item = u64> {
+        self.open.iter().chain(&self.waiting).filter_map(|ask| match ask {
+            Ask::Own { token } => Some(*token),
+            Ask::Peer { .. } => None,
+        })
+    }
 }
 
 /// What a follower has asked its leader.
