Look at parked reads only when a report or time may move them

Each event walked all parked reads and, with full slots, each service's first queued read, so its cost grew with the number of callers. Parked reads are now looked at on reports, ticks and their own arrival, and queued ones only while a server has a slot ready. A read whose service may not reach the primary stays parked in place of holding up its service's queue there. Three more single rules are tried; all tests of the crate pass.

--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -167,6 +167,7 @@
         self.wake_repeats(now, out);
         self.expire_conns(now, out);
         self.settle(now, out);
+        self.unpark(now);
         self.relieve(now);
         self.watch(now, out);
     }
--- a/components/keeper/src/intake.rs
+++ b/components/keeper/src/intake.rs
@@ -81,8 +81,8 @@
         }
         if request.is_read() {
             request.stage = Stage::Parked;
-            self.parked.push(key);
             self.want_for(now, key);
+            self.park_or_queue(now, key);
             return;
         }
         self.queue(key, Lane::Primary);
--- a/components/keeper/src/pump.rs
+++ b/components/keeper/src/pump.rs
@@ -29,7 +29,6 @@
             self.pump_urgent(now, *server, out);
         }
         if self.may_start() {
-            self.unpark(now);
             self.pump_primary(now, out);
             self.pump_replicas(now, out);
         }
@@ -112,6 +111,10 @@
     }
 
     fn pump_replicas(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let ready = |key| self.ready_slots(key) > 0;
+        if self.lanes.replica.is_empty() || !self.servers.iter().any(|(key, _)| ready(key)) {
+            return;
+        }
         let mut queue = std::mem::take(&mut self.lanes.replica);
         queue.offer(|key| self.offer_replica(now, key, out));
         self.lanes.replica = queue;
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -132,16 +132,21 @@
     pub(crate) fn unpark(&mut self, now: Instant) {
         let parked = std::mem::take(&mut self.parked);
         for key in parked {
-            let Some(request) = self.requests.get(key).filter(|r| r.stage == Stage::Parked) else {
-                continue;
-            };
-            match self.lane(now, request) {
-                Some((lane, cause)) => {
-                    self.set_cause(key, cause);
-                    self.queue(key, lane);
-                }
-                None => self.parked.push(key),
+            self.park_or_queue(now, key);
+        }
+    }
+
+    /// Queues a parked read if its server is clear.
+    pub(crate) fn park_or_queue(&mut self, now: Instant, key: Key<Request>) {
+        let Some(request) = self.requests.get(key).filter(|r| r.stage == Stage::Parked) else {
+            return;
+        };
+        match self.lane(now, request) {
+            Some((lane, cause)) => {
+                self.set_cause(key, cause);
+                self.queue(key, lane);
             }
+            None => self.parked.push(key),
         }
     }
 
@@ -153,7 +158,7 @@
 
     /// Where a parked read is to queue, once that is clear.
     fn lane(&self, now: Instant, request: &Request) -> Option<(Lane, Cause)> {
-        if self.candidates(now, request).next().is_some() {
+        if self.qualified(now, request).next().is_some() {
             return Some((Lane::Replica, Cause::Busy));
         }
         let since = request.since(now);
@@ -161,7 +166,7 @@
         let replica = self.replicas(now, request).next().is_some();
         let patience = Duration::from_millis(request.run.patience_ms);
         let patient = replica && now < request.arrived + patience;
-        if !sampled || patient {
+        if !sampled || patient || !self.reaches_primary(request) {
             return None;
         }
         let aged = request.run.age_ms > 0 && !request.is_fresh();
@@ -173,6 +178,12 @@
         Some((if aged { Lane::Spare } else { Lane::Primary }, cause))
     }
 
+    fn reaches_primary(&self, request: &Request) -> bool {
+        let service = self.services.get(request.service);
+        let reaches = |key| service.is_some_and(|service| service.reaches(key));
+        self.primary().is_none_or(|(key, _)| reaches(key))
+    }
+
     /// Replicas that the request's service may reach.
     fn replicas(
         &self,
@@ -190,23 +201,39 @@
         })
     }
 
-    /// Replicas that qualify for a read, also without a free slot.
-    pub(crate) fn candidates(
+    /// Replicas that show what a read needs, and the mark that each is sure to show.
+    fn qualified(
         &self,
         now: Instant,
         request: &Request,
-    ) -> impl Iterator<Item = Candidate<Key<Server>>> {
+    ) -> impl Iterator<Item = (Key<Server>, &Server, Option<Mark>)> {
         let need = Need { floor: request.floor, since: request.since(now) };
         self.replicas(now, request).filter_map(move |(key, server, seen)| {
             let mark = qualify(&seen.status, need, &self.ring)?;
-            let idle = self.idle(key).is_some();
-            let free = if idle { self.free_slots(key) } else { 0 };
-            let near = server.zone == self.zone;
-            let waiting = server.urgent.len() as u32;
-            Some(Candidate { server: key, near, free, waiting, mark })
+            Some((key, server, mark))
         })
     }
 
+    /// The same with what decides between them, also where no slot is free.
+    pub(crate) fn candidates(
+        &self,
+        now: Instant,
+        request: &Request,
+    ) -> impl Iterator<Item = Candidate<Key<Server>>> {
+        self.qualified(now, request).map(|(key, server, mark)| Candidate {
+            server: key,
+            near: server.zone == self.zone,
+            free: self.ready_slots(key),
+            waiting: server.urgent.len() as u32,
+            mark,
+        })
+    }
+
+    /// Slots of a server that could be used at once.
+    pub(crate) fn ready_slots(&self, key: Key<Server>) -> u32 {
+        if self.idle(key).is_some() { self.free_slots(key) } else { 0 }
+    }
+
     /// Moves reads that waited long for a busy replica to an idle primary.
     pub(crate) fn relieve(&mut self, now: Instant) {
         if !self.lanes.primary.is_empty() || self.lanes.replica.is_empty() {
--- a/components/keeper/src/settle.rs
+++ b/components/keeper/src/settle.rs
@@ -34,6 +34,7 @@
             server.see(now, status, sent);
         }
         self.verify();
+        self.unpark(now);
         self.cut_replaced(now, out);
         self.settle(now, out);
     }
--- a/components/keeper/tests/group.rs
+++ b/components/keeper/tests/group.rs
@@ -5,7 +5,10 @@
 use base::prelude::*;
 use bytes::Bytes;
 use config::Declarations;
-use keeper::{Connection, Effect, Event, Front, Group, Kind, Lease, Piece, Setup, Trouble, event};
+use keeper::{
+    Cause, Connection, Count, Effect, Event, Front, Group, Kind, Lease, Piece, Setup, Trouble,
+    event,
+};
 use wire::control::{Sight, Symptom};
 use wire::data::{Class, End, Outcome, Reason, Run};
 
@@ -16,6 +19,7 @@
     now: Instant,
     out: Vec<Effect>,
     next: u64,
+    declared: Declarations,
 }
 
 fn name(text: &str) -> Name {
@@ -75,16 +79,21 @@
     fn new(servers: u16, queue: u32) -> Self {
         let group = Group::new(name("group"), name("zone"), 1);
         let now = Instant::from_millis(1_000);
-        let mut bench = Self { group, now, out: Vec::new(), next: 0 };
-        bench.feed(Event::Setup(Setup {
-            declared: u32::from(servers),
+        let declared = declarations(u32::from(servers), queue);
+        let mut bench = Self { group, now, out: Vec::new(), next: 0, declared };
+        bench.set_up((0..servers).map(seat).collect());
+        bench.feed(Event::Leased(true));
+        bench
+    }
+
+    fn set_up(&mut self, servers: Vec<event::Server>) {
+        self.feed(Event::Setup(Setup {
+            declared: servers.len() as u32,
             primary: None,
-            servers: (0..servers).map(seat).collect(),
+            servers,
             lease: Lease::Held,
-            declarations: Arc::new(declarations(u32::from(servers), queue)),
+            declarations: Arc::new(self.declared.clone()),
         }));
-        bench.feed(Event::Leased(true));
-        bench
     }
 
     /// A group whose servers report and whose connections are open.
@@ -165,6 +174,10 @@
     Run { class: Class::Read as i32, fresh: true, ..Run::default() }
 }
 
+fn bounded_read() -> Run {
+    Run { class: Class::Read as i32, ..Run::default() }
+}
+
 fn aged_read() -> Run {
     Run { class: Class::Read as i32, age_ms: 500, ..Run::default() }
 }
@@ -267,6 +280,46 @@
     assert_eq!((ends[0].outcome(), ends[0].parts), (Outcome::Done, 2));
 }
 
+#[test]
+fn a_leaving_server_gets_nothing_new() {
+    let mut bench = Bench::ready(3);
+    let mut servers: Vec<_> = (0..3).map(seat).collect();
+    servers[1].leaving = true;
+    bench.set_up(servers);
+    bench.now += Duration::from_millis(1);
+    for _ in 0..2 {
+        bench.ask(fresh_read());
+    }
+    bench.report_all(3, 2);
+    assert_eq!(bench.sent().len(), 1, "one replica is left");
+}
+
+#[test]
+fn a_replica_that_policy_keeps_from_a_service_is_not_used() {
+    let mut bench = Bench::ready(3);
+    let mut servers: Vec<_> = (0..3).map(seat).collect();
+    servers[0].labels.insert(name("tier"), name("main"));
+    bench.declared.selectors.get_mut("all").unwrap().backends =
+        [(name("tier"), name("main"))].into();
+    bench.set_up(servers);
+    bench.now += Duration::from_millis(1);
+    bench.ask(fresh_read());
+    bench.report_all(3, 2);
+    let cause = Effect::Count(Count::PrimaryRead(Cause::NoReplica));
+    assert!(bench.out.contains(&cause));
+}
+
+#[test]
+fn a_read_waits_its_patience_for_a_replica_that_lags() {
+    let mut bench = Bench::ready(3);
+    bench.ask(Run { floor: Some(Mark::new(1, 12).into()), patience_ms: 20, ..bounded_read() });
+    bench.pass(10);
+    assert!(bench.sent().is_empty());
+    bench.pass(10);
+    let cause = Effect::Count(Count::PrimaryRead(Cause::Behind));
+    assert!(bench.out.contains(&cause));
+}
+
 fn sights(out: &mut Vec<Effect>) -> Vec<Sight> {
     let sight = |symptom: Symptom| Sight::try_from(symptom.sight).unwrap();
     let reports = out.drain(..).filter_map(|effect| match effect {
