--- a/components/entry/tests/whole.rs
+++ b/components/entry/tests/whole.rs
@@ -190,3 +190,60 @@
     assert_eq!(rows.len(), written);
     bench.stop().await;
 }
+
+/// What a writer was told of each of its rows.
+#[derive(Default)]
+struct Told {
+    done: Vec<String>,
+    not_run: Vec<String>,
+    unknown: Vec<String>,
+}
+
+async fn write(client: Client, writer: usize, stopped: tokio::sync::watch::Receiver<bool>) -> Told {
+    let mut told = Told::default();
+    let mut written = 0;
+    while !*stopped.borrow() {
+        let seat = format!("{writer}-{written}");
+        written += 1;
+        let result = client.execute("INSERT INTO seats VALUES ($1)", &[&seat]).await;
+        match result.map_err(|error| error.code().expect("a code").code().to_owned()) {
+            Ok(_) => told.done.push(seat),
+            Err(code) if code == "TF001" => told.not_run.push(seat),
+            Err(code) => {
+                assert_eq!(code, "TF002");
+                told.unknown.push(seat);
+            }
+        }
+    }
+    told
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keeper_that_dies_makes_no_answer_untrue() {
+    let mut bench = bench().await;
+    let first = bench.connect(2).await;
+    first.batch_execute("CREATE TABLE seats (seat TEXT)").await.unwrap();
+    let (stop, stopped) = tokio::sync::watch::channel(false);
+    let mut writers = Vec::new();
+    for writer in 0..4 {
+        writers.push(tokio::spawn(write(bench.connect(2).await, writer, stopped.clone())));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (_, keeper) = bench.entries.remove(0);
+    keeper.kill();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    stop.send_replace(true);
+    let mut told = Vec::new();
+    for writer in writers {
+        told.push(writer.await.unwrap());
+    }
+    let rows = first.query("SELECT * FROM seats", &[]).await.unwrap();
+    let count = |seat: &String| rows.iter().filter(|row| row.get::<_, &str>(0) == seat).count();
+    for told in &told {
+        assert!(told.done.iter().all(|seat| count(seat) == 1));
+        assert!(told.not_run.iter().all(|seat| count(seat) == 0));
+        assert!(told.unknown.iter().all(|seat| count(seat) <= 1));
+    }
+    assert!(told.iter().all(|told| told.done.len() > 10));
+    bench.stop().await;
+}
--- a/programs/trefoil-load/src/cmd/run.rs
+++ b/programs/trefoil-load/src/cmd/run.rs
@@ -9,7 +9,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use load::run::Phase;
 use load::verdict::Spread;
-use load::{Baseline, Bench, Direct, Fault, Settings, Verdict};
+use load::{Baseline, Bench, Direct, Fault, Settings, Verdict, Whole};
 use slog::{Logger, error};
 
 use crate::cli::Arguments;
@@ -78,9 +78,16 @@
 
 async fn measure(arguments: &Arguments, log: &Logger) -> Result<Verdict, Report<Failure>> {
     let direct = direct_latencies(arguments, log).await?;
-    let bench = Direct::start(arguments.scenario, arguments.seed, log).await;
-    let bench = bench.change_context(Failure::Bench)?;
-    let mut verdict = watched(bench, &settings(arguments)).await?;
+    let (scenario, seed) = (arguments.scenario, arguments.seed);
+    let settings = settings(arguments);
+    let verdict = if arguments.direct {
+        let bench = Direct::start(scenario, seed, log).await.change_context(Failure::Bench)?;
+        watched(bench, &settings).await
+    } else {
+        let bench = Whole::start(scenario, seed, log).await.change_context(Failure::Bench)?;
+        watched(bench, &settings).await
+    };
+    let mut verdict = verdict?;
     verdict.direct_latency_ms = direct;
     Ok(verdict)
 }
