Let a caller's last message arrive, and run what came before a stop

At a stop an idle caller was closed without a look at what had come, and a close with unread bytes resets the connection, which can drop the error before it.

--- a/components/entry/src/front/caller.rs
+++ b/components/entry/src/front/caller.rs
@@ -89,9 +89,15 @@
                 continue;
             }
             if *self.phase.borrow_and_update() != Phase::Open {
-                return Ok(None);
+                // a request that came before the stop was seen is still run
+                match tokio::time::timeout(Duration::ZERO, self.conn.fill()).await {
+                    Ok(filled) => filled?,
+                    Err(_) => return Ok(None),
+                }
+                continue;
             }
             tokio::select! {
+                biased;
                 filled = self.conn.fill() => filled?,
                 changed = self.phase.changed() => if changed.is_err() {
                     return Ok(None);
@@ -100,9 +106,9 @@
         }
     }
 
+    /// Whether the caller stands between two requests and nothing is open.
     fn is_idle(&self) -> bool {
-        let between = matches!(self.session.transaction, Transaction::None);
-        between && self.protocol.is_idle() && self.conn.input.is_empty()
+        !self.session.transaction.is_open() && self.protocol.is_idle() && self.conn.input.is_empty()
     }
 
     async fn cycle(&mut self, cycle: Cycle) -> Result<(), Report<Gone>> {
--- a/components/entry/src/front/conn.rs
+++ b/components/entry/src/front/conn.rs
@@ -11,6 +11,9 @@
 /// Longest time that a caller may take to accept an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Longest time in which what still comes is read after the end.
+const LINGER: Duration = Duration::from_millis(200);
+
 /// Bytes of output that are sent without waiting for more.
 pub const FLUSH_BYTES: usize = 64 << 10;
 
@@ -123,10 +126,18 @@
         written.change_context(Gone::Timeout)?.change_context(Gone::Io)
     }
 
-    /// Sends what waits and closes.
+    /// Sends what waits and closes. What still comes is read for a moment,
+    /// since unread bytes would reset the connection, and the caller would lose
+    /// the last message.
     pub async fn close(mut self) {
-        if self.flush().await.is_ok() {
-            drop(tokio::time::timeout(WRITE_TIMEOUT, self.io.shutdown()).await);
+        if self.flush().await.is_err() {
+            return;
         }
+        let rest = async {
+            drop(self.io.shutdown().await);
+            let mut scrap = [0; IDLE_BYTES];
+            while self.io.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
+        };
+        drop(tokio::time::timeout(LINGER, rest).await);
     }
 }
