--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -1,11 +1,12 @@
 //! How one command of the log changes the state.
 
+use std::collections::BTreeMap;
 use std::collections::btree_map::Entry as Slot;
-use std::fmt;
 use std::sync::Arc;
 
 use base::prelude::*;
-use config::Declarations;
+use config::{Declarations, Patch};
+use smallvec::SmallVec;
 use wire::log::command::Body;
 use wire::log::{self, Command};
 
@@ -90,7 +91,7 @@
         if configure.base != self.version {
             return Answer::Conflict { version: self.version };
         }
-        let declarations = match Declarations::parse(&configure.content) {
+        let declarations = match self.declared(configure) {
             Ok(declarations) => declarations,
             Err(faults) => return Answer::Invalid(faults),
         };
@@ -100,15 +101,27 @@
         Answer::Accepted { version: self.version, index }
     }
 
+    /// The declarations as the change leaves them.
+    fn declared(&self, configure: &log::Configure) -> Result<Declarations, Vec<config::Fault>> {
+        if configure.patch.is_empty() {
+            return Declarations::parse(&configure.content);
+        }
+        let patch = Patch::parse(&configure.patch).map_err(|fault| vec![fault])?;
+        patch.apply(&self.declarations)
+    }
+
     /// Makes each declared group known and fills its seats.
     fn seat(&mut self) {
+        let mut wanting: BTreeMap<&Name, SmallVec<[&Name; 3]>> = BTreeMap::new();
+        for (server, known) in self.servers.iter().filter(|(_, known)| !known.expired) {
+            wanting.entry(&known.group).or_default().push(server);
+        }
         for (name, declared) in &self.declarations.groups {
             let group = self.groups.entry(name.clone()).or_default();
             let seats = declared.servers as usize;
             group.shrink(seats, |seat| self.servers.get(seat).is_none_or(|server| server.expired));
-            for (server, known) in &self.servers {
-                let wants = known.group == *name && !known.expired;
-                if wants && group.seats.len() < seats && !group.seats.contains(server) {
+            for &server in wanting.get(name).into_iter().flatten() {
+                if group.seats.len() < seats && !group.seats.contains(server) {
                     group.seats.push(server.clone());
                 }
             }
@@ -320,31 +333,20 @@
 }
 
 impl Group {
-    /// Drops seats beyond `seats`, those of servers that are gone first.
+    /// Drops seats beyond `seats`: those of servers that are gone first, and
+    /// the primary's last.
     fn shrink(&mut self, seats: usize, gone: impl Fn(&Name) -> bool) {
+        let primary = self.primary.clone();
+        let replica = |seat: &Name| Some(seat) != primary.as_ref();
         while self.seats.len() > seats {
             let last = self.seats.len() - 1;
-            let drop = self.seats.iter().rposition(&gone).unwrap_or(last);
+            let spare = self.seats.iter().rposition(|seat| replica(seat) && gone(seat));
+            let drop = spare.or_else(|| self.seats.iter().rposition(replica)).unwrap_or(last);
             self.seats.remove(drop);
         }
     }
 }
 
-impl fmt::Display for Answer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Accepted { version, .. } => write!(f, "accepted as version {version}"),
-            Self::Conflict { version } => write!(f, "the current version is {version}"),
-            Self::Invalid(faults) => {
-                for (at, fault) in faults.iter().enumerate() {
-                    write!(f, "{}{fault}", if at > 0 { "; " } else { "" })?;
-                }
-                Ok(())
-            }
-        }
-    }
-}
-
 /// Whether new leases take something from the holder of an old one. One that
 /// was returning and is gone was given up before.
 fn reduces(assign: &log::Assign, old: &log::Lease) -> bool {
--- a/components/member/src/status.rs
+++ b/components/member/src/status.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use config::{Declarations, Patch};
 use control::{Phase, State};
 use serde::Serialize;
 
@@ -20,6 +21,16 @@
 }
 
 impl Config {
+    /// The text of the patch that leads from here to `declared`.
+    ///
+    /// A change with another base is a repeat or too late, whatever it holds,
+    /// so it goes into the log empty.
+    pub(crate) fn patch(&self, base: u64, declared: &Declarations) -> String {
+        let from = (base == self.version).then(|| Declarations::parse(&self.content).ok());
+        let patch = from.flatten().map(|from| Patch::between(&from, declared));
+        patch.unwrap_or_default().text()
+    }
+
     pub(crate) fn of(state: &State) -> Self {
         let content = state.declarations.canonical();
         Self { version: state.version, index: state.index, content }
@@ -60,6 +71,16 @@
     voter: bool,
     /// Last index known to be on its disk; told by the leader only.
     matched: Option<u64>,
+    beacon: Option<Heard>,
+}
+
+/// The newest beacon of a member.
+#[derive(Clone, Debug, Serialize)]
+struct Heard {
+    index: u64,
+    term: u64,
+    leader: Option<String>,
+    age_ms: u64,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -185,10 +206,21 @@
             web: member.web.clone(),
             voter: member.voter,
             matched: progress.get(&member.id).copied(),
+            beacon: self.show_beacon(member.id),
         };
         members.map(member).collect()
     }
 
+    fn show_beacon(&self, id: u64) -> Option<Heard> {
+        let (beacon, at) = self.heard.get(&id)?;
+        Some(Heard {
+            index: beacon.index,
+            term: beacon.term,
+            leader: self.name_of(beacon.leader),
+            age_ms: self.now().since(*at).as_millis() as u64,
+        })
+    }
+
     fn show_entries(&self) -> Vec<Entry> {
         let entry = |(name, entry): (&base::name::Name, &control::Entry)| Entry {
             name: name.to_string(),
