Say farewell to a keeper that stops, and let it wait for that

A keeper that stopped as planned ended its links once its work was done. A request that was on its way then reached nobody, and its front could only call the outcome unknown. Links that come later are told at once.

--- a/components/entry/src/front/link.rs
+++ b/components/entry/src/front/link.rs
@@ -1,7 +1,9 @@
 //! One link to a keeper, shared by many callers.
 //!
 //! A request is marked as having left before its first byte is written, so a
-//! request that is not marked when the link breaks was not run.
+//! request that is not marked when the link breaks was not run. When a keeper
+//! says that it is stopping, the front says farewell and from then on sends it
+//! only what belongs to open transactions; the keeper ends the link after that.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -11,9 +13,9 @@
 use base::prelude::*;
 use bytes::Bytes;
 use link::{Reader, Writer};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
-use wire::data::{Answer, Ask, Cancel, Credit, End, Part, Run, answer, ask};
+use wire::data::{Answer, Ask, Cancel, Credit, End, Farewell, Part, Run, answer, ask};
 
 /// Bytes of an answer that a keeper may send before it is given credit.
 pub const WINDOW_BYTES: u64 = 256 << 10;
@@ -63,6 +65,8 @@
 struct Routes {
     open: HashMap<u64, Route>,
     broken: bool,
+    /// Whether farewell was said: only open transactions go on.
+    farewell: bool,
 }
 
 /// One link to a keeper.
@@ -76,6 +80,7 @@
     routes: Mutex<Routes>,
     next: AtomicU64,
     closing: AtomicBool,
+    closes: Notify,
     ended: CancellationToken,
 }
 
@@ -90,6 +95,7 @@
             routes: Mutex::default(),
             next: AtomicU64::new(1),
             closing: AtomicBool::new(false),
+            closes: Notify::new(),
             ended: CancellationToken::new(),
         });
         let (reader, writer) = ends;
@@ -170,6 +176,8 @@
         loop {
             let ask = tokio::select! {
                 ask = queue.recv() => ask,
+                // the keeper waits for this, so that no request is lost on the way
+                () = self.closes.notified() => Some(farewell()),
                 () = self.ended.cancelled() => None,
             };
             let Some(ask) = ask else {
@@ -189,12 +197,19 @@
     }
 
     fn put(&self, writer: &mut Writer, ask: &Ask) {
+        let mut routes = self.routes();
         let Some(ask::Body::Run(run)) = &ask.body else {
+            routes.farewell |= matches!(ask.body, Some(ask::Body::Farewell(_)));
             // an oversized message of this kind does not exist
             drop(writer.put(ask));
             return;
         };
-        let mut routes = self.routes();
+        if routes.farewell && !run.within {
+            if let Some(route) = routes.open.remove(&run.request) {
+                drop(route.events.send(Event::Broken { left: false }));
+            }
+            return;
+        }
         let Some(route) = routes.open.get_mut(&run.request) else {
             return;
         };
@@ -233,7 +248,10 @@
                 let event = if whole { Event::End(end) } else { Event::Broken { left: true } };
                 drop(route.events.send(event));
             }
-            answer::Body::Closing(_) => self.closing.store(true, Ordering::Release),
+            answer::Body::Closing(_) => {
+                self.closing.store(true, Ordering::Release);
+                self.closes.notify_one();
+            }
         }
     }
 
@@ -262,6 +280,10 @@
     }
 }
 
+fn farewell() -> Ask {
+    Ask { body: Some(ask::Body::Farewell(Farewell {})) }
+}
+
 /// A request on its way.
 #[derive(Debug)]
 pub struct Request {
--- a/components/entry/src/keep/front.rs
+++ b/components/entry/src/keep/front.rs
@@ -2,7 +2,7 @@
 //! by one writer for each link.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use base::prelude::*;
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
-use wire::data::{Answer, Ask, End, Outcome, Reason, Run, answer, ask};
+use wire::data::{Answer, Ask, Closing, End, Outcome, Reason, Run, answer, ask};
 
 use super::shard::Shard;
 use super::{Host, lock};
@@ -34,6 +34,7 @@
 pub(super) struct Fronts {
     next: AtomicU64,
     links: Mutex<HashMap<Front, Arc<Link>>>,
+    closing: AtomicBool,
 }
 
 /// One link of a front.
@@ -43,9 +44,16 @@
     /// Where the open requests of the link run.
     requests: Mutex<HashMap<u64, Arc<Shard>>>,
     task: Mutex<Option<AbortHandle>>,
+    /// Whether the front asks for nothing new.
+    farewell: AtomicBool,
 }
 
 impl Link {
+    fn is_busy(&self) -> bool {
+        let waiting = self.answers.capacity() < self.answers.max_capacity();
+        waiting || !self.farewell.load(Ordering::Acquire)
+    }
+
     fn tell(&self, body: answer::Body) {
         if self.answers.try_send(Answer { body: Some(body) }).is_ok() {
             return;
@@ -60,8 +68,11 @@
     fn add(&self, answers: mpsc::Sender<Answer>) -> (Front, Arc<Link>) {
         let front = Front(self.next.fetch_add(1, Ordering::Relaxed));
         let (requests, task) = (Mutex::default(), Mutex::default());
-        let link = Arc::new(Link { answers, requests, task });
+        let link = Arc::new(Link { answers, requests, task, farewell: AtomicBool::new(false) });
         lock(&self.links).insert(front, Arc::clone(&link));
+        if self.closing.load(Ordering::Acquire) {
+            link.tell(answer::Body::Closing(Closing {}));
+        }
         (front, link)
     }
 
@@ -80,21 +91,19 @@
         link.tell(body);
     }
 
-    /// Sends the same to each front.
-    pub(super) fn tell_all(&self, body: &answer::Body) {
+    /// Tells each front that the keeper is stopping.
+    pub(super) fn close(&self) {
+        self.closing.store(true, Ordering::Release);
         let links: Vec<_> = lock(&self.links).values().map(Arc::clone).collect();
         for link in links {
-            link.tell(body.clone());
+            link.tell(answer::Body::Closing(Closing {}));
         }
     }
 
-    /// Waits until the writers have taken all answers.
+    /// Waits until each front asks for nothing new, so that no request is lost
+    /// on its way, and the writers have taken all answers.
     pub(super) async fn finish(&self) {
-        let waits = || {
-            lock(&self.links)
-                .values()
-                .any(|link| link.answers.capacity() < link.answers.max_capacity())
-        };
+        let waits = || lock(&self.links).values().any(|link| link.is_busy());
         let all = async {
             while waits() {
                 tokio::time::sleep(Duration::from_millis(5)).await;
@@ -208,7 +217,7 @@
                 shard.feed(Event::Leave { front, caller: leave.caller });
             }
         }
-        ask::Body::Farewell(_) => {}
+        ask::Body::Farewell(_) => link.farewell.store(true, Ordering::Release),
     }
 }
 
--- a/components/entry/src/keep/mod.rs
+++ b/components/entry/src/keep/mod.rs
@@ -25,7 +25,6 @@
 use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
-use wire::data::{Closing, answer::Body};
 
 use crate::view::View;
 use front::Fronts;
@@ -105,7 +104,7 @@
     /// finished, all connections are closed.
     pub async fn close(self) {
         info!(self.host.log, "keeper closes");
-        self.host.fronts.tell_all(&Body::Closing(Closing {}));
+        self.host.fronts.close();
         for shard in self.host.shards() {
             shard.feed(Event::Close);
         }
--- a/components/wire/src/data.rs
+++ b/components/wire/src/data.rs
@@ -136,7 +136,8 @@
     pub caller: u64,
 }
 
-/// Ends a front's use of the link.
+/// Ends a front's use of the link, but for open transactions. It answers a
+/// [`Closing`] too: nothing new follows it.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct Farewell {}
 
