--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -13,7 +13,7 @@
 use pg::answer::Status;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use wire::data::{Answer, Ask, End, Outcome, Part, Reason, Run, answer, ask};
+use wire::data::{Answer, Ask, Closing, End, Outcome, Part, Reason, Run, answer, ask};
 use wire::log::Lease;
 
 use crate::server::Server;
@@ -25,6 +25,8 @@
     NotRun(Reason),
     /// Says that the outcome is unknown.
     Unknown(Reason),
+    /// Says that the keeper stops, and runs it.
+    Closing,
     /// Breaks the link.
     Break,
     /// Runs it and breaks the link.
@@ -44,7 +46,7 @@
     pub asks: Mutex<Vec<ask::Body>>,
     server: Mutex<Server>,
     /// Connections within a transaction, by caller.
-    pinned: Mutex<HashMap<u64, Server>>,
+    pub pinned: Mutex<HashMap<u64, Server>>,
     /// How often each payload ran.
     pub ran: Mutex<HashMap<bytes::Bytes, usize>>,
     pub position: Mutex<u64>,
@@ -162,6 +164,7 @@
             return send(answer::Body::End(end));
         }
         Some(Trick::Late(wait)) => tokio::time::sleep(wait).await,
+        Some(Trick::Closing) => send(answer::Body::Closing(Closing {})),
         _ => {}
     }
     let (mut payload, status) = shared.run(&run);
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -141,6 +141,34 @@
     }
 }
 
+#[tokio::test]
+async fn a_keeper_that_stops_gets_nothing_new_after_the_farewell() {
+    let shared = [(); 2].map(|()| std::sync::Arc::new(fake::Shared::default()));
+    let first = fake::keeper("one", std::sync::Arc::clone(&shared[0])).await;
+    let second = fake::keeper("two", std::sync::Arc::clone(&shared[1])).await;
+    let keepers = [("one", first), ("two", second)];
+    let (lease, any) = (Duration::from_mins(10), std::sync::Arc::default());
+    let bench = fake::bench_with(None, lease, any, &keepers).await;
+    let (client, open) = (bench.connect().await, bench.connect().await);
+    rows(&client, "update t").await.unwrap();
+    let stopping = usize::from(shared[0].runs().is_empty());
+    open.simple_query("BEGIN").await.unwrap();
+    let within = !shared[stopping].pinned.lock().unwrap().is_empty();
+    shared[stopping].trick(Trick::Closing);
+    rows(&client, "update t").await.unwrap();
+    for _ in 0..20 {
+        rows(&client, "update t").await.unwrap();
+    }
+    open.simple_query("COMMIT").await.unwrap();
+    let asks = shared[stopping].asks.lock().unwrap();
+    let farewell = asks.iter().position(|body| matches!(body, ask::Body::Farewell(_)));
+    let later = asks[farewell.expect("a farewell")..].iter();
+    let runs = later.filter(|body| matches!(body, ask::Body::Run(run) if !run.within)).count();
+    assert_eq!(runs, 0);
+    let commits = |body: &&ask::Body| matches!(body, ask::Body::Run(run) if run.commits);
+    assert_eq!(asks.iter().filter(commits).count(), usize::from(within));
+}
+
 #[tokio::test]
 async fn a_declared_read_is_tried_again_when_its_link_breaks() {
     let bench = bench(None).await;
