Replace no primary for load, and let a leader rest while a group is well

Cause: under a double fault two healthy primaries were replaced (terms 2,3,2 for one crash): the host stood still for 300 ms and both vantage points took that for silence. And a leader asked every server ten times a second, 129,000 questions at 12,900 servers. Change: 700 ms without an answer count as silence; a leader that stood still takes that time off; a group that is well is asked once a second, and a symptom, a failure or a stray makes the leader ask at once. A connection that is closed counts until the server has closed it too, since its statement may hold a slot there. Conclusion: a dead host without a reset takes longer to notice, about a second; a crash and a partition as before.

--- a/components/control/src/evidence.rs
+++ b/components/control/src/evidence.rs
@@ -55,7 +55,7 @@
     }
 
     /// Whether a keeper sees trouble with the primary of a term.
-    fn trouble(&self, now: Instant, primary: &Name, term: Term) -> bool {
+    pub(crate) fn trouble(&self, now: Instant, primary: &Name, term: Term) -> bool {
         self.keepers.values().any(|(symptom, at)| {
             symptom.server == primary.as_str()
                 && symptom.term == term.0
@@ -80,6 +80,13 @@
         self.0.entry(server.clone()).or_default()
     }
 
+    /// Takes a time off all silence in which the leader itself stood still.
+    pub fn forgive(&mut self, gap: Duration) {
+        for watch in self.0.values_mut() {
+            watch.forgive(gap);
+        }
+    }
+
     /// Forgets servers without a seat.
     pub fn keep(&mut self, seats: &[Name]) {
         self.0.retain(|server, _| seats.contains(server));
--- a/components/control/src/failover.rs
+++ b/components/control/src/failover.rs
@@ -158,6 +158,11 @@
         self.trace.as_ref()
     }
 
+    /// Takes a time off all silence in which the leader itself stood still.
+    pub fn forgive(&mut self, gap: Duration) {
+        self.watches.forgive(gap);
+    }
+
     /// Takes what a keeper sees.
     pub fn symptom(&mut self, now: Instant, keeper: Name, symptom: Symptom) {
         self.sights.take(now, keeper, symptom);
--- a/components/control/src/failover/orders.rs
+++ b/components/control/src/failover/orders.rs
@@ -2,14 +2,17 @@
 
 use base::prelude::*;
 
-use super::{Context, Failover, LONELY};
+use super::{Context, Failover, LONELY, Stage};
+use crate::evidence;
 use crate::leader::{Ask, Effect};
+use crate::state::Phase;
 
 impl Failover {
     pub(super) fn watch(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
+        let calm = self.is_calm(context);
         for seat in &context.group.seats {
             let watch = self.watches.of(seat);
-            if watch.is_due(context.now)
+            if watch.is_due(context.now, calm)
                 && let Some(probe) = probe(context, seat, Ask::Status)
             {
                 watch.ask(context.now);
@@ -18,6 +21,22 @@
         }
     }
 
+    /// Whether the group is well as far as the leader and its keepers know.
+    fn is_calm(&self, context: &Context<'_>) -> bool {
+        let group = context.group;
+        let Some(primary) = &group.primary else {
+            return false;
+        };
+        let well = |seat: &Name| {
+            self.watches.get(seat).is_some_and(|watch| watch.is_well(group.term, evidence::LOST))
+        };
+        matches!(self.stage, Stage::Idle)
+            && group.phase == Phase::Settled
+            && !group.leases.is_empty()
+            && !self.sights.trouble(context.now, primary, group.term)
+            && group.seats.iter().all(well)
+    }
+
     pub(super) fn order(
         &mut self,
         context: &Context<'_>,
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -142,10 +142,15 @@
     }
 }
 
+/// Time between two ticks from which on the leader itself stood still, and
+/// nobody else's silence may be concluded from it.
+const STALL: Duration = Duration::from_millis(100);
+
 /// Decides for the control log while its member leads.
 #[derive(Debug)]
 pub struct Leader {
     began: Instant,
+    ticked: Instant,
     lives: Lives,
     renewals: Renewals,
     planner: Planner,
@@ -165,6 +170,7 @@
     pub fn flawed(now: Instant, flaw: Flaw) -> Self {
         Self {
             began: now,
+            ticked: now,
             lives: Lives::new(now),
             renewals: Renewals::new(),
             planner: Planner::new(flaw),
@@ -228,6 +234,11 @@
     }
 
     fn tick(&mut self, now: Instant, state: &State, out: &mut Vec<Effect>) {
+        let gap = now.since(self.ticked);
+        self.ticked = now;
+        if gap > STALL {
+            self.failovers.values_mut().for_each(|failover| failover.forgive(gap));
+        }
         self.lives.tick(now, state, out);
         self.renewals.tick(now, state, out);
         self.planner.tick(now, state, &self.lives, out);
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -4,8 +4,13 @@
 
 use crate::leader::{Ask, Unreached};
 
-/// Time without an answer after which a server counts as silent.
-pub const SILENT: Duration = Duration::from_millis(300);
+/// Time without an answer after which a server counts as silent. A busy server
+/// answers late, and no failover is worth it for load alone.
+pub const SILENT: Duration = Duration::from_millis(700);
+
+/// Time between two reports of a server whose group is well: its keepers watch
+/// it, and a symptom of theirs makes the leader ask at once.
+pub const CALM_PACE: Duration = Duration::from_secs(1);
 
 /// Age up to which a report says how a server is now.
 pub const FRESH: Duration = Duration::from_millis(500);
@@ -45,8 +50,11 @@
         self.status.as_ref().filter(|_| !broken)
     }
 
-    /// Whether a report is to be asked for now.
-    pub fn is_due(&self, now: Instant) -> bool {
+    /// Whether a report is to be asked for now; `calm` when the group is well.
+    pub fn is_due(&self, now: Instant, calm: bool) -> bool {
+        if calm && self.heard.is_some_and(|heard| now.since(heard) < CALM_PACE) {
+            return false;
+        }
         if let Some(asked) = self.asked {
             return now.since(asked) > LOST;
         }
@@ -58,6 +66,21 @@
         self.failed.is_none_or(|(_, at)| now.since(at) >= wait)
     }
 
+    /// Whether its newest report shows it in `term`, in touch with the primary.
+    pub fn is_well(&self, term: Term, lost: Duration) -> bool {
+        let well = |status: &Status| {
+            status.term == term && status.log_term == term && status.silence <= lost
+        };
+        self.failures == 0 && self.status.as_ref().is_some_and(well)
+    }
+
+    /// Takes a time off its silence in which the leader itself stood still.
+    pub fn forgive(&mut self, gap: Duration) {
+        for at in [&mut self.asked, &mut self.heard].into_iter().flatten() {
+            *at += gap;
+        }
+    }
+
     /// Notes that a report was asked for.
     pub fn ask(&mut self, now: Instant) {
         self.asked = Some(now);
--- a/components/entry/src/keep/conn.rs
+++ b/components/entry/src/keep/conn.rs
@@ -23,6 +23,9 @@
 /// Longest time for opening a connection.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest time that a server may take to end a closed connection.
+const LINGER: Duration = Duration::from_secs(10);
+
 /// Commands that may wait for a connection's task.
 const COMMANDS: usize = 16;
 
@@ -31,6 +34,7 @@
 
 const PROTOCOL: u32 = 3 << 16;
 const CANCEL: u32 = 80_877_102;
+const TERMINATE: &[u8] = &[b'X', 0, 0, 0, 4];
 const MARK_QUERY: &str = "SELECT * FROM trefoil_mark()";
 
 /// What a group asks of a connection.
@@ -135,6 +139,9 @@
         gather: Gather::default(),
     };
     let ended = session.serve(commands, paused).await;
+    if ended.is_ok() {
+        session.leave().await;
+    }
     // the socket is closed when both of its halves are
     drop(session);
     writer.abort();
@@ -194,6 +201,24 @@
         }
     }
 
+    /// Ends the session and waits until the server has closed it: a statement
+    /// that still runs holds its slot and connection there until then.
+    async fn leave(&mut self) {
+        if self.due == Due::Cycle {
+            self.cancel();
+        }
+        drop(self.bytes.try_send(Bytes::from_static(TERMINATE)));
+        // the writer ends with its last sender and shuts its half down
+        (self.bytes, _) = mpsc::channel(1);
+        let drained = async {
+            let mut scrap = BytesMut::with_capacity(READ_BYTES);
+            while self.read.read_buf(&mut scrap).await.is_ok_and(|read| read > 0) {
+                scrap.clear();
+            }
+        };
+        drop(tokio::time::timeout(LINGER, drained).await);
+    }
+
     fn obey(&mut self, command: Command) -> Result<(), Report<Failure>> {
         let bytes = match command {
             Command::Send(bytes) => {
