Answer a leader that is being removed

Members closed their links to a leader as soon as they held the entry that removes it, so it never heard that the entry was committed: it stepped down for want of a quorum, told the operator 503, and the others elected by timeout. Links to members that left stay for a while.

--- a/components/member/src/peers.rs
+++ b/components/member/src/peers.rs
@@ -59,12 +59,15 @@
         self.lines.is_empty()
     }
 
-    /// Keeps links to a membership and to the members that dialled last.
+    /// Keeps links to a membership, and to the last few that left it or dialled.
     pub(crate) fn keep(&mut self, members: &Members) {
         let listed = |id: &u64| members.members.iter().any(|member| member.id == *id);
         self.guests.retain(|id| !listed(id));
-        let guests = &self.guests;
-        self.lines.retain(|id, _| listed(id) || guests.contains(id));
+        // a leader that is being removed still needs answers to commit that
+        let left: Vec<_> = self.lines.keys().copied().filter(|id| !listed(id)).collect();
+        for id in left {
+            self.add_guest(id);
+        }
         for member in &members.members {
             self.open(member);
         }
@@ -75,12 +78,19 @@
         if self.lines.contains_key(&member.id) {
             return;
         }
-        self.guests.push(member.id);
+        self.add_guest(member.id);
+        self.open(member);
+    }
+
+    fn add_guest(&mut self, id: u64) {
+        if self.guests.contains(&id) {
+            return;
+        }
+        self.guests.push(id);
         if self.guests.len() > GUESTS {
             let oldest = self.guests.remove(0);
             self.lines.remove(&oldest);
         }
-        self.open(member);
     }
 
     fn open(&mut self, member: &Member) {
--- a/components/member/tests/membership.rs
+++ b/components/member/tests/membership.rs
@@ -77,3 +77,21 @@
     let (_, status) = trio.get(first, "/v1/status").await.expect("an answer");
     assert_eq!((&status["members"], &status["index"]), (&json!([]), &json!(0)), "{status}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn removes_the_leader_itself() {
+    let mut trio = Trio::start().await;
+    let leader = trio.leader().await;
+    let other = (leader + 1) % 3;
+    let (status, _) = trio.change(leader, "one", 0, &json!({})).await;
+    assert_eq!(status, StatusCode::OK);
+    let body = json!({ "action": "remove", "name": trio.peers[leader].name });
+    let (status, answer) = trio.post(leader, "/v1/members", &body).await.expect("an answer");
+    assert_eq!(status, StatusCode::OK, "{answer}");
+    trio.handles[leader].take().expect("runs").kill();
+
+    let (status, answer) = trio.change(other, "two", 1, &json!({})).await;
+    assert_eq!((status, &answer["version"]), (StatusCode::OK, &json!(2)), "{answer}");
+    let (_, status) = trio.get(other, "/v1/status").await.expect("an answer");
+    assert_eq!(status["members"].as_array().map(Vec::len), Some(2), "{status}");
+}
