--- a/components/keeper/src/health.rs
+++ b/components/keeper/src/health.rs
@@ -5,11 +5,15 @@
 
 use crate::event::{Effect, Trouble};
 use crate::group::Group;
-use crate::server::{SILENCE, Server};
+use crate::server::Server;
 
 /// Time without word from the primary after which a replica has lost it.
 const LOST: Duration = Duration::from_millis(400);
 
+/// Time without a report after which the primary is called silent. A busy one
+/// answers late, which is no symptom.
+const SILENT: Duration = Duration::from_millis(600);
+
 /// Time after which a symptom that lasts is reported again.
 const REPEAT: Duration = Duration::from_secs(1);
 
@@ -57,7 +61,7 @@
         if primary.trouble == Some(Trouble::Refused) {
             return Sight::Refused;
         }
-        if now.since(primary.heard) > SILENCE {
+        if now.since(primary.heard) > SILENT {
             return Sight::Silent;
         }
         let replicas = (self.declared as usize).saturating_sub(1);
