Hold a slot until a closed connection's statement is over

Ruled out: the stand-in's rewind (it gives the slot back first), and the close of the socket alone (waiting for it left the count as it was). Change: a connection that is being closed keeps its slot if a statement ran.

--- a/components/keeper/src/conn.rs
+++ b/components/keeper/src/conn.rs
@@ -46,8 +46,11 @@
     Pinned(Instant),
     /// It rolls back; closed if that is not confirmed by then.
     RollingBack(Instant),
-    /// It is being closed.
-    Closing,
+    /// It is being closed; a statement may still run on it at the server.
+    Closing {
+        /// Whether one ran when it was told to close.
+        runs: bool,
+    },
 }
 
 impl Connection {
@@ -63,8 +66,13 @@
         }
     }
 
+    /// Whether it is being closed.
+    pub(crate) fn is_closing(&self) -> bool {
+        matches!(self.work, Work::Closing { .. })
+    }
+
     /// Whether it takes one of the server's slots; a mark takes none.
     pub(crate) fn runs(&self) -> bool {
-        matches!(self.work, Work::Busy(_) | Work::RollingBack(_))
+        matches!(self.work, Work::Busy(_) | Work::RollingBack(_) | Work::Closing { runs: true })
     }
 }
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -39,7 +39,7 @@
                 server.failures += 1;
                 server.connect_at = now + wait;
             }
-            if conn.work != Work::Closing {
+            if !conn.is_closing() {
                 server.distrusted = now;
             }
         }
@@ -76,7 +76,7 @@
         };
         let key = match connection.work {
             Work::Busy(key) => key,
-            Work::RollingBack(_) | Work::Closing => return,
+            Work::RollingBack(_) | Work::Closing { .. } => return,
             _ => return self.cut(now, conn, out),
         };
         let Some(request) = self.requests.get_mut(key) else {
@@ -137,7 +137,7 @@
                 connection.work = Work::Idle(now);
             }
             Work::Busy(key) => self.cycle_over(now, conn, key, Ready { status, failed }, out),
-            Work::Closing => {}
+            Work::Closing { .. } => {}
             _ => self.cut(now, conn, out),
         }
     }
@@ -213,7 +213,7 @@
         let work = self.conns.get(conn).map(|conn| conn.work);
         let key = match work {
             Some(Work::Marking(key)) => key,
-            Some(Work::Closing) | None => return,
+            Some(Work::Closing { .. }) | None => return,
             Some(_) => return self.cut(now, conn, out),
         };
         self.rest(now, conn);
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -301,10 +301,10 @@
     /// Closes a connection; it counts until the host says that it is closed.
     pub(crate) fn shut(&mut self, key: Key<Connection>, out: &mut Vec<Effect>) {
         self.unpin(key);
-        let Some(conn) = self.conns.get_mut(key).filter(|conn| conn.work != Work::Closing) else {
+        let Some(conn) = self.conns.get_mut(key).filter(|conn| !conn.is_closing()) else {
             return;
         };
-        conn.work = Work::Closing;
+        conn.work = Work::Closing { runs: conn.runs() };
         out.push(Effect::Close { conn: key });
     }
 
--- a/components/keeper/tests/group.rs
+++ b/components/keeper/tests/group.rs
@@ -240,6 +240,23 @@
     assert!(bench.ends().is_empty());
 }
 
+#[test]
+fn a_statement_holds_its_slot_until_its_connection_is_closed() {
+    let mut bench = Bench::ready(1);
+    bench.ask(Run::default());
+    let (conn, _) = bench.sent()[0];
+    let next = bench.ask(Run::default());
+    // the server begins a term, so the cycle of the old one is cut
+    let mut begun = status(0, 2, 10, 2);
+    begun.history = "1:0,2:10".parse().unwrap();
+    bench.feed(Event::Status { status: begun, sent: bench.now });
+    let closes = |effect: &Effect| matches!(effect, Effect::Close { conn: shut } if *shut == conn);
+    assert!(bench.out.iter().any(closes));
+    assert!(bench.sent().is_empty(), "the statement may still run at the server");
+    bench.feed(Event::Closed { conn });
+    assert_eq!(bench.sent().first().map(|(_, number)| *number), Some(next));
+}
+
 #[test]
 fn writes_go_before_reads_that_accept_an_age() {
     let mut bench = Bench::ready(1);
