Count against objectives in shards, bounded by the declarations

Cause: all callers of an entry counted under one lock, counts for objectives that were changed or removed stayed for ever, and a fresh read did not count for the age of reads at all while a failed one did. A new version of the declarations drops counts for what is declared no more (Ledger::retain). A read that is done counts with the age that it accepts, which is zero for a fresh one. Conclusion: GET /v1/burn of an entry can be merged and trusted.

--- a/components/burn/src/ledger.rs
+++ b/components/burn/src/ledger.rs
@@ -5,8 +5,8 @@
 
 use base::clock::Instant;
 use base::name::Name;
-use config::Objective;
 use config::model::Measure;
+use config::{Declarations, Objective};
 use hdrhistogram::Histogram;
 use hdrhistogram::serialization::{Serializer, V2Serializer};
 use serde::{Deserialize, Serialize};
@@ -28,7 +28,7 @@
     pub done: bool,
     /// Whether it was a write; pauses are counted on these.
     pub write: bool,
-    /// Bound on the age of what a read saw, where it accepted one.
+    /// Bound on the age of what a read saw; `None` where it saw nothing.
     pub age: Option<Duration>,
 }
 
@@ -54,6 +54,13 @@
     pub within_ms: u64,
 }
 
+impl Goal {
+    /// The goal of an objective.
+    pub const fn of(objective: &Objective) -> Self {
+        Self { measure: objective.measure, within_ms: objective.within_ms }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Account {
     goals: Vec<(Goal, Series)>,
@@ -117,11 +124,31 @@
         account.latency.saturating_record(micros);
         for objective in objectives {
             if let Some(good) = event.good(objective) {
-                account.series(objective).note(now, good);
+                account.series(Goal::of(objective)).note(now, good);
             }
         }
     }
 
+    /// Adds the counts of another ledger of the same process.
+    pub fn merge(&mut self, other: &Self) {
+        for (service, account) in &other.accounts {
+            self.accounts.entry(service.clone()).or_insert_with(Account::new).merge(account);
+        }
+    }
+
+    /// Forgets what is declared no more, so that memory stays bounded by the
+    /// declarations.
+    pub fn retain(&mut self, declarations: &Declarations) {
+        self.accounts.retain(|service, account| {
+            let Some(declared) = declarations.services.get(service) else {
+                return false;
+            };
+            let stands = |goal: Goal| declared.objectives.iter().any(|o| Goal::of(o) == goal);
+            account.goals.retain(|(goal, _)| stands(*goal));
+            !account.goals.is_empty()
+        });
+    }
+
     /// The page that the entry shows.
     pub fn page(&self, now: Instant, entry: &Name, incarnation: u64) -> Page {
         let mut lines = Vec::new();
@@ -144,8 +171,15 @@
         Self { goals: Vec::new(), latency }
     }
 
-    fn series(&mut self, objective: &Objective) -> &mut Series {
-        let goal = Goal { measure: objective.measure, within_ms: objective.within_ms };
+    fn merge(&mut self, other: &Self) {
+        for (goal, series) in &other.goals {
+            self.series(*goal).merge(series);
+        }
+        let added = self.latency.add(&other.latency);
+        added.expect("all histograms of a ledger have the same bounds");
+    }
+
+    fn series(&mut self, goal: Goal) -> &mut Series {
         let found = self.goals.iter().position(|(known, _)| *known == goal);
         let index = found.unwrap_or_else(|| {
             self.goals.push((goal, Series::default()));
--- a/components/burn/src/report.rs
+++ b/components/burn/src/report.rs
@@ -136,7 +136,7 @@
         let mut rows = Vec::new();
         for (service, declared) in &declarations.services {
             for objective in &declared.objectives {
-                let goal = Goal { measure: objective.measure, within_ms: objective.within_ms };
+                let goal = Goal::of(objective);
                 let sum = sum(pages, service, goal);
                 let mut row = row(service, goal, objective.target, &sum);
                 if let Some(latency) = latencies.get(service) {
--- a/components/burn/src/series.rs
+++ b/components/burn/src/series.rs
@@ -75,6 +75,12 @@
         note(&mut self.hours, now, HOUR, HOURS, good);
     }
 
+    /// Adds the counts of another series that began with the same process.
+    pub fn merge(&mut self, other: &Self) {
+        merge(&mut self.minutes, &other.minutes, MINUTES);
+        merge(&mut self.hours, &other.hours, HOURS);
+    }
+
     /// The requests of the last `window`, rounded up to whole buckets.
     pub fn within(&self, now: Instant, window: Duration) -> Count {
         if window <= MINUTE * MINUTES as u32 {
@@ -102,6 +108,19 @@
     }
 }
 
+fn merge(buckets: &mut VecDeque<Bucket>, others: &VecDeque<Bucket>, kept: usize) {
+    for other in others {
+        match buckets.binary_search_by_key(&other.number, |bucket| bucket.number) {
+            Ok(place) => buckets[place].count.add(other.count),
+            Err(place) => buckets.insert(place, *other),
+        }
+    }
+    let newest = buckets.back().map_or(0, |last| last.number);
+    while buckets.front().is_some_and(|first| first.number + kept as u64 <= newest) {
+        buckets.pop_front();
+    }
+}
+
 fn sum(buckets: &VecDeque<Bucket>, now: Instant, length: Duration, window: Duration) -> Count {
     let span = window.as_micros().div_ceil(length.as_micros()) as u64;
     let newest = number(now, length);
--- a/components/burn/tests/burn.rs
+++ b/components/burn/tests/burn.rs
@@ -96,3 +96,35 @@
     let read: burn::Page = serde_json::from_str(&text).expect("a page is read");
     assert_eq!(read, page);
 }
+
+#[test]
+fn merges_shards_as_if_counted_in_one() {
+    let mut whole = Ledger::new();
+    let mut shards = [Ledger::new(), Ledger::new()];
+    let objectives = [objective()];
+    for index in 0..12 {
+        // each shard counts once in a minute, so the shards share minutes
+        let (at, event) = (minute(index / 2 * 150), event(index * 30));
+        shards[index as usize % 2].record(at, &name("tags"), &objectives, event);
+        whole.record(at, &name("tags"), &objectives, event);
+    }
+    let mut merged = Ledger::new();
+    for shard in shards.iter().rev() {
+        merged.merge(shard);
+    }
+    let (at, entry) = (minute(5_000), name("a"));
+    assert_eq!(merged.page(at, &entry, 1), whole.page(at, &entry, 1));
+}
+
+#[test]
+fn forgets_objectives_that_are_declared_no_more() {
+    let mut ledger = ledger(3, 2, minute(1));
+    let other = Objective { within_ms: 7, ..objective() };
+    ledger.record(minute(1), &name("tags"), &[other], event(1));
+    ledger.record(minute(1), &name("gone"), &[objective()], event(1));
+    ledger.retain(&declarations());
+    let page = ledger.page(minute(2), &name("a"), 1);
+    let kept: Vec<_> = page.lines.iter().map(|l| (l.service.as_str(), l.goal.within_ms)).collect();
+    assert_eq!(kept, [("tags", 100)]);
+    assert_eq!(page.latencies.len(), 1);
+}
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -12,6 +12,7 @@
 //! - [`run`]: one cycle at a keeper; [`verdict`]: what follows from an attempt.
 //! - [`local`]: cycles that the front answers by itself.
 //! - [`choose`], [`keepers`], [`link`]: keepers and the links to them.
+//! - [`counts`]: what is counted against the objectives of services.
 //! - [`cancels`]: cancel requests.
 //! - [`tls`], [`metrics`]: what their names say.
 
@@ -20,6 +21,7 @@
 pub mod cancels;
 pub mod choose;
 pub mod conn;
+mod counts;
 pub mod keepers;
 pub mod link;
 mod local;
@@ -32,7 +34,7 @@
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, PoisonError};
 
 use ::session::Keys;
 use base::clock::Clock;
@@ -108,7 +110,7 @@
     phase: watch::Sender<Phase>,
     numbers: AtomicU64,
     metrics: metrics::Metrics,
-    ledger: Mutex<burn::Ledger>,
+    counts: counts::Counts,
     log: Logger,
 }
 
@@ -124,13 +126,9 @@
         self.numbers.fetch_add(1, Ordering::Relaxed)
     }
 
-    fn ledger(&self) -> MutexGuard<'_, burn::Ledger> {
-        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// What was counted against the objectives of services.
     pub fn page(&self) -> burn::Page {
-        self.ledger().page(self.clock.now(), &self.name, self.incarnation)
+        self.counts.page(self.clock.now(), &self.name, self.incarnation)
     }
 
     /// The salt of a user that is not known: the same each time.
@@ -174,7 +172,7 @@
         phase: watch::Sender::new(Phase::Open),
         numbers: AtomicU64::new(1),
         metrics,
-        ledger: Mutex::default(),
+        counts: counts::Counts::default(),
         log,
     });
     let handle = Handle {
@@ -263,10 +261,19 @@
     }
 }
 
-/// Breaks links to entries that are gone, as the view changes.
+/// Breaks links to entries that are gone, and forgets counts for objectives
+/// that are, as the view changes.
 async fn sweep(front: Arc<Front>) {
     let mut changes = front.view.changes();
+    let mut version = 0;
     while changes.changed().await.is_ok() {
-        front.view.read(|state| front.keepers.sweep(state));
+        let (current, declarations) = front.view.read(|state| {
+            front.keepers.sweep(state);
+            (state.version, Arc::clone(&state.declarations))
+        });
+        if current != version {
+            version = current;
+            front.counts.retain(&declarations);
+        }
     }
 }
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -245,16 +245,15 @@
         let now = self.front.clock.now();
         let rule = &work.admission.rule;
         let read = rule.class == Class::Read;
-        let done = |end: &End| end.outcome() == Outcome::Done;
-        let event = burn::Event {
-            latency: now.since(started),
-            done: matches!(attempt, Attempt::Ended { end, .. } if done(end)),
-            write: !read,
-            age: (read && !rule.age.is_zero()).then_some(rule.age),
-        };
+        let is_done = |end: &End| end.outcome() == Outcome::Done;
+        let done = matches!(attempt, Attempt::Ended { end, .. } if is_done(end));
+        // a read that accepts an age saw one within it, any other a fresh state
+        let age = (read && done).then_some(rule.age);
+        let event = burn::Event { latency: now.since(started), done, write: !read, age };
         let service = &self.session.service;
         if let Some(declared) = work.admission.declarations.services.get(service) {
-            self.front.ledger().record(now, service, &declared.objectives, event);
+            let caller = self.session.number;
+            self.front.counts.record(now, caller, service, &declared.objectives, event);
         }
     }
 
