Make the web address of each entry known through the control log

Cause: who reports on service-level burn must ask each entry, and nothing told where its web server listens. Change: Join has a field `web` (tag 5), control::Entry an optional address, which the image keeps; the entry's host fills it in and the status of a member shows it. An image or command of an older release reads as an entry that told none. Conclusion: operators' tools can find each entry that lives.

--- a/components/control/src/overview.rs
+++ b/components/control/src/overview.rs
@@ -115,6 +115,8 @@
     pub zone: String,
     /// Address of its keeper.
     pub address: String,
+    /// Address of its web port, where it told one.
+    pub web: Option<String>,
     /// Whether it is drained.
     pub draining: bool,
     /// Last index that it is known to have applied.
@@ -230,6 +232,7 @@
         incarnation: entry.incarnation,
         zone: entry.zone.to_string(),
         address: entry.address.to_string(),
+        web: entry.web.map(|web| web.to_string()),
         draining: entry.draining,
         applied: applied.filter(|&applied| applied > 0),
     }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -106,6 +106,8 @@
     pub incarnation: u64,
     /// Where its keeper listens.
     pub address: SocketAddr,
+    /// Where its web server listens; `None` when it told no address.
+    pub web: Option<SocketAddr>,
     /// Availability zone.
     pub zone: Name,
     /// Whether an operator drains it.
@@ -189,6 +191,7 @@
         let entry = Self {
             incarnation: join.incarnation,
             address: join.address.parse().ok()?,
+            web: join.web.parse().ok(),
             zone: Name::new(&join.zone).ok()?,
             draining: false,
         };
@@ -202,6 +205,7 @@
             incarnation: self.incarnation,
             address: self.address.to_string(),
             zone: self.zone.to_string(),
+            web: self.web.map(|web| web.to_string()).unwrap_or_default(),
         }
     }
 }
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -31,7 +31,13 @@
 
 fn join(entry: &str, incarnation: u64, zone: &str) -> Join {
     let address = "127.0.0.1:1".to_owned();
-    Join { entry: entry.to_owned(), incarnation, address, zone: zone.to_owned() }
+    Join {
+        entry: entry.to_owned(),
+        incarnation,
+        address,
+        zone: zone.to_owned(),
+        web: String::new(),
+    }
 }
 
 /// A leader whose proposals are committed at once.
--- a/components/control/tests/leases.rs
+++ b/components/control/tests/leases.rs
@@ -102,6 +102,7 @@
         incarnation,
         address: format!("127.0.0.1:{}", 100 + entry),
         zone,
+        web: format!("127.0.0.1:{}", 200 + entry),
     }
 }
 
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -223,6 +223,7 @@
         incarnation: settings.incarnation,
         address: addresses.link.to_string(),
         zone: settings.zone.as_str().to_owned(),
+        web: addresses.web.to_string(),
     };
     let Settings { controls, key, clock, log, .. } = settings;
     follow::start(follow::Settings { join, controls, key, view, symptoms, clock, log })
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -244,6 +244,7 @@
         let entry = control::state::Entry {
             incarnation: 1,
             address: *address,
+            web: None,
             zone: name("a"),
             draining: false,
         };
--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -20,6 +20,7 @@
         incarnation: 7,
         address: "127.0.0.1:1".to_owned(),
         zone: "lansing".to_owned(),
+        web: "127.0.0.1:2".to_owned(),
     }
 }
 
--- a/components/entry/tests/whole.rs
+++ b/components/entry/tests/whole.rs
@@ -74,6 +74,7 @@
         let entry = control::state::Entry {
             incarnation: 1,
             address: addresses.link,
+            web: Some(addresses.web),
             zone: name("lansing"),
             draining: false,
         };
--- a/components/member/src/status.rs
+++ b/components/member/src/status.rs
@@ -117,6 +117,7 @@
     name: String,
     incarnation: u64,
     address: String,
+    web: Option<String>,
     zone: String,
     draining: bool,
     /// Last index that it is known to have applied.
@@ -226,6 +227,7 @@
             name: name.to_string(),
             incarnation: entry.incarnation,
             address: entry.address.to_string(),
+            web: entry.web.map(|web| web.to_string()),
             zone: entry.zone.to_string(),
             draining: entry.draining,
             applied: self.seen.get(name.as_str()).copied(),
--- a/components/wire/src/log.rs
+++ b/components/wire/src/log.rs
@@ -139,6 +139,9 @@
     /// Availability zone.
     #[prost(string, tag = "4")]
     pub zone: String,
+    /// IP number and port of its web server; empty when it told none.
+    #[prost(string, tag = "5")]
+    pub web: String,
 }
 
 /// An entry that is gone.
--- a/programs/trefoil-slope/src/size.rs
+++ b/programs/trefoil-slope/src/size.rs
@@ -62,6 +62,7 @@
         incarnation: 1,
         address: format!("10.0.{}.{}:6433", entry / 250, entry % 250 + 1),
         zone: format!("region-{}-zone-{}", entry % 5, entry % 16),
+        web: format!("10.0.{}.{}:9464", entry / 250, entry % 250 + 1),
     })
 }
 
