Show roles, lag and the phases of failovers in the status of a member

Cause: a member's status had fields of its own. Those that trefoilctl reads (role, term, applied, lag, when a failover was noticed, fenced, promoted) were computed by control::Overview, which no host called. Change: a member serves groups and entries from Overview::new with its control leader, and adds what the leader saw to the steps that it applied. The overview lists all servers of a group, and received positions too. A follower tells no roles and lag; trefoilctl then asks the leader's web address, and says so where that does not answer. The phase of a group is `chosen` without the server's name now; the list of failovers names it. Conclusion: one place decides what operators see of groups.

--- a/components/control/src/overview.rs
+++ b/components/control/src/overview.rs
@@ -21,6 +21,8 @@
     pub version: u64,
     /// Member that leads, as far as is known.
     pub leader: Option<String>,
+    /// Whether the member that tells this leads.
+    pub leads: bool,
     /// Term of the quorum.
     pub term: u64,
     /// Members of the quorum.
@@ -59,13 +61,13 @@
     pub term: u64,
     /// How far the newest failover is: `settled`, `intended` or `chosen`.
     pub phase: String,
-    /// Servers with a seat.
+    /// Its servers.
     pub servers: Vec<Server>,
     /// Leases of its keepers.
     pub leases: Vec<Lease>,
 }
 
-/// A backend server with a seat.
+/// A backend server.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Server {
@@ -75,6 +77,10 @@
     pub zone: String,
     /// Address for statements.
     pub address: String,
+    /// Connections that it accepts in all.
+    pub connections: u32,
+    /// Statements that it runs at once.
+    pub slots: u32,
     /// Whether it gets no new work.
     pub leaving: bool,
     /// Whether its announcements stopped.
@@ -83,6 +89,8 @@
     pub role: Option<Role>,
     /// Term that it reported last.
     pub term: Option<u64>,
+    /// Last position that it keeps durably.
+    pub received: Option<u64>,
     /// Last position that its reads see.
     pub applied: Option<u64>,
     /// Positions that it lies behind the primary.
@@ -171,6 +179,17 @@
     }
 }
 
+impl Failover {
+    /// Takes what its leader saw of it.
+    pub fn observe(&mut self, seen: Self) {
+        self.cause = seen.cause;
+        self.noticed_ms_ago = seen.noticed_ms_ago;
+        self.fenced_after_ms = seen.fenced_after_ms;
+        self.promoted_after_ms = seen.promoted_after_ms;
+        self.established_after_ms = seen.established_after_ms;
+    }
+}
+
 fn tell_group(
     now: Instant,
     state: &State,
@@ -180,15 +199,17 @@
 ) -> Group {
     let status = |server: &Name| leader.and_then(|l| l.status(now, name.as_str(), server));
     let head = group.primary.as_ref().and_then(status).map(|status| status.received);
-    let servers = group.seats.iter().filter_map(|seat| {
-        let mut server = tell_server(seat, state.servers.get(seat)?);
-        if let Some(status) = status(seat) {
+    let servers = state.servers.iter().filter(|(_, server)| server.group == *name);
+    let servers = servers.map(|(name, server)| {
+        let mut server = tell_server(name, server);
+        if let Some(status) = status(name) {
             server.role = Some(status.role);
             server.term = Some(status.term.0);
+            server.received = Some(status.received.0);
             server.applied = Some(status.applied.0);
             server.lag = head.map(|head| head.0.saturating_sub(status.applied.0));
         }
-        Some(server)
+        server
     });
     let phase = match group.phase {
         Phase::Settled => "settled",
@@ -210,6 +231,8 @@
         name: name.to_string(),
         zone: server.zone.to_string(),
         address: server.address.to_string(),
+        connections: server.connections,
+        slots: server.slots,
         leaving: server.leaving,
         expired: server.expired,
         ..Server::default()
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -12,7 +12,7 @@
 
 use crate::core::Core;
 use crate::input::Verdict;
-use crate::status::Failover;
+use crate::status::Steps;
 
 /// Entries beyond the newest snapshot after which the next one is taken.
 const COMPACT_ENTRIES: u64 = 4_096;
@@ -85,14 +85,14 @@
     fn record(&mut self, command: &Command) {
         match &command.body {
             Some(Body::Intend(intend)) => {
-                Failover::intended(&mut self.failovers, &intend.group, intend.term);
+                Steps::intended(&mut self.failovers, &intend.group, intend.term);
             }
             Some(Body::Choose(choose)) => {
-                Failover::chosen(&mut self.failovers, &choose.group, choose.term, &choose.server);
+                Steps::chosen(&mut self.failovers, &choose.group, choose.term, &choose.server);
             }
             Some(Body::Establish(establish)) => {
                 let (group, term) = (&establish.group, establish.term);
-                Failover::established(&mut self.failovers, group, term, &establish.server);
+                Steps::established(&mut self.failovers, group, term, &establish.server);
             }
             _ => {}
         }
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -25,7 +25,7 @@
 use crate::meter::Meter;
 use crate::peers::Links;
 use crate::probe::Probes;
-use crate::status::Failover;
+use crate::status::Steps;
 
 /// Inputs taken between two looks at the timer.
 const BURST: usize = 256;
@@ -67,7 +67,7 @@
     pub(crate) token: u64,
     /// What waits to go to the leader.
     pub(crate) forward: Forward,
-    pub(crate) failovers: VecDeque<Failover>,
+    pub(crate) failovers: VecDeque<Steps>,
     /// Last index that each entry is known to have applied.
     pub(crate) seen: BTreeMap<String, u64>,
     pub(crate) health: Health,
--- a/components/member/src/status.rs
+++ b/components/member/src/status.rs
@@ -4,7 +4,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use config::{Declarations, Patch};
-use control::{Phase, State};
+use control::overview::{Entry, Failover, Group};
+use control::{Overview, State};
 use serde::Serialize;
 
 use crate::core::Core;
@@ -37,7 +38,7 @@
     }
 }
 
-/// What a member knows.
+/// What a member knows; [`Overview`] reads it.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Status {
     member: String,
@@ -83,51 +84,10 @@
     age_ms: u64,
 }
 
-#[derive(Clone, Debug, Serialize)]
-struct Group {
-    name: String,
-    term: u64,
-    phase: String,
-    primary: Option<String>,
-    leases: Vec<Lease>,
-    servers: Vec<Server>,
-}
-
-#[derive(Clone, Debug, Serialize)]
-struct Lease {
-    entry: String,
-    returning: bool,
-    connections: u32,
-    slots: u32,
-}
-
-#[derive(Clone, Debug, Serialize)]
-struct Server {
-    name: String,
-    address: String,
-    zone: String,
-    connections: u32,
-    slots: u32,
-    leaving: bool,
-    expired: bool,
-}
-
-#[derive(Clone, Debug, Serialize)]
-struct Entry {
-    name: String,
-    incarnation: u64,
-    address: String,
-    web: Option<String>,
-    zone: String,
-    draining: bool,
-    /// Last index that it is known to have applied.
-    applied: Option<u64>,
-}
-
 /// The steps of a failover as this member applied them, in milliseconds of
 /// the wall clock.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub(crate) struct Failover {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Steps {
     group: String,
     term: u64,
     server: Option<String>,
@@ -136,7 +96,19 @@
     established_ms: Option<u64>,
 }
 
-impl Failover {
+impl Steps {
+    fn show(&self) -> Failover {
+        Failover {
+            group: self.group.clone(),
+            term: self.term,
+            server: self.server.clone(),
+            intended_ms: self.intended_ms,
+            chosen_ms: self.chosen_ms,
+            established_ms: self.established_ms,
+            ..Failover::default()
+        }
+    }
+
     pub(crate) fn intended(list: &mut VecDeque<Self>, group: &str, term: u64) {
         let failover = Self::find(list, group, term);
         failover.intended_ms = Some(wall_ms());
@@ -180,7 +152,12 @@
 
 impl Core {
     /// What this member knows at present.
+    ///
+    /// What only the leader sees (roles, lag, when it noticed a failover) is
+    /// missing where this member does not lead.
     pub(crate) fn status(&self) -> Status {
+        let Overview { groups, entries, failovers, .. } =
+            Overview::new(self.now(), &self.state, self.leader.as_ref());
         Status {
             member: self.own.name.clone(),
             id: id(self.own.id),
@@ -191,9 +168,9 @@
             index: self.state.index,
             version: self.state.version,
             members: self.show_members(),
-            groups: show_groups(&self.state),
-            entries: self.show_entries(),
-            failovers: self.failovers.iter().cloned().collect(),
+            groups,
+            entries: self.show_entries(entries),
+            failovers: self.show_failovers(failovers),
         }
     }
 
@@ -222,17 +199,29 @@
         })
     }
 
-    fn show_entries(&self) -> Vec<Entry> {
-        let entry = |(name, entry): (&base::name::Name, &control::Entry)| Entry {
-            name: name.to_string(),
-            incarnation: entry.incarnation,
-            address: entry.address.to_string(),
-            web: entry.web.map(|web| web.to_string()),
-            zone: entry.zone.to_string(),
-            draining: entry.draining,
-            applied: self.seen.get(name.as_str()).copied(),
+    /// The entries; where no leader tells what they applied, as was heard here.
+    fn show_entries(&self, told: Vec<Entry>) -> Vec<Entry> {
+        let entry = |entry: Entry| Entry {
+            applied: entry.applied.or_else(|| self.seen.get(&entry.name).copied()),
+            ..entry
         };
-        self.state.entries.iter().map(entry).collect()
+        told.into_iter().map(entry).collect()
+    }
+
+    /// The steps that were applied here, each with what its leader saw. A
+    /// failover that has no term yet is known to the leader alone.
+    fn show_failovers(&self, seen: Vec<Failover>) -> Vec<Failover> {
+        let mut shown: Vec<Failover> = self.failovers.iter().map(Steps::show).collect();
+        for failover in seen {
+            let same = |known: &&mut Failover| {
+                known.group == failover.group && known.term == failover.term
+            };
+            match shown.iter_mut().find(same) {
+                Some(known) => known.observe(failover),
+                None => shown.push(failover),
+            }
+        }
+        shown
     }
 }
 
@@ -240,44 +229,3 @@
 fn id(id: u64) -> String {
     format!("{id:016x}")
 }
-
-fn show_groups(state: &State) -> Vec<Group> {
-    let mut groups = Vec::with_capacity(state.groups.len());
-    for (name, group) in &state.groups {
-        let phase = match &group.phase {
-            Phase::Chosen { server, .. } => format!("chosen {server}"),
-            phase @ (Phase::Settled | Phase::Intended) => phase.to_string(),
-        };
-        let servers = state.servers.iter().filter(|(_, server)| server.group == *name);
-        groups.push(Group {
-            name: name.to_string(),
-            term: group.term.0,
-            phase,
-            primary: group.primary.as_ref().map(ToString::to_string),
-            leases: group.leases.iter().map(show_lease).collect(),
-            servers: servers.map(|(name, server)| show_server(name.as_str(), server)).collect(),
-        });
-    }
-    groups
-}
-
-fn show_lease(lease: &wire::log::Lease) -> Lease {
-    Lease {
-        entry: lease.entry.clone(),
-        returning: lease.returning,
-        connections: lease.shares.iter().map(|share| share.connections).sum(),
-        slots: lease.shares.iter().map(|share| share.slots).sum(),
-    }
-}
-
-fn show_server(name: &str, server: &control::Server) -> Server {
-    Server {
-        name: name.to_owned(),
-        address: server.address.to_string(),
-        zone: server.zone.to_string(),
-        connections: server.connections,
-        slots: server.slots,
-        leaving: server.leaving,
-        expired: server.expired,
-    }
-}
--- a/programs/trefoilctl/src/client.rs
+++ b/programs/trefoilctl/src/client.rs
@@ -14,6 +14,9 @@
 /// Longest time for one question to one member.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest time for the leader's answer where another member's is at hand.
+const LEADER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Rounds over all members before a command gives up.
 const ROUNDS: usize = 4;
 
@@ -132,9 +135,22 @@
         self.ask(|http, base| http.get(format!("{base}/v1/config"))).await
     }
 
-    /// What a member tells of the system.
+    /// What a member tells of the system: the leader, where it can be reached,
+    /// since it alone sees roles, lag and when a failover was noticed.
     pub async fn status(&self) -> Result<Overview, Report<Failure>> {
-        self.ask(|http, base| http.get(format!("{base}/v1/status"))).await
+        let told: Overview = self.ask(|http, base| http.get(format!("{base}/v1/status"))).await?;
+        if told.leads {
+            return Ok(told);
+        }
+        let leader = told.members.iter().find(|member| Some(&member.name) == told.leader.as_ref());
+        let Some(leader) = leader else {
+            return Ok(told);
+        };
+        let request = self.http.get(format!("http://{}/v1/status", leader.web));
+        match once::<Overview>(request.timeout(LEADER_TIMEOUT)).await {
+            Trial::Done(led) if led.leads => Ok(led),
+            Trial::Done(_) | Trial::Over(_) | Trial::Later(_) => Ok(told),
+        }
     }
 
     /// Posts a wish whose repetition changes nothing.
--- a/programs/trefoilctl/src/screen.rs
+++ b/programs/trefoilctl/src/screen.rs
@@ -26,8 +26,9 @@
         overview.term,
         known(overview.leader.as_ref())
     );
+    let hint = if overview.leads { "" } else { " (told by a follower: no roles and lag)" };
     let parts = [
-        head,
+        head + hint,
         members(overview).to_string(),
         groups(overview).to_string(),
         servers(overview).to_string(),
@@ -67,7 +68,8 @@
 }
 
 fn servers(overview: &Overview) -> Table {
-    let mut table = table(&["group", "server", "zone", "role", "term", "applied", "lag", "note"]);
+    let mut table =
+        table(&["group", "server", "zone", "role", "term", "received", "applied", "lag", "note"]);
     for group in &overview.groups {
         for server in &group.servers {
             table.add_row([
@@ -76,6 +78,7 @@
                 server.zone.clone(),
                 known(server.role),
                 known(server.term),
+                known(server.received),
                 known(server.applied),
                 known(server.lag),
                 note(server).to_owned(),
