Report burn over all entries with trefoilctl burn

Cause: entries count requests against objectives, and nobody could see it. Change: `trefoilctl burn [--json] [--check] [--html FILE]` reads the declarations and the entries that live from control, asks all entries for their pages at once (2 s each), merges them and prints the report. Entries without a page, without a web address, or with another process at their address are named as missing. The table of entries in `status` shows their web addresses. Conclusion: an operator gets one report, and sees what it lacks.

--- a/programs/trefoilctl/src/cli.rs
+++ b/programs/trefoilctl/src/cli.rs
@@ -70,6 +70,17 @@
         /// Show it again each second
         watch: bool,
     },
+    /// Show how much of each service's error budget is left and how fast it burns
+    #[bpaf(command)]
+    Burn {
+        /// Print JSON
+        json: bool,
+        /// Exit with 3 when an alarm stands
+        check: bool,
+        /// Write a page with plots too
+        #[bpaf(argument("FILE"), optional)]
+        html: Option<PathBuf>,
+    },
     /// Show or change the members of control
     #[bpaf(command)]
     Members {
--- a/programs/trefoilctl/src/client.rs
+++ b/programs/trefoilctl/src/client.rs
@@ -17,6 +17,9 @@
 /// Longest time for the leader's answer where another member's is at hand.
 const LEADER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time for one entry's page.
+const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Rounds over all members before a command gives up.
 const ROUNDS: usize = 4;
 
@@ -153,6 +156,15 @@
         }
     }
 
+    /// What an entry counted against objectives, if it tells in time.
+    pub async fn page(&self, web: &str) -> Option<burn::Page> {
+        let request = self.http.get(format!("http://{web}/v1/burn"));
+        match once(request.timeout(PAGE_TIMEOUT)).await {
+            Trial::Done(page) => Some(page),
+            Trial::Over(_) | Trial::Later(_) => None,
+        }
+    }
+
     /// Posts a wish whose repetition changes nothing.
     pub async fn wish(&self, path: &str, body: &impl Serialize) -> Result<(), Report<Failure>> {
         let _answer: serde_json::Value = self.post(path, body).await?;
--- a/programs/trefoilctl/src/cmd.rs
+++ b/programs/trefoilctl/src/cmd.rs
@@ -1,6 +1,7 @@
 //! One module for each command.
 
 mod apply;
+mod burn;
 mod diff;
 mod drain;
 mod fault;
@@ -24,6 +25,9 @@
         Command::Diff { files } => diff::run(&client, &files).await,
         Command::Get => get::run(&client).await,
         Command::Status { json, watch } => status::run(&client, json, watch).await,
+        Command::Burn { json, check, html } => {
+            burn::run(&client, burn::Wish { json, check, html }).await
+        }
         Command::Members { change } => members::run(&client, change).await,
         Command::Drain { off, entry } => drain::run(&client, entry, !off).await,
         Command::Fault { group, fault } => fault::run(&client, group, fault).await,
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/burn.rs
@@ -0,0 +1,71 @@
+//! `burn`: shows what is left of error budgets, over all entries.
+
+use std::path::PathBuf;
+
+use base::name::Name;
+use burn::report::Alarm;
+use burn::{Page, text};
+use config::Declarations;
+use control::overview::Entry;
+use error_stack::{Report, ResultExt};
+use futures::future::join_all;
+
+use crate::client::Client;
+use crate::failure::Failure;
+
+/// How the report is wanted.
+#[derive(Debug)]
+pub struct Wish {
+    /// As JSON.
+    pub json: bool,
+    /// Whether an alarm is a failure.
+    pub check: bool,
+    /// Where to write a page with plots.
+    pub html: Option<PathBuf>,
+}
+
+/// Runs the command.
+pub async fn run(client: &Client, wish: Wish) -> Result<(), Report<Failure>> {
+    let report = ask(client).await?;
+    if let Some(path) = wish.html {
+        let page = burn::html::render(&report).change_context(Failure::Answer)?;
+        std::fs::write(&path, page).change_context(Failure::Unwritten { path })?;
+    }
+    if wish.json {
+        println!("{}", serde_json::to_string(&report).change_context(Failure::Answer)?);
+    } else {
+        print!("{}", text::render(&report));
+    }
+    let alarm = report.alarm();
+    if wish.check && alarm > Alarm::None {
+        return Err(Report::new(Failure::Burning { alarm }));
+    }
+    Ok(())
+}
+
+/// Asks all entries that live, at the same time.
+async fn ask(client: &Client) -> Result<burn::Report, Report<Failure>> {
+    let current = client.config().await?;
+    let declarations: Declarations =
+        serde_json::from_str(&current.content).change_context(Failure::Answer)?;
+    let entries = client.status().await?.entries;
+    let answers = join_all(entries.iter().map(|entry| page(client, entry))).await;
+    let (mut pages, mut missing) = (Vec::new(), Vec::new());
+    for (entry, page) in entries.iter().zip(answers) {
+        match page {
+            Some(page) => pages.push(page),
+            None => missing.push(Name::new(&entry.name).change_context(Failure::Answer)?),
+        }
+    }
+    if pages.is_empty() {
+        let entries = entries.into_iter().map(|entry| entry.name).collect();
+        return Err(Report::new(Failure::Uncounted { entries }));
+    }
+    Ok(burn::Report::merge(&declarations, &pages, missing))
+}
+
+/// The page of an entry; what another process at its address says is not it.
+async fn page(client: &Client, entry: &Entry) -> Option<Page> {
+    let page = client.page(entry.web.as_deref()?).await?;
+    (page.entry.as_str() == entry.name).then_some(page)
+}
--- a/programs/trefoilctl/src/failure.rs
+++ b/programs/trefoilctl/src/failure.rs
@@ -1,7 +1,9 @@
 //! Why a command failed.
 
 use std::fmt;
+use std::path::PathBuf;
 
+use burn::report::Alarm;
 use config::Problems;
 
 /// Why a command failed.
@@ -26,6 +28,21 @@
     },
     /// The answer could not be read.
     Answer,
+    /// No entry gave what it counted.
+    Uncounted {
+        /// Names of those that live.
+        entries: Vec<String>,
+    },
+    /// The report could not be written.
+    Unwritten {
+        /// The file.
+        path: PathBuf,
+    },
+    /// An error budget burns too fast.
+    Burning {
+        /// How urgent it is.
+        alarm: Alarm,
+    },
     /// Entries have not applied a change in time.
     Behind {
         /// Their names.
@@ -33,6 +50,19 @@
     },
 }
 
+const FAILED: u8 = 1;
+const BURNING: u8 = 3;
+
+impl Failure {
+    /// Exit code of the process.
+    pub const fn code(&self) -> u8 {
+        match self {
+            Self::Burning { .. } => BURNING,
+            _ => FAILED,
+        }
+    }
+}
+
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -46,6 +76,12 @@
             ),
             Self::Refused { text } => write!(f, "refused: {text}"),
             Self::Answer => f.write_str("the member's answer could not be read"),
+            Self::Uncounted { entries } if entries.is_empty() => f.write_str("no entry lives"),
+            Self::Uncounted { entries } => {
+                write!(f, "no entry gave a page: {}", entries.join(", "))
+            }
+            Self::Unwritten { path } => write!(f, "could not write {}", path.display()),
+            Self::Burning { alarm } => write!(f, "a {alarm} alarm stands"),
             Self::Behind { entries } => {
                 write!(f, "not yet in force at: {}", entries.join(", "))
             }
--- a/programs/trefoilctl/src/main.rs
+++ b/programs/trefoilctl/src/main.rs
@@ -1,7 +1,7 @@
 //! The operators' command line.
 //!
 //! Exit codes: 0 when done, 1 when it failed or conflicts with another
-//! change, 2 when it was called wrongly.
+//! change, 2 when it was called wrongly, 3 when `burn --check` finds an alarm.
 
 mod cli;
 mod client;
@@ -13,7 +13,6 @@
 
 use bpaf::ParseFailure;
 
-const FAILED: u8 = 1;
 const MISUSED: u8 = 2;
 
 fn main() -> ExitCode {
@@ -27,7 +26,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("trefoilctl: {}", report.current_context());
-            ExitCode::from(FAILED)
+            ExitCode::from(report.current_context().code())
         }
     }
 }
--- a/programs/trefoilctl/src/screen.rs
+++ b/programs/trefoilctl/src/screen.rs
@@ -98,11 +98,11 @@
 }
 
 fn entries(overview: &Overview) -> Table {
-    let mut table = table(&["entry", "zone", "keeper", "applied", "note"]);
+    let mut table = table(&["entry", "zone", "keeper", "web", "applied", "note"]);
     for entry in &overview.entries {
         let note = if entry.draining { "draining" } else { "" };
-        let applied = known(entry.applied);
-        table.add_row([&entry.name, &entry.zone, &entry.address, &applied, note]);
+        let (web, applied) = (known(entry.web.as_ref()), known(entry.applied));
+        table.add_row([&entry.name, &entry.zone, &entry.address, &web, &applied, note]);
     }
     table
 }
