Let a leader's work at rest grow with its groups, not their square

Cause: trefoil-slope lead: a tick took 21 ms at 430 databases and 360 entries (more than its 20 ms), since the planner hashed every entry for every group, and looked over all lives for each group. Change: keepers are found anew only when the entries that live change; names are hashed once; what holds for all groups is asked once. Conclusion: linear; a leader at the whole size still spends most of a core.

--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -146,11 +146,15 @@
 /// nobody else's silence may be concluded from it.
 const STALL: Duration = Duration::from_millis(100);
 
+/// Time between two looks at all servers' announcements when nothing was applied.
+const PACE: Duration = Duration::from_millis(100);
+
 /// Decides for the control log while its member leads.
 #[derive(Debug)]
 pub struct Leader {
     began: Instant,
     ticked: Instant,
+    looked: Option<(u64, Instant)>,
     lives: Lives,
     renewals: Renewals,
     planner: Planner,
@@ -171,6 +175,7 @@
         Self {
             began: now,
             ticked: now,
+            looked: None,
             lives: Lives::new(now),
             renewals: Renewals::new(),
             planner: Planner::new(flaw),
@@ -239,8 +244,12 @@
         if gap > STALL {
             self.failovers.values_mut().for_each(|failover| failover.forgive(gap));
         }
+        let looked = |(index, at): (u64, Instant)| index == state.index && now.since(at) < PACE;
+        if !self.looked.is_some_and(looked) {
+            self.looked = Some((state.index, now));
+            self.renewals.tick(now, state, out);
+        }
         self.lives.tick(now, state, out);
-        self.renewals.tick(now, state, out);
         self.planner.tick(now, state, &self.lives, out);
         self.failovers.retain(|group, _| state.declares(group.as_str()));
         for group in state.groups.keys() {
--- a/components/control/src/lives.rs
+++ b/components/control/src/lives.rs
@@ -38,12 +38,15 @@
 pub struct Lives {
     began: Instant,
     starts: BTreeMap<Start, Life>,
+    /// The starts that the state knows, and the index that it stood at.
+    known: BTreeSet<Start>,
+    looked: Option<u64>,
 }
 
 impl Lives {
     /// Knows of no entry yet.
     pub fn new(now: Instant) -> Self {
-        Self { began: now, starts: BTreeMap::new() }
+        Self { began: now, starts: BTreeMap::new(), known: BTreeSet::new(), looked: None }
     }
 
     fn life(&mut self, now: Instant, entry: Name, incarnation: u64) -> &mut Life {
@@ -77,14 +80,17 @@
         self.starts.get(&(entry.clone(), incarnation)).map_or(0, |life| life.applied)
     }
 
+    /// Whether no lease of an entry that was given up, by this leader or an
+    /// earlier one, still runs.
+    pub fn are_over(&self, now: Instant) -> bool {
+        now.since(self.began) > LEASE + MARGIN && !self.lingers(now)
+    }
+
     /// Whether no entry can believe that it still holds what is free of a
-    /// group: each holder knows what was taken from it, and no lease of an
-    /// entry that was given up, by this leader or an earlier one, still runs.
-    pub fn is_free(&self, now: Instant, group: &Group) -> bool {
-        if group.generation == 0 {
-            return true;
-        }
-        now.since(self.began) > LEASE + MARGIN && !self.lingers(now) && self.know(group)
+    /// group: each holder knows what was taken from it, and the leases of
+    /// entries that were given up `are_over`.
+    pub fn is_free(&self, group: &Group, are_over: bool) -> bool {
+        group.generation == 0 || (are_over && self.know(group))
     }
 
     fn lingers(&self, now: Instant) -> bool {
@@ -103,7 +109,12 @@
 
     /// Gives up the incarnations that left or were silent for too long.
     pub fn tick(&mut self, now: Instant, state: &State, out: &mut Vec<Effect>) {
-        let known = starts(state);
+        if self.looked != Some(state.index) {
+            self.looked = Some(state.index);
+            self.known = starts(state);
+        }
+        // taken out for the loop, since a life is found by all of the lives
+        let known = std::mem::take(&mut self.known);
         for (entry, incarnation) in &known {
             let life = self.life(now, entry.clone(), *incarnation);
             life.known = true;
@@ -124,6 +135,7 @@
         }
         self.starts
             .retain(|start, life| known.contains(start) || now.since(life.heard) <= LEASE + MARGIN);
+        self.known = known;
     }
 }
 
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -24,7 +24,7 @@
 use crate::lives::Lives;
 use crate::rendezvous::{KEEPERS, keepers};
 use crate::split::{Holding, split};
-use crate::state::{Group, Server, State};
+use crate::state::{Entry, Group, Server, State};
 
 /// Time for which a group without leases waits for more entries to join.
 pub const SETTLE: Duration = Duration::from_millis(300);
@@ -44,9 +44,20 @@
     /// Generation that was planned from last, and when.
     proposed: BTreeMap<Name, (u64, Instant)>,
     looked: Option<(u64, Instant)>,
+    /// Entries that may keep groups, as [`Planner::targets`] goes by them.
+    live: Vec<Candidate>,
+    /// Keepers of each group among them.
+    targets: BTreeMap<Name, SmallVec<[Name; KEEPERS]>>,
     flaw: Flaw,
 }
 
+/// An entry that may keep groups.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Candidate {
+    name: Name,
+    zone: Name,
+}
+
 impl Planner {
     /// Knows of no return yet.
     pub fn new(flaw: Flaw) -> Self {
@@ -55,6 +66,8 @@
             empty: BTreeMap::new(),
             proposed: BTreeMap::new(),
             looked: None,
+            live: Vec::new(),
+            targets: BTreeMap::new(),
             flaw,
         }
     }
@@ -87,9 +100,11 @@
             return;
         }
         self.looked = Some((state.index, now));
+        self.look(state, lives);
         self.returned.retain(|(group, _), generation| {
             state.groups.get(group).is_some_and(|group| group.generation == *generation)
         });
+        let are_over = lives.are_over(now);
         for (name, group) in &state.groups {
             let asked = self.proposed.get(name).is_some_and(|&(generation, at)| {
                 generation == group.generation && now.since(at) < PROPOSAL_TIMEOUT
@@ -97,7 +112,7 @@
             if asked || !self.settled(now, state, name, group) {
                 continue;
             }
-            if let Some(leases) = self.plan(now, state, lives, name, group) {
+            if let Some(leases) = self.plan(state, (lives, are_over), name, group) {
                 self.proposed.insert(name.clone(), (group.generation, now));
                 let assign = Assign { group: name.to_string(), base: group.generation, leases };
                 out.push(Effect::propose(command::Body::Assign(assign)));
@@ -105,6 +120,28 @@
         }
     }
 
+    /// Finds each group's keepers, where groups or the entries that live changed.
+    fn look(&mut self, state: &State, lives: &Lives) {
+        let live = state
+            .entries
+            .iter()
+            .filter(|(name, entry)| !entry.draining && !lives.left(name, entry.incarnation));
+        let candidate = |(name, entry): (&Name, &Entry)| Candidate {
+            name: name.clone(),
+            zone: entry.zone.clone(),
+        };
+        let candidates: Vec<Candidate> = live.clone().map(candidate).collect();
+        if candidates != self.live {
+            self.live = candidates;
+            self.targets.clear();
+        }
+        self.targets.retain(|name, _| state.groups.contains_key(name));
+        for name in state.groups.keys() {
+            let find = || keepers(name, live.clone()).into_iter().cloned().collect();
+            self.targets.entry(name.clone()).or_insert_with(find);
+        }
+    }
+
     /// Whether a group without leases has waited for long enough.
     fn settled(&mut self, now: Instant, state: &State, name: &Name, group: &Group) -> bool {
         if !group.leases.is_empty() || state.entries.is_empty() {
@@ -117,21 +154,16 @@
 
     fn plan(
         &self,
-        now: Instant,
         state: &State,
-        lives: &Lives,
+        (lives, are_over): (&Lives, bool),
         name: &Name,
         group: &Group,
     ) -> Option<Vec<Lease>> {
-        let live = state
-            .entries
-            .iter()
-            .filter(|(name, entry)| !entry.draining && !lives.left(name, entry.incarnation));
-        let targets =
-            if state.declares(name.as_str()) { keepers(name, live) } else { Targets::new() };
+        let known = self.targets.get(name).filter(|_| state.declares(name.as_str()));
+        let targets: Targets<'_> = known.into_iter().flatten().collect();
         let mut leases: Vec<Lease> = group.leases.to_vec();
         leases.retain(|lease| !self.is_returned(name, group, lease));
-        let may_grow = self.flaw == Flaw::GrantEarly || lives.is_free(now, group);
+        let may_grow = self.flaw == Flaw::GrantEarly || lives.is_free(group, are_over);
         if may_grow {
             mark(state, group, &targets, &mut leases);
         }
--- a/components/control/src/rendezvous.rs
+++ b/components/control/src/rendezvous.rs
@@ -18,7 +18,8 @@
     group: &Name,
     entries: impl Iterator<Item = (&'a Name, &'a Entry)> + Clone,
 ) -> SmallVec<[&'a Name; KEEPERS]> {
-    let best = |one: &(&Name, &Entry)| (score(group, one.0), one.0.clone());
+    let group = hash(group);
+    let best = |one: &(&'a Name, &Entry)| (score(group, hash(one.0)), one.0);
     let Some(first) = entries.clone().max_by_key(best) else {
         return SmallVec::new();
     };
@@ -27,9 +28,14 @@
     std::iter::once(first.0).chain(second.map(|second| second.0)).collect()
 }
 
-fn score(group: &Name, entry: &Name) -> u64 {
-    let mut key = group.as_str().as_bytes().to_vec();
-    key.push(0);
-    key.extend_from_slice(entry.as_str().as_bytes());
+fn hash(name: &Name) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
+}
+
+fn score(group: u64, entry: u64) -> u64 {
+    let [group, entry] = [group, entry].map(u64::to_le_bytes);
+    let mut key = [0; 16];
+    key[..8].copy_from_slice(&group);
+    key[8..].copy_from_slice(&entry);
     xxh3_64(&key)
 }
--- a/programs/trefoil-slope/src/cli.rs
+++ b/programs/trefoil-slope/src/cli.rs
@@ -11,6 +11,8 @@
     Change,
     /// Cost of heartbeats, by entries.
     Beat,
+    /// What a leader does at rest, by databases.
+    Lead,
     /// Time to start again, by changes in the journal.
     Restart,
     /// Memory and image of the state, by its parts.
@@ -30,9 +32,10 @@
     };
     let change = command(Command::Change, "change", "cost of a change, by entries that follow");
     let beat = command(Command::Beat, "beat", "cost of heartbeats, by entries");
+    let lead = command(Command::Lead, "lead", "what a leader does at rest, by databases");
     let restart = command(Command::Restart, "restart", "time to start again, by changes");
     let memory = command(Command::Memory, "memory", "memory and image of the state");
-    construct!([change, beat, restart, memory])
+    construct!([change, beat, lead, restart, memory])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("measures how the cost of control grows with its size")
--- a/programs/trefoil-slope/src/cmd/mod.rs
+++ b/programs/trefoil-slope/src/cmd/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod beat;
 pub(crate) mod change;
+pub(crate) mod lead;
 pub(crate) mod memory;
 pub(crate) mod restart;
--- a/programs/trefoil-slope/src/main.rs
+++ b/programs/trefoil-slope/src/main.rs
@@ -25,6 +25,10 @@
             cmd::beat::run();
             Ok(())
         }
+        Command::Lead => {
+            cmd::lead::run();
+            Ok(())
+        }
         Command::Restart => cmd::restart::run(),
         Command::Memory => cmd::memory::run(),
     };
