Look less often at groups that are well

Cause: each tick stepped all groups, also those that are well. Change: a group that is well and of which nothing came rests 100 ms.

--- a/components/control/src/failover.rs
+++ b/components/control/src/failover.rs
@@ -51,6 +51,9 @@
 /// Silence after which a replica of the newest term is told to follow again.
 const LONELY: Duration = Duration::from_millis(800);
 
+/// Time between two looks at a group that is well, when nothing came of it.
+const REST: Duration = Duration::from_millis(100);
+
 /// Time for a new group to show a primary by itself.
 const BOOTSTRAP: Duration = Duration::from_secs(1);
 
@@ -129,6 +132,8 @@
     /// Server that had better not be chosen: it failed last.
     avoided: Option<Name>,
     trace: Option<Trace>,
+    /// When and at which index the group was found to be well.
+    calm_at: Option<(Instant, u64)>,
 }
 
 impl Failover {
@@ -145,9 +150,15 @@
             switched: None,
             avoided: None,
             trace: None,
+            calm_at: None,
         }
     }
 
+    /// Whether the group was well a moment ago and nothing was applied since.
+    pub fn rests(&self, now: Instant, index: u64) -> bool {
+        self.calm_at.is_some_and(|(at, known)| known == index && now.since(at) < REST)
+    }
+
     /// What the leader sees of the group's servers.
     pub fn watches(&self) -> &Watches {
         &self.watches
--- a/components/control/src/failover/orders.rs
+++ b/components/control/src/failover/orders.rs
@@ -10,6 +10,7 @@
 impl Failover {
     pub(super) fn watch(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
         let calm = self.is_calm(context);
+        self.calm_at = calm.then_some((context.now, context.state.index));
         for seat in &context.group.seats {
             let watch = self.watches.of(seat);
             if watch.is_due(context.now, calm)
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -253,7 +253,10 @@
         self.planner.tick(now, state, &self.lives, out);
         self.failovers.retain(|group, _| state.declares(group.as_str()));
         for group in state.groups.keys() {
-            self.step(now, state, group, out);
+            let rests = |failover: &Failover| failover.rests(now, state.index);
+            if !self.failovers.get(group).is_some_and(rests) {
+                self.step(now, state, group, out);
+            }
         }
     }
 
