--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -195,9 +195,9 @@
         self.lives.applied(entry, incarnation)
     }
 
-    /// Newest report of a server, if it came lately.
+    /// Newest report of a server, if it came within the pace of a well group.
     pub fn status(&self, now: Instant, group: &str, server: &Name) -> Option<&Status> {
-        self.failovers.get(group)?.watches().get(server)?.fresh(now)
+        self.failovers.get(group)?.watches().get(server)?.lately(now)
     }
 
     /// Failovers that it led, oldest first, with those that are under way.
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -50,6 +50,12 @@
         self.status.as_ref().filter(|_| !broken)
     }
 
+    /// Its newest report, when it is no older than a well group's may be.
+    pub fn lately(&self, now: Instant) -> Option<&Status> {
+        let late = self.heard.is_none_or(|heard| now.since(heard) > CALM_PACE + FRESH);
+        self.status.as_ref().filter(|_| !late && self.failures == 0)
+    }
+
     /// Whether a report is to be asked for now; `calm` when the group is well.
     pub fn is_due(&self, now: Instant, calm: bool) -> bool {
         if calm && self.heard.is_some_and(|heard| now.since(heard) < CALM_PACE) {
