--- a/components/backend/src/lib.rs
+++ b/components/backend/src/lib.rs
@@ -4,9 +4,12 @@
 //! needs beyond that (term, role, positions, fencing, promotion) stands behind
 //! one trait, [`Probe`], so that a group of another make needs one more
 //! implementation and nothing else. [`sql::Probe`] asks by SQL functions.
+//! Groups whose servers acknowledge by themselves stand behind [`Outside`].
 //! `docs/GROUPS.md` says what each must promise.
 
+pub mod outside;
 pub mod probe;
 pub mod sql;
 
+pub use outside::{Line, Outside, Promotion};
 pub use probe::{Failure, Probe};
--- a/components/base/src/clock.rs
+++ b/components/base/src/clock.rs
@@ -67,25 +67,33 @@
     }
 }
 
-/// The source of [`Instant`]s at the edge of a process.
+/// The source of [`Instant`]s at the edge of a process. It counts the time in
+/// which the host was suspended, so that a lease runs out meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: std::time::Instant,
+    start: Duration,
 }
 
 impl Clock {
     /// Starts a clock at [`Instant::ZERO`].
     pub fn start() -> Self {
-        Self { start: std::time::Instant::now() }
+        Self { start: since_boot() }
     }
 
     /// The present time.
     pub fn now(&self) -> Instant {
-        Instant::ZERO + self.start.elapsed()
+        Instant::ZERO + since_boot().saturating_sub(self.start)
     }
 
-    /// The same moment as the runtime's timers know it.
+    /// The same moment as the runtime's timers know it, as far as the host is
+    /// not suspended before it.
     pub fn at(&self, instant: Instant) -> std::time::Instant {
-        self.start + Duration::from_micros(instant.0)
+        std::time::Instant::now() + instant.since(self.now())
     }
 }
+
+/// Time since the host started, with all suspension.
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec as u32)
+}
--- a/components/base/src/status.rs
+++ b/components/base/src/status.rs
@@ -60,6 +60,11 @@
         Mark { term: self.log_term, position: self.received }
     }
 
+    /// Last record that reads see.
+    pub fn applied_mark(&self) -> Mark {
+        Mark { term: self.log_term, position: self.applied }
+    }
+
     /// Whether the server keeps the record at `mark` durably, in the very term
     /// it was written in. A server fenced at a higher term counts no more.
     pub fn holds(&self, mark: Mark) -> bool {
--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -5,7 +5,7 @@
 use base::name::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Class, Declarations, Measure, Selector, Service};
+use crate::model::{Class, Declarations, Limits, Measure, Selector, Service};
 
 /// Most servers that a group may declare.
 pub const MAX_SERVERS: u32 = 15;
@@ -100,6 +100,11 @@
         for (name, selector) in &self.selectors {
             self.check_selector(&mut faults, name, selector);
         }
+        for (name, database) in &self.databases {
+            let path = ["databases", name.as_str(), "group"];
+            faults.check(self.groups.contains_key(&database.group), &path, Allowed::DeclaredGroup);
+            check_limits(&mut faults, ["databases", name.as_str()], &database.limits);
+        }
         faults.0
     }
 
@@ -122,13 +127,8 @@
 
 fn check_service(faults: &mut Faults, name: &Name, service: &Service) {
     let name = name.as_str();
-    let limits = &service.limits;
-    let limit = |key| ["services", name, "limits", key];
     faults.check(service.weight > 0, &["services", name, "weight"], Allowed::Positive);
-    faults.check(limits.queue > 0, &limit("queue"), Allowed::Positive);
-    faults.check(limits.deadline_ms > 0, &limit("deadline_ms"), Allowed::Positive);
-    faults.check(limits.idle_transaction_ms > 0, &limit("idle_transaction_ms"), Allowed::Positive);
-    faults.check(is_share(limits.retry_share), &limit("retry_share"), Allowed::Share);
+    check_limits(faults, ["services", name], &service.limits);
     for (index, objective) in service.objectives.iter().enumerate() {
         let index = index.to_string();
         let path = |key| ["services", name, "objectives", index.as_str(), key];
@@ -139,6 +139,14 @@
     }
 }
 
+fn check_limits(faults: &mut Faults, [table, name]: [&str; 2], limits: &Limits) {
+    let limit = |key| [table, name, "limits", key];
+    faults.check(limits.queue > 0, &limit("queue"), Allowed::Positive);
+    faults.check(limits.deadline_ms > 0, &limit("deadline_ms"), Allowed::Positive);
+    faults.check(limits.idle_transaction_ms > 0, &limit("idle_transaction_ms"), Allowed::Positive);
+    faults.check(is_share(limits.retry_share), &limit("retry_share"), Allowed::Share);
+}
+
 fn is_share(value: f64) -> bool {
     (0.0..=1.0).contains(&value)
 }
--- a/components/config/src/model.rs
+++ b/components/config/src/model.rs
@@ -25,10 +25,13 @@
     /// Selectors, by name.
     #[serde(default)]
     pub selectors: BTreeMap<Name, Selector>,
+    /// Databases that callers of plain statements connect to, by name.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub databases: BTreeMap<Name, Database>,
 }
 
 /// A database group. Which servers it has, they announce themselves.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Group {
     /// Number of servers; a majority is counted against it.
@@ -36,6 +39,40 @@
     /// Whether the group elects its own primary; the system then orders none.
     #[serde(default)]
     pub elects: bool,
+    /// Whether its servers answer a commit only once a replica has received
+    /// it, so that the keeper need not ask a majority.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub acknowledges: bool,
+    /// Connections that each server accepts in all; zero where the servers
+    /// announce it themselves.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub connections: u32,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
+fn is_zero(count: &u32) -> bool {
+    *count == 0
+}
+
+/// A database as callers of plain statements know it. Its callers belong to a
+/// service of the same name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Database {
+    /// Group that holds it.
+    pub group: Name,
+    /// Age that reads accept, in milliseconds; zero for none.
+    #[serde(default)]
+    pub age_ms: u64,
+    /// Rank under contention; zero goes first.
+    #[serde(default)]
+    pub priority: u32,
+    /// Time in which an operation is to be over, in milliseconds; zero for none.
+    #[serde(default)]
+    pub objective_ms: u64,
+    /// Limits of its callers.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 /// A service.
--- a/components/config/src/policy.rs
+++ b/components/config/src/policy.rs
@@ -4,7 +4,10 @@
 
 use base::name::Name;
 
-use crate::model::{Class, Declarations, Kind, Labels, Selector, Service};
+use crate::model::{Class, Declarations, Kind, Labels, Limits, Selector, Service};
+
+/// Weight of the service of a database.
+const DATABASE_WEIGHT: u32 = 1;
 
 /// How one request is to be run.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,14 +38,30 @@
 }
 
 impl Declarations {
-    /// Whether any selector opens a group to a service.
+    /// Whether a group is open to a service: by a selector, or as the group of
+    /// the service's database.
     pub fn opens(&self, service: &str, group: &str) -> bool {
-        self.selecting(service, group).next().is_some()
+        self.holds(service, group) || self.selecting(service, group).next().is_some()
     }
 
     /// Whether a service may reach a server of a group that has these labels.
     pub fn reaches(&self, service: &str, group: &str, labels: &Labels) -> bool {
-        self.selecting(service, group).any(|selector| matches(&selector.backends, labels))
+        let selected = || self.selecting(service, group).any(|s| matches(&s.backends, labels));
+        self.holds(service, group) || selected()
+    }
+
+    /// Whether the service is that of a database in the group.
+    fn holds(&self, service: &str, group: &str) -> bool {
+        self.databases.get(service).is_some_and(|database| database.group.as_str() == group)
+    }
+
+    /// Name, weight and limits of a service, declared by itself or as a database.
+    pub fn limits(&self, service: &str) -> Option<(&Name, u32, &Limits)> {
+        if let Some((name, service)) = self.services.get_key_value(service) {
+            return Some((name, service.weight, &service.limits));
+        }
+        let (name, database) = self.databases.get_key_value(service)?;
+        Some((name, DATABASE_WEIGHT, &database.limits))
     }
 
     /// The rule for a request, by the kind that its tag names, else by how its
--- a/components/config/tests/patch.rs
+++ b/components/config/tests/patch.rs
@@ -14,7 +14,7 @@
     let mut declarations = Declarations::default();
     for index in 0..4 {
         if u.arbitrary()? {
-            let group = Group { servers: u.int_in_range(1..=3)?, elects: u.arbitrary()? };
+            let group = Group { servers: u.int_in_range(1..=3)?, elects: u.arbitrary()?, ..Group::default() };
             declarations.groups.insert(name(&format!("group-{index}")), group);
         }
     }
@@ -45,7 +45,7 @@
 
 #[test]
 fn carries_only_what_changed() {
-    let group = |servers| Group { servers, elects: false };
+    let group = |servers| Group { servers, elects: false, ..Group::default() };
     let mut from = Declarations::default();
     from.groups.extend((0..100).map(|index| (name(&format!("group-{index}")), group(3))));
     let mut to = from.clone();
--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -67,12 +67,13 @@
             Some(Body::Announce(announce)) => self.announce(announce),
             Some(Body::Expire(expire)) => self.expire(expire),
             Some(Body::Join(join)) => self.join(join),
-            Some(Body::Part(part)) => self.part(part),
+            Some(Body::Part(part)) => self.part(index, part),
             Some(Body::Assign(assign)) => self.assign(index, assign),
             Some(Body::Intend(intend)) => self.intend(intend),
             Some(Body::Choose(choose)) => self.choose(choose),
             Some(Body::Establish(establish)) => self.establish(establish),
             Some(Body::Drain(drain)) => self.drain(drain),
+            Some(Body::Replace(replace)) => self.replace(replace),
             None => Ok(Outcome::Unchanged),
         };
         applied.unwrap_or_else(Outcome::Refused)
@@ -101,6 +102,21 @@
         Answer::Accepted { version: self.version, index }
     }
 
+    /// Takes a whole edition, unless one as new or newer is in force.
+    fn replace(&mut self, replace: &log::Replace) -> Result<Outcome, Refusal> {
+        if replace.edition <= self.edition {
+            return Ok(Outcome::Unchanged);
+        }
+        let declarations = Declarations::parse(&replace.content);
+        let declarations = declarations.map_err(|_faults| Refusal::Malformed)?;
+        self.edition = replace.edition;
+        self.document = replace.document.clone();
+        self.version += 1;
+        self.declarations = Arc::new(declarations);
+        self.seat();
+        Ok(Outcome::Applied)
+    }
+
     /// The declarations as the change leaves them.
     fn declared(&self, configure: &log::Configure) -> Result<Declarations, Vec<config::Fault>> {
         if configure.patch.is_empty() {
@@ -132,6 +148,9 @@
         let Some((name, server)) = self.judge(announce)? else {
             return Ok(Outcome::Unchanged);
         };
+        if self.acknowledges(server.group.as_str()) {
+            self.evict(&name, &server);
+        }
         if self.declares(server.group.as_str()) {
             let group = self.groups.entry(server.group.clone()).or_default();
             if !group.seats.contains(&name) {
@@ -142,13 +161,38 @@
         Ok(Outcome::Applied)
     }
 
+    /// Forgets the servers whose address a later one has taken.
+    fn evict(&mut self, name: &Name, server: &Server) {
+        let taken = |(other, known): (&Name, &Server)| {
+            (other != name && known.address == server.address).then(|| other.clone())
+        };
+        let gone: Vec<_> = self.servers.iter().filter_map(taken).collect();
+        for other in gone {
+            self.servers.remove(&other);
+            self.unseat(&other);
+        }
+    }
+
+    fn unseat(&mut self, server: &Name) {
+        for group in self.groups.values_mut() {
+            group.seats.retain(|seat| seat != server);
+        }
+    }
+
     /// What an announcement would change, `None` when it says what is known.
     ///
     /// # Errors
     /// Why it would be refused.
     pub fn judge(&self, announce: &log::Announce) -> Result<Option<(Name, Server)>, Refusal> {
-        let (name, server) = Server::read(announce).ok_or(Refusal::Malformed)?;
+        let (name, mut server) = Server::read(announce).ok_or(Refusal::Malformed)?;
+        let acknowledges = self.acknowledges(server.group.as_str());
+        if acknowledges && self.is_taken(&name, &server) {
+            return Err(Refusal::Address);
+        }
         if let Some(known) = self.servers.get(&name) {
+            // an announcement that was held up must not bring a leaving server back
+            let same = known.incarnation == server.incarnation;
+            server.leaving |= acknowledges && same && known.leaving;
             if known.incarnation > server.incarnation {
                 return Err(Refusal::Incarnation);
             }
@@ -163,6 +207,15 @@
         Ok(Some((name, server)))
     }
 
+    /// Whether a later server listens at the address.
+    fn is_taken(&self, name: &Name, server: &Server) -> bool {
+        self.servers.iter().any(|(other, known)| {
+            other != name
+                && known.address == server.address
+                && known.incarnation >= server.incarnation
+        })
+    }
+
     fn judge_seat(&self, name: &Name, group: &Name) -> Result<(), Refusal> {
         let seats = |known: &Group| known.seats.contains(name);
         if self.groups.iter().any(|(other, known)| other != group && seats(known)) {
@@ -183,6 +236,12 @@
             return Err(Refusal::Incarnation);
         }
         server.expired = true;
+        if expire.left {
+            self.servers.remove(expire.server.as_str());
+            let name = Name::new(&expire.server).map_err(|_malformed| Refusal::Malformed)?;
+            self.unseat(&name);
+            return Ok(Outcome::Applied);
+        }
         let group = self.groups.get(&server.group);
         let seated = group.is_some_and(|g| g.seats.iter().any(|s| s.as_str() == expire.server));
         if !seated {
@@ -215,7 +274,7 @@
 
     /// Takes all leases of the incarnation, and of earlier ones, and forgets
     /// the entry unless it started again since.
-    fn part(&mut self, part: &log::Part) -> Result<Outcome, Refusal> {
+    fn part(&mut self, index: u64, part: &log::Part) -> Result<Outcome, Refusal> {
         let mut found = false;
         for group in self.groups.values_mut() {
             let held = group.leases.len();
@@ -224,6 +283,7 @@
                 .retain(|lease| lease.entry != part.entry || lease.incarnation > part.incarnation);
             if group.leases.len() < held {
                 group.generation += 1;
+                group.vanished = index;
                 found = true;
             }
         }
@@ -250,6 +310,13 @@
         if group.leases.iter().any(|lease| reduces(assign, lease)) {
             group.reduced = index;
         }
+        let kept = |old: &log::Lease| {
+            let same = |new: &log::Lease| (&new.entry, new.incarnation) == (&old.entry, old.incarnation);
+            assign.leases.iter().any(same)
+        };
+        if !group.leases.iter().all(kept) {
+            group.vanished = index;
+        }
         group.leases = assign.leases.iter().cloned().collect();
         group.generation += 1;
         Ok(Outcome::Applied)
@@ -265,7 +332,7 @@
             let connections: u64 = same().map(|other| u64::from(other.connections)).sum();
             let slots: u64 = same().map(|other| u64::from(other.slots)).sum();
             let over =
-                connections > u64::from(server.grantable()) || slots > u64::from(server.slots);
+                connections > u64::from(self.grantable(server)) || slots > u64::from(server.slots);
             if over && grows(group, assign, &share.server) {
                 return Err(Refusal::Limit);
             }
--- a/components/control/src/evidence.rs
+++ b/components/control/src/evidence.rs
@@ -56,11 +56,20 @@
 
     /// Whether a keeper sees trouble with the primary of a term.
     pub(crate) fn trouble(&self, now: Instant, primary: &Name, term: Term) -> bool {
-        self.keepers.values().any(|(symptom, at)| {
-            symptom.server == primary.as_str()
-                && symptom.term == term.0
-                && symptom.sight() != Sight::Healthy
-                && now.since(*at) <= STANDS
+        self.troubled(now, primary, term).next().is_some()
+    }
+
+    /// The keepers that see trouble with the primary of a term, and what.
+    pub(crate) fn troubled(
+        &self,
+        now: Instant,
+        primary: &Name,
+        term: Term,
+    ) -> impl Iterator<Item = (&Name, Sight)> {
+        self.keepers.iter().filter_map(move |(keeper, (symptom, at))| {
+            let meant = symptom.server == primary.as_str() && symptom.term == term.0;
+            let bad = symptom.sight() != Sight::Healthy && now.since(*at) <= STANDS;
+            (meant && bad).then(|| (keeper, symptom.sight()))
         })
     }
 }
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -43,6 +43,10 @@
     drained: Vec<String>,
     #[prost(message, repeated, tag = "8")]
     changes: Vec<ChangeImage>,
+    #[prost(uint64, tag = "9")]
+    edition: u64,
+    #[prost(bytes = "bytes", tag = "10")]
+    document: bytes::Bytes,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -67,6 +71,8 @@
     generation: u64,
     #[prost(uint64, tag = "10")]
     reduced: u64,
+    #[prost(uint64, tag = "11")]
+    vanished: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -112,6 +118,8 @@
             entries: self.entries.iter().map(|(name, entry)| entry.join(name)).collect(),
             drained: self.drained.iter().map(Name::to_string).collect(),
             changes: self.changes.iter().map(write_change).collect(),
+            edition: self.edition,
+            document: self.document.clone(),
         };
         image.encode_to_vec()
     }
@@ -143,6 +151,8 @@
         Ok(Self {
             index: image.index,
             version: image.version,
+            edition: image.edition,
+            document: image.document,
             declarations: Arc::new(declarations),
             groups: groups?,
             servers: servers?,
@@ -182,6 +192,7 @@
         leases: group.leases.to_vec(),
         generation: group.generation,
         reduced: group.reduced,
+        vanished: group.vanished,
     }
 }
 
@@ -208,6 +219,7 @@
         leases: image.leases.iter().cloned().collect(),
         generation: image.generation,
         reduced: image.reduced,
+        vanished: image.vanished,
     };
     Ok((name(&image.name)?, group))
 }
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use wire::control::Symptom;
+use wire::control::{Seal, Symptom};
 use wire::log::{Announce, Command, Join, command};
 
 use crate::failover::{Context, Failover};
@@ -18,6 +18,7 @@
 use crate::planner::Planner;
 use crate::renewals::Renewals;
 use crate::state::{Entry, State};
+use crate::succession::{self, Past, Succession};
 use crate::trace::Trace;
 
 /// Time after which a proposal that changed nothing is made again.
@@ -42,6 +43,12 @@
     Fence(Term),
     /// Become the primary of the term that it was fenced at.
     Promote(Term),
+    /// Lead the next term, by the word of whoever promotes servers that can't be
+    /// fenced. The host asks only while a quorum confirms that it leads.
+    Designate {
+        /// Rises with each leader.
+        token: u64,
+    },
     /// Copy from the primary of a term.
     Follow {
         /// The term.
@@ -104,6 +111,17 @@
         /// What it sees.
         symptom: Symptom,
     },
+    /// A keeper has ended its work for an earlier primary.
+    Sealed {
+        /// The entry that keeps.
+        entry: Name,
+        /// Its incarnation.
+        incarnation: u64,
+        /// What it told.
+        seal: Seal,
+    },
+    /// A lease ended without a word of its holder.
+    Parted,
     /// The end of a probe; each [`Effect::Probe`] has one.
     Probed {
         /// The group.
@@ -159,6 +177,8 @@
     renewals: Renewals,
     planner: Planner,
     failovers: BTreeMap<Name, Failover>,
+    successions: BTreeMap<Name, Succession>,
+    past: Past,
     traces: VecDeque<Trace>,
     flaw: Flaw,
 }
@@ -169,6 +189,11 @@
         Self::flawed(now, Flaw::None)
     }
 
+    /// Makes the leader of a new term that knows of the time before.
+    pub fn heir(now: Instant, past: Past) -> Self {
+        Self { past, ..Self::new(now) }
+    }
+
     /// Makes a leader that breaks a rule, for a test that must find it.
     #[doc(hidden)]
     pub fn flawed(now: Instant, flaw: Flaw) -> Self {
@@ -180,6 +205,8 @@
             renewals: Renewals::new(),
             planner: Planner::new(flaw),
             failovers: BTreeMap::new(),
+            successions: BTreeMap::new(),
+            past: Past::default(),
             traces: VecDeque::new(),
             flaw,
         }
@@ -197,19 +224,34 @@
 
     /// Newest report of a server, if it came within the pace of a well group.
     pub fn status(&self, now: Instant, group: &str, server: &Name) -> Option<&Status> {
-        self.failovers.get(group)?.watches().get(server)?.lately(now)
+        let failover = self.failovers.get(group).map(Failover::watches);
+        let succession = self.successions.get(group).map(Succession::watches);
+        failover.or(succession)?.get(server)?.lately(now)
     }
 
     /// Failovers that it led, oldest first, with those that are under way.
     pub fn traces(&self) -> impl Iterator<Item = &Trace> {
-        let open = self.failovers.values().filter_map(Failover::trace);
+        let failovers = self.failovers.values().filter_map(Failover::trace);
+        let open = failovers.chain(self.successions.values().filter_map(Succession::trace));
         self.traces.iter().chain(open.filter(|trace| trace.established.is_none()))
     }
 
     /// Takes an event. `state` is what the member has applied.
     pub fn on(&mut self, now: Instant, state: &State, event: Event, out: &mut Vec<Effect>) {
         match event {
-            Event::Tick | Event::Applied { .. } => self.tick(now, state, out),
+            Event::Tick => self.tick(now, state, out),
+            Event::Applied { .. } => {
+                self.successions.values_mut().for_each(Succession::moved);
+                self.tick(now, state, out);
+            }
+            Event::Parted => self.past.parted = Some(now),
+            Event::Sealed { entry, incarnation, seal } => {
+                let Ok(group) = Name::new(&seal.group) else {
+                    return;
+                };
+                self.succession(&group).seal(entry, incarnation, seal);
+                self.step(now, state, &group, out);
+            }
             Event::Announced(announce) => self.renewals.announced(now, state, announce, out),
             Event::Beat { entry, incarnation, applied, returned } => {
                 self.lives.beat(now, entry.clone(), incarnation, applied);
@@ -227,12 +269,20 @@
                 let Ok(group) = Name::new(&symptom.group) else {
                     return;
                 };
-                self.failover(now, &group).symptom(now, entry, symptom);
+                if state.acknowledges(group.as_str()) {
+                    self.succession(&group).symptom(now, entry, symptom);
+                } else {
+                    self.failover(now, &group).symptom(now, entry, symptom);
+                }
                 self.step(now, state, &group, out);
             }
             Event::Probed { group, server, ask, result } => {
                 let result = result.as_ref().map_err(|&unreached| unreached);
-                self.failover(now, &group).probed(now, &server, ask, result);
+                if state.acknowledges(group.as_str()) {
+                    self.succession(&group).probed(now, &server, ask, result);
+                } else {
+                    self.failover(now, &group).probed(now, &server, ask, result);
+                }
                 self.step(now, state, &group, out);
             }
         }
@@ -243,6 +293,7 @@
         self.ticked = now;
         if gap > STALL {
             self.failovers.values_mut().for_each(|failover| failover.forgive(gap));
+            self.successions.values_mut().for_each(|succession| succession.forgive(gap));
         }
         let looked = |(index, at): (u64, Instant)| index == state.index && now.since(at) < PACE;
         if !self.looked.is_some_and(looked) {
@@ -251,7 +302,9 @@
         }
         self.lives.tick(now, state, out);
         self.planner.tick(now, state, &self.lives, out);
-        self.failovers.retain(|group, _| state.declares(group.as_str()));
+        let fenced = |group: &Name| state.declares(group.as_str()) && !state.acknowledges(group.as_str());
+        self.failovers.retain(|group, _| fenced(group));
+        self.successions.retain(|group, _| state.acknowledges(group.as_str()));
         for group in state.groups.keys() {
             let rests = |failover: &Failover| failover.rests(now, state.index);
             if !self.failovers.get(group).is_some_and(rests) {
@@ -264,7 +317,35 @@
         self.failovers.entry(group.clone()).or_insert_with(|| Failover::new(now))
     }
 
+    fn succession(&mut self, group: &Name) -> &mut Succession {
+        self.successions.entry(group.clone()).or_default()
+    }
+
+    fn succeed(&mut self, now: Instant, state: &State, name: &Name, out: &mut Vec<Effect>) {
+        let Some(group) = state.groups.get(name) else {
+            return;
+        };
+        let past = self.past;
+        let succession = self.successions.entry(name.clone()).or_default();
+        let context = succession::Context { now, state, name, group, past };
+        let open = succession.is_open();
+        succession.step(&context, out);
+        let trace = succession.trace().filter(|trace| open && trace.established.is_some());
+        let trace = trace.cloned();
+        self.remember(trace);
+    }
+
+    fn remember(&mut self, trace: Option<Trace>) {
+        self.traces.extend(trace);
+        if self.traces.len() > TRACES {
+            self.traces.pop_front();
+        }
+    }
+
     fn step(&mut self, now: Instant, state: &State, name: &Name, out: &mut Vec<Effect>) {
+        if state.acknowledges(name.as_str()) {
+            return self.succeed(now, state, name, out);
+        }
         let Some(group) = state.groups.get(name).filter(|_| state.declares(name.as_str())) else {
             return;
         };
@@ -273,12 +354,7 @@
         let open = failover.is_open();
         failover.step(&context, out);
         let over = failover.trace().filter(|trace| open && trace.established.is_some()).cloned();
-        if let Some(trace) = over {
-            self.traces.push_back(trace);
-            if self.traces.len() > TRACES {
-                self.traces.pop_front();
-            }
-        }
+        self.remember(over);
     }
 }
 
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -5,7 +5,8 @@
 //! - [`image`]: the whole of it as bytes.
 //! - [`leader`]: what the leading member does about it. [`lives`] and
 //!   [`renewals`] follow which entries and servers live, [`planner`] hands
-//!   out leases, and [`failover`] gives groups their primaries.
+//!   out leases, and [`failover`] gives groups their primaries; [`succession`]
+//!   does so where servers acknowledge by themselves.
 //! - [`overview`]: what operators are told.
 
 pub mod apply;
@@ -24,6 +25,7 @@
 pub mod renewals;
 pub mod split;
 pub mod state;
+pub mod succession;
 pub mod trace;
 pub mod watch;
 
@@ -33,5 +35,6 @@
 pub use flaw::Flaw;
 pub use leader::{Ask, Effect, Event, Leader, Unreached};
 pub use overview::Overview;
+pub use succession::Past;
 pub use state::{Entry, Group, Phase, Server, State};
 pub use trace::Trace;
--- a/components/control/src/lives.rs
+++ b/components/control/src/lives.rs
@@ -116,7 +116,9 @@
         // taken out for the loop, since a life is found by all of the lives
         let known = std::mem::take(&mut self.known);
         for (entry, incarnation) in &known {
+            let ended = state.ended(entry.as_str(), *incarnation);
             let life = self.life(now, entry.clone(), *incarnation);
+            life.left |= ended;
             life.known = true;
             if life.parted.take().is_some() {
                 life.heard = now;
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -252,7 +252,7 @@
         lease.shares.iter().filter(|share| group.seats.iter().any(|s| s.as_str() == share.server));
     held.into_iter().any(|share| {
         state.servers.get(share.server.as_str()).is_some_and(|server| {
-            share.connections > server.grantable().div_ceil(2)
+            share.connections > state.grantable(server).div_ceil(2)
                 || share.slots > server.slots.div_ceil(2)
         })
     })
@@ -270,7 +270,7 @@
         return;
     };
     let is_cut =
-        cut(server, seat, leases, |lease| open.iter().any(|target| target.as_str() == lease.entry));
+        cut(state, server, seat, leases, |lease| open.iter().any(|target| target.as_str() == lease.entry));
     let may_grow = may_grow && !is_cut;
     let share_of =
         |lease: &Lease| lease.shares.iter().find(|share| share.server == seat.as_str()).cloned();
@@ -293,7 +293,7 @@
         split(&holding, turn)
     };
     let connections = parts(
-        server.grantable(),
+        state.grantable(server),
         connections_taken,
         held.iter().map(|share| share.connections).collect(),
     );
@@ -314,22 +314,24 @@
 /// Cuts shares of a server that lowered its limits, but for those of the
 /// targets, which are split anew. Whether it did: none may grow with it.
 fn cut(
+    state: &State,
     server: &Server,
     seat: &Name,
     leases: &mut [Lease],
     spared: impl Fn(&Lease) -> bool,
 ) -> bool {
     let count = leases.len() as u32;
+    let grantable = state.grantable(server);
     let held =
         || leases.iter().flat_map(|lease| &lease.shares).filter(|s| s.server == seat.as_str());
-    let over = held().map(|share| share.connections).sum::<u32>() > server.grantable()
+    let over = held().map(|share| share.connections).sum::<u32>() > grantable
         || held().map(|share| share.slots).sum::<u32>() > server.slots;
     if !over {
         return false;
     }
     for lease in leases.iter_mut().filter(|lease| !spared(lease)) {
         for share in lease.shares.iter_mut().filter(|share| share.server == seat.as_str()) {
-            share.connections = share.connections.min(server.grantable() / count);
+            share.connections = share.connections.min(grantable / count);
             share.slots = share.slots.min(server.slots / count);
         }
     }
--- a/components/control/src/renewals.rs
+++ b/components/control/src/renewals.rs
@@ -20,6 +20,8 @@
 struct Renewal {
     heard: Instant,
     proposed: Option<(Announce, Instant)>,
+    /// Incarnation and number of the newest announcement.
+    newest: (u64, u64),
     expired: Option<Instant>,
 }
 
@@ -51,7 +53,13 @@
             return;
         };
         let renewal = self.renewal(now, name);
+        let newest = (announce.incarnation, announce.sequence);
+        if newest < renewal.newest {
+            return;
+        }
+        renewal.newest = newest;
         renewal.heard = now;
+        let announce = Announce { sequence: 0, ..announce };
         let waits = renewal.proposed.as_ref().is_some_and(|(proposed, at)| {
             *proposed == announce && now.since(*at) < PROPOSAL_TIMEOUT
         });
@@ -62,7 +70,7 @@
     }
 
     fn renewal(&mut self, now: Instant, name: Name) -> &mut Renewal {
-        let fresh = Renewal { heard: now, proposed: None, expired: None };
+        let fresh = Renewal { heard: now, proposed: None, newest: (0, 0), expired: None };
         self.servers.entry(name).or_insert(fresh)
     }
 
@@ -73,7 +81,8 @@
             let waits = renewal.expired.is_some_and(|asked| now.since(asked) < PROPOSAL_TIMEOUT);
             if now.since(renewal.heard) > EXPIRY && !waits {
                 renewal.expired = Some(now);
-                let expire = Expire { server: name.to_string(), incarnation: server.incarnation };
+                let incarnation = server.incarnation;
+                let expire = Expire { server: name.to_string(), incarnation, left: false };
                 out.push(Effect::propose(command::Body::Expire(expire)));
             }
         }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use bytes::Bytes;
 use config::{Declarations, Labels};
 use smallvec::SmallVec;
 use wire::log::{self, Lease};
@@ -22,6 +23,10 @@
     pub index: u64,
     /// Version of the declarations; raised by one by each accepted change.
     pub version: u64,
+    /// Edition of the declarations, where they come as whole editions.
+    pub edition: u64,
+    /// The document that the edition was read from.
+    pub document: Bytes,
     /// The declarations in force.
     pub declarations: Arc<Declarations>,
     /// Database groups, declared or announced, by name.
@@ -56,6 +61,9 @@
     pub generation: u64,
     /// Index of the command that last took something from a holder of a lease.
     pub reduced: u64,
+    /// Index of the command that last ended a lease: what its holder had
+    /// acknowledged is not known from it any more.
+    pub vanished: u64,
 }
 
 /// How far a failover is.
@@ -97,6 +105,8 @@
     pub leaving: bool,
     /// Whether its announcements stopped.
     pub expired: bool,
+    /// Whether it takes itself for the primary, where it tells.
+    pub primary: bool,
 }
 
 /// An entry that lives.
@@ -110,6 +120,8 @@
     pub web: Option<SocketAddr>,
     /// Availability zone.
     pub zone: Name,
+    /// Whether its earlier incarnations are known to be gone.
+    pub sole: bool,
     /// Whether an operator drains it.
     pub draining: bool,
 }
@@ -128,11 +140,28 @@
         self.index = self.index.max(index);
     }
 
+    /// Whether an incarnation of an entry is known to be gone.
+    pub fn ended(&self, entry: &str, incarnation: u64) -> bool {
+        self.entries.get(entry).is_some_and(|known| known.sole && known.incarnation > incarnation)
+    }
+
     /// Whether the declarations name a group.
     pub fn declares(&self, group: &str) -> bool {
         self.declarations.groups.contains_key(group)
     }
 
+    /// Whether the servers of a group acknowledge by themselves.
+    pub fn acknowledges(&self, group: &str) -> bool {
+        self.declarations.groups.get(group).is_some_and(|group| group.acknowledges)
+    }
+
+    /// Connections of a server that may be granted to entries.
+    pub fn grantable(&self, server: &Server) -> u32 {
+        let declared = self.declarations.groups.get(&server.group);
+        let limit = declared.map(|group| group.connections).filter(|&limit| limit > 0);
+        limit.unwrap_or(server.connections).saturating_sub(RESERVED_CONNECTIONS)
+    }
+
     /// Servers that make a majority of a group; zero when it is not declared.
     pub fn majority(&self, group: &str) -> usize {
         self.declarations.groups.get(group).map_or(0, |group| group.servers as usize / 2 + 1)
@@ -156,6 +185,7 @@
             slots: announce.slots,
             leaving: announce.leaving,
             expired: false,
+            primary: announce.primary,
         };
         Some((Name::new(&announce.server).ok()?, server))
     }
@@ -176,13 +206,10 @@
             connections: self.connections,
             slots: self.slots,
             leaving: self.leaving,
+            primary: self.primary,
+            sequence: 0,
         }
     }
-
-    /// Connections that may be granted to entries.
-    pub fn grantable(&self) -> u32 {
-        self.connections.saturating_sub(RESERVED_CONNECTIONS)
-    }
 }
 
 impl Entry {
@@ -193,6 +220,7 @@
             address: join.address.parse().ok()?,
             web: join.web.parse().ok(),
             zone: Name::new(&join.zone).ok()?,
+            sole: join.sole,
             draining: false,
         };
         Some((Name::new(&join.entry).ok()?, entry))
@@ -206,6 +234,7 @@
             address: self.address.to_string(),
             zone: self.zone.to_string(),
             web: self.web.map(|web| web.to_string()).unwrap_or_default(),
+            sole: self.sole,
         }
     }
 }
--- a/components/control/tests/group/mod.rs
+++ b/components/control/tests/group/mod.rs
@@ -93,6 +93,7 @@
                 }
             }
             Ask::Status | Ask::Fence(_) | Ask::Promote(_) | Ask::Follow { .. } => {}
+            Ask::Designate { .. } => panic!("servers that are fenced are never designated"),
         }
         self.status(now)
     }
--- a/components/control/tests/image.rs
+++ b/components/control/tests/image.rs
@@ -10,6 +10,7 @@
         address: "127.0.0.1:1".to_owned(),
         zone: "lansing".to_owned(),
         web: web.to_owned(),
+        sole: false,
     };
     let mut state = State::default();
     state.apply(1, &Command { body: Some(command::Body::Join(join)) });
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -37,6 +37,7 @@
         address,
         zone: zone.to_owned(),
         web: String::new(),
+        sole: false,
     }
 }
 
@@ -300,7 +301,7 @@
     let mut world = World::new(2, false);
     let establish = Establish { group: "g".to_owned(), term: 4, server: "s2".to_owned() };
     world.commit(command::Body::Establish(establish));
-    let expire = wire::log::Expire { server: "s0".to_owned(), incarnation: 1 };
+    let expire = wire::log::Expire { server: "s0".to_owned(), incarnation: 1, left: false };
     world.commit(command::Body::Expire(expire));
     for (base, left) in [(1, vec!["s1", "s2"]), (2, vec!["s2"])] {
         let content = format!(r#"{{"groups":{{"g":{{"servers":{}}}}}}}"#, left.len());
--- a/components/control/tests/leases.rs
+++ b/components/control/tests/leases.rs
@@ -103,6 +103,7 @@
         address: format!("127.0.0.1:{}", 100 + entry),
         zone,
         web: format!("127.0.0.1:{}", 200 + entry),
+        sole: false,
     }
 }
 
@@ -399,7 +400,7 @@
                 let shares =
                     || leases.iter().flat_map(|l| &l.shares).filter(|s| s.server == server);
                 let known = &self.state.servers[server.as_str()];
-                shares().map(|s| s.connections).sum::<u32>() == known.grantable()
+                shares().map(|s| s.connections).sum::<u32>() == self.state.grantable(known)
                     && shares().map(|s| s.slots).sum::<u32>() == known.slots
             });
             if !steady || !full {
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -5,6 +5,7 @@
 //! time before each dial, so that entries that lost a member together don't
 //! come back together.
 
+pub mod controls;
 pub mod progress;
 
 use std::net::SocketAddr;
@@ -18,10 +19,11 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
-use wire::control::{Down, Follow, Leave, Up, up};
+use wire::control::{Down, Follow, Leave, Up, down, up};
 use wire::log::Join;
 
 use crate::view::{Symptoms, View};
+pub use controls::Controls;
 use progress::{Fault, Progress, SILENCE};
 
 /// Longest wait before the first dial after a link broke.
@@ -45,7 +47,7 @@
     /// The entry as it joins.
     pub join: Join,
     /// Addresses of the members' links.
-    pub controls: Vec<SocketAddr>,
+    pub controls: Controls,
     /// The key that the system's processes share.
     pub key: Key,
     /// Where the state is kept.
@@ -96,9 +98,10 @@
     let mut backoff = Duration::ZERO;
     let mut last = None;
     loop {
-        let Some(address) = pick(&settings.controls, last) else {
-            slog::error!(settings.log, "no control member is set");
-            return;
+        let Some(address) = pick(&settings.controls.known(), last) else {
+            slog::error!(settings.log, "no control member is known");
+            sleep(LAST_BACKOFF).await;
+            continue;
         };
         last = Some(address);
         tokio::select! {
@@ -169,12 +172,18 @@
     let applied = view.read(|state| state.index);
     let hello = Follow { join: Some(settings.join.clone()), applied };
     send(&mut writer, up::Body::Follow(hello)).await?;
+    for seal in view.seals() {
+        send(&mut writer, up::Body::Seal(seal)).await?;
+    }
     let mut beats = ticks(BEAT);
     let mut checks = ticks(CHECK);
     loop {
         tokio::select! {
             message = reader.next::<Down>() => {
                 let message = message.change_context(Fault::Link)?.ok_or(Fault::Closed)?;
+                if let Some(down::Body::Members(members)) = &message.body {
+                    settings.controls.learn(members);
+                }
                 progress.on(&view, message)?;
                 progress.collect(&view, given);
                 if progress.has_news(&view) {
@@ -183,6 +192,11 @@
             }
             _ = beats.tick() => beat(settings, progress, given, &mut writer).await?,
             () = view.given_up() => beat(settings, progress, given, &mut writer).await?,
+            () = view.sealed() => {
+                for seal in view.seals() {
+                    send(&mut writer, up::Body::Seal(seal)).await?;
+                }
+            }
             Some(symptom) = settings.symptoms.recv() => {
                 send(&mut writer, up::Body::Symptom(symptom)).await?;
             }
--- a/components/entry/src/follow/progress.rs
+++ b/components/entry/src/follow/progress.rs
@@ -163,7 +163,7 @@
             Some(down::Body::Entries(entries)) => apply(view, entries)?,
             Some(down::Body::Confirm(confirm)) => self.confirm(confirm),
             Some(down::Body::Refuse(_)) => return Err(Report::new(Fault::Refused)),
-            None => {}
+            Some(down::Body::Members(_)) | None => {}
         }
         self.extend(view);
         Ok(())
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -9,7 +9,9 @@
 //! - [`session`]: what is kept of a caller between two cycles.
 //! - [`caller`]: its task.
 //! - [`admit`]: what the declarations say of a request.
-//! - [`run`]: one cycle at a keeper; [`verdict`]: what follows from an attempt.
+//! - `errand`: one request at the keepers of its group; [`verdict`]: what
+//!   follows from an attempt. [`run`] is that for a caller of PostgreSQL.
+//! - `plain`: a caller of plain statements.
 //! - [`local`]: cycles that the front answers by itself.
 //! - [`choose`], [`keepers`], [`link`]: keepers and the links to them.
 //! - [`counts`]: what is counted against the objectives of services.
@@ -22,11 +24,13 @@
 pub mod choose;
 pub mod conn;
 mod counts;
+mod errand;
 pub mod keepers;
 pub mod link;
 mod local;
 pub mod login;
 pub mod metrics;
+mod plain;
 mod run;
 pub mod session;
 pub mod tls;
@@ -36,6 +40,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError};
 
+use ::plain::Dialect;
 use ::session::Keys;
 use base::clock::Clock;
 use base::prelude::*;
@@ -69,6 +74,8 @@
     pub users: Option<Users>,
     /// TLS towards callers.
     pub tls: Option<TlsAcceptor>,
+    /// Protocol of plain statements; none where callers speak PostgreSQL.
+    pub dialect: Option<Arc<dyn Dialect>>,
     /// What is known of the control log.
     pub view: View,
     /// Time.
@@ -105,6 +112,7 @@
     key: ::link::Key,
     users: Option<Users>,
     tls: Option<TlsAcceptor>,
+    dialect: Option<Arc<dyn Dialect>>,
     keepers: keepers::Keepers,
     cancels: Arc<cancels::Cancels>,
     phase: watch::Sender<Phase>,
@@ -149,7 +157,8 @@
 
 /// Starts a front.
 pub fn start(settings: Settings) -> Handle {
-    let Settings { name, zone, incarnation, listener, key, users, tls, view, clock, .. } = settings;
+    let Settings { name, zone, incarnation, listener, key, users, tls, dialect, .. } = settings;
+    let (view, clock) = (settings.view, settings.clock);
     let log = settings.log;
     let metrics = {
         let registry = settings.metrics.lock();
@@ -167,6 +176,7 @@
         key,
         users,
         tls,
+        dialect,
         keepers: links,
         cancels: Arc::default(),
         phase: watch::Sender::new(Phase::Open),
@@ -247,6 +257,12 @@
 }
 
 async fn serve(front: Arc<Front>, stream: tokio::net::TcpStream) {
+    if let Some(dialect) = front.dialect.clone() {
+        front.metrics.callers.inc();
+        plain::serve(Arc::clone(&front), stream, dialect).await;
+        front.metrics.callers.dec();
+        return;
+    }
     // boxed, so that the task of an idle caller stays small
     match Box::pin(login::login(&front, stream)).await {
         Ok(Some(caller)) => {
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -1,8 +1,4 @@
-//! One cycle at a keeper.
-//!
-//! A request is tried again only when it is proved that it was not run, or
-//! when it is declared to read only, and never after a part of an answer was
-//! passed on.
+//! One cycle of a PostgreSQL caller at a keeper, and what the caller is told.
 
 use std::sync::Arc;
 
@@ -12,32 +8,20 @@
 use pg::answer::Status;
 use pg::prepared::Plan;
 use pg::{Filter, Problem};
-use smallvec::SmallVec;
-use wire::data::{End, Leave, Outcome, Reason, Run, ask};
+use wire::data::{End, Leave, Outcome, Run, ask};
 
 use super::admit::{self, Admission};
 use super::caller::Caller;
-use super::choose::{self, Keeper};
-use super::conn::{FLUSH_BYTES, Gone};
-use super::link::{Event, Link, Request};
+use super::cancels;
+use super::conn::{Conn, FLUSH_BYTES, Gone};
+use super::errand::{Errand, Sink, millis};
+use super::link::Link;
 use super::session::Transaction;
 use super::verdict::{self, Attempt};
 
 /// Time within which a lease is expected to move from one keeper to another.
 const LEASE_MOVE: Duration = Duration::from_secs(1);
 
-/// Shortest wait before the keepers are asked again.
-const PAUSE_LEAST: Duration = Duration::from_millis(10);
-
-/// Longest random addition to that wait.
-const PAUSE_SPREAD: Duration = Duration::from_millis(30);
-
-/// Time beyond its deadline after which a request is given up.
-const GRACE: Duration = Duration::from_secs(1);
-
-/// Bytes of an answer that are passed on before credit is given.
-const CREDIT_BYTES: u64 = 64 << 10;
-
 /// A cycle to run.
 #[derive(Debug)]
 pub struct Work {
@@ -53,13 +37,29 @@
     /// Runs a cycle and writes its whole answer.
     pub(super) async fn run(&mut self, work: Work) -> Result<(), Report<Gone>> {
         let started = self.front.clock.now();
-        let result = match &self.session.transaction {
-            Transaction::Open { link, .. } => {
-                let link = Arc::clone(link);
-                let attempt = self.attempt(&link, &work, started, true).await;
-                attempt.map(|attempt| (attempt, Some(link)))
-            }
-            Transaction::None | Transaction::Lost => self.search(&work, started).await,
+        let open = match &self.session.transaction {
+            Transaction::Open { link, .. } => Some(Arc::clone(link)),
+            Transaction::None | Transaction::Lost => None,
+        };
+        let run = self.message(&work, open.is_some());
+        let front = Arc::clone(&self.front);
+        let mut errand = Errand {
+            front: &front,
+            number: &mut self.session.number,
+            class: work.admission.rule.class,
+            started,
+            deadline: work.admission.deadline,
+            patience: LEASE_MOVE,
+            run,
+            sink: Answer {
+                conn: &mut self.conn,
+                cancel: &self.session.cancel,
+                filter: Filter::new(&work.plan.due),
+            },
+        };
+        let result = match open {
+            Some(link) => errand.attempt(&link).await.map(|attempt| (attempt, Some(link))),
+            None => errand.search().await,
         };
         let running = self.session.cancel.set(None);
         match result {
@@ -79,126 +79,7 @@
         }
     }
 
-    /// Tries the keepers of the group until one runs it.
-    async fn search(
-        &mut self,
-        work: &Work,
-        started: Instant,
-    ) -> Result<(Attempt, Option<Arc<Link>>), Report<Gone>> {
-        let until = started + LEASE_MOVE.min(work.admission.deadline);
-        let mut last = verdict::not_run(Reason::Unavailable);
-        let mut changes = self.front.view.changes();
-        loop {
-            if !self.front.view.leased(self.front.clock.now()) {
-                let lease = verdict::not_run(Reason::Lease);
-                return Ok((Attempt::last(verdict::worse(last, lease)), None));
-            }
-            let keepers = self.keepers();
-            if keepers.is_empty() {
-                last = verdict::worse(last, verdict::not_run(Reason::WrongKeeper));
-            }
-            for keeper in keepers {
-                let Ok(link) = self.front.keepers.link(&keeper).await else {
-                    continue;
-                };
-                let attempt = self.attempt(&link, work, started, false).await?;
-                match verdict::passes_on(&attempt, work.admission.rule.class) {
-                    Some(end) => last = verdict::worse(last, end),
-                    None => return Ok((verdict::stands(last, attempt), Some(link))),
-                }
-                if matches!(attempt, Attempt::Broken { .. }) {
-                    self.session.number = self.front.number();
-                }
-            }
-            if self.front.clock.now() >= until {
-                return Ok((Attempt::last(last), None));
-            }
-            let pause = PAUSE_LEAST + PAUSE_SPREAD.mul_f64(rand::random());
-            drop(tokio::time::timeout(pause, changes.changed()).await);
-        }
-    }
-
-    /// Keepers of the group, the best first; those that are stopping last.
-    fn keepers(&self) -> SmallVec<[Keeper; 2]> {
-        let (front, session) = (&self.front, &self.session);
-        let mut keepers = front.view.read(|state| {
-            let group = session.group.as_str();
-            choose::keepers(state, group, &front.name, &front.zone, session.number)
-        });
-        keepers.sort_by_key(|keeper| front.keepers.is_closing(keeper));
-        keepers
-    }
-
-    /// Asks one keeper and passes its answer on.
-    async fn attempt(
-        &mut self,
-        link: &Arc<Link>,
-        work: &Work,
-        started: Instant,
-        within: bool,
-    ) -> Result<Attempt, Report<Gone>> {
-        let now = self.front.clock.now();
-        let left = work.admission.deadline.saturating_sub(now.since(started));
-        let Ok(mut request) = link.run(self.message(work, left, within)).await else {
-            return Ok(Attempt::NotLeft);
-        };
-        self.session.cancel.set(Some((Arc::clone(link), request.number)));
-        let mut filter = Filter::new(&work.plan.due);
-        let (mut passed, mut owed) = (false, 0);
-        loop {
-            let Some(event) = self.event(&mut request, left + GRACE).await? else {
-                return Ok(Attempt::Broken { passed, own: filter.own() });
-            };
-            match event {
-                Event::Part(part) => {
-                    let Ok(pieces) = filter.feed(&part) else {
-                        return Ok(Attempt::Broken { passed, own: filter.own() });
-                    };
-                    passed |= !pieces.is_empty();
-                    self.pass(&pieces).await?;
-                    owed += part.len() as u64;
-                    if owed >= CREDIT_BYTES {
-                        request.credit(std::mem::take(&mut owed)).await;
-                    }
-                }
-                Event::End(end) => return Ok(Attempt::Ended { end, passed, own: filter.own() }),
-                Event::Broken { left: false } => return Ok(Attempt::NotLeft),
-                Event::Broken { left: true } => {
-                    return Ok(Attempt::Broken { passed, own: filter.own() });
-                }
-            }
-        }
-    }
-
-    /// What becomes of a request next, or `None` when it takes too long.
-    async fn event(
-        &mut self,
-        request: &mut Request,
-        limit: Duration,
-    ) -> Result<Option<Event>, Report<Gone>> {
-        if let Some(event) = request.ready() {
-            return Ok(Some(event));
-        }
-        self.conn.flush().await?;
-        Ok(tokio::time::timeout(limit, request.next()).await.ok())
-    }
-
-    async fn pass(&mut self, pieces: &[Bytes]) -> Result<(), Report<Gone>> {
-        for piece in pieces {
-            if piece.len() >= FLUSH_BYTES {
-                self.conn.flush().await?;
-                self.conn.write(piece).await?;
-            } else {
-                self.conn.output.raw(piece);
-            }
-        }
-        if self.conn.output.len() >= FLUSH_BYTES {
-            self.conn.flush().await?;
-        }
-        Ok(())
-    }
-
-    fn message(&self, work: &Work, left: Duration, within: bool) -> Run {
+    fn message(&self, work: &Work, within: bool) -> Run {
         let (session, rule) = (&self.session, &work.admission.rule);
         let floor = session.floors.get(session.group.as_str());
         // within a transaction the class of one statement says nothing
@@ -214,7 +95,7 @@
             fresh: floor.is_none() || (class == Class::Read && rule.age.is_zero()),
             age_ms: millis(rule.age),
             patience_ms: millis(rule.patience),
-            deadline_ms: millis(left),
+            deadline_ms: 0,
             payload: work.plan.payload.clone(),
             window: 0,
             version: work.admission.version,
@@ -310,6 +191,41 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+/// Passes an answer on to a caller as it comes.
+struct Answer<'a> {
+    conn: &'a mut Conn,
+    cancel: &'a cancels::Session,
+    filter: Filter<'a>,
+}
+
+impl Sink for Answer<'_> {
+    fn start(&mut self, link: &Arc<Link>, number: u64) {
+        self.cancel.set(Some((Arc::clone(link), number)));
+    }
+
+    async fn feed(&mut self, part: &Bytes) -> Result<Option<bool>, Report<Gone>> {
+        let Ok(pieces) = self.filter.feed(part) else {
+            return Ok(None);
+        };
+        for piece in &pieces {
+            if piece.len() >= FLUSH_BYTES {
+                self.conn.flush().await?;
+                self.conn.write(piece).await?;
+            } else {
+                self.conn.output.raw(piece);
+            }
+        }
+        if self.conn.output.len() >= FLUSH_BYTES {
+            self.conn.flush().await?;
+        }
+        Ok(Some(!pieces.is_empty()))
+    }
+
+    async fn flush(&mut self) -> Result<(), Report<Gone>> {
+        self.conn.flush().await
+    }
+
+    fn own(&self) -> usize {
+        self.filter.own()
+    }
 }
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -11,6 +11,7 @@
 use base::prelude::*;
 use link::Key;
 use pg::scram::Users;
+use plain::Dialect;
 use prometheus_client::registry::Registry;
 use slog::{Logger, error, info, warn};
 use telemetry::Health;
@@ -35,6 +36,8 @@
     pub zone: Name,
     /// Raised by each start of the entry.
     pub incarnation: u64,
+    /// Whether the host starts an entry only after the earlier one has ended.
+    pub sole: bool,
     /// Where callers connect; port 0 takes a free one.
     pub callers: SocketAddr,
     /// Where fronts of other entries connect.
@@ -42,13 +45,16 @@
     /// Where health and metrics are served.
     pub web: SocketAddr,
     /// Links of the control members.
-    pub controls: Vec<SocketAddr>,
+    pub controls: follow::Controls,
     /// The key that the system's processes share.
     pub key: Key,
     /// File of users; without one each login is trusted.
     pub users: Option<PathBuf>,
     /// Files for TLS towards callers.
     pub tls: Option<Tls>,
+    /// Protocol of plain statements, towards callers and backend servers; none
+    /// where they speak PostgreSQL.
+    pub dialect: Option<Arc<dyn Dialect>>,
     /// Log.
     pub log: Logger,
     /// Time.
@@ -181,6 +187,7 @@
             key: self.settings.key.clone(),
             users: self.users,
             tls: self.tls.map(|acceptor| acceptor.0),
+            dialect: self.settings.dialect.clone(),
             view: view.clone(),
             clock: self.settings.clock,
             metrics: Arc::clone(&metrics),
@@ -200,6 +207,7 @@
                 key: self.settings.key.clone(),
                 view: view.clone(),
                 clock: self.settings.clock,
+                dialect: self.settings.dialect.clone(),
                 metrics,
                 log: self.settings.log.clone(),
             }),
@@ -224,6 +232,7 @@
         address: addresses.link.to_string(),
         zone: settings.zone.as_str().to_owned(),
         web: addresses.web.to_string(),
+        sole: settings.sole,
     };
     let Settings { controls, key, clock, log, .. } = settings;
     follow::start(follow::Settings { join, controls, key, view, symptoms, clock, log })
@@ -274,6 +283,11 @@
         &self.view
     }
 
+    /// Whether the entry takes new work, for a server of its own.
+    pub fn health(&self) -> Health {
+        self.health.clone()
+    }
+
     /// Whether the entry takes new work.
     pub fn is_ready(&self) -> bool {
         self.health.is_ready()
--- a/components/entry/src/keep/conn.rs
+++ b/components/entry/src/keep/conn.rs
@@ -27,7 +27,7 @@
 const LINGER: Duration = Duration::from_secs(10);
 
 /// Commands that may wait for a connection's task.
-const COMMANDS: usize = 16;
+pub(super) const COMMANDS: usize = 16;
 
 /// Bytes that a connection reads at once.
 const READ_BYTES: usize = 32 << 10;
@@ -40,7 +40,8 @@
 /// What a group asks of a connection.
 #[derive(Debug)]
 pub(super) enum Command {
-    Send(Bytes),
+    Send { bytes: Bytes, wait: Option<Mark> },
+    RollBack,
     Mark,
     Cancel,
     Close,
@@ -49,9 +50,9 @@
 /// The group's end of a connection.
 #[derive(Debug)]
 pub(super) struct Control {
-    commands: mpsc::Sender<Command>,
-    paused: watch::Sender<bool>,
-    task: tokio::task::AbortHandle,
+    pub(super) commands: mpsc::Sender<Command>,
+    pub(super) paused: watch::Sender<bool>,
+    pub(super) task: tokio::task::AbortHandle,
 }
 
 impl Control {
@@ -87,9 +88,9 @@
 impl std::error::Error for Failure {}
 
 /// Tells the group that a connection is closed, however its task ended.
-struct Closing {
-    shard: Arc<Shard>,
-    conn: Key<Connection>,
+pub(super) struct Closing {
+    pub(super) shard: Arc<Shard>,
+    pub(super) conn: Key<Connection>,
 }
 
 impl Drop for Closing {
@@ -221,10 +222,14 @@
 
     fn obey(&mut self, command: Command) -> Result<(), Report<Failure>> {
         let bytes = match command {
-            Command::Send(bytes) => {
+            Command::Send { bytes, wait: _ } => {
                 self.due = Due::Cycle;
                 bytes
             }
+            Command::RollBack => {
+                self.due = Due::Cycle;
+                query("ROLLBACK")
+            }
             Command::Mark => {
                 self.due = Due::Mark(None);
                 query(MARK_QUERY)
--- a/components/entry/src/keep/follow.rs
+++ b/components/entry/src/keep/follow.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use control::State;
+use control::{Phase, State};
 use keeper::event::Server;
-use keeper::{Event, Lease, Setup};
+use keeper::{Event, Lease, Setup, Solo};
 use wire::log;
 
 use super::shard::Shard;
@@ -66,11 +66,17 @@
     let lease = group.and_then(|group| group.lease(host.name.as_str())).filter(own);
     let seats = group.iter().flat_map(|group| &group.seats);
     let declared = state.declarations.groups.get(name).map(|group| group.servers);
+    let solo = group.filter(|_| state.acknowledges(name.as_str()));
+    let settled = group.is_some_and(|group| group.phase == Phase::Settled);
     let seated = group.map_or(0, |group| group.seats.len() as u32);
     Setup {
-        declared: declared.unwrap_or(seated),
-        primary: group.and_then(|group| group.primary.clone()),
-        servers: seats.filter_map(|seat| server(state, lease, seat)).collect(),
+        // such a server's own answer is all that an acknowledgement needs
+        declared: if solo.is_some() { 1 } else { declared.unwrap_or(seated) },
+        primary: group
+            .filter(|_| solo.is_none() || settled)
+            .and_then(|group| group.primary.clone()),
+        servers: seats.filter_map(|seat| server(state, lease, seat, solo.is_some())).collect(),
+        solo: solo.map(|group| Solo { term: group.term, index: state.index }),
         lease: match lease {
             None => Lease::None,
             Some(lease) if lease.returning => Lease::Returning,
@@ -80,16 +86,24 @@
     }
 }
 
-fn server(state: &State, lease: Option<&log::Lease>, name: &Name) -> Option<Server> {
+fn server(
+    state: &State,
+    lease: Option<&log::Lease>,
+    name: &Name,
+    solo: bool,
+) -> Option<Server> {
     let server = state.servers.get(name)?;
     let share = lease.and_then(|lease| lease.shares.iter().find(|s| s.server == name.as_str()));
+    let slots = share.map_or(0, |share| share.slots);
     Some(Server {
         name: name.clone(),
+        incarnation: server.incarnation,
         address: server.address,
         zone: server.zone.clone(),
         labels: server.labels.clone(),
         connections: share.map_or(0, |share| share.connections),
-        slots: share.map_or(0, |share| share.slots),
+        // a server that queues by itself leaves no slot idle that a keeper has
+        slots: if solo && share.is_some() { server.slots } else { slots },
         leaving: server.leaving,
         expired: server.expired,
     })
--- a/components/entry/src/keep/mod.rs
+++ b/components/entry/src/keep/mod.rs
@@ -4,6 +4,7 @@
 //! - `shard`: one group under its lock, and its effects.
 //! - `front`: links that ask.
 //! - `conn`: a connection to a backend server; `answer` cuts what it reads.
+//! - `plain`: a connection that carries plain statements.
 //! - `probe`: reports of servers.
 //! - `follow`: changes of the control state.
 //! - `metrics`: what is counted.
@@ -13,6 +14,7 @@
 mod follow;
 mod front;
 mod metrics;
+mod plain;
 mod probe;
 mod shard;
 
@@ -21,6 +23,7 @@
 
 use base::clock::Clock;
 use base::prelude::*;
+use ::plain::Dialect;
 use keeper::Event;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
@@ -51,6 +54,8 @@
     pub view: View,
     /// Source of the present time; the view's lease counts on the same.
     pub clock: Clock,
+    /// Protocol of servers that acknowledge by themselves.
+    pub dialect: Option<Arc<dyn Dialect>>,
     /// Where metrics are registered.
     pub metrics: telemetry::web::Metrics,
     /// Where events are logged.
@@ -66,6 +71,7 @@
     key: link::Key,
     view: View,
     clock: Clock,
+    dialect: Option<Arc<dyn Dialect>>,
     metrics: Metrics,
     log: Logger,
     fronts: Fronts,
@@ -88,6 +94,7 @@
         key: settings.key,
         view: settings.view,
         clock: settings.clock,
+        dialect: settings.dialect,
         metrics: Metrics::register(&settings.metrics),
         log: settings.log,
         fronts: Fronts::default(),
--- a/components/entry/src/keep/shard.rs
+++ b/components/entry/src/keep/shard.rs
@@ -14,6 +14,7 @@
 use wire::data::answer;
 
 use super::conn::{self, Command, Control};
+use super::plain;
 use super::probe::Prober;
 use super::{Host, lock};
 
@@ -37,19 +38,24 @@
     group: Group,
     effects: VecDeque<Effect>,
     scratch: Vec<Effect>,
+    /// Whether the group takes the entry's lease for held.
+    leased: bool,
 }
 
 #[derive(Debug, Default)]
 struct Tools {
     conns: HashMap<Key<Connection>, Control>,
     probers: BTreeMap<Name, Prober>,
+    /// Whether the servers tell their position with each answer.
+    solo: bool,
     stopped: bool,
 }
 
 impl Shard {
     pub(super) fn start(host: Arc<Host>, name: Name) -> Arc<Self> {
         let group = Group::new(name.clone(), host.zone.clone(), host.incarnation);
-        let inner = Inner { group, effects: VecDeque::new(), scratch: Vec::new() };
+        let (effects, scratch) = (VecDeque::new(), Vec::new());
+        let inner = Inner { group, effects, scratch, leased: false };
         let shard = Arc::new(Self {
             name,
             host,
@@ -81,7 +87,8 @@
 
     /// Feeds an event and carries out what follows.
     pub(super) fn feed(self: &Arc<Self>, event: Event) {
-        lock(&self.inner).take(self.host.clock.now(), event);
+        let now = self.host.clock.now();
+        lock(&self.inner).take(now, event, self.host.view.leased(now));
         self.carry_out();
     }
 
@@ -92,7 +99,8 @@
     }
 
     fn set_probers(self: &Arc<Self>, tools: &mut Tools, setup: &Setup) {
-        if tools.stopped || setup.lease == Lease::None {
+        tools.solo = setup.solo.is_some();
+        if tools.stopped || tools.solo || setup.lease == Lease::None {
             tools.probers.clear();
             return;
         }
@@ -140,11 +148,17 @@
 
     fn act(self: &Arc<Self>, tools: &mut Tools, effect: Effect) {
         match effect {
-            Effect::Connect { conn, address, .. } => {
+            Effect::Connect { conn, server, address } => {
                 self.host.metrics.count(Count::Opened);
-                tools.conns.insert(conn, conn::open(self, conn, address));
+                let dialect = self.host.dialect.clone().filter(|_| tools.solo);
+                let control = match dialect {
+                    Some(dialect) => plain::open(self, conn, server, address, dialect),
+                    None => conn::open(self, conn, address),
+                };
+                tools.conns.insert(conn, control);
             }
-            Effect::Send { conn, bytes } => tools.send(conn, Command::Send(bytes)),
+            Effect::Send { conn, bytes, wait } => tools.send(conn, Command::Send { bytes, wait }),
+            Effect::RollBack { conn } => tools.send(conn, Command::RollBack),
             Effect::Mark { conn } => tools.send(conn, Command::Mark),
             Effect::Close { conn } => tools.send(conn, Command::Close),
             Effect::Cancel { conn } => tools.send(conn, Command::Cancel),
@@ -167,6 +181,12 @@
                     "server" => &symptom.server, "sight" => symptom.sight);
                 self.host.view.report(symptom);
             }
+            Effect::Seal { term, mark, index } => {
+                info!(self.host.log, "work for earlier primaries is over"; "group" => %self.name,
+                    "term" => term.0, "mark" => mark.map(|mark| mark.to_string()));
+                let (group, mark) = (self.name.to_string(), mark.map(Into::into));
+                self.host.view.seal(wire::control::Seal { group, term: term.0, mark, index });
+            }
             Effect::Wake(at) => drop(self.wake.send_replace(at)),
             Effect::GiveUp => self.host.view.give_up(self.name.clone()),
             Effect::Count(count) => self.host.metrics.count(count),
@@ -175,7 +195,14 @@
 }
 
 impl Inner {
-    fn take(&mut self, now: Instant, event: Event) {
+    fn take(&mut self, now: Instant, event: Event, leased: bool) {
+        if let Event::Leased(told) = event {
+            self.leased = told;
+        } else if self.leased && !leased {
+            // the lease ran out while the process stood still
+            self.leased = false;
+            self.group.on(now, Event::Leased(false), &mut self.scratch);
+        }
         self.group.on(now, event, &mut self.scratch);
         self.effects.extend(self.scratch.drain(..));
     }
--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -1,12 +1,13 @@
 //! What an entry knows of the control log, shared between its halves.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use base::prelude::*;
 use control::State;
 use tokio::sync::{Notify, mpsc, watch};
-use wire::control::Symptom;
+use wire::control::{Seal, Symptom};
 
 /// Symptoms that may wait for the link to control; more are dropped, and a
 /// keeper that still sees one reports it again.
@@ -26,6 +27,9 @@
     lease_until: AtomicU64,
     returned: Mutex<Vec<Name>>,
     given_up: Notify,
+    /// The newest seal of each group.
+    seals: Mutex<BTreeMap<String, Seal>>,
+    sealed: Notify,
 }
 
 /// Symptoms on their way to control.
@@ -40,6 +44,8 @@
             lease_until: AtomicU64::new(0),
             returned: Mutex::default(),
             given_up: Notify::new(),
+            seals: Mutex::default(),
+            sealed: Notify::new(),
         };
         let changed = watch::Sender::new(0);
         (Self { shared: Arc::new(shared), changed, symptoms }, reported)
@@ -95,6 +101,25 @@
         self.shared.given_up.notify_one();
     }
 
+    /// Notes that the work for earlier primaries of a group is over.
+    pub fn seal(&self, seal: Seal) {
+        let mut seals = self.shared.seals.lock().unwrap_or_else(PoisonError::into_inner);
+        seals.insert(seal.group.clone(), seal);
+        drop(seals);
+        self.shared.sealed.notify_one();
+    }
+
+    /// Waits until a group is sealed.
+    pub async fn sealed(&self) {
+        self.shared.sealed.notified().await;
+    }
+
+    /// The newest seal of each group.
+    pub fn seals(&self) -> Vec<Seal> {
+        let seals = self.shared.seals.lock().unwrap_or_else(PoisonError::into_inner);
+        seals.values().cloned().collect()
+    }
+
     /// Waits until a group is given up.
     pub async fn given_up(&self) {
         self.shared.given_up.notified().await;
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -221,8 +221,8 @@
     };
     let mut state = State { version: 7, index: 1, ..State::default() };
     let mut declarations = config::Declarations::default();
-    declarations.groups.insert(name("booking"), Group { servers: 3, elects: false });
-    declarations.groups.insert(name("closed"), Group { servers: 3, elects: false });
+    declarations.groups.insert(name("booking"), Group { servers: 3, ..Group::default() });
+    declarations.groups.insert(name("closed"), Group { servers: 3, ..Group::default() });
     for service in ["web", "desk"] {
         let limits = Limits { deadline_ms: 3_000, ..Limits::default() };
         let (labels, objectives) = (config::Labels::new(), Vec::new());
@@ -292,6 +292,7 @@
         tls: Some(front::tls::load(&tls()).unwrap()),
         view: view.clone(),
         clock,
+        dialect: None,
         metrics: Arc::default(),
         log: log(),
     });
--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -21,6 +21,7 @@
         address: "127.0.0.1:1".to_owned(),
         zone: "lansing".to_owned(),
         web: "127.0.0.1:2".to_owned(),
+        sole: false,
     }
 }
 
@@ -80,7 +81,7 @@
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let settings = follow::Settings {
         join: join(),
-        controls,
+        controls: controls.into(),
         key: key(),
         view: view.clone(),
         symptoms,
--- a/components/entry/tests/keep.rs
+++ b/components/entry/tests/keep.rs
@@ -58,6 +58,7 @@
             slots: 2,
             leaving: false,
             expired: false,
+            primary: false,
         };
         shares.push(Share { server: seat.to_string(), connections: 8, slots: 2 });
         state.servers.insert(seat.clone(), server);
@@ -84,6 +85,7 @@
         key: Key::new(KEY).unwrap(),
         view: view.clone(),
         clock: Clock::start(),
+        dialect: None,
         metrics: Arc::default(),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
--- a/components/entry/tests/whole.rs
+++ b/components/entry/tests/whole.rs
@@ -31,10 +31,12 @@
         callers: any,
         link: any,
         web: any,
-        controls: Vec::new(),
+        sole: false,
+        controls: Vec::new().into(),
         key: Key::new(b"a key of the tests of entries").unwrap(),
         users: None,
         tls: None,
+        dialect: None,
         log: slog::Logger::root(slog::Discard, slog::o!()),
         clock,
     });
@@ -65,6 +67,7 @@
             slots: 2,
             leaving: false,
             expired: false,
+            primary: false,
         };
         shares.push(Share { server: status.server.to_string(), connections: 6, slots: 1 });
         known.seats.push(status.server.clone());
@@ -72,6 +75,7 @@
     }
     for (own, (addresses, _)) in ["entry-1", "entry-2", "entry-3"].iter().zip(entries) {
         let entry = control::state::Entry {
+            sole: false,
             incarnation: 1,
             address: addresses.link,
             web: Some(addresses.web),
--- a/components/keeper/src/conn.rs
+++ b/components/keeper/src/conn.rs
@@ -42,6 +42,8 @@
     Busy(Key<Request>),
     /// It is asked for a mark after the request's cycle.
     Marking(Key<Request>),
+    /// It is asked where its server stands.
+    Sampling(Instant),
     /// It holds a transaction open, idle since then.
     Pinned(Instant),
     /// It rolls back; closed if that is not confirmed by then.
@@ -73,6 +75,9 @@
 
     /// Whether it takes one of the server's slots; a mark takes none.
     pub(crate) fn runs(&self) -> bool {
-        matches!(self.work, Work::Busy(_) | Work::RollingBack(_) | Work::Closing { runs: true })
+        matches!(
+            self.work,
+            Work::Busy(_) | Work::Sampling(_) | Work::RollingBack(_) | Work::Closing { runs: true }
+        )
     }
 }
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -24,6 +24,9 @@
         conn.work = Work::Idle(now);
         if let Some(server) = self.servers.get_mut(conn.server) {
             server.failures = 0;
+            if self.solo.is_some() {
+                server.trouble = None;
+            }
         }
     }
 
@@ -261,6 +264,10 @@
             return self.finish(now, key, Outcome::NotRun, Reason::TransactionGone, out);
         }
         let read = request.class == Class::Read && !request.run.within;
+        if self.solo.is_some() && !read {
+            // no history tells what became of it
+            return self.finish(now, key, Outcome::Unknown, Reason::Broken, out);
+        }
         if read || !request.attempt.primary {
             request.ran = true;
             if !self.again(now, key, out) {
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use config::{Declarations, Labels};
+use plain::Fault;
 use wire::control::Symptom;
 use wire::data::{End, Part, Run};
 
@@ -79,6 +80,14 @@
         /// Whether an error came before it.
         failed: bool,
     },
+    /// A cycle is over, or a session stands, on a server that tells its position
+    /// with each answer.
+    Reported {
+        /// The connection.
+        conn: Key<Connection>,
+        /// What the server told.
+        reported: Reported,
+    },
     /// The server's answer to [`Effect::Mark`].
     Marked {
         /// The connection.
@@ -110,6 +119,19 @@
     Tick,
 }
 
+/// The end of a cycle on a server that tells its position.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reported {
+    /// Status byte: I, T or E.
+    pub status: u8,
+    /// The error that came before it, if one did.
+    pub fault: Option<Fault>,
+    /// Last record that reads on the server show.
+    pub mark: Option<Mark>,
+    /// When the first statement of the cycle was sent.
+    pub sent: Instant,
+}
+
 /// Whole server messages of one answer, without ReadyForQuery.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Piece {
@@ -153,6 +175,18 @@
     pub lease: Lease,
     /// Declarations in force.
     pub declarations: Arc<Declarations>,
+    /// Set where the servers acknowledge by themselves. The primary is then
+    /// `None` while a change of it is under way.
+    pub solo: Option<Solo>,
+}
+
+/// What the control log says of a group whose servers acknowledge by themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Solo {
+    /// Term that is intended or established.
+    pub term: Term,
+    /// Index of the control log that this stands at.
+    pub index: u64,
 }
 
 /// An entry's lease on a group.
@@ -172,6 +206,8 @@
 pub struct Server {
     /// Its name.
     pub name: Name,
+    /// Raised by each start of the server.
+    pub incarnation: u64,
     /// Where it takes statements.
     pub address: SocketAddr,
     /// Availability zone.
@@ -206,6 +242,13 @@
         conn: Key<Connection>,
         /// The messages of one cycle.
         bytes: Bytes,
+        /// What the server must show before it runs them, where it can wait.
+        wait: Option<Mark>,
+    },
+    /// Roll back the transaction that is open on a connection.
+    RollBack {
+        /// The connection.
+        conn: Key<Connection>,
     },
     /// Ask for the server's last position on this connection.
     Mark {
@@ -253,6 +296,15 @@
     },
     /// Tell control what is seen of the primary.
     Report(Symptom),
+    /// Tell control that the work for earlier primaries is over.
+    Seal {
+        /// Term that is intended.
+        term: Term,
+        /// Highest mark that was acknowledged to a caller.
+        mark: Option<Mark>,
+        /// Index of the control log at which that commit was sent.
+        index: u64,
+    },
     /// Tick at this time.
     Wake(Instant),
     /// The lease is given up: no connection is left.
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -12,9 +12,6 @@
 /// Time in which a rollback must be confirmed.
 const ROLLBACK: Duration = Duration::from_secs(1);
 
-/// `ROLLBACK` as a simple query.
-const ROLLBACK_QUERY: &[u8] = b"Q\0\0\0\x0dROLLBACK\0";
-
 /// Time after which it is worth asking again when no server could be used.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -74,7 +71,12 @@
         let attempt = &request.attempt;
         let done = outcome == Outcome::Done;
         let status = if done { attempt.status } else { self.status_of(request) };
-        let seen = if attempt.primary { attempt.hi } else { attempt.mark };
+        let seen = match (attempt.primary, &self.solo) {
+            (true, _) => attempt.hi,
+            // a read says nothing of what the session must see later
+            (false, Some(_)) => None,
+            (false, None) => attempt.mark,
+        };
         let mark = if done { seen.max(request.floor) } else { None };
         let server = attempt.server.and_then(|server| self.servers.get(server));
         let late = matches!(reason, Reason::Deadline | Reason::Replaced | Reason::Unavailable);
@@ -169,6 +171,7 @@
         self.settle(now, out);
         self.unpark(now);
         self.relieve(now);
+        self.stalled(now, out);
         self.watch(now, out);
     }
 
@@ -292,8 +295,7 @@
         if let Some(conn) = self.conns.get_mut(key) {
             conn.work = if early { Work::Idle(now) } else { Work::RollingBack(now + ROLLBACK) };
             conn.status = OPEN;
-            let bytes = bytes::Bytes::from_static(ROLLBACK_QUERY);
-            out.push(Effect::Send { conn: key, bytes });
+            out.push(Effect::RollBack { conn: key });
         }
         self.drop_urgent(now, key, out);
     }
--- a/components/keeper/src/group.rs
+++ b/components/keeper/src/group.rs
@@ -17,6 +17,7 @@
 use crate::request::Request;
 use crate::server::Server;
 use crate::service::Service;
+use crate::solo::Solo;
 
 /// Time between ticks while something is open.
 const TICK: Duration = Duration::from_millis(10);
@@ -70,6 +71,8 @@
     pub(crate) typical: Duration,
     wake_at: Instant,
     fault: Option<Fault>,
+    /// Set where the servers acknowledge by themselves.
+    pub(crate) solo: Option<Solo>,
 }
 
 impl Group {
@@ -103,6 +106,7 @@
             typical: Duration::from_millis(1),
             wake_at: Instant::ZERO,
             fault: None,
+            solo: None,
         }
     }
 
@@ -138,6 +142,7 @@
             Event::Closed { conn } => self.closed(now, conn, out),
             Event::Piece { conn, piece } => self.piece(now, conn, piece, out),
             Event::Cycle { conn, status, failed } => self.cycle(now, conn, status, failed, out),
+            Event::Reported { conn, reported } => self.reported(now, conn, reported, out),
             Event::Marked { conn, mark } => self.marked(now, conn, mark, out),
             Event::Status { status, sent } => self.status(now, status, sent, out),
             Event::Unreached { server, trouble } => self.unreached(now, &server, trouble, out),
@@ -148,6 +153,7 @@
         }
         self.pump(now, out);
         self.sample(now, out);
+        self.seal(now, out);
         self.give_up(out);
         self.wake(now, out);
     }
@@ -168,6 +174,9 @@
 
     /// The server of the highest term that calls itself a primary, and its term.
     pub(crate) fn primary(&self) -> Option<(Key<Server>, Term)> {
+        if self.is_solo() {
+            return self.named_primary();
+        }
         let primaries = self.servers.iter().filter_map(|(key, server)| {
             let status = server.status().filter(|status| status.role == Role::Primary)?;
             server.seated.then_some((key, status.term))
@@ -177,6 +186,9 @@
 
     /// The primary, if new work may go to it.
     pub(crate) fn usable_primary(&self, now: Instant) -> Option<(Key<Server>, Term)> {
+        if self.is_solo() {
+            return self.usable_named(now);
+        }
         let (key, term) = self.primary()?;
         let open = self.servers.get(key).is_some_and(|server| server.is_open(now));
         let statuses = self.servers.iter().filter_map(|(_, server)| server.status());
--- a/components/keeper/src/health.rs
+++ b/components/keeper/src/health.rs
@@ -49,11 +49,15 @@
             None => (named()?, Term::default()),
         };
         let server = self.servers.get(key)?;
+        let (term, sight) = match &self.solo {
+            Some(solo) => (solo.term, self.sight_solo(now, key)),
+            None => (term, self.sight(now, server)),
+        };
         Some(Symptom {
             group: self.name.to_string(),
             server: server.name.to_string(),
             term: term.0,
-            sight: self.sight(now, server) as i32,
+            sight: sight as i32,
         })
     }
 
--- a/components/keeper/src/intake.rs
+++ b/components/keeper/src/intake.rs
@@ -208,7 +208,7 @@
         if let Some(key) = self.names.get(name) {
             return Some(*key);
         }
-        let (name, _) = self.declarations.services.get_key_value(name)?;
+        let (name, _, _) = self.declarations.limits(name)?;
         let mut service = Service::new(name.clone());
         service.update(&self.name, &self.declarations, &self.servers);
         let key = self.services.insert(service);
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `settle`: acknowledgement, and requests in doubt.
 //! - `finish`: ends of requests, and repeats.
 //! - `health`: symptoms of a primary.
+//! - `solo`: groups whose servers acknowledge by themselves.
 
 mod conn;
 mod cycle;
@@ -28,9 +29,12 @@
 mod service;
 mod settle;
 mod setup;
+mod solo;
 
 pub use conn::Connection;
-pub use event::{Cause, Count, Effect, Event, Front, Kind, Lease, Piece, Setup, Trouble};
+pub use event::{
+    Cause, Count, Effect, Event, Front, Kind, Lease, Piece, Reported, Setup, Solo, Trouble,
+};
 #[cfg(feature = "fault")]
 pub use fault::Fault;
 pub use group::Group;
--- a/components/keeper/src/pump.rs
+++ b/components/keeper/src/pump.rs
@@ -172,7 +172,8 @@
         connection.work = Work::Busy(key);
         request.attempt = attempt;
         request.stage = Stage::Running(conn);
-        out.push(Effect::Send { conn, bytes: request.run.payload.clone() });
+        let wait = mark.filter(|_| self.solo.is_some() && !request.attempt.primary);
+        out.push(Effect::Send { conn, bytes: request.run.payload.clone(), wait });
         if request.is_read() {
             let count = if request.attempt.primary {
                 Count::PrimaryRead(request.cause)
@@ -213,8 +214,11 @@
             attempt.term = pinned.term;
             attempt.lo = Position::default();
         }
-        attempt.primary =
-            request.run.within || self.primary().is_some_and(|(key, _)| key == server);
+        let leads = self.primary().is_some_and(|(key, _)| key == server);
+        attempt.primary = leads || (request.run.within && !self.is_solo());
+        if self.is_solo() {
+            return attempt;
+        }
         if attempt.primary && !request.run.within {
             let blind = request.class != Class::Read && request.floor.is_none();
             let since = if blind { Some(request.arrived) } else { request.since(now) };
@@ -231,7 +235,7 @@
         let Some(server) = self.servers.get(key) else {
             return;
         };
-        if now < server.connect_at || !server.answers(now) {
+        if now < server.connect_at || !(self.is_solo() || server.answers(now)) {
             return;
         }
         let (limit, warm) = (server.connections, server.slots + WARM);
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -2,6 +2,7 @@
 
 use base::prelude::*;
 use route::{Candidate, Need, Sample, qualify};
+use smallvec::SmallVec;
 
 use crate::event::{Cause, Effect};
 use crate::fault::Fault;
@@ -45,7 +46,7 @@
     }
 
     /// Notes a read that accepts an age.
-    fn note_age(&mut self, now: Instant, age: Duration) {
+    pub(crate) fn note_age(&mut self, now: Instant, age: Duration) {
         let known = if now < self.age_until { self.age } else { age };
         self.age = known.min(age);
         self.age_until = now + AGE_TRAFFIC;
@@ -56,6 +57,17 @@
         self.verified.is_some_and(|sample| sample.taken >= since)
     }
 
+    /// Whether reads that accept an age lack a sample younger than a part of it.
+    pub(crate) fn wants_solo(&self, now: Instant, part: u32) -> bool {
+        let asked = self.round.is_some_and(|round| now.since(round) <= ROUND_TIMEOUT);
+        now < self.age_until && !asked && !self.covers(now - self.age / part)
+    }
+
+    /// Notes that a primary was asked where it stands.
+    pub(crate) fn asked_solo(&mut self, now: Instant) {
+        self.round = Some(now);
+    }
+
     /// Whether a round is to start now.
     fn starts(&mut self, now: Instant) -> bool {
         if let Some(round) = self.round {
@@ -81,6 +93,9 @@
         let Some(request) = self.requests.get(key) else {
             return;
         };
+        if request.is_fresh() && self.solo.is_some() {
+            return;
+        }
         if request.is_fresh() {
             self.sampling.want(request.arrived);
         } else if request.run.age_ms > 0 {
@@ -90,6 +105,9 @@
 
     /// Starts a round of samples if one is due.
     pub(crate) fn sample(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if self.is_solo() {
+            return self.sample_solo(now, out);
+        }
         if !self.sampling.starts(now) {
             return;
         }
@@ -158,6 +176,9 @@
 
     /// Where a parked read is to queue, once that is clear.
     fn lane(&self, now: Instant, request: &Request) -> Option<(Lane, Cause)> {
+        if self.is_solo() {
+            return Some((self.lane_solo(now, request)?, Cause::Busy));
+        }
         if self.qualified(now, request).next().is_some() {
             return Some((Lane::Replica, Cause::Busy));
         }
@@ -194,8 +215,10 @@
         let primary = self.primary().map(|(key, _)| key);
         self.servers.iter().filter_map(move |(key, server)| {
             let seen = server.seen.as_ref()?;
-            let usable = server.is_open(now) && !server.expired && seen.sent > server.distrusted;
-            let replica = Some(key) != primary && seen.status.role == Role::Replica;
+            let solo = self.is_solo();
+            let trusted = seen.sent > server.distrusted || solo;
+            let usable = server.is_open(now) && !server.expired && trusted;
+            let replica = Some(key) != primary && (solo || seen.status.role == Role::Replica);
             let reached = service.is_some_and(|service| service.reaches(key));
             (usable && replica && reached).then_some((key, server, seen))
         })
@@ -208,8 +231,12 @@
         request: &Request,
     ) -> impl Iterator<Item = (Key<Server>, &Server, Option<Mark>)> {
         let need = Need { floor: request.floor, since: request.since(now) };
+        let solo = self.is_solo().then(|| self.need(now, request));
         self.replicas(now, request).filter_map(move |(key, server, seen)| {
-            let mark = qualify(&seen.status, need, &self.ring)?;
+            let mark = match solo {
+                Some(need) => need.filter(|&mark| self.shows_soon(now, server, mark))?,
+                None => qualify(&seen.status, need, &self.ring)?,
+            };
             Some((key, server, mark))
         })
     }
@@ -220,13 +247,24 @@
         now: Instant,
         request: &Request,
     ) -> impl Iterator<Item = Candidate<Key<Server>>> {
-        self.qualified(now, request).map(|(key, server, mark)| Candidate {
+        let candidate = |(key, server, mark): (Key<Server>, &Server, Option<Mark>)| Candidate {
             server: key,
-            near: server.zone == self.zone,
-            free: self.ready_slots(key),
+            near: server.zone == self.zone && !self.is_solo(),
+            free: if now < server.full_until { 0 } else { self.ready_slots(key) },
             waiting: server.urgent.len() as u32,
             mark,
-        })
+        };
+        let found: SmallVec<[_; 4]> = self.qualified(now, request).map(candidate).collect();
+        let busy = found.iter().all(|candidate| candidate.free == 0);
+        let spare = if busy && self.is_solo() { self.spare_primary(now) } else { None };
+        found.into_iter().chain(spare.and_then(|key| Some(candidate((key, self.servers.get(key)?, None)))))
+    }
+
+    /// The primary, while nothing waits there that only it may do.
+    fn spare_primary(&self, now: Instant) -> Option<Key<Server>> {
+        let (key, _) = self.usable_named(now)?;
+        let idle = self.lanes.primary.is_empty() && self.running(key) == 0;
+        idle.then_some(key)
     }
 
     /// Slots of a server that could be used at once.
@@ -236,7 +274,7 @@
 
     /// Moves reads that waited long for a busy replica to an idle primary.
     pub(crate) fn relieve(&mut self, now: Instant) {
-        if !self.lanes.primary.is_empty() || self.lanes.replica.is_empty() {
+        if !self.lanes.primary.is_empty() || self.lanes.replica.is_empty() || self.is_solo() {
             return;
         }
         let long = |request: &Request| {
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -148,7 +148,8 @@
 
     /// Whether it may have committed something, whatever it was declared as.
     pub(crate) fn may_commit(&self) -> bool {
-        !self.run.within || self.run.commits || self.attempt.committed
+        let reads = self.run.within && self.class == Class::Read;
+        !reads && (!self.run.within || self.run.commits || self.attempt.committed)
     }
 
     /// Whether its answer is held back from the first complete statement on.
--- a/components/keeper/src/server.rs
+++ b/components/keeper/src/server.rs
@@ -6,6 +6,7 @@
 
 use crate::event::{self, Trouble};
 use crate::request::Request;
+use crate::solo::Lag;
 
 /// Time without a report after which a server counts as silent.
 pub(crate) const SILENCE: Duration = Duration::from_millis(300);
@@ -31,6 +32,12 @@
     pub(crate) failures: u32,
     /// No connection is opened before this.
     pub(crate) connect_at: Instant,
+    /// How far it is behind, where its answers tell.
+    pub(crate) lag: Lag,
+    /// No statement is sent before this: it had no slot.
+    pub(crate) full_until: Instant,
+    /// Since when it is leaving.
+    pub(crate) leaves: Option<Instant>,
 }
 
 /// The newest report of a server.
@@ -63,6 +70,9 @@
             urgent: VecDeque::new(),
             failures: 0,
             connect_at: now,
+            lag: Lag::default(),
+            full_until: Instant::ZERO,
+            leaves: None,
         }
     }
 
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -34,9 +34,9 @@
         declarations: &Declarations,
         servers: &Arena<Server>,
     ) {
-        if let Some(declared) = declarations.services.get(&self.name) {
-            self.weight = declared.weight;
-            self.limits = declared.limits.clone();
+        if let Some((_, weight, limits)) = declarations.limits(self.name.as_str()) {
+            self.weight = weight;
+            self.limits = limits.clone();
             self.budget.set_share(self.limits.retry_share);
         }
         let reached = |server: &Server| {
--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -9,12 +9,14 @@
 use crate::group::Group;
 use crate::request::Stage;
 use crate::server::Server;
+use crate::solo::Lag;
 
 /// Time that an open transaction may go on once its lease is to be given up.
 const LINGER: Duration = Duration::from_secs(10);
 
 impl Group {
     pub(crate) fn set_up(&mut self, now: Instant, setup: Setup, out: &mut Vec<Effect>) {
+        self.follow_control(now, &setup);
         self.declared = setup.declared;
         self.named = setup.primary;
         self.declarations = setup.declarations;
@@ -92,6 +94,11 @@
             server.connect_at = now;
             server.failures = 0;
         }
+        if server.incarnation != setup.incarnation {
+            server.trouble = None;
+            server.lag = Lag::default();
+        }
+        server.leaves = if setup.leaving { server.leaves.or(Some(now)) } else { None };
         server.setup = setup;
     }
 
@@ -108,7 +115,8 @@
     /// Whether an idle connection of a server may stand at all.
     pub(crate) fn keeps_idle(&self, server: Key<Server>) -> bool {
         let known = self.servers.get(server);
-        self.may_start() && known.is_some_and(|server| server.seated && !server.leaving)
+        let leads = self.is_solo() && self.usable_named_is(server);
+        self.may_start() && known.is_some_and(|known| known.seated && (!known.leaving || leads))
     }
 
     /// Connections of a server that stand, are opened or are being closed.
--- /dev/null
+++ b/components/keeper/src/solo.rs
@@ -0,0 +1,471 @@
+//! Groups whose servers acknowledge by themselves.
+//!
+//! Such a server answers a commit only once a replica has received it, and
+//! each answer tells where the server stands. So no majority is asked: the
+//! answer itself carries the mark of a commit and a sample for reads. What
+//! makes it safe is the lease, and that control replaces a primary only after
+//! each keeper has sealed: it has ended its work for the old one.
+
+use base::prelude::*;
+use plain::Fault;
+use route::Ring;
+use wire::data::{Class, Outcome, Reason};
+
+use crate::conn::{Connection, IDLE, Work};
+use crate::event::{Effect, Reported, Setup, Trouble};
+use crate::group::Group;
+use crate::request::{Lane, Over, Request, Stage};
+use crate::server::Server;
+
+/// Time that statements have to end when a primary that leaves is replaced.
+const SEAL_GRACE: Duration = Duration::from_millis(300);
+
+/// Time without an answer after which a statement's server is taken for silent.
+const STALLED: Duration = Duration::from_millis(700);
+
+/// Time after which a read that its replica leaves without an answer is tried
+/// on another server.
+const READ_STALLED: Duration = Duration::from_millis(400);
+
+/// How much longer than a usual statement a read may take.
+const SLOWNESS: u32 = 8;
+
+/// How much longer a statement may take on a server that answers others.
+const HEARD: u32 = 3;
+
+/// Time between two samples that are kept.
+const SAMPLE_SPACING: Duration = Duration::from_millis(40);
+
+/// Time without an answer to a commit, while other statements are answered,
+/// after which the primary is taken to have lost its replicas.
+const COMMIT_STALLED: Duration = Duration::from_millis(1_200);
+
+/// Lag up to which a read waits at a replica for what it must show.
+const LITTLE_LAG: Duration = Duration::from_millis(60);
+
+/// Lag that is assumed of a replica that lacks what a read must show.
+const LARGE_LAG: Duration = Duration::from_millis(200);
+
+/// Time after which what was seen of a replica's lag says nothing any more.
+const LAG_STANDS: Duration = Duration::from_millis(500);
+
+/// Wait before a statement that found no slot is sent again.
+const BUSY_PAUSE: Duration = Duration::from_millis(4);
+
+/// Wait before a statement that found no primary is sent again.
+const ASTRAY_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time for which a primary that leaves still gets work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(4);
+
+/// Time without a sample after which one is asked for, as a part of the age
+/// that reads accept.
+const SAMPLE_PART: u32 = 3;
+
+/// A group of this kind, beyond what each group has.
+#[derive(Debug, Default)]
+pub(crate) struct Solo {
+    /// Term that control has intended or established.
+    pub(crate) term: Term,
+    /// Index of the control log that the setup stands at.
+    index: u64,
+    /// Highest mark that was acknowledged to a caller, and the index at which
+    /// its statement was sent.
+    acked: Option<(Mark, u64)>,
+    /// The primary whose work is to end, and until when it may.
+    sealing: Option<Sealing>,
+    /// Highest term that was sealed.
+    sealed: Term,
+    /// Numbers for the reports that answers stand for.
+    reports: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sealing {
+    term: Term,
+    old: Option<Key<Server>>,
+    until: Instant,
+}
+
+/// What is seen of a replica's lag.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Lag {
+    pub(crate) lag: Duration,
+    pub(crate) seen: Instant,
+}
+
+impl Group {
+    /// Whether the servers of the group acknowledge by themselves.
+    pub(crate) fn is_solo(&self) -> bool {
+        self.solo.is_some()
+    }
+
+    /// The primary that control names, with the term that it told last.
+    pub(crate) fn named_primary(&self) -> Option<(Key<Server>, Term)> {
+        let key = self.named.as_ref().and_then(|name| self.server_named(name))?;
+        let term = self.servers.get(key)?.status().map(|status| status.term);
+        Some((key, term.unwrap_or_default()))
+    }
+
+    /// The primary that control names, if new work may go to it.
+    pub(crate) fn usable_named(&self, now: Instant) -> Option<(Key<Server>, Term)> {
+        let (key, term) = self.named_primary()?;
+        let usable = |server: &Server| {
+            let left = server.leaves.is_some_and(|since| now.since(since) > LEAVING_LIMIT);
+            server.seated && server.slots > 0 && server.trouble.is_none() && !left
+        };
+        self.servers.get(key).is_some_and(usable).then_some((key, term))
+    }
+
+    /// Whether a server is the primary that control names.
+    pub(crate) fn usable_named_is(&self, server: Key<Server>) -> bool {
+        self.named_primary().is_some_and(|(key, _)| key == server)
+    }
+
+    /// Takes over which primary control names, before the setup itself.
+    pub(crate) fn follow_control(&mut self, now: Instant, setup: &Setup) {
+        let Some(told) = setup.solo else {
+            self.solo = None;
+            return;
+        };
+        let old = self.named_primary().map(|(key, _)| key);
+        let same = self.named == setup.primary;
+        let leaves = old.and_then(|key| self.servers.get(key)).is_some_and(|s| s.leaving);
+        if self.solo.is_none() {
+            self.ring = Ring::spaced(SAMPLE_SPACING);
+        }
+        let solo = self.solo.get_or_insert_default();
+        solo.index = told.index;
+        let newer = told.term > solo.term;
+        solo.term = solo.term.max(told.term);
+        if !newer && same {
+            return;
+        }
+        let waits = solo.sealing.and_then(|sealing| sealing.old);
+        let until = if leaves { now + SEAL_GRACE } else { now };
+        solo.sealing = Some(Sealing { term: solo.term, old: old.or(waits), until });
+    }
+
+    /// Ends what still runs for a replaced primary, and tells control.
+    pub(crate) fn seal(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        let Some(sealing) = self.solo.as_ref().and_then(|solo| solo.sealing) else {
+            return;
+        };
+        let bound = self.bound_to(sealing.old);
+        if !bound.is_empty() && now < sealing.until {
+            return;
+        }
+        for conn in bound {
+            self.cut(now, conn, out);
+        }
+        let Some(solo) = self.solo.as_mut() else { return };
+        solo.sealing = None;
+        if sealing.term > solo.sealed {
+            solo.sealed = sealing.term;
+            let (mark, index) = solo.acked.map_or((None, 0), |(mark, index)| (Some(mark), index));
+            out.push(Effect::Seal { term: sealing.term, mark, index });
+        }
+    }
+
+    /// Connections on which something of a primary's work is open.
+    fn bound_to(&self, old: Option<Key<Server>>) -> Vec<Key<Connection>> {
+        let bound = |conn: &Connection| match conn.work {
+            Work::Busy(_) | Work::Marking(_) | Work::Pinned(_) => Some(conn.server) == old,
+            _ => false,
+        };
+        let found = self.conns.iter().filter(|(_, conn)| bound(conn));
+        found.map(|(key, _)| key).collect()
+    }
+
+    /// Takes the end of a cycle that tells where its server stands.
+    pub(crate) fn reported(
+        &mut self,
+        now: Instant,
+        conn: Key<Connection>,
+        reported: Reported,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(connection) = self.conns.get_mut(conn) else {
+            return;
+        };
+        connection.status = reported.status;
+        let (server, work) = (connection.server, connection.work);
+        self.note(now, server, reported);
+        match work {
+            Work::RollingBack(_) if reported.status == IDLE => self.rest(now, conn),
+            Work::Sampling(_) if reported.status == IDLE => self.rest(now, conn),
+            Work::Busy(key) => self.answered(now, conn, key, reported, out),
+            // the first report of a session, or one that comes after its end
+            Work::Idle(_) | Work::Closing { .. } => {}
+            _ => self.cut(now, conn, out),
+        }
+        self.unpark(now);
+    }
+
+    /// Notes where a server stands.
+    fn note(&mut self, now: Instant, key: Key<Server>, reported: Reported) {
+        let primary = self.named_primary().is_some_and(|(named, _)| named == key);
+        let (Some(server), Some(solo)) = (self.servers.get_mut(key), self.solo.as_mut()) else {
+            return;
+        };
+        server.heard = now;
+        server.trouble = None;
+        let Some(mark) = reported.mark else { return };
+        // an answer that comes without the lease says nothing of the present
+        if primary && !self.leased {
+            return;
+        }
+        solo.reports += 1;
+        let known = server.status().map(Status::last).unwrap_or_default();
+        let mark = mark.max(known);
+        let status = Status {
+            server: server.name.clone(),
+            incarnation: server.incarnation,
+            term: mark.term,
+            log_term: mark.term,
+            received: mark.position,
+            applied: mark.position,
+            role: if primary { Role::Primary } else { Role::Replica },
+            silence: Duration::ZERO,
+            history: History::default(),
+            version: solo.reports,
+        };
+        if !primary && let Some(sample) = self.ring.shown(&status) {
+            let lag = now.since(sample.taken);
+            server.lag = Lag { lag: (server.lag.lag * 3 + lag) / 4, seen: now };
+        }
+        server.see(now, status, reported.sent);
+        if primary {
+            self.verify();
+        }
+    }
+
+    /// Decides on a request whose cycle is over.
+    fn answered(
+        &mut self,
+        now: Instant,
+        conn: Key<Connection>,
+        key: Key<Request>,
+        reported: Reported,
+        out: &mut Vec<Effect>,
+    ) {
+        self.resume_conn(conn, out);
+        let Some(request) = self.requests.get_mut(key) else {
+            return self.cut(now, conn, out);
+        };
+        let Reported { status, fault, mark, .. } = reported;
+        let (service, owner, orphan) = (request.service, request.owner(), request.orphan);
+        let (within, writes) = (request.run.within, request.class != Class::Read);
+        let attempt = &mut request.attempt;
+        let primary = attempt.primary;
+        let sent_at = attempt.sent_at;
+        if primary && !self.leased {
+            // nobody knows whether the server still leads
+            return self.cut(now, conn, out);
+        }
+        attempt.over = Some(Over { at: now, failed: fault.is_some() });
+        attempt.status = status;
+        if writes && primary && status == IDLE && fault.is_none() {
+            attempt.hi = mark;
+            attempt.durable = true;
+        }
+        self.charge(service, primary, now.since(sent_at));
+        if status == IDLE {
+            self.unpin(conn);
+            self.rest(now, conn);
+        } else if orphan || (!within && fault.is_some()) {
+            self.unpin(conn);
+            self.roll_back(now, conn, out);
+        } else {
+            let term = self.servers.get(self.server_of(conn)).and_then(Server::status);
+            let term = term.map_or(Term::default(), |status| status.term);
+            self.pin(now, conn, owner, term, service);
+        }
+        match fault {
+            Some(fault) if fault.is_not_run() && !within && !orphan => {
+                self.refused(now, conn, key, fault, out);
+            }
+            _ => self.acknowledge(now, key, mark, out),
+        }
+    }
+
+    fn server_of(&self, conn: Key<Connection>) -> Key<Server> {
+        self.conns.get(conn).map_or(Key::from_bits(u64::MAX), |conn| conn.server)
+    }
+
+    fn acknowledge(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        mark: Option<Mark>,
+        out: &mut Vec<Effect>,
+    ) {
+        let durable = self.requests.get(key).is_some_and(|request| request.attempt.durable);
+        if let (true, Some(mark), Some(solo)) = (durable, mark, self.solo.as_mut()) {
+            let index = solo.index;
+            let newer = solo.acked.is_none_or(|(known, _)| known < mark);
+            if newer {
+                solo.acked = Some((mark, index));
+            }
+        }
+        self.finish(now, key, Outcome::Done, Reason::None, out);
+    }
+
+    /// Sends a request elsewhere that its server refused to run.
+    fn refused(
+        &mut self,
+        now: Instant,
+        conn: Key<Connection>,
+        key: Key<Request>,
+        fault: Fault,
+        out: &mut Vec<Effect>,
+    ) {
+        let server = self.server_of(conn);
+        if let Some(server) = self.servers.get_mut(server) {
+            match fault {
+                Fault::Behind => server.lag = Lag { lag: LARGE_LAG, seen: now },
+                Fault::Busy => server.full_until = now + BUSY_PAUSE,
+                _ => {}
+            }
+        }
+        let wait = match fault {
+            Fault::Behind | Fault::Unprepared => Duration::ZERO,
+            Fault::Busy => BUSY_PAUSE,
+            _ => ASTRAY_PAUSE,
+        };
+        self.send_again(now, key, wait);
+        if fault == Fault::ReadOnly {
+            self.watch(now, out);
+        }
+    }
+
+    /// Queues a request that surely did not run once more.
+    fn send_again(&mut self, now: Instant, key: Key<Request>, wait: Duration) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
+        request.tries += 1;
+        request.attempt = crate::request::Attempt { status: IDLE, ..Default::default() };
+        request.stage = Stage::Backoff(now + wait);
+    }
+
+    /// What a read needs: none while no sample tells.
+    pub(crate) fn need(&self, now: Instant, request: &Request) -> Option<Option<Mark>> {
+        let Some(since) = request.since(now) else {
+            return Some(request.floor);
+        };
+        let sample = self.ring.first_since(since)?;
+        Some(request.floor.max(Some(sample.mark)))
+    }
+
+    /// Where a parked read is to queue, once that is clear.
+    pub(crate) fn lane_solo(&self, now: Instant, request: &Request) -> Option<Lane> {
+        if request.is_fresh() {
+            return Some(Lane::Primary);
+        }
+        self.need(now, request)?;
+        Some(Lane::Replica)
+    }
+
+    /// Whether a replica is expected to show a mark soon.
+    pub(crate) fn shows_soon(&self, now: Instant, server: &Server, mark: Option<Mark>) -> bool {
+        let Some(mark) = mark else { return true };
+        let shows = server.status().is_some_and(|status| status.applied_mark() >= mark);
+        let old = now.since(server.lag.seen) > LAG_STANDS;
+        shows || old || server.lag.lag <= LITTLE_LAG
+    }
+
+    /// Asks the primary where it stands, when reads that accept an age lack a
+    /// sample and no other answer brings one.
+    pub(crate) fn sample_solo(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if !self.sampling.wants_solo(now, SAMPLE_PART) {
+            return;
+        }
+        let Some((server, _)) = self.usable_named(now) else { return };
+        let runs = self.conns.iter().any(|(_, conn)| matches!(conn.work, Work::Sampling(_)));
+        if runs || self.running(server) > 0 || !self.may_start() {
+            return;
+        }
+        if let Some(conn) = self.idle(server) {
+            if let Some(connection) = self.conns.get_mut(conn) {
+                connection.work = Work::Sampling(now);
+            }
+            self.sampling.asked_solo(now);
+            out.push(Effect::Mark { conn });
+        }
+    }
+
+    /// Gives up on statements that their servers leave without an answer, but
+    /// for those that may have committed something.
+    pub(crate) fn stalled(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        if !self.is_solo() {
+            return;
+        }
+        let stalled: Vec<_> = self.conns.iter().filter(|(_, c)| self.is_stalled(now, c)).collect();
+        let stalled: Vec<_> = stalled.iter().map(|(key, conn)| (*key, conn.server)).collect();
+        for (conn, server) in stalled {
+            let silent = self.servers.get(server).is_some_and(|s| now.since(s.heard) > READ_STALLED);
+            self.cut(now, conn, out);
+            if silent {
+                self.distrust(server, out);
+            }
+        }
+    }
+
+    /// Takes a server for silent until a new connection to it stands.
+    fn distrust(&mut self, key: Key<Server>, out: &mut Vec<Effect>) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.trouble = Some(Trouble::Silent);
+        }
+        let idle = |conn: &Connection| conn.server == key && matches!(conn.work, Work::Idle(_));
+        let idle: Vec<_> = self.conns.iter().filter(|(_, conn)| idle(conn)).collect();
+        let idle: Vec<_> = idle.iter().map(|(key, _)| *key).collect();
+        for conn in idle {
+            self.shut(conn, out);
+        }
+    }
+
+    fn is_stalled(&self, now: Instant, conn: &Connection) -> bool {
+        let request = match conn.work {
+            Work::Sampling(since) => return now.since(since) > READ_STALLED,
+            Work::Busy(key) => self.requests.get(key),
+            _ => None,
+        };
+        let Some(request) = request else { return false };
+        if request.class != Class::Read && request.may_commit() {
+            return false;
+        }
+        let spare = !request.run.within && !request.attempt.primary;
+        let limit = if spare { READ_STALLED.max(self.typical * SLOWNESS) } else { STALLED };
+        let waits = now.since(request.attempt.sent_at);
+        let heard = self.servers.get(conn.server).is_some_and(|s| s.heard > request.attempt.sent_at);
+        waits > if heard { limit * HEARD } else { limit }
+    }
+
+    /// What is seen of the primary by the statements that it runs.
+    pub(crate) fn sight_solo(&self, now: Instant, key: Key<Server>) -> wire::control::Sight {
+        use wire::control::Sight;
+        let Some(server) = self.servers.get(key) else { return Sight::Healthy };
+        match server.trouble {
+            Some(Trouble::Refused) => return Sight::Refused,
+            Some(Trouble::Silent) => return Sight::Silent,
+            None => {}
+        }
+        let open = self.requests.iter().filter_map(|(_, request)| match request.stage {
+            Stage::Running(_) if request.attempt.server == Some(key) => Some(request),
+            _ => None,
+        });
+        let commits = |request: &Request| request.class != Class::Read && request.may_commit();
+        let mut sight = Sight::Healthy;
+        for request in open {
+            let waits = now.since(request.attempt.sent_at);
+            if waits > STALLED && now.since(server.heard) > STALLED {
+                return Sight::Silent;
+            }
+            if commits(request) && waits > COMMIT_STALLED {
+                sight = Sight::CutOff;
+            }
+        }
+        sight
+    }
+}
--- a/components/keeper/tests/fuzz/world.rs
+++ b/components/keeper/tests/fuzz/world.rs
@@ -84,15 +84,17 @@
     };
     let name = |text| Name::new(text).expect("a name");
     Declarations {
-        groups: [(name("group"), config::Group { servers: 3, elects: false })].into(),
+        groups: [(name("group"), config::Group { servers: 3, ..config::Group::default() })].into(),
         services: [(name("ring"), service)].into(),
         selectors: [(name("all"), selector)].into(),
+        ..Declarations::default()
     }
 }
 
 fn setup(servers: &[Server]) -> Setup {
     let zone = |index: usize| Name::new(&format!("zone-{index}")).expect("a name");
     let seat = |(index, server): (usize, &Server)| event::Server {
+        incarnation: 1,
         name: server.name.clone(),
         address: ([127, 0, 0, 1], 5432 + index as u16).into(),
         zone: zone(index),
@@ -103,6 +105,7 @@
         expired: false,
     };
     Setup {
+        solo: None,
         declared: SERVERS as u32,
         primary: None,
         servers: servers.iter().enumerate().map(seat).collect(),
@@ -166,7 +169,9 @@
     fn act(&mut self, effect: Effect) {
         match effect {
             Effect::Connect { conn, server, .. } => self.connect(conn, &server),
-            Effect::Send { conn, bytes } => self.send(conn, &bytes),
+            Effect::Send { conn, bytes, .. } => self.send(conn, &bytes),
+            Effect::RollBack { conn } => self.roll_back(conn),
+            Effect::Seal { .. } => panic!("servers that are asked for reports need no seal"),
             Effect::Mark { conn } => self.push(conn, Job::Mark),
             Effect::Close { conn } => self.close(conn),
             Effect::Pause { conn } => self.set_paused(conn, true),
@@ -204,14 +209,21 @@
         self.wires.insert(conn, Wire::new(conn, server));
     }
 
-    fn send(&mut self, conn: Key<Connection>, bytes: &Bytes) {
+    fn use_wire(&mut self, conn: Key<Connection>) -> &mut Wire {
         let wire = self.wires.get_mut(&conn).expect("a send on a known connection");
         assert!(wire.standing, "a send before the connection is open");
         assert_eq!(wire.due, 0, "a connection was used before its last cycle was over");
         wire.due += 1;
-        if bytes.starts_with(b"Q") {
-            return self.push(conn, Job::Rollback);
-        }
+        wire
+    }
+
+    fn roll_back(&mut self, conn: Key<Connection>) {
+        self.use_wire(conn);
+        self.push(conn, Job::Rollback);
+    }
+
+    fn send(&mut self, conn: Key<Connection>, bytes: &Bytes) {
+        let wire = self.use_wire(conn);
         wire.runs = true;
         let server = wire.server;
         let id: u64 = std::str::from_utf8(bytes).expect("text").parse().expect("an id");
--- a/components/keeper/tests/group.rs
+++ b/components/keeper/tests/group.rs
@@ -41,14 +41,16 @@
         kinds: std::collections::BTreeMap::new(),
     };
     Declarations {
-        groups: [(name("group"), config::Group { servers, elects: false })].into(),
+        groups: [(name("group"), config::Group { servers, ..config::Group::default() })].into(),
         services: [(name("ring"), service)].into(),
         selectors: [(name("all"), selector)].into(),
+        ..Declarations::default()
     }
 }
 
 fn seat(index: u16) -> event::Server {
     event::Server {
+        incarnation: 1,
         name: name(&format!("server-{index}")),
         address: ([127, 0, 0, 1], 5432 + index).into(),
         zone: name("zone"),
@@ -93,6 +95,7 @@
             servers,
             lease: Lease::Held,
             declarations: Arc::new(self.declared.clone()),
+            solo: None,
         }));
     }
 
@@ -141,7 +144,7 @@
 
     fn sent(&mut self) -> Vec<(Key<Connection>, u64)> {
         let sent = self.out.drain(..).filter_map(|effect| match effect {
-            Effect::Send { conn, bytes } => {
+            Effect::Send { conn, bytes, .. } => {
                 Some((conn, std::str::from_utf8(&bytes).unwrap().parse().unwrap()))
             }
             _ => None,
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod frame;
 pub mod key;
 pub mod peer;
+pub mod socket;
 
 pub use frame::{Reader, Writer};
 pub use key::Key;
--- a/components/link/src/peer.rs
+++ b/components/link/src/peer.rs
@@ -16,6 +16,7 @@
 
 use crate::frame::{Reader, Writer};
 use crate::key::Key;
+use crate::socket;
 
 /// Longest time for connecting and the proofs together.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -166,7 +167,7 @@
     side: &[u8],
     other: &[u8],
 ) -> Result<(Peer, Reader, Writer), Report<Failure>> {
-    stream.set_nodelay(true).change_context(Failure::Io)?;
+    socket::tune(&stream).change_context(Failure::Io)?;
     let (read, write) = tokio::io::split(stream);
     let (mut reader, mut writer) = (Reader::new(read), Writer::new(write));
     let hello = own.with_nonce();
--- a/components/load/src/scenario.rs
+++ b/components/load/src/scenario.rs
@@ -123,7 +123,7 @@
 
     /// Declarations that the traffic needs.
     pub fn declarations(self) -> Declarations {
-        let group = || Group { servers: SERVERS as u32, elects: false };
+        let group = || Group { servers: SERVERS as u32, ..Group::default() };
         let groups = (0..GROUPS).map(|index| (name(&self.group(index)), group())).collect();
         let service = || Service {
             labels: BTreeMap::new(),
@@ -140,7 +140,7 @@
             kinds: self.kinds(),
         };
         let selectors = BTreeMap::from([(name("all"), selector)]);
-        Declarations { groups, services, selectors }
+        Declarations { groups, services, selectors, ..Declarations::default() }
     }
 
     fn kinds(self) -> BTreeMap<Name, Kind> {
--- a/components/local/src/cluster.rs
+++ b/components/local/src/cluster.rs
@@ -180,7 +180,7 @@
     /// [`Failure::Entry`].
     pub async fn start_entry(&self, index: usize) -> Result<(), Report<Failure>> {
         let mut entries = self.entries.lock().await;
-        let controls = self.members.iter().map(|member| member.peer.link).collect();
+        let controls: Vec<_> = self.members.iter().map(|member| member.peer.link).collect();
         let entry = &mut entries[index];
         entry.starts += 1;
         let bound = entry::bind(entry::Settings {
@@ -190,10 +190,12 @@
             callers: entry.callers,
             link: entry.link,
             web: entry.web,
-            controls,
+            sole: false,
+            controls: controls.into(),
             key: self.key.clone(),
             users: None,
             tls: None,
+            dialect: None,
             log: self.settings.log.clone(),
             clock: self.clock,
         });
@@ -350,6 +352,8 @@
             log: settings.log.clone(),
             clock,
             seed: settings.seed.wrapping_add(index as u64),
+            beacons: true,
+            outside: None,
         });
         let member = member.await.change_context(Failure::Member)?;
         let addresses = member.addresses();
--- a/components/member/src/answer.rs
+++ b/components/member/src/answer.rs
@@ -1,7 +1,10 @@
 //! Proposals and reads that somebody waits for.
 
+use std::net::SocketAddr;
+
 use base::prelude::*;
 use bytes::Bytes;
+use control::Ask;
 use quorum::{Change, Event};
 use tokio::sync::oneshot;
 use wire::Message as _;
@@ -25,6 +28,15 @@
     }
 }
 
+/// A server to be designated.
+#[derive(Clone, Debug)]
+pub(crate) struct Designation {
+    pub(crate) group: Name,
+    pub(crate) server: Name,
+    pub(crate) address: SocketAddr,
+    pub(crate) ask: Ask,
+}
+
 /// Who waits for a confirmed read.
 #[derive(Debug)]
 pub(crate) enum Read {
@@ -32,6 +44,8 @@
     Beat { key: Key<Follower>, sequence: u64, pulse: Pulse },
     /// Leases that an entry gave up in an earlier beat that was not confirmed.
     Returned { key: Key<Follower>, pulse: Pulse },
+    /// A designation that needs a quorum behind it.
+    Designate(Designation),
     /// The declarations.
     Config(oneshot::Sender<Result<Config, Unled>>),
 }
@@ -74,6 +88,7 @@
                 self.confirmed.push((index, read));
                 self.answer_reads();
             }
+            Some(Read::Designate(designation)) => self.designate(designation),
             Some(Read::Returned { .. }) | None => {}
         }
     }
@@ -85,7 +100,8 @@
             Some(Read::Beat { key, pulse, .. } | Read::Returned { key, pulse }) => {
                 self.keep_returned(key, pulse);
             }
-            None => {}
+            // the leader asks again, if it still leads
+            Some(Read::Designate(_)) | None => {}
         }
     }
 
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -1,12 +1,12 @@
 //! What is committed, put into the state.
 
 use base::prelude::*;
-use control::State;
+use control::{Past, State};
 use control::image::Malformed;
 use quorum::{Event, Snapshot};
 use slog::{crit, info};
 use wire::Message as _;
-use wire::log::Command;
+use wire::log::{Command, Lease, Part};
 use wire::log::command::Body;
 use wire::quorum::{Entry, entry};
 
@@ -35,6 +35,7 @@
         };
         let verdict = if let Some(command) = &command {
             self.record(command);
+            self.remember(command);
             Verdict::Applied { index, outcome: self.state.apply(index, command) }
         } else {
             self.state.skip(index);
@@ -47,7 +48,8 @@
         }
         self.answer_reads();
         if self.part.leads && self.leader.is_none() && entry.term == self.part.term {
-            self.leader = Some(control::Leader::new(self.now()));
+            let past = Past { token: entry.term, ..self.past };
+            self.leader = Some(control::Leader::heir(self.now(), past));
             info!(self.log, "decides for control"; "term" => entry.term, "index" => index);
         }
         self.lead(control::Event::Applied { index });
@@ -59,6 +61,9 @@
             Ok(mut state) => {
                 state.skip(snapshot.index);
                 self.state = state;
+                // what it passed over may have just happened
+                let now = Some(self.now());
+                self.past = Past { parted: now, chosen: now, ..self.past };
                 info!(self.log, "took a snapshot"; "index" => snapshot.index);
             }
             Err(report) => {
@@ -82,6 +87,26 @@
         self.due.push_back(Event::Compact { index, data });
     }
 
+    /// Notes when things happened that a later leader must know the time of.
+    fn remember(&mut self, command: &Command) {
+        let now = self.now();
+        match &command.body {
+            Some(Body::Choose(_)) if self.leader.is_none() => self.past.chosen = Some(now),
+            Some(Body::Part(part)) if self.cuts_lease(part) => {
+                self.past.parted = Some(now);
+                self.lead(control::Event::Parted);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether a lease ends with a part, of a holder that may not know it.
+    fn cuts_lease(&self, part: &Part) -> bool {
+        let cut = |lease: &Lease| lease.entry == part.entry && lease.incarnation <= part.incarnation;
+        let ended = self.state.ended(&part.entry, part.incarnation);
+        !ended && self.state.groups.values().any(|group| group.leases.iter().any(cut))
+    }
+
     fn record(&mut self, command: &Command) {
         match &command.body {
             Some(Body::Intend(intend)) => {
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -7,7 +7,7 @@
 
 use base::clock::Clock;
 use base::prelude::*;
-use control::{Leader, State};
+use control::{Leader, Past, State};
 use quorum::{Event, Part, Replica};
 use slog::{Logger, crit, info};
 use telemetry::Health;
@@ -25,6 +25,7 @@
 use crate::meter::Meter;
 use crate::peers::Links;
 use crate::probe::Probes;
+use crate::roster::Roster;
 use crate::status::Steps;
 
 /// Inputs taken between two looks at the timer.
@@ -37,6 +38,9 @@
 /// Ticks between two beacons.
 const BEACON_TICKS: u64 = 20;
 
+/// Ticks between two looks at the membership.
+const ROSTER_TICKS: u64 = 20;
+
 /// Ticks between two rounds of tidying.
 const TIDY_TICKS: u64 = 100;
 
@@ -81,6 +85,12 @@
     pub(crate) late: Vec<control::Event>,
     /// Since when no leader is known.
     pub(crate) unled: Option<Instant>,
+    /// When things happened that a leader must know the time of.
+    pub(crate) past: Past,
+    /// Hosts that asked to be members, while this member leads.
+    pub(crate) roster: Roster,
+    /// Whether it has known no leader for some time.
+    pub(crate) asks: Arc<AtomicBool>,
 }
 
 impl Core {
@@ -138,6 +148,9 @@
         if self.ticks.is_multiple_of(TIDY_TICKS) {
             self.tidy();
         }
+        if self.ticks.is_multiple_of(ROSTER_TICKS) {
+            self.plan_members();
+        }
         self.refuse_unled();
     }
 
@@ -150,7 +163,7 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Greeted(member) => self.greet(&member),
+            Input::Greeted { member, asks } => self.greet(&member, asks),
             Input::Beacon(beacon) => self.hear_beacon(beacon),
             Input::Message(message) => self.receive(message),
             Input::Persisted(token) => self.due.push_back(Event::Persisted(token)),
@@ -158,10 +171,12 @@
             Input::Opened { follow, sender, reply } => self.open(follow, sender, reply),
             Input::Beat { key, beat } => self.beat(key, beat),
             Input::Symptom { key, symptom } => self.symptom(key, symptom),
+            Input::Seal { key, seal } => self.seal(key, seal),
             Input::Left { key } => self.left(key),
             Input::Closed { key } => drop(self.followers.remove(key)),
             Input::Probed(event) => self.lead(event),
             Input::Announce { announce, reply } => self.announce(announce, reply),
+            Input::Retire { server, reply } => self.retire(&server, reply),
             Input::Propose { command, reply } => self.propose(&command, reply),
             Input::Change { change, reply } => self.change(change, reply),
             Input::Config { reply } => self.read(Read::Config(reply), None),
@@ -180,8 +195,11 @@
         self.fresh.store(self.replica.is_fresh(), Ordering::Release);
     }
 
-    fn greet(&mut self, member: &Member) {
+    fn greet(&mut self, member: &Member, asks: bool) {
         self.links.greet(member);
+        if asks {
+            self.forward.newcomers.push(member.clone());
+        }
         if let Some(beacons) = &mut self.beacons {
             beacons.hear(member);
         }
--- a/components/member/src/effects.rs
+++ b/components/member/src/effects.rs
@@ -41,6 +41,7 @@
             Effect::Members(members) => {
                 self.fresh.store(self.replica.is_fresh(), Ordering::Release);
                 self.links.keep(&members);
+                self.tell_members();
                 let listed = |id| members.members.iter().any(|member| member.id == id);
                 self.heard.retain(|id, _| listed(*id));
                 if let Some(beacons) = &mut self.beacons {
--- a/components/member/src/entry.rs
+++ b/components/member/src/entry.rs
@@ -61,6 +61,7 @@
             Some(up::Body::Beat(beat)) => Input::Beat { key, beat },
             Some(up::Body::Symptom(symptom)) => Input::Symptom { key, symptom },
             Some(up::Body::Leave(_)) => Input::Left { key },
+            Some(up::Body::Seal(seal)) => Input::Seal { key, seal },
             Some(up::Body::Follow(_)) => return Err(Report::new(Failure::Garbled)),
             None => continue,
         };
--- a/components/member/src/follow.rs
+++ b/components/member/src/follow.rs
@@ -4,9 +4,11 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 use wire::Message as _;
-use wire::control::{Beat, Down, Entries, Follow, Image, Refuse, Sight, Symptom, down};
+use wire::control::{
+    Beat, Down, Entries, Follow, Image, Members, Refuse, Seal, Sight, Symptom, down,
+};
 use wire::log::{Join, Part};
-use wire::quorum::{Pulse, Seen};
+use wire::quorum::{Pulse, Sealed, Seen};
 
 use crate::answer::Read;
 use crate::core::Core;
@@ -35,6 +37,8 @@
     next: u64,
     /// What it sees at present.
     symptoms: Vec<Symptom>,
+    /// Its newest seal of each group.
+    seals: Vec<Seal>,
     /// Pulses with leases given up that were not confirmed.
     returned: Vec<Pulse>,
 }
@@ -54,6 +58,7 @@
             sender,
             next,
             symptoms: Vec::new(),
+            seals: Vec::new(),
             returned: Vec::new(),
         };
         let key = self.followers.insert(follower);
@@ -61,10 +66,26 @@
             drop(self.followers.remove(key));
             return;
         }
+        self.give_members(key);
         self.catch_up(key);
         self.lead(control::Event::Joined(join));
     }
 
+    /// Tells a follower where the members listen.
+    fn give_members(&mut self, key: Key<Follower>) {
+        let members = &self.replica.members().members;
+        let links = members.iter().map(|member| member.link.clone()).collect();
+        self.give(key, Down { body: Some(down::Body::Members(Members { links })) });
+    }
+
+    /// Tells all followers where the members listen now.
+    pub(crate) fn tell_members(&mut self) {
+        let keys: Vec<_> = self.followers.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.give_members(key);
+        }
+    }
+
     /// Sends a follower what it lacks: commands, or the whole state.
     fn catch_up(&mut self, key: Key<Follower>) {
         let applied = self.state.index;
@@ -151,6 +172,7 @@
             applied: beat.applied,
             returned: beat.returned,
             symptoms: follower.symptoms.clone(),
+            seals: follower.seals.clone(),
         };
         self.seen.insert(follower.join.entry.clone(), beat.applied);
         for pulse in returned {
@@ -181,6 +203,16 @@
         self.forward.sights.push(Seen { entry, symptom: Some(symptom) });
     }
 
+    /// A keeper's seal goes to the leader at once, and with each beat.
+    pub(crate) fn seal(&mut self, key: Key<Follower>, seal: Seal) {
+        let Some(follower) = self.followers.get_mut(key) else { return };
+        follower.seals.retain(|known| known.group != seal.group);
+        follower.seals.push(seal.clone());
+        let entry = follower.join.entry.clone();
+        let incarnation = follower.join.incarnation;
+        self.forward.seals.push(Sealed { entry, incarnation, seal: Some(seal) });
+    }
+
     /// An entry stopped.
     pub(crate) fn left(&mut self, key: Key<Follower>) {
         let Some(follower) = self.followers.get(key) else { return };
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -9,16 +9,18 @@
 
 use base::clock::Clock;
 use base::prelude::*;
+use backend::Outside;
 use quorum::Replica;
 use rand::Rng;
 use slog::{Logger, info, o, warn};
 use telemetry::Health;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use wire::quorum::Member;
 
+use crate::api::Api;
 use crate::beacon::Beacons;
 use crate::core::Core;
 use crate::disk::{self, Disk};
@@ -26,7 +28,8 @@
 use crate::meter::Meter;
 use crate::peers::Links;
 use crate::probe::Probes;
-use crate::{boot, link, web};
+use crate::roster::Roster;
+use crate::{boot, join, link, web};
 
 /// Longest time that a planned stop tries to hand over leadership.
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(3);
@@ -50,6 +53,35 @@
     pub clock: Clock,
     /// Seed of the timers' jitter.
     pub seed: u64,
+    /// Whether it publishes how far it is.
+    pub beacons: bool,
+    /// The way to servers that acknowledge by themselves, where groups have such.
+    pub outside: Option<Arc<dyn Outside>>,
+}
+
+/// How a member without a log comes to a membership.
+#[derive(Clone, Debug)]
+pub enum Origin {
+    /// The first membership, itself included.
+    Named(Vec<Peer>),
+    /// Addresses at which members may be found.
+    Seeds(Seeds),
+}
+
+/// Where members may be found.
+#[derive(Clone, Debug)]
+pub struct Seeds {
+    /// Links; they may change while the process runs.
+    pub links: watch::Receiver<Vec<SocketAddr>>,
+    /// Whether the seeds may found the first membership: the system starts for
+    /// the first time.
+    pub founding: bool,
+}
+
+impl From<Vec<Peer>> for Origin {
+    fn from(peers: Vec<Peer>) -> Self {
+        Self::Named(peers)
+    }
 }
 
 /// A member of the first membership.
@@ -106,6 +138,8 @@
     web: TcpListener,
     addresses: Addresses,
     opened: disk::Opened,
+    core: input::Sender,
+    inputs: mpsc::Receiver<Input>,
 }
 
 /// Takes a member's addresses and data folder.
@@ -121,7 +155,8 @@
     let addresses =
         Addresses { link: address(&link, settings.link)?, web: address(&web, settings.web)? };
     let opened = disk::open(&settings.data, draw_id())?;
-    Ok(Bound { settings, link, web, addresses, opened })
+    let (core, inputs) = mpsc::channel(input::QUEUE);
+    Ok(Bound { settings, link, web, addresses, opened, core, inputs })
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, Report<Failure>> {
@@ -138,24 +173,34 @@
         self.addresses
     }
 
-    /// Starts the member. `peers` is the first membership, itself included; a
-    /// data folder that knows a membership goes by that. `extra` is served
-    /// beside the member's own routes.
+    /// What a program may ask of the member once it runs.
+    pub fn api(&self) -> Api {
+        Api::new(self.core.clone())
+    }
+
+    /// Starts the member. A data folder that knows a membership goes by that.
+    /// `extra` is served beside the member's own routes.
     ///
     /// # Errors
     /// [`Failure::Data`] when the data holds a state that can't be read.
-    pub fn start(self, peers: Vec<Peer>, extra: axum::Router) -> Result<Handle, Report<Failure>> {
-        let Self { settings, link: listener, web, addresses, opened } = self;
+    pub fn start(
+        self,
+        origin: impl Into<Origin>,
+        extra: axum::Router,
+    ) -> Result<Handle, Report<Failure>> {
+        let Self { settings, link: listener, web, addresses, opened, core, inputs } = self;
+        let origin = origin.into();
         let log = settings.log.new(o!("member" => settings.name.to_string()));
         let failure = || Failure::Data { path: settings.data.clone() };
-        let mut own = own(&settings, addresses, &peers, opened.id);
-        let beacons = Beacons::open(addresses.link.ip(), settings.key.clone());
-        let beacons = beacons.inspect_err(|error| warn!(log, "no beacons"; "error" => %error)).ok();
+        let mut own = own(&settings, addresses, &origin, opened.id);
+        let open = || Beacons::open(addresses.link.ip(), settings.key.clone());
+        let beacons = settings.beacons.then(open).and_then(|beacons| {
+            beacons.inspect_err(|error| warn!(log, "no beacons"; "error" => %error)).ok()
+        });
         own.beacon = beacons.as_ref().map(Beacons::address).unwrap_or_default();
         info!(log, "starts"; "id" => own.id, "link" => own.link.clone(), "web" => own.web.clone(),
             "cut_bytes" => opened.cut_bytes);
 
-        let (core, inputs) = mpsc::channel(input::QUEUE);
         let scope = Scope::default();
         let mut disk = Disk::start(opened.journal, core.clone()).change_context_lazy(failure)?;
         let state = crate::apply::state(&opened.stored.snapshot);
@@ -169,10 +214,12 @@
         let replica = Replica::new(now, quorum, opened.stored);
         let fresh = Arc::new(AtomicBool::new(replica.is_fresh()));
         let cut = Arc::new(AtomicBool::new(false));
+        let asks = Arc::new(AtomicBool::new(replica.is_fresh()));
         let end = link::End {
             own: own.clone(),
             key: settings.key.clone(),
             fresh: Arc::clone(&fresh),
+            asks: Arc::clone(&asks),
             cut: Arc::clone(&cut),
             log: log.clone(),
         };
@@ -184,10 +231,15 @@
             received.change_context_lazy(failure)?;
         }
         scope.spawn(link::serve(listener, end.clone(), core.clone(), scope.clone()));
-        if replica.is_fresh() {
-            scope.spawn(boot::find(peers, end.clone(), core.clone()));
+        let automatic = matches!(origin, Origin::Seeds(_));
+        match origin {
+            Origin::Named(peers) if replica.is_fresh() => {
+                scope.spawn(boot::find(peers, end.clone(), core.clone()));
+            }
+            Origin::Named(_) => {}
+            Origin::Seeds(seeds) => scope.spawn(join::run(seeds, end.clone(), core.clone())),
         }
-        let routes = web::routes(core.clone(), end.clone())
+        let routes = web::routes(Api::new(core.clone()), end.clone())
             .merge(telemetry::web::routes(health.clone(), metrics))
             .merge(extra);
         let stopped = scope.token.clone().cancelled_owned();
@@ -206,7 +258,7 @@
             links: Links::new(end, scope.clone()),
             beacons,
             heard: BTreeMap::new(),
-            probes: Probes::new(core.clone(), scope.clone()),
+            probes: Probes::new(core.clone(), scope.clone(), settings.name, settings.outside),
             followers: Arena::new(),
             applied: Vec::new(),
             proposals: BTreeMap::new(),
@@ -222,7 +274,10 @@
             ticks: 0,
             due: std::collections::VecDeque::new(),
             late: Vec::new(),
-            unled: None,
+            unled: Some(now),
+            past: control::Past { token: 0, parted: Some(now), chosen: Some(now) },
+            roster: Roster::new(automatic),
+            asks,
         };
         let ended = scope.token.clone();
         scope.spawn(async move {
@@ -233,7 +288,11 @@
     }
 }
 
-fn own(settings: &Settings, addresses: Addresses, peers: &[Peer], id: u64) -> Member {
+fn own(settings: &Settings, addresses: Addresses, origin: &Origin, id: u64) -> Member {
+    let peers = match origin {
+        Origin::Named(peers) => peers.as_slice(),
+        Origin::Seeds(_) => &[],
+    };
     let listed = peers.iter().find(|peer| peer.name == settings.name);
     let (link, web) = listed.map_or((addresses.link, addresses.web), |peer| (peer.link, peer.web));
     Member {
--- a/components/member/src/input.rs
+++ b/components/member/src/input.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use tokio::sync::{mpsc, oneshot};
-use wire::control::{Beat, Down, Follow, Symptom};
+use wire::control::{Beat, Down, Follow, Seal, Symptom};
 use wire::log::{Announce, Command};
 use wire::quorum::{Member, Members, Message, Refusal};
 
@@ -19,8 +19,8 @@
 /// What reaches the core.
 #[derive(Debug)]
 pub(crate) enum Input {
-    /// A member dialled this one.
-    Greeted(Member),
+    /// A member dialled this one; `asks` when it has no leader and wants to join.
+    Greeted { member: Member, asks: bool },
     /// A message of a member.
     Message(Message),
     /// A write and all before it are durable.
@@ -37,6 +37,8 @@
     Beat { key: Key<Follower>, beat: Beat },
     /// A keeper saw something.
     Symptom { key: Key<Follower>, symptom: Symptom },
+    /// A keeper sealed a group.
+    Seal { key: Key<Follower>, seal: Seal },
     /// An entry stopped.
     Left { key: Key<Follower> },
     /// An entry's link ended.
@@ -45,6 +47,8 @@
     Probed(control::Event),
     /// A backend server announced itself.
     Announce { announce: Announce, reply: oneshot::Sender<Result<(), Unled>> },
+    /// A backend server said that it is gone for good.
+    Retire { server: Name, reply: oneshot::Sender<Verdict> },
     /// A command from outside.
     Propose { command: Command, reply: oneshot::Sender<Verdict> },
     /// A change of membership from outside.
--- /dev/null
+++ b/components/member/src/join.rs
@@ -0,0 +1,82 @@
+//! From seeds to a membership.
+//!
+//! The seed with the lowest address founds the first membership: it asks the
+//! others, and if all of them hold no log, names them and itself. Any other
+//! member that knows no leader dials seeds and members, whose leader then adds
+//! it; that holds for a new host, for one that lost its disk, and for one that
+//! was removed while it was away.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use base::prelude::*;
+use slog::info;
+use wire::quorum::{Member, Members};
+
+use crate::host::Seeds;
+use crate::input::{Input, Sender};
+use crate::link::End;
+use crate::peers;
+
+/// Wait between two rounds while there is something to do.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Wait between two looks at whether there is.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Runs as long as the member does.
+pub(crate) async fn run(seeds: Seeds, end: End, core: Sender) {
+    if seeds.founding && end.fresh.load(Ordering::Acquire) {
+        found(&seeds, &end, &core).await;
+    }
+    loop {
+        let asks = end.asks.load(Ordering::Acquire);
+        if asks {
+            ask(&seeds, &end).await;
+        }
+        tokio::time::sleep(if asks { PAUSE } else { IDLE_PAUSE }).await;
+    }
+}
+
+fn others(seeds: &Seeds, own: Option<SocketAddr>) -> Vec<SocketAddr> {
+    let mut links = seeds.links.borrow().clone();
+    links.retain(|link| Some(*link) != own);
+    links
+}
+
+/// Founds the first membership, if that is this member's task.
+async fn found(seeds: &Seeds, end: &End, core: &Sender) {
+    let own: Option<SocketAddr> = end.own.link.parse().ok();
+    let first = seeds.links.borrow().iter().min().copied();
+    if first.is_none() || first != own {
+        return;
+    }
+    while end.fresh.load(Ordering::Acquire) {
+        let mut members = vec![Member { voter: true, ..end.own.clone() }];
+        let mut complete = true;
+        for link in others(seeds, own) {
+            let Ok((hello, _, _)) = peers::greet(link, end).await else {
+                complete = false;
+                break;
+            };
+            if !hello.fresh {
+                info!(end.log, "another member holds a log: asks to join"; "link" => %link);
+                return;
+            }
+            members.extend(hello.member.map(|member| Member { voter: true, ..member }));
+        }
+        if complete {
+            info!(end.log, "names the first membership"; "members" => members.len());
+            drop(core.send(Input::Bootstrap(Members { members })).await);
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Dials the seeds, so that the leader hears of this member.
+async fn ask(seeds: &Seeds, end: &End) {
+    let own = end.own.link.parse().ok();
+    let greet = |link| async move { drop(peers::greet(link, end).await) };
+    futures::future::join_all(others(seeds, own).into_iter().map(greet)).await;
+}
--- a/components/member/src/lead.rs
+++ b/components/member/src/lead.rs
@@ -1,13 +1,16 @@
 //! The control leader, while this member leads; and what others send it.
 
 use base::prelude::*;
-use control::{Effect, Event};
+use control::{Ask, Effect, Event};
+use slog::info;
 use tokio::sync::oneshot;
 use wire::Message as _;
 use wire::log::{Announce, Join, Part};
 use wire::quorum::message::Body;
-use wire::quorum::{Forward, Message, Pulse, Seen};
+use wire::control::Seal;
+use wire::quorum::{Forward, Message, Pulse, Sealed, Seen};
 
+use crate::answer::{Designation, Read};
 use crate::core::Core;
 use crate::input::Unled;
 
@@ -25,13 +28,29 @@
                     let command = command.encode_to_vec().into();
                     self.due.push_back(quorum::Event::Propose { token, command });
                 }
+                Effect::Probe { group, server, address, ask: ask @ Ask::Designate { .. } } => {
+                    let designation = Designation { group, server, address, ask };
+                    self.read(Read::Designate(designation), None);
+                }
                 Effect::Probe { group, server, address, ask } => {
-                    self.late.extend(self.probes.ask(group, server, address, ask));
+                    let solo = self.state.acknowledges(group.as_str());
+                    self.late.extend(self.probes.ask(group, server, address, ask, solo));
                 }
             }
         }
     }
 
+    /// Has a server designated, now that a quorum has confirmed the leader.
+    pub(crate) fn designate(&mut self, designation: Designation) {
+        if self.leader.is_none() {
+            return;
+        }
+        let Designation { group, server, address, ask } = designation;
+        info!(self.log, "designates a primary"; "group" => %group, "server" => %server,
+            "term" => self.part.term);
+        self.late.extend(self.probes.ask(group, server, address, ask, true));
+    }
+
     /// One tick of the control leader.
     pub(crate) fn tick_leader(&mut self) {
         for event in std::mem::take(&mut self.late) {
@@ -87,11 +106,18 @@
         for Seen { entry, symptom } in forward.sights {
             self.see(&entry, symptom);
         }
+        for Sealed { entry, incarnation, seal } in forward.seals {
+            self.sealed(&entry, incarnation, seal);
+        }
+        for member in forward.newcomers {
+            self.newcomer(member);
+        }
     }
 
     /// A beat that came to any member, before it is confirmed.
     pub(crate) fn note(&mut self, note: &[u8]) {
-        let Ok(Pulse { join: Some(join), applied, returned, symptoms }) = Pulse::decode(note)
+        let Ok(Pulse { join: Some(join), applied, returned, symptoms, seals }) =
+            Pulse::decode(note)
         else {
             return;
         };
@@ -107,6 +133,15 @@
         for symptom in symptoms {
             self.see(&name, Some(symptom));
         }
+        for seal in seals {
+            self.sealed(&name, incarnation, Some(seal));
+        }
+    }
+
+    fn sealed(&mut self, entry: &str, incarnation: u64, seal: Option<Seal>) {
+        if let (Ok(entry), Some(seal)) = (Name::new(entry), seal) {
+            self.lead(Event::Sealed { entry, incarnation, seal });
+        }
     }
 
     fn lacks(&self, entry: &Name, join: &Join) -> bool {
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `web`, `status`, `meter`: HTTP, what it shows, and metrics.
 
 mod answer;
+pub mod api;
 mod apply;
 mod beacon;
 mod boot;
@@ -23,12 +24,15 @@
 pub mod host;
 mod input;
 mod lead;
+mod join;
 mod link;
 mod meter;
 mod peers;
 mod probe;
+mod roster;
 mod status;
 mod web;
 
+pub use api::{Api, Edition, Lost, Replaced};
 pub use disk::{Kept, inspect};
-pub use host::{Addresses, Bound, Failure, Handle, Peer, Settings, bind};
+pub use host::{Addresses, Bound, Failure, Handle, Origin, Peer, Seeds, Settings, bind};
--- a/components/member/src/link.rs
+++ b/components/member/src/link.rs
@@ -22,6 +22,8 @@
     pub(crate) own: Member,
     pub(crate) key: Key,
     pub(crate) fresh: Arc<AtomicBool>,
+    /// Whether it has known no leader for some time and asks to be a member.
+    pub(crate) asks: Arc<AtomicBool>,
     /// Whether the member is cut off from all others, for tests of that.
     pub(crate) cut: Arc<AtomicBool>,
     pub(crate) log: Logger,
@@ -38,7 +40,8 @@
     }
 
     pub(crate) fn hello(&self) -> Hello {
-        Hello { member: Some(self.own.clone()), fresh: self.fresh.load(Ordering::Acquire) }
+        let (fresh, asks) = (self.fresh.load(Ordering::Acquire), self.asks.load(Ordering::Acquire));
+        Hello { member: Some(self.own.clone()), fresh, asks }
     }
 }
 
@@ -88,7 +91,7 @@
     writer.send(&end.hello()).await?;
     let Some(member) = hello.member else { return Err(Report::new(Failure::Garbled)) };
     let id = member.id;
-    drop(core.send(Input::Greeted(member)).await);
+    drop(core.send(Input::Greeted { member, asks: hello.asks }).await);
     while let Some(message) = reader.next::<Message>().await? {
         if message.from != id {
             return Err(Report::new(Failure::Garbled));
--- a/components/member/src/probe.rs
+++ b/components/member/src/probe.rs
@@ -5,9 +5,10 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use backend::{Outside, Promotion, sql};
 use backend::Probe as _;
-use backend::sql;
 use base::prelude::*;
 use control::leader::STATUS_WAIT;
 use control::{Ask, Event, Unreached};
@@ -41,12 +42,20 @@
 pub(crate) struct Probes {
     core: Sender,
     scope: Scope,
+    /// This member's name, as the holder of promotions.
+    own: Name,
+    outside: Option<Arc<dyn Outside>>,
     lines: HashMap<Line, mpsc::Sender<Question>>,
 }
 
 impl Probes {
-    pub(crate) fn new(core: Sender, scope: Scope) -> Self {
-        Self { core, scope, lines: HashMap::new() }
+    pub(crate) fn new(
+        core: Sender,
+        scope: Scope,
+        own: Name,
+        outside: Option<Arc<dyn Outside>>,
+    ) -> Self {
+        Self { core, scope, own, outside, lines: HashMap::new() }
     }
 
     /// Asks a server; the answer reaches the core. A question that can't be
@@ -57,12 +66,19 @@
         server: Name,
         address: SocketAddr,
         ask: Ask,
+        solo: bool,
     ) -> Option<Event> {
         let line = Line { server, address, order: ask != Ask::Status };
         self.lines.retain(|_, queue| !queue.is_closed());
         if !self.lines.contains_key(&line) {
             let (queue, due) = mpsc::channel(QUEUE);
-            self.scope.spawn(run(line.clone(), due, self.core.clone()));
+            match self.outside.clone().filter(|_| solo) {
+                Some(outside) => {
+                    let target = Target { group: group.clone(), own: self.own.clone(), outside };
+                    self.scope.spawn(run_outside(line.clone(), target, due, self.core.clone()));
+                }
+                None => self.scope.spawn(run(line.clone(), due, self.core.clone())),
+            }
             self.lines.insert(line.clone(), queue);
         }
         let put = self.lines.get(&line)?.try_send(Question { group, ask });
@@ -87,6 +103,45 @@
     }
 }
 
+/// A server that takes orders from outside.
+#[derive(Debug)]
+struct Target {
+    group: Name,
+    own: Name,
+    outside: Arc<dyn Outside>,
+}
+
+async fn run_outside(
+    line: Line,
+    target: Target,
+    mut due: mpsc::Receiver<Question>,
+    core: Sender,
+) {
+    let Target { group, own, outside } = target;
+    let mut open = outside.line(&group, &line.server, line.address);
+    while let Ok(Some(question)) = tokio::time::timeout(IDLE_TIMEOUT, due.recv()).await {
+        let status = match question.ask {
+            Ask::Designate { token } => {
+                let (group, server, holder) = (group.clone(), line.server.clone(), own.clone());
+                let promotion = Promotion { group, server, holder, token };
+                match outside.promote(promotion).await {
+                    Ok(()) => open.status().await,
+                    Err(report) => Err(report),
+                }
+            }
+            Ask::Status => open.status().await,
+            Ask::Fence(_) | Ask::Promote(_) | Ask::Follow { .. } => {
+                Err(Report::new(backend::Failure::Rejected))
+            }
+        };
+        let answer = status.map_err(|report| unreached(*report.current_context()));
+        let event = probed(question.group, line.server.clone(), question.ask, answer);
+        if core.send(Input::Probed(event)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// A connection and the version of the last report on it.
 #[derive(Debug)]
 struct Open {
@@ -124,6 +179,7 @@
         Ask::Fence(term) => probe.fence(term).await,
         Ask::Promote(term) => probe.promote(term).await,
         Ask::Follow { term, primary } => probe.follow(term, primary).await,
+        Ask::Designate { .. } => return Err(backend::Failure::Rejected),
     };
     let status = answered.map_err(|report| *report.current_context())?;
     current.version = status.version;
--- /dev/null
+++ b/components/member/src/roster.rs
@@ -0,0 +1,131 @@
+//! Who is a member: newcomers are added, those that are gone are removed.
+//!
+//! The leader makes one change at a time, and none while an earlier one is
+//! open. A newcomer first learns and votes once it has caught up, which the
+//! quorum sees to by itself.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use quorum::Change;
+use slog::info;
+use tokio::sync::oneshot;
+use wire::quorum::{Member, Members};
+
+use crate::core::Core;
+use crate::input::Verdict;
+
+/// Silence after which a member is removed, where enough others vote.
+const GONE: Duration = Duration::from_secs(3);
+
+/// Silence after which a member that does not vote is removed.
+const LEARNER_GONE: Duration = Duration::from_secs(6);
+
+/// Voters that are kept even if one is silent: fewer bear no loss.
+const LEAST_VOTERS: usize = 3;
+
+/// Time for which a newcomer's request stands.
+const STANDS: Duration = Duration::from_secs(2);
+
+/// Time without a leader after which a member asks to be added.
+const UNLED: Duration = Duration::from_millis(1_200);
+
+/// What the leader knows of those that ask.
+#[derive(Debug, Default)]
+pub(crate) struct Roster {
+    /// Whether the membership follows those that come and go; else operators
+    /// change it.
+    automatic: bool,
+    newcomers: BTreeMap<u64, (Member, Instant)>,
+    open: Option<oneshot::Receiver<Verdict>>,
+}
+
+impl Roster {
+    pub(crate) fn new(automatic: bool) -> Self {
+        Self { automatic, ..Self::default() }
+    }
+
+    /// The next change of a membership, if one is due.
+    pub(crate) fn next(
+        &mut self,
+        now: Instant,
+        members: &Members,
+        silences: &[(u64, Duration)],
+    ) -> Option<Change> {
+        self.newcomers.retain(|_, (_, at)| now.since(*at) <= STANDS);
+        let silence = |id| {
+            let found = silences.iter().find(|(known, _)| *known == id);
+            found.map_or(Duration::ZERO, |(_, silence)| *silence)
+        };
+        let voters = members.members.iter().filter(|member| member.voter).count();
+        let learns = |member: &Member| !member.voter && silence(member.id) < GONE;
+        let heir = members.members.iter().any(learns);
+        let gone = members.members.iter().find(|member| match member.voter {
+            true => silence(member.id) >= GONE && (voters > LEAST_VOTERS || heir),
+            false => silence(member.id) >= LEARNER_GONE,
+        });
+        if let Some(gone) = gone {
+            return Some(Change::Remove(gone.id));
+        }
+        let known = |id: &u64| members.members.iter().any(|member| member.id == *id);
+        let newcomer = self.newcomers.iter().find(|(id, _)| !known(id));
+        newcomer.map(|(_, (member, _))| Change::Add(member.clone()))
+    }
+
+    /// Notes a host that asks to be a member.
+    pub(crate) fn hear(&mut self, now: Instant, member: Member) {
+        self.newcomers.insert(member.id, (member, now));
+    }
+
+    fn is_open(&mut self) -> bool {
+        let open = self.open.as_mut().is_some_and(|reply| {
+            matches!(reply.try_recv(), Err(oneshot::error::TryRecvError::Empty))
+        });
+        if !open {
+            self.open = None;
+        }
+        open
+    }
+}
+
+impl Core {
+    /// A host asks to be a member.
+    pub(crate) fn newcomer(&mut self, member: Member) {
+        let now = self.now();
+        if self.part.leads {
+            self.roster.hear(now, member);
+        }
+    }
+
+    /// Makes the next change of the membership, if this member leads, and asks
+    /// to be added if it has had no leader for long.
+    pub(crate) fn plan_members(&mut self) {
+        let now = self.now();
+        self.asks.store(self.unled_for() >= UNLED, std::sync::atomic::Ordering::Release);
+        let able = self.leader.is_some() && self.stopping.is_none() && self.roster.automatic;
+        if !able || self.roster.is_open() {
+            return;
+        }
+        let silences = self.replica.silences(now);
+        let Some(change) = self.roster.next(now, self.replica.members(), &silences) else {
+            return;
+        };
+        info!(self.log, "changes the membership"; "change" => ?change);
+        let (reply, answer) = oneshot::channel();
+        self.roster.open = Some(answer);
+        self.change(change, reply);
+    }
+
+    /// A backend server is gone for good.
+    pub(crate) fn retire(&mut self, server: &Name, reply: oneshot::Sender<Verdict>) {
+        let Some(known) = self.state.servers.get(server) else {
+            let (index, outcome) = (self.state.index, control::Outcome::Unchanged);
+            drop(reply.send(Verdict::Applied { index, outcome }));
+            return;
+        };
+        let incarnation = known.incarnation;
+        let expire = wire::log::Expire { server: server.to_string(), incarnation, left: true };
+        let body = Some(wire::log::command::Body::Expire(expire));
+        self.propose(&wire::log::Command { body }, reply);
+    }
+}
--- a/components/member/src/status.rs
+++ b/components/member/src/status.rs
@@ -8,6 +8,7 @@
 use control::{Overview, State};
 use serde::Serialize;
 
+use crate::api::Edition;
 use crate::core::Core;
 
 /// Failovers that are remembered.
@@ -19,6 +20,9 @@
     version: u64,
     index: u64,
     content: String,
+    /// Edition and document, where declarations come as whole editions.
+    #[serde(skip)]
+    pub(crate) edition: Edition,
 }
 
 impl Config {
@@ -34,7 +38,8 @@
 
     pub(crate) fn of(state: &State) -> Self {
         let content = state.declarations.canonical();
-        Self { version: state.version, index: state.index, content }
+        let edition = Edition { number: state.edition, document: state.document.clone() };
+        Self { version: state.version, index: state.index, content, edition }
     }
 }
 
--- a/components/member/src/web.rs
+++ b/components/member/src/web.rs
@@ -13,31 +13,28 @@
 use config::Declarations;
 use control::{Answer, Outcome};
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
-use wire::log::{self, Command, command};
+use wire::log::{self, command};
 use wire::quorum::Refusal;
 
-use crate::input::{Input, Sender, Unled, Verdict};
+use crate::api::{Api, Lost};
+use crate::input::{Input, Unled, Verdict};
 use crate::link::End;
 use crate::peers;
 
 /// Pace at which backend servers renew their announcements.
 const RENEW: Duration = Duration::from_millis(500);
 
-/// Time after which an answer is given up.
-const TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Time after which a request that was not taken may come again.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
 #[derive(Clone, Debug)]
 struct Shared {
-    core: Sender,
+    api: Api,
     end: End,
 }
 
 /// The member's own routes.
-pub(crate) fn routes(core: Sender, end: End) -> Router {
+pub(crate) fn routes(api: Api, end: End) -> Router {
     Router::new()
         .route("/v1/announce", post(announce))
         .route("/v1/changes", post(change))
@@ -45,7 +42,7 @@
         .route("/v1/status", get(status))
         .route("/v1/members", post(members))
         .route("/v1/drain", post(drain))
-        .with_state(Shared { core, end })
+        .with_state(Shared { api, end })
 }
 
 /// Why a request failed.
@@ -150,18 +147,18 @@
     }
 }
 
-impl Shared {
-    /// Puts an input to the core and waits for its answer.
-    async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Result<T, Failure> {
-        let (reply, answer) = oneshot::channel();
-        self.core.send(input(reply)).await.map_err(|_closed| Failure::Unled)?;
-        let answer = tokio::time::timeout(TIMEOUT, answer).await;
-        answer.map_err(|_elapsed| Failure::Unknown)?.map_err(|_closed| Failure::Unknown)
+impl From<Lost> for Failure {
+    fn from(lost: Lost) -> Self {
+        match lost {
+            Lost::Unled => Self::Unled,
+            Lost::Unknown => Self::Unknown,
+        }
     }
+}
 
+impl Shared {
     async fn propose(&self, body: command::Body) -> Result<(u64, Outcome), Failure> {
-        let command = Command { body: Some(body) };
-        match self.ask(|reply| Input::Propose { command, reply }).await? {
+        match self.api.propose(body).await? {
             Verdict::Applied { index, outcome } => Ok((index, outcome)),
             verdict => Err(failure(&verdict)),
         }
@@ -206,7 +203,7 @@
             labels: announce.labels.into_iter().map(label).collect(),
             connections: announce.connections,
             slots: announce.slots,
-            leaving: announce.leaving,
+            leaving: announce.leaving, primary: false, sequence: 0,
         }
     }
 }
@@ -224,7 +221,7 @@
     if control::Server::read(&announce).is_none() {
         return Err(Failure::Unreadable);
     }
-    shared.ask(|reply| Input::Announce { announce, reply }).await??;
+    shared.api.ask(|reply| Input::Announce { announce, reply }).await??;
     Ok(Json(Renew { renew_ms: RENEW.as_millis() as u64 }))
 }
 
@@ -251,7 +248,7 @@
         return Err(Failure::Unnamed);
     }
     let declared = Declarations::parse(&content).map_err(Failure::Faults)?;
-    let config = shared.ask(|reply| Input::Config { reply }).await??;
+    let config = shared.api.ask(|reply| Input::Config { reply }).await??;
     let patch = config.patch(base, &declared);
     let configure = log::Configure { change: id, base, content: String::new(), patch };
     let (_, outcome) = shared.propose(command::Body::Configure(configure)).await?;
@@ -266,12 +263,12 @@
 }
 
 async fn config(State(shared): State<Shared>) -> Result<Response, Failure> {
-    let config = shared.ask(|reply| Input::Config { reply }).await??;
+    let config = shared.api.ask(|reply| Input::Config { reply }).await??;
     Ok(Json(config).into_response())
 }
 
 async fn status(State(shared): State<Shared>) -> Result<Response, Failure> {
-    let status = shared.ask(|reply| Input::Status { reply }).await?;
+    let status = shared.api.ask(|reply| Input::Status { reply }).await?;
     Ok(Json(status).into_response())
 }
 
@@ -294,11 +291,11 @@
     let change = match wanted {
         Membership::Add { name, link, web } => add(&shared, &name, link, web).await?,
         Membership::Remove { name } => {
-            let id = shared.ask(|reply| Input::Status { reply }).await?.id_of(name.as_str());
+            let id = shared.api.ask(|reply| Input::Status { reply }).await?.id_of(name.as_str());
             quorum::Change::Remove(id.ok_or(Failure::Stranger { name })?)
         }
     };
-    match shared.ask(|reply| Input::Change { change, reply }).await? {
+    match shared.api.ask(|reply| Input::Change { change, reply }).await? {
         Verdict::Changed { index } => Ok(Json(Done { index })),
         verdict => Err(failure(&verdict)),
     }
--- a/components/member/tests/follow.rs
+++ b/components/member/tests/follow.rs
@@ -22,6 +22,7 @@
         address: "127.0.0.1:9".to_owned(),
         zone: "zone".to_owned(),
         web: String::new(),
+        sole: false,
     };
     let follow = Follow { join: Some(join), applied };
     writer.send(&Up { body: Some(up::Body::Follow(follow)) }).await.expect("sent");
--- a/components/member/tests/trio/mod.rs
+++ b/components/member/tests/trio/mod.rs
@@ -25,6 +25,8 @@
         log: slog::Logger::root(slog::Discard, slog::o!()),
         clock: Clock::start(),
         seed: 7,
+        beacons: true,
+        outside: None,
     }
 }
 
--- a/components/quorum/src/lead.rs
+++ b/components/quorum/src/lead.rs
@@ -108,6 +108,13 @@
         self.is_quorum(|id| self.hears(now, id))
     }
 
+    /// How long each other member has been silent, while this one leads.
+    pub fn silences(&self, now: Instant) -> Vec<(u64, Duration)> {
+        let Role::Leader(lead) = &self.role else { return Vec::new() };
+        let silence = |peer: &Progress| now.since(peer.heard.unwrap_or(lead.since).max(lead.since));
+        lead.peers.iter().map(|(id, peer)| (*id, silence(peer))).collect()
+    }
+
     /// Whether a leader has heard a member lately; itself always.
     pub(crate) fn hears(&self, now: Instant, id: u64) -> bool {
         let Role::Leader(lead) = &self.role else { return false };
--- a/components/route/src/lib.rs
+++ b/components/route/src/lib.rs
@@ -24,19 +24,31 @@
 }
 
 /// Samples of the last moments, oldest first.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Ring {
     samples: VecDeque<Sample>,
+    spacing: Duration,
+}
+
+impl Default for Ring {
+    fn default() -> Self {
+        Self::spaced(SPACING)
+    }
 }
 
 impl Ring {
+    /// Makes an empty ring with another spacing.
+    pub fn spaced(spacing: Duration) -> Self {
+        Self { samples: VecDeque::new(), spacing }
+    }
+
     /// Takes a sample in; one that is no younger than the last is ignored.
     pub fn push(&mut self, sample: Sample) {
         let last = self.samples.back().copied();
         if last.is_some_and(|last| sample.taken <= last.taken) {
             return;
         }
-        let close = |a: Sample, b: Sample| b.taken.since(a.taken) < SPACING;
+        let close = |a: Sample, b: Sample| b.taken.since(a.taken) < self.spacing;
         let before = self.samples.iter().rev().nth(1).copied();
         if let (Some(before), Some(last)) = (before, last)
             && close(before, last)
@@ -55,6 +67,11 @@
         self.samples.back().copied()
     }
 
+    /// The oldest sample taken at or after `since`.
+    pub fn first_since(&self, since: Instant) -> Option<Sample> {
+        self.samples.iter().copied().find(|sample| sample.taken >= since)
+    }
+
     /// The youngest sample that a server shows.
     pub fn shown(&self, status: &Status) -> Option<Sample> {
         self.samples.iter().rev().copied().find(|sample| status.shows(sample.mark))
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -6,12 +6,13 @@
 //! lease, counted from when the beat was sent.
 
 use crate::log::{Command, Join};
+use crate::mark::Mark;
 
 /// What an entry sends.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Up {
     /// The message.
-    #[prost(oneof = "up::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "up::Body", tags = "1, 2, 3, 4, 5")]
     pub body: Option<up::Body>,
 }
 
@@ -32,6 +33,9 @@
         /// The entry is stopping and holds no connection any more.
         #[prost(message, tag = "4")]
         Leave(super::Leave),
+        /// A keeper has ended its work for an earlier primary.
+        #[prost(message, tag = "5")]
+        Seal(super::Seal),
     }
 }
 
@@ -94,6 +98,24 @@
     pub sight: i32,
 }
 
+/// A keeper that has ended its work for the primaries before a term. It passes
+/// on no answer of theirs any more.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Seal {
+    /// The group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// The term that is intended.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Highest mark that it has acknowledged to a caller; none if it has none.
+    #[prost(message, optional, tag = "3")]
+    pub mark: Option<Mark>,
+    /// Index of the control log that it had applied when it sent that commit.
+    #[prost(uint64, tag = "4")]
+    pub index: u64,
+}
+
 /// An entry that stops.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct Leave {}
@@ -102,7 +124,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Down {
     /// The message.
-    #[prost(oneof = "down::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "down::Body", tags = "1, 2, 3, 4, 5")]
     pub body: Option<down::Body>,
 }
 
@@ -123,6 +145,9 @@
         /// The member cannot serve: dial another.
         #[prost(message, tag = "4")]
         Refuse(super::Refuse),
+        /// Where the members listen.
+        #[prost(message, tag = "5")]
+        Members(super::Members),
     }
 }
 
@@ -177,6 +202,14 @@
     pub lease_ms: u64,
 }
 
+/// Where the members of the quorum listen, for the next dial.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Members {
+    /// IP number and port for links of each.
+    #[prost(string, repeated, tag = "1")]
+    pub links: Vec<String>,
+}
+
 /// A member that cannot serve.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct Refuse {}
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`data`]: a front asks a keeper to run statements.
 //! - [`control`]: an entry follows the control log and renews its leases.
 //! - [`log`]: commands of the control log.
+//! - [`plain`]: plain statements as they travel through [`data`].
 //! - [`quorum`]: control members among themselves.
 
 pub mod control;
 pub mod data;
 pub mod log;
 pub mod mark;
+pub mod plain;
 pub mod quorum;
 
 pub use prost::Message;
--- a/components/wire/src/log.rs
+++ b/components/wire/src/log.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Command {
     /// The command.
-    #[prost(oneof = "command::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "command::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<command::Body>,
 }
 
@@ -49,6 +49,9 @@
         /// An operator drains or resumes an entry.
         #[prost(message, tag = "10")]
         Drain(super::Drain),
+        /// Replace the declarations by a whole edition.
+        #[prost(message, tag = "11")]
+        Replace(super::Replace),
     }
 }
 
@@ -70,6 +73,20 @@
     pub patch: String,
 }
 
+/// Replaces the declarations by a whole edition, if that is the newest.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Replace {
+    /// Number of the edition, chosen by who sends it; the highest is in force.
+    #[prost(uint64, tag = "1")]
+    pub edition: u64,
+    /// The whole declarations, as one canonical text.
+    #[prost(string, tag = "2")]
+    pub content: String,
+    /// The document that they were read from, to be shown as it came.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub document: bytes::Bytes,
+}
+
 /// A label of a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Label {
@@ -111,6 +128,13 @@
     /// Whether it is leaving and must get no new work.
     #[prost(bool, tag = "9")]
     pub leaving: bool,
+    /// Whether it takes itself for the primary of its group, where it tells.
+    #[prost(bool, tag = "10")]
+    pub primary: bool,
+    /// Number of the announcement within the incarnation, where it tells; a
+    /// lower one is late.
+    #[prost(uint64, tag = "11")]
+    pub sequence: u64,
 }
 
 /// A backend server that is gone.
@@ -122,6 +146,9 @@
     /// Incarnation that is gone; a later one stays.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// Whether it said that it is gone for good, and loses its seat.
+    #[prost(bool, tag = "3")]
+    pub left: bool,
 }
 
 /// An entry that started.
@@ -142,6 +169,10 @@
     /// IP number and port of its web server; empty when it told none.
     #[prost(string, tag = "5")]
     pub web: String,
+    /// Whether its host starts an entry only after the earlier one has ended, so
+    /// that its earlier incarnations are known to be gone.
+    #[prost(bool, tag = "6")]
+    pub sole: bool,
 }
 
 /// An entry that is gone.
--- a/components/wire/src/quorum.rs
+++ b/components/wire/src/quorum.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 
-use crate::control::Symptom;
+use crate::control::{Seal, Symptom};
 use crate::log::{Announce, Join, Part};
 
 /// The first message of each end of a link.
@@ -18,6 +18,9 @@
     /// Whether it has no log and no membership yet.
     #[prost(bool, tag = "2")]
     pub fresh: bool,
+    /// Whether it knows no leader and asks to be a member.
+    #[prost(bool, tag = "3")]
+    pub asks: bool,
 }
 
 /// A member of the quorum.
@@ -346,6 +349,26 @@
     /// What keepers see.
     #[prost(message, repeated, tag = "3")]
     pub sights: Vec<Seen>,
+    /// Keepers that ended their work for an earlier primary.
+    #[prost(message, repeated, tag = "4")]
+    pub seals: Vec<Sealed>,
+    /// Hosts that ask to be members.
+    #[prost(message, repeated, tag = "5")]
+    pub newcomers: Vec<Member>,
+}
+
+/// A seal and whose it is.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Sealed {
+    /// The entry.
+    #[prost(string, tag = "1")]
+    pub entry: String,
+    /// Its incarnation.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// The seal.
+    #[prost(message, optional, tag = "3")]
+    pub seal: Option<Seal>,
 }
 
 /// A symptom and who saw it.
@@ -374,4 +397,7 @@
     /// What it sees at present.
     #[prost(message, repeated, tag = "4")]
     pub symptoms: Vec<Symptom>,
+    /// Its newest seal of each group.
+    #[prost(message, repeated, tag = "5")]
+    pub seals: Vec<Seal>,
 }
--- a/programs/trefoil-control/src/cmd/run.rs
+++ b/programs/trefoil-control/src/cmd/run.rs
@@ -26,6 +26,8 @@
         log: log.clone(),
         clock: Clock::start(),
         seed: 0,
+        beacons: true,
+        outside: None,
     });
     let bound = bound.await.change_context(Failure::Start)?;
     let started = bound.start(settings.peers, axum::Router::new());
--- a/programs/trefoil-entry/src/cmd/run.rs
+++ b/programs/trefoil-entry/src/cmd/run.rs
@@ -76,10 +76,12 @@
         callers: run.callers,
         link: run.link,
         web: run.web,
-        controls: run.controls,
+        sole: false,
+        controls: run.controls.into(),
         key,
         users: run.users,
         tls: run.tls.map(|(cert, key)| Tls { cert, key }),
+        dialect: None,
         log,
         clock: Clock::start(),
     }
--- a/programs/trefoil-slope/src/size.rs
+++ b/programs/trefoil-slope/src/size.rs
@@ -63,6 +63,7 @@
         address: format!("10.0.{}.{}:6433", entry / 250, entry % 250 + 1),
         zone: format!("region-{}-zone-{}", entry % 5, entry % 16),
         web: format!("10.0.{}.{}:9464", entry / 250, entry % 250 + 1),
+        sole: false,
     })
 }
 
@@ -76,7 +77,7 @@
         labels: vec![Label { key: "tier".to_owned(), value: "main".to_owned() }],
         connections: 40,
         slots: 3,
-        leaving: false,
+        leaving: false, primary: false, sequence: 0,
     })
 }
 
@@ -85,7 +86,7 @@
     let name = |text: String| text.parse().expect("the name is valid");
     let mut declarations = Declarations::default();
     for group in 0..size.groups {
-        let group = (name(format!("group-{group}")), Group { servers: 3, elects: false });
+        let group = (name(format!("group-{group}")), Group { servers: 3, ..Group::default() });
         declarations.groups.extend([group]);
     }
     for service in 0..size.services {
