Let replicas of a self-acknowledging group take reads

Cause: a server that tells its position only with answers counted as silent 300 ms after its last one, so idle replicas never got a first read. Ruled out: the choice itself; it was never reached.

--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -242,6 +242,7 @@
     let mut group = control::state::Group::default();
     for (keeper, address) in keepers {
         let entry = control::state::Entry {
+            sole: false,
             incarnation: 1,
             address: *address,
             web: None,
--- a/components/keeper/src/server.rs
+++ b/components/keeper/src/server.rs
@@ -32,6 +32,8 @@
     pub(crate) failures: u32,
     /// No connection is opened before this.
     pub(crate) connect_at: Instant,
+    /// Whether it tells where it stands with its answers alone.
+    pub(crate) solo: bool,
     /// How far it is behind, where its answers tell.
     pub(crate) lag: Lag,
     /// No statement is sent before this: it had no slot.
@@ -58,7 +60,7 @@
 }
 
 impl Server {
-    pub(crate) fn new(now: Instant, setup: event::Server) -> Self {
+    pub(crate) fn new(now: Instant, setup: event::Server, solo: bool) -> Self {
         Self {
             setup,
             seated: true,
@@ -70,6 +72,7 @@
             urgent: VecDeque::new(),
             failures: 0,
             connect_at: now,
+            solo,
             lag: Lag::default(),
             full_until: Instant::ZERO,
             leaves: None,
@@ -107,6 +110,9 @@
 
     /// Whether it answers questions.
     pub(crate) fn answers(&self, now: Instant) -> bool {
+        if self.solo {
+            return self.seen.is_some() && self.trouble.is_none();
+        }
         let quiet = now.since(self.heard) > SILENCE;
         self.seen.is_some() && self.trouble != Some(Trouble::Refused) && !quiet
     }
--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -73,7 +73,7 @@
         for setup in setups {
             match self.server_named(&setup.name) {
                 Some(key) => self.reseat(now, key, setup),
-                None => drop(self.servers.insert(Server::new(now, setup))),
+                None => drop(self.servers.insert(Server::new(now, setup, self.is_solo()))),
             }
         }
         let gone = |(key, server): (Key<Server>, &Server)| {
