Note the index of a commit when it is sent, and ask servers in question less often

Cause: a seal named the index at which a commit was acknowledged; a lease that ended between sending and answer would have counted as covered by it (found by keeper::solo statements_of_a_primary_that_leaves_may_end_before_the_seal).

--- a/components/control/src/succession.rs
+++ b/components/control/src/succession.rs
@@ -37,7 +37,13 @@
 const DESIGNATE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Time between two questions to a server while a change is under way.
-const POSITION_PACE: Duration = Duration::from_millis(40);
+const POSITION_PACE: Duration = Duration::from_millis(50);
+
+/// The same while a primary is in question, or after [`HASTE`].
+const SLOW_PACE: Duration = Duration::from_millis(250);
+
+/// Time for which a change that is under way is followed closely.
+const HASTE: Duration = Duration::from_millis(1_500);
 
 /// Time for a new group to show a primary by itself.
 const BOOTSTRAP: Duration = Duration::from_secs(2);
@@ -91,7 +97,10 @@
     watches: Watches,
     sights: Sights,
     seals: BTreeMap<(Name, u64), Seal>,
+    /// Questions that are open, and when each was put.
     asked: BTreeMap<Name, Instant>,
+    /// When each server was asked last.
+    tried: BTreeMap<Name, Instant>,
     positions: BTreeMap<Name, Position>,
     proposed: Option<Instant>,
     /// Since when no keeper works for the old primary, and in which term.
@@ -178,14 +187,19 @@
     fn ask(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
         let now = context.now;
         let calm = self.is_calm(context);
+        let settled = context.group.phase == Phase::Settled;
+        let began = self.trace.as_ref().map(|trace| trace.noticed);
+        let hasty = !settled && began.is_some_and(|began| now.since(began) < HASTE);
+        let pace = if hasty { POSITION_PACE } else { SLOW_PACE };
         for seat in &context.group.seats {
-            let recent = self.asked.get(seat).is_some_and(|&at| now.since(at) < POSITION_PACE);
+            let recent = self.tried.get(seat).is_some_and(|&at| now.since(at) < pace);
             let Some(server) = context.state.servers.get(seat) else { continue };
             if calm || recent || !self.watches.of(seat).is_due(now, false) {
                 continue;
             }
             self.watches.of(seat).ask(now);
             self.asked.insert(seat.clone(), now);
+            self.tried.insert(seat.clone(), now);
             out.push(probe(context, seat, server.address, Ask::Status));
         }
     }
--- a/components/entry/src/keep/plain.rs
+++ b/components/entry/src/keep/plain.rs
@@ -119,7 +119,6 @@
             return Err(report);
         }
     };
-    shard.feed(Event::Opened { conn });
     let reported = Reported { status: b'I', fault: None, mark, sent };
     shard.feed(Event::Reported { conn, reported });
     session.serve(&mut commands).await
@@ -204,6 +203,9 @@
             // closing the connection is all that ends a statement
             Command::Cancel | Command::Close => return Ok(()),
         };
+        if self.work.is_some() {
+            return Err(Report::new(Failure::Disorder));
+        }
         let sent = self.shard.clock().now();
         self.next(steps, sent).await
     }
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -81,7 +81,7 @@
         failed: bool,
     },
     /// A cycle is over, or a session stands, on a server that tells its position
-    /// with each answer.
+    /// with each answer. No [`Event::Opened`] comes of such a connection.
     Reported {
         /// The connection.
         conn: Key<Connection>,
--- a/components/keeper/src/pump.rs
+++ b/components/keeper/src/pump.rs
@@ -216,7 +216,8 @@
         }
         let leads = self.primary().is_some_and(|(key, _)| key == server);
         attempt.primary = leads || (request.run.within && !self.is_solo());
-        if self.is_solo() {
+        if let Some(solo) = &self.solo {
+            attempt.index = solo.index;
             return attempt;
         }
         if attempt.primary && !request.run.within {
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -91,6 +91,8 @@
     /// Term and incarnation of the server as they were known.
     pub(crate) term: Term,
     pub(crate) incarnation: u64,
+    /// Index of the control log that the group stood at.
+    pub(crate) index: u64,
     pub(crate) sent_at: Instant,
     /// Last known position of the primary before it was sent.
     pub(crate) lo: Position,
--- a/components/keeper/src/solo.rs
+++ b/components/keeper/src/solo.rs
@@ -68,7 +68,7 @@
     /// Term that control has intended or established.
     pub(crate) term: Term,
     /// Index of the control log that the setup stands at.
-    index: u64,
+    pub(crate) index: u64,
     /// Highest mark that was acknowledged to a caller, and the index at which
     /// its statement was sent.
     acked: Option<(Mark, u64)>,
@@ -192,11 +192,13 @@
         let (server, work) = (connection.server, connection.work);
         self.note(now, server, reported);
         match work {
-            Work::RollingBack(_) if reported.status == IDLE => self.rest(now, conn),
-            Work::Sampling(_) if reported.status == IDLE => self.rest(now, conn),
+            Work::RollingBack(_) | Work::Sampling(_) if reported.status == IDLE => {
+                self.rest(now, conn);
+            }
             Work::Busy(key) => self.answered(now, conn, key, reported, out),
-            // the first report of a session, or one that comes after its end
-            Work::Idle(_) | Work::Closing { .. } => {}
+            // the session stands: its first report is the end of no request
+            Work::Opening => self.opened(now, conn),
+            Work::Closing { .. } => {}
             _ => self.cut(now, conn, out),
         }
         self.unpark(now);
@@ -300,9 +302,9 @@
         mark: Option<Mark>,
         out: &mut Vec<Effect>,
     ) {
-        let durable = self.requests.get(key).is_some_and(|request| request.attempt.durable);
-        if let (true, Some(mark), Some(solo)) = (durable, mark, self.solo.as_mut()) {
-            let index = solo.index;
+        let attempt = self.requests.get(key).map(|request| &request.attempt);
+        let durable = attempt.filter(|attempt| attempt.durable).map(|attempt| attempt.index);
+        if let (Some(index), Some(mark), Some(solo)) = (durable, mark, self.solo.as_mut()) {
             let newer = solo.acked.is_none_or(|(known, _)| known < mark);
             if newer {
                 solo.acked = Some((mark, index));
