--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -19,6 +19,8 @@
 pub use check::{Allowed, Fault};
 pub use diff::{Change, diff};
 pub use files::{Located, Problem, Problems};
-pub use model::{Class, Database, Declarations, Group, Kind, Labels, Limits, Objective, Selector, Service};
+pub use model::{
+    Class, Database, Declarations, Group, Kind, Labels, Limits, Objective, Selector, Service,
+};
 pub use patch::Patch;
 pub use policy::Rule;
--- a/components/config/tests/patch.rs
+++ b/components/config/tests/patch.rs
@@ -14,7 +14,11 @@
     let mut declarations = Declarations::default();
     for index in 0..4 {
         if u.arbitrary()? {
-            let group = Group { servers: u.int_in_range(1..=3)?, elects: u.arbitrary()?, ..Group::default() };
+            let group = Group {
+                servers: u.int_in_range(1..=3)?,
+                elects: u.arbitrary()?,
+                ..Group::default()
+            };
             declarations.groups.insert(name(&format!("group-{index}")), group);
         }
     }
--- a/components/config/tests/text.rs
+++ b/components/config/tests/text.rs
@@ -49,7 +49,8 @@
 fn declarations(u: &mut Unstructured<'_>) -> Result<Declarations> {
     let mut all = Declarations::default();
     for _ in 0..u.int_in_range(0..=5u8)? {
-        let group = Group { servers: u.int_in_range(1..=15)?, elects: u.ratio(1, 2)?, ..Group::default() };
+        let group =
+            Group { servers: u.int_in_range(1..=15)?, elects: u.ratio(1, 2)?, ..Group::default() };
         all.groups.insert(name(u)?, group);
         all.services.insert(name(u)?, service(u)?);
         let groups = all.groups.keys().take(2).cloned().collect();
--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -311,7 +311,8 @@
             group.reduced = index;
         }
         let kept = |old: &log::Lease| {
-            let same = |new: &log::Lease| (&new.entry, new.incarnation) == (&old.entry, old.incarnation);
+            let same =
+                |new: &log::Lease| (&new.entry, new.incarnation) == (&old.entry, old.incarnation);
             assign.leases.iter().any(same)
         };
         if !group.leases.iter().all(kept) {
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -302,7 +302,8 @@
         }
         self.lives.tick(now, state, out);
         self.planner.tick(now, state, &self.lives, out);
-        let fenced = |group: &Name| state.declares(group.as_str()) && !state.acknowledges(group.as_str());
+        let fenced =
+            |group: &Name| state.declares(group.as_str()) && !state.acknowledges(group.as_str());
         self.failovers.retain(|group, _| fenced(group));
         self.successions.retain(|group, _| state.acknowledges(group.as_str()));
         for group in state.groups.keys() {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -35,6 +35,6 @@
 pub use flaw::Flaw;
 pub use leader::{Ask, Effect, Event, Leader, Unreached};
 pub use overview::Overview;
-pub use succession::Past;
 pub use state::{Entry, Group, Phase, Server, State};
+pub use succession::Past;
 pub use trace::Trace;
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -269,8 +269,9 @@
     let Some(server) = state.servers.get(seat) else {
         return;
     };
-    let is_cut =
-        cut(state, server, seat, leases, |lease| open.iter().any(|target| target.as_str() == lease.entry));
+    let is_cut = cut(state, server, seat, leases, |lease| {
+        open.iter().any(|target| target.as_str() == lease.entry)
+    });
     let may_grow = may_grow && !is_cut;
     let share_of =
         |lease: &Lease| lease.shares.iter().find(|share| share.server == seat.as_str()).cloned();
--- a/components/control/src/succession.rs
+++ b/components/control/src/succession.rs
@@ -404,9 +404,10 @@
             }
         };
         self.chosen = Some((term, since));
-        let leads = self.positions.get(server).is_some_and(|position| {
-            position.sent >= since && position.role == Role::Primary
-        });
+        let leads = self
+            .positions
+            .get(server)
+            .is_some_and(|position| position.sent >= since && position.role == Role::Primary);
         if leads {
             if let Some(trace) = &mut self.trace {
                 trace.promoted.get_or_insert(now);
--- a/components/entry/src/front/errand.rs
+++ b/components/entry/src/front/errand.rs
@@ -12,11 +12,11 @@
 use smallvec::SmallVec;
 use wire::data::{Reason, Run};
 
+use super::Front;
 use super::choose::{self, Keeper};
 use super::conn::Gone;
 use super::link::{Event, Link, Request};
 use super::verdict::{self, Attempt};
-use super::Front;
 
 /// Shortest wait before the keepers are asked again.
 const PAUSE_LEAST: Duration = Duration::from_millis(10);
@@ -113,8 +113,7 @@
     pub(super) async fn attempt(&mut self, link: &Arc<Link>) -> Result<Attempt, Report<Gone>> {
         let now = self.front.clock.now();
         let left = self.deadline.saturating_sub(now.since(self.started));
-        let run =
-            Run { caller: *self.number, deadline_ms: millis(left), ..self.run.clone() };
+        let run = Run { caller: *self.number, deadline_ms: millis(left), ..self.run.clone() };
         let Ok(mut request) = link.run(run).await else {
             return Ok(Attempt::NotLeft);
         };
--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -47,12 +47,8 @@
         debug!(front.log, "a caller's socket can't be set up"; "error" => %error);
     }
     let phase = front.phase.subscribe();
-    let mut conn = Conn {
-        dialect,
-        io,
-        input: BytesMut::with_capacity(INPUT_BYTES),
-        output: BytesMut::new(),
-    };
+    let mut conn =
+        Conn { dialect, io, input: BytesMut::with_capacity(INPUT_BYTES), output: BytesMut::new() };
     let started = tokio::time::timeout(START_TIMEOUT, start(&front, &mut conn)).await;
     if let Ok(Ok(Some(database))) = started {
         let mut caller = Caller {
@@ -333,10 +329,8 @@
             Transaction::Begun(Access::Write) => Begin::Write,
             _ => Begin::None,
         };
-        let value = |(name, value): (&Bytes, &Bytes)| Value {
-            name: name.clone(),
-            value: value.clone(),
-        };
+        let value =
+            |(name, value): (&Bytes, &Bytes)| Value { name: name.clone(), value: value.clone() };
         let values = self.values.iter().map(value).collect();
         let alone = matches!(self.transaction, Transaction::None);
         Work {
@@ -553,8 +547,7 @@
         } else if matches!(attempt, Attempt::Broken { .. }) {
             self.number = self.front.number();
         }
-        self.transaction =
-            if alone || work.ends { Transaction::None } else { Transaction::Failed };
+        self.transaction = if alone || work.ends { Transaction::None } else { Transaction::Failed };
         self.ready();
         self.conn.flush().await
     }
@@ -565,15 +558,16 @@
 /// What would have been committed only by a later commit is surely undone.
 fn problem(work: &Work, attempt: &Attempt) -> Problem {
     let late = |end: &End| end.reason() == Reason::Deadline;
+    // what never left this process was not committed
+    let unsure = work.commits && *attempt != Attempt::NotLeft;
     match attempt {
         Attempt::Ended { end, .. } if end.outcome() == Outcome::NotRun => match end.reason() {
             Reason::TransactionGone => Problem::Aborted,
             _ => Problem::Busy,
         },
-        Attempt::NotLeft => Problem::Aborted,
-        Attempt::Ended { end, .. } if work.commits && late(end) => Problem::Timeout,
-        Attempt::Ended { .. } | Attempt::Broken { .. } if work.commits => Problem::Unknown,
-        Attempt::Ended { .. } | Attempt::Broken { .. } => Problem::Aborted,
+        Attempt::Ended { end, .. } if unsure && late(end) => Problem::Timeout,
+        _ if unsure => Problem::Unknown,
+        _ => Problem::Aborted,
     }
 }
 
--- a/components/entry/src/keep/conn.rs
+++ b/components/entry/src/keep/conn.rs
@@ -222,7 +222,7 @@
 
     fn obey(&mut self, command: Command) -> Result<(), Report<Failure>> {
         let bytes = match command {
-            Command::Send { bytes, wait: _ } => {
+            Command::Send { bytes, .. } => {
                 self.due = Due::Cycle;
                 bytes
             }
--- a/components/entry/src/keep/follow.rs
+++ b/components/entry/src/keep/follow.rs
@@ -86,12 +86,7 @@
     }
 }
 
-fn server(
-    state: &State,
-    lease: Option<&log::Lease>,
-    name: &Name,
-    solo: bool,
-) -> Option<Server> {
+fn server(state: &State, lease: Option<&log::Lease>, name: &Name, solo: bool) -> Option<Server> {
     let server = state.servers.get(name)?;
     let share = lease.and_then(|lease| lease.shares.iter().find(|s| s.server == name.as_str()));
     let slots = share.map_or(0, |share| share.slots);
--- a/components/entry/src/keep/mod.rs
+++ b/components/entry/src/keep/mod.rs
@@ -21,9 +21,9 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use ::plain::Dialect;
 use base::clock::Clock;
 use base::prelude::*;
-use ::plain::Dialect;
 use keeper::Event;
 use slog::{Logger, info};
 use tokio::net::TcpListener;
--- a/components/entry/src/keep/plain.rs
+++ b/components/entry/src/keep/plain.rs
@@ -196,7 +196,7 @@
         let steps = match command {
             Command::Send { bytes, wait } => {
                 let task = Task::decode(bytes).change_context(Failure::Disorder)?;
-                self.steps(task, wait)
+                self.steps(&task, wait)
             }
             Command::RollBack => VecDeque::from([Order::Rollback]),
             Command::Mark => VecDeque::from([Order::Status]),
@@ -211,7 +211,7 @@
     }
 
     /// All that must be sent for a task, in order.
-    fn steps(&mut self, task: Task, wait: Option<Mark>) -> VecDeque<Order> {
+    fn steps(&mut self, task: &Task, wait: Option<Mark>) -> VecDeque<Order> {
         let mut steps = VecDeque::new();
         let wanted = |name: &Bytes| task.values.iter().any(|value| value.name == *name);
         if !self.values.keys().all(wanted) || self.prepared.len() > PREPARED {
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -9,6 +9,7 @@
 use crate::group::Group;
 use crate::request::{Lane, Request, Stage};
 use crate::server::{Seen, Server};
+use crate::solo::{self, shows_soon};
 
 /// Time after which a round of samples is given up.
 const ROUND_TIMEOUT: Duration = Duration::from_millis(50);
@@ -234,7 +235,8 @@
         let solo = self.is_solo().then(|| self.need(now, request));
         self.replicas(now, request).filter_map(move |(key, server, seen)| {
             let mark = match solo {
-                Some(need) => need.filter(|&mark| self.shows_soon(now, server, mark))?,
+                Some(solo::Need::Mark(mark)) if shows_soon(now, server, mark) => Some(mark),
+                Some(_) => return None,
                 None => qualify(&seen.status, need, &self.ring)?,
             };
             Some((key, server, mark))
@@ -257,7 +259,9 @@
         let found: SmallVec<[_; 4]> = self.qualified(now, request).map(candidate).collect();
         let busy = found.iter().all(|candidate| candidate.free == 0);
         let spare = if busy && self.is_solo() { self.spare_primary(now) } else { None };
-        found.into_iter().chain(spare.and_then(|key| Some(candidate((key, self.servers.get(key)?, None)))))
+        found
+            .into_iter()
+            .chain(spare.and_then(|key| Some(candidate((key, self.servers.get(key)?, None)))))
     }
 
     /// The primary, while nothing waits there that only it may do.
--- a/components/keeper/src/solo.rs
+++ b/components/keeper/src/solo.rs
@@ -94,6 +94,22 @@
     pub(crate) seen: Instant,
 }
 
+/// What a read must see.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Need {
+    /// No sample is young enough to tell.
+    Unknown,
+    /// All up to a mark.
+    Mark(Mark),
+}
+
+/// Whether a replica is expected to show a mark soon.
+pub(crate) fn shows_soon(now: Instant, server: &Server, mark: Mark) -> bool {
+    let shows = server.status().is_some_and(|status| status.applied_mark() >= mark);
+    let old = now.since(server.lag.seen) > LAG_STANDS;
+    shows || old || server.lag.lag <= LITTLE_LAG
+}
+
 impl Group {
     /// Whether the servers of the group acknowledge by themselves.
     pub(crate) fn is_solo(&self) -> bool {
@@ -351,13 +367,15 @@
         request.stage = Stage::Backoff(now + wait);
     }
 
-    /// What a read needs: none while no sample tells.
-    pub(crate) fn need(&self, now: Instant, request: &Request) -> Option<Option<Mark>> {
+    /// What a read must see, as far as a sample tells.
+    pub(crate) fn need(&self, now: Instant, request: &Request) -> Need {
         let Some(since) = request.since(now) else {
-            return Some(request.floor);
+            return Need::Mark(request.floor.unwrap_or_default());
         };
-        let sample = self.ring.first_since(since)?;
-        Some(request.floor.max(Some(sample.mark)))
+        match self.ring.first_since(since) {
+            Some(sample) => Need::Mark(request.floor.map_or(sample.mark, |f| f.max(sample.mark))),
+            None => Need::Unknown,
+        }
     }
 
     /// Where a parked read is to queue, once that is clear.
@@ -365,16 +383,8 @@
         if request.is_fresh() {
             return Some(Lane::Primary);
         }
-        self.need(now, request)?;
-        Some(Lane::Replica)
-    }
-
-    /// Whether a replica is expected to show a mark soon.
-    pub(crate) fn shows_soon(&self, now: Instant, server: &Server, mark: Option<Mark>) -> bool {
-        let Some(mark) = mark else { return true };
-        let shows = server.status().is_some_and(|status| status.applied_mark() >= mark);
-        let old = now.since(server.lag.seen) > LAG_STANDS;
-        shows || old || server.lag.lag <= LITTLE_LAG
+        let known = self.need(now, request) != Need::Unknown;
+        known.then_some(Lane::Replica)
     }
 
     /// Asks the primary where it stands, when reads that accept an age lack a
@@ -406,7 +416,8 @@
         let stalled: Vec<_> = self.conns.iter().filter(|(_, c)| self.is_stalled(now, c)).collect();
         let stalled: Vec<_> = stalled.iter().map(|(key, conn)| (*key, conn.server)).collect();
         for (conn, server) in stalled {
-            let silent = self.servers.get(server).is_some_and(|s| now.since(s.heard) > READ_STALLED);
+            let silent =
+                self.servers.get(server).is_some_and(|s| now.since(s.heard) > READ_STALLED);
             self.cut(now, conn, out);
             if silent {
                 self.distrust(server, out);
@@ -440,7 +451,8 @@
         let spare = !request.run.within && !request.attempt.primary;
         let limit = if spare { READ_STALLED.max(self.typical * SLOWNESS) } else { STALLED };
         let waits = now.since(request.attempt.sent_at);
-        let heard = self.servers.get(conn.server).is_some_and(|s| s.heard > request.attempt.sent_at);
+        let heard =
+            self.servers.get(conn.server).is_some_and(|s| s.heard > request.attempt.sent_at);
         waits > if heard { limit * HEARD } else { limit }
     }
 
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -1,13 +1,13 @@
 //! What is committed, put into the state.
 
 use base::prelude::*;
-use control::{Past, State};
 use control::image::Malformed;
+use control::{Past, State};
 use quorum::{Event, Snapshot};
 use slog::{crit, info};
 use wire::Message as _;
-use wire::log::{Command, Lease, Part};
 use wire::log::command::Body;
+use wire::log::{Command, Lease, Part};
 use wire::quorum::{Entry, entry};
 
 use crate::core::Core;
@@ -102,7 +102,8 @@
 
     /// Whether a lease ends with a part, of a holder that may not know it.
     fn cuts_lease(&self, part: &Part) -> bool {
-        let cut = |lease: &Lease| lease.entry == part.entry && lease.incarnation <= part.incarnation;
+        let cut =
+            |lease: &Lease| lease.entry == part.entry && lease.incarnation <= part.incarnation;
         let ended = self.state.ended(&part.entry, part.incarnation);
         !ended && self.state.groups.values().any(|group| group.leases.iter().any(cut))
     }
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
+use backend::Outside;
 use base::clock::Clock;
 use base::prelude::*;
-use backend::Outside;
 use quorum::Replica;
 use rand::Rng;
 use slog::{Logger, info, o, warn};
--- a/components/member/src/lead.rs
+++ b/components/member/src/lead.rs
@@ -5,9 +5,9 @@
 use slog::info;
 use tokio::sync::oneshot;
 use wire::Message as _;
+use wire::control::Seal;
 use wire::log::{Announce, Join, Part};
 use wire::quorum::message::Body;
-use wire::control::Seal;
 use wire::quorum::{Forward, Message, Pulse, Sealed, Seen};
 
 use crate::answer::{Designation, Read};
--- a/components/member/src/probe.rs
+++ b/components/member/src/probe.rs
@@ -7,8 +7,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use backend::{Outside, Promotion, sql};
 use backend::Probe as _;
+use backend::{Outside, Promotion, sql};
 use base::prelude::*;
 use control::leader::STATUS_WAIT;
 use control::{Ask, Event, Unreached};
@@ -111,12 +111,7 @@
     outside: Arc<dyn Outside>,
 }
 
-async fn run_outside(
-    line: Line,
-    target: Target,
-    mut due: mpsc::Receiver<Question>,
-    core: Sender,
-) {
+async fn run_outside(line: Line, target: Target, mut due: mpsc::Receiver<Question>, core: Sender) {
     let Target { group, own, outside } = target;
     let mut open = outside.line(&group, &line.server, line.address);
     while let Ok(Some(question)) = tokio::time::timeout(IDLE_TIMEOUT, due.recv()).await {
--- a/components/member/src/roster.rs
+++ b/components/member/src/roster.rs
@@ -60,9 +60,10 @@
         let voters = members.members.iter().filter(|member| member.voter).count();
         let learns = |member: &Member| !member.voter && silence(member.id) < GONE;
         let heir = members.members.iter().any(learns);
-        let gone = members.members.iter().find(|member| match member.voter {
-            true => silence(member.id) >= GONE && (voters > LEAST_VOTERS || heir),
-            false => silence(member.id) >= LEARNER_GONE,
+        let gone = members.members.iter().find(|member| {
+            let spare = voters > LEAST_VOTERS || heir;
+            let limit = if member.voter { GONE } else { LEARNER_GONE };
+            silence(member.id) >= limit && (spare || !member.voter)
         });
         if let Some(gone) = gone {
             return Some(Change::Remove(gone.id));
--- a/components/member/src/web.rs
+++ b/components/member/src/web.rs
@@ -203,7 +203,9 @@
             labels: announce.labels.into_iter().map(label).collect(),
             connections: announce.connections,
             slots: announce.slots,
-            leaving: announce.leaving, primary: false, sequence: 0,
+            leaving: announce.leaving,
+            primary: false,
+            sequence: 0,
         }
     }
 }
--- a/programs/trefoil-slope/src/size.rs
+++ b/programs/trefoil-slope/src/size.rs
@@ -77,7 +77,9 @@
         labels: vec![Label { key: "tier".to_owned(), value: "main".to_owned() }],
         connections: 40,
         slots: 3,
-        leaving: false, primary: false, sequence: 0,
+        leaving: false,
+        primary: false,
+        sequence: 0,
     })
 }
 
