Wait only for leases that somebody may still hold

Cause: a new leader granted nothing for 2.5 s after it began, since it knew nothing of starts that an earlier one had given up; and an earlier start of an entry without a lease counted as unaware after its process had ended. After a loss of power all groups stood still for that long. Ruled out: the election (0.2 s) and the dials of entries (0.6 s) as the larger part, by the log of applied commands that this adds.

--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -253,6 +253,11 @@
     fn join(&mut self, join: &log::Join) -> Result<Outcome, Refusal> {
         let (name, mut entry) = Entry::read(join).ok_or(Refusal::Malformed)?;
         entry.draining = self.drained.contains(&name);
+        if entry.sole {
+            self.departed.retain(|(known, start), _| {
+                *known != name || *start >= entry.incarnation
+            });
+        }
         match self.entries.entry(name) {
             Slot::Occupied(known) if known.get().incarnation > entry.incarnation => {
                 Err(Refusal::Incarnation)
@@ -275,7 +280,10 @@
     /// Takes all leases of the incarnation, and of earlier ones, and forgets
     /// the entry unless it started again since.
     fn part(&mut self, index: u64, part: &log::Part) -> Result<Outcome, Refusal> {
-        let mut found = false;
+        let name = Name::new(&part.entry).map_err(|_malformed| Refusal::Malformed)?;
+        let start = (name, part.incarnation);
+        let mut found = part.over && self.departed.remove(&start).is_some();
+        let mut unaware = false;
         for group in self.groups.values_mut() {
             let held = group.leases.len();
             group
@@ -284,9 +292,12 @@
             if group.leases.len() < held {
                 group.generation += 1;
                 group.vanished = index;
-                found = true;
+                (found, unaware) = (true, !part.over);
             }
         }
+        if unaware {
+            self.departed.insert(start, index);
+        }
         let known = self.entries.get(part.entry.as_str());
         if known.is_some_and(|entry| entry.incarnation <= part.incarnation) {
             self.entries.remove(part.entry.as_str());
--- a/components/control/src/flaw.rs
+++ b/components/control/src/flaw.rs
@@ -8,6 +8,8 @@
     None,
     /// Grants a returning share before its holder gave it up.
     GrantEarly,
+    /// Forgets, as a new leader, who was given up and may not know it.
+    ForgetDeparted,
     /// Chooses a primary by position alone.
     IgnoreLogTerm,
     /// Chooses a primary once a single server is fenced.
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -47,6 +47,18 @@
     edition: u64,
     #[prost(bytes = "bytes", tag = "10")]
     document: bytes::Bytes,
+    #[prost(message, repeated, tag = "11")]
+    departed: Vec<DepartedImage>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct DepartedImage {
+    #[prost(string, tag = "1")]
+    entry: String,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    index: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -120,6 +132,7 @@
             changes: self.changes.iter().map(write_change).collect(),
             edition: self.edition,
             document: self.document.clone(),
+            departed: self.departed.iter().map(write_departed).collect(),
         };
         image.encode_to_vec()
     }
@@ -157,6 +170,7 @@
             groups: groups?,
             servers: servers?,
             entries,
+            departed: image.departed.iter().map(read_departed).collect::<Result<_, _>>()?,
             drained,
             changes,
         })
@@ -171,6 +185,14 @@
     serde_json::from_str(text).change_context(Malformed)
 }
 
+fn write_departed(((entry, incarnation), index): (&(Name, u64), &u64)) -> DepartedImage {
+    DepartedImage { entry: entry.to_string(), incarnation: *incarnation, index: *index }
+}
+
+fn read_departed(image: &DepartedImage) -> Result<((Name, u64), u64), Report<Malformed>> {
+    Ok(((name(&image.entry)?, image.incarnation), image.index))
+}
+
 fn write_group((name, group): (&Name, &Group)) -> GroupImage {
     let chosen = match &group.phase {
         Phase::Chosen { server, start } => Some(log::Choose {
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -120,8 +120,6 @@
         /// What it told.
         seal: Seal,
     },
-    /// A lease ended without a word of its holder.
-    Parted,
     /// The end of a probe; each [`Effect::Probe`] has one.
     Probed {
         /// The group.
@@ -201,7 +199,7 @@
             began: now,
             ticked: now,
             looked: None,
-            lives: Lives::new(now),
+            lives: Lives::new(now, flaw),
             renewals: Renewals::new(),
             planner: Planner::new(flaw),
             failovers: BTreeMap::new(),
@@ -244,7 +242,6 @@
                 self.successions.values_mut().for_each(Succession::moved);
                 self.tick(now, state, out);
             }
-            Event::Parted => self.past.parted = Some(now),
             Event::Sealed { entry, incarnation, seal } => {
                 let Ok(group) = Name::new(&seal.group) else {
                     return;
@@ -328,7 +325,8 @@
         };
         let past = self.past;
         let succession = self.successions.entry(name.clone()).or_default();
-        let context = succession::Context { now, state, name, group, past };
+        let lingers = !self.lives.are_over(now);
+        let context = succession::Context { now, state, name, group, lingers, past };
         let open = succession.is_open();
         succession.step(&context, out);
         let trace = succession.trace().filter(|trace| open && trace.established.is_some());
--- a/components/control/src/lives.rs
+++ b/components/control/src/lives.rs
@@ -2,8 +2,9 @@
 //!
 //! A lease of an entry may be in force until [`LEASE`] after the beat that
 //! renewed it was sent, so an incarnation is given up only once [`LEASE`] and
-//! [`MARGIN`] passed since it was heard of. Of what came before it began, a
-//! leader knows nothing, and counts from its own beginning.
+//! [`MARGIN`] passed since it was heard of. Of beats that came before it began, a
+//! leader knows nothing, and counts from its own beginning. Which incarnations
+//! were given up and may not know it yet, the state tells.
 //!
 //! A beat may still be confirmed while the command that gives its entry up is
 //! on its way: what that entry held is not free before this beat's lease is
@@ -14,6 +15,7 @@
 use base::prelude::*;
 use wire::log::{Part, command};
 
+use crate::flaw::Flaw;
 use crate::leader::{Effect, PROPOSAL_TIMEOUT};
 use crate::lease::{LEASE, MARGIN};
 use crate::state::{Group, State};
@@ -41,12 +43,14 @@
     /// The starts that the state knows, and the index that it stood at.
     known: BTreeSet<Start>,
     looked: Option<u64>,
+    flaw: Flaw,
 }
 
 impl Lives {
     /// Knows of no entry yet.
-    pub fn new(now: Instant) -> Self {
-        Self { began: now, starts: BTreeMap::new(), known: BTreeSet::new(), looked: None }
+    pub fn new(now: Instant, flaw: Flaw) -> Self {
+        let (starts, known) = (BTreeMap::new(), BTreeSet::new());
+        Self { began: now, starts, known, looked: None, flaw }
     }
 
     fn life(&mut self, now: Instant, entry: Name, incarnation: u64) -> &mut Life {
@@ -81,9 +85,9 @@
     }
 
     /// Whether no lease of an entry that was given up, by this leader or an
-    /// earlier one, still runs.
+    /// earlier one, still runs. Due after [`Lives::tick`] at the state's index.
     pub fn are_over(&self, now: Instant) -> bool {
-        now.since(self.began) > LEASE + MARGIN && !self.lingers(now)
+        self.looked.is_some() && !self.lingers(now)
     }
 
     /// Whether no entry can believe that it still holds what is free of a
@@ -94,10 +98,7 @@
     }
 
     fn lingers(&self, now: Instant) -> bool {
-        self.starts.values().any(|life| {
-            let unaware = life.parted.is_some_and(|parted| life.applied < parted);
-            unaware && !life.left && now.since(life.heard) <= LEASE + MARGIN
-        })
+        self.starts.values().any(|life| life.is_unaware() && !life.is_late(now))
     }
 
     fn know(&self, group: &Group) -> bool {
@@ -112,6 +113,7 @@
         if self.looked != Some(state.index) {
             self.looked = Some(state.index);
             self.known = starts(state);
+            self.recall(state);
         }
         // taken out for the loop, since a life is found by all of the lives
         let known = std::mem::take(&mut self.known);
@@ -127,18 +129,65 @@
             let waits = life.asked.is_some_and(|asked| now.since(asked) < PROPOSAL_TIMEOUT);
             if (silent || life.left) && !waits {
                 life.asked = Some(now);
-                let part = Part { entry: entry.to_string(), incarnation: *incarnation };
+                let over = life.left;
+                let part = Part { entry: entry.to_string(), incarnation: *incarnation, over };
                 out.push(Effect::propose(command::Body::Part(part)));
             }
         }
+        self.forget(now, state, out);
         let gone = self.starts.iter_mut().filter(|(start, _)| !known.contains(start));
-        for (_, life) in gone.filter(|(_, life)| life.known) {
+        for ((entry, incarnation), life) in gone.filter(|(_, life)| life.known) {
+            life.left |= state.ended(entry.as_str(), *incarnation);
             life.parted.get_or_insert(state.index);
         }
-        self.starts
-            .retain(|start, life| known.contains(start) || now.since(life.heard) <= LEASE + MARGIN);
+        self.starts.retain(|start, life| {
+            let departed = state.departed.contains_key(start);
+            known.contains(start) || departed || !life.is_late(now)
+        });
         self.known = known;
     }
+
+    /// Takes over the starts that an earlier leader gave up; when it heard of
+    /// them last, this one can't know.
+    fn recall(&mut self, state: &State) {
+        if self.flaw == Flaw::ForgetDeparted {
+            return;
+        }
+        let began = self.began;
+        let departed = state.departed.iter().filter(|(start, _)| !self.known.contains(*start));
+        let departed: Vec<_> = departed.map(|(start, index)| (start.clone(), *index)).collect();
+        for ((entry, incarnation), index) in &departed {
+            let life = self.life(began, entry.clone(), *incarnation);
+            life.known = true;
+            life.parted.get_or_insert(*index);
+        }
+    }
+
+    /// Lets the state forget the starts whose leases are over for certain.
+    fn forget(&mut self, now: Instant, state: &State, out: &mut Vec<Effect>) {
+        for (entry, incarnation) in state.departed.keys() {
+            let life = self.life(now, entry.clone(), *incarnation);
+            let waits = life.asked.is_some_and(|asked| now.since(asked) < PROPOSAL_TIMEOUT);
+            if waits || (life.is_unaware() && !life.is_late(now)) {
+                continue;
+            }
+            life.asked = Some(now);
+            let (entry, incarnation) = (entry.to_string(), *incarnation);
+            out.push(Effect::propose(command::Body::Part(Part { entry, incarnation, over: true })));
+        }
+    }
+}
+
+impl Life {
+    /// Whether it was given up and may not know it.
+    fn is_unaware(&self) -> bool {
+        !self.left && self.parted.is_some_and(|parted| self.applied < parted)
+    }
+
+    /// Whether each lease that it may have had is over.
+    fn is_late(&self, now: Instant) -> bool {
+        now.since(self.heard) > LEASE + MARGIN
+    }
 }
 
 /// Each start of an entry that the state knows, by itself or by its leases.
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -35,6 +35,9 @@
     pub servers: BTreeMap<Name, Server>,
     /// Entries that live, by name.
     pub entries: BTreeMap<Name, Entry>,
+    /// Starts of entries that were given up while they held leases, each with
+    /// the index of that: they may not know it yet.
+    pub departed: BTreeMap<(Name, u64), u64>,
     /// Entries that an operator drains, whether they live or not.
     pub drained: BTreeSet<Name>,
     /// Answers to the newest changes of the declarations.
--- a/components/control/src/succession.rs
+++ b/components/control/src/succession.rs
@@ -22,7 +22,7 @@
 
 use crate::evidence::{Cause, Sights, Watches};
 use crate::leader::{Ask, Effect, PROPOSAL_TIMEOUT, Unreached};
-use crate::lease::{LEASE, MARGIN};
+use crate::lease::LEASE;
 use crate::state::{Group, Phase, State};
 use crate::trace::Trace;
 
@@ -62,8 +62,6 @@
 pub struct Past {
     /// Term of the quorum in which it leads; the token of its designations.
     pub token: u64,
-    /// When a lease was last seen to end without a word of its holder.
-    pub parted: Option<Instant>,
     /// When a server was last seen to be chosen.
     pub chosen: Option<Instant>,
 }
@@ -79,6 +77,8 @@
     pub name: &'a Name,
     /// The group.
     pub group: &'a Group,
+    /// Whether a lease of an entry that was given up may still run.
+    pub lingers: bool,
     /// What the leader knows of the time before it led.
     pub past: Past,
 }
@@ -351,9 +351,7 @@
                 seal.is_some_and(|seal| seal.term >= group.term.0)
             })
         };
-        let parted = context.past.parted;
-        let lingers = parted.is_some_and(|at| context.now.since(at) <= LEASE + MARGIN);
-        group.leases.iter().all(is_sealed) && (group.generation == 0 || !lingers)
+        group.leases.iter().all(is_sealed) && (group.generation == 0 || !context.lingers)
     }
 
     /// The server that is to lead next, if it is sure to hold all that was
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -2,8 +2,8 @@
 
 use base::prelude::*;
 use control::lease::{LEASE, MARGIN};
-use control::{Ask, Effect, Event, Leader, Outcome, Refusal, State};
-use wire::log::{Announce, Assign, Command, Configure, Establish, Join, command};
+use control::{Ask, Effect, Event, Flaw, Leader, Outcome, Refusal, State};
+use wire::log::{Announce, Assign, Command, Configure, Establish, Join, Part, command};
 
 const TICK: Duration = control::leader::TICK;
 
@@ -207,6 +207,64 @@
     assert_eq!(world.state.groups["g"].lease("e1").unwrap().incarnation, 2);
 }
 
+/// Whether a new leader grants the shares of a start that was given up while
+/// that start may still use them.
+fn grants_early(flaw: Flaw) -> bool {
+    let mut world = World::new(2, false);
+    world.tell(Event::Joined(join("e1", 1, "a")));
+    world.pass(Duration::from_secs(1), &[("e1", 1)]);
+    let part = Part { entry: "e1".to_owned(), incarnation: 1, over: false };
+    world.commit(command::Body::Part(part));
+    world.leader = Leader::flawed(world.now, flaw);
+    world.tell(Event::Joined(join("e2", 1, "a")));
+    world.pass(LEASE, &[("e2", 1)]);
+    let early = world.state.groups["g"].lease("e2").is_some();
+    world.pass(Duration::from_secs(2), &[("e2", 1)]);
+    assert!(world.state.groups["g"].lease("e2").is_some(), "it is granted in the end");
+    assert!(world.state.departed.is_empty(), "and nobody is remembered for ever");
+    early
+}
+
+#[test]
+fn a_new_leader_waits_for_a_start_that_was_given_up_and_may_not_know_it() {
+    assert!(!grants_early(Flaw::None));
+}
+
+#[test]
+fn finds_a_new_leader_that_forgets_who_was_given_up() {
+    assert!(grants_early(Flaw::ForgetDeparted));
+}
+
+#[test]
+fn a_new_leader_grants_at_once_what_nobody_holds() {
+    let mut world = World::new(2, false);
+    world.tell(Event::Joined(join("e1", 1, "a")));
+    world.pass(Duration::from_secs(1), &[("e1", 1)]);
+    let part = Part { entry: "e1".to_owned(), incarnation: 1, over: true };
+    world.commit(command::Body::Part(part));
+    world.leader = Leader::new(world.now);
+    world.tell(Event::Joined(join("e2", 1, "a")));
+    world.pass(Duration::from_secs(1), &[("e2", 1)]);
+    assert!(world.state.groups["g"].lease("e2").is_some());
+}
+
+#[test]
+fn takes_the_lease_of_an_earlier_start_that_is_known_to_have_ended() {
+    let mut world = World::new(2, false);
+    let sole = |incarnation| Join { sole: true, ..join("e1", incarnation, "a") };
+    world.tell(Event::Joined(sole(1)));
+    world.pass(Duration::from_secs(1), &[("e1", 1)]);
+    // an entry without a lease, that starts again at the same time
+    let other = |incarnation| Join { sole: true, ..join("e2", incarnation, "a") };
+    world.commit(command::Body::Join(other(1)));
+    world.leader = Leader::new(world.now);
+    world.tell(Event::Tick);
+    world.tell(Event::Joined(other(2)));
+    world.tell(Event::Joined(sole(2)));
+    world.pass(Duration::from_millis(500), &[("e1", 2), ("e2", 2)]);
+    assert_eq!(world.state.groups["g"].lease("e1").unwrap().incarnation, 2);
+}
+
 #[test]
 fn takes_the_leases_of_an_entry_that_left_at_once() {
     let mut world = World::new(2, false);
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -2,15 +2,16 @@
 
 use base::prelude::*;
 use control::image::Malformed;
-use control::{Past, State};
+use control::{Outcome, Past, State};
 use quorum::{Event, Snapshot};
 use slog::{crit, info};
 use wire::Message as _;
 use wire::log::command::Body;
-use wire::log::{Command, Lease, Part};
+use wire::log::Command;
 use wire::quorum::{Entry, entry};
 
 use crate::core::Core;
+use crate::event::{self, Summary};
 use crate::input::Verdict;
 use crate::status::Steps;
 
@@ -36,7 +37,9 @@
         let verdict = if let Some(command) = &command {
             self.record(command);
             self.remember(command);
-            Verdict::Applied { index, outcome: self.state.apply(index, command) }
+            let outcome = self.state.apply(index, command);
+            self.tell(index, command, &outcome);
+            Verdict::Applied { index, outcome }
         } else {
             self.state.skip(index);
             Verdict::Changed { index }
@@ -63,7 +66,7 @@
                 self.state = state;
                 // what it passed over may have just happened
                 let now = Some(self.now());
-                self.past = Past { parted: now, chosen: now, ..self.past };
+                self.past = Past { chosen: now, ..self.past };
                 info!(self.log, "took a snapshot"; "index" => snapshot.index);
             }
             Err(report) => {
@@ -87,25 +90,22 @@
         self.due.push_back(Event::Compact { index, data });
     }
 
-    /// Notes when things happened that a later leader must know the time of.
-    fn remember(&mut self, command: &Command) {
-        let now = self.now();
-        match &command.body {
-            Some(Body::Choose(_)) if self.leader.is_none() => self.past.chosen = Some(now),
-            Some(Body::Part(part)) if self.cuts_lease(part) => {
-                self.past.parted = Some(now);
-                self.lead(control::Event::Parted);
-            }
-            _ => {}
+    /// Logs a command at the member that decides; what it applies again after
+    /// its start was logged before.
+    fn tell(&self, index: u64, command: &Command, outcome: &Outcome) {
+        if self.leader.is_some() {
+            let summary = Summary(command);
+            info!(self.log, "applied"; "index" => index, "term" => self.part.term,
+                "command" => summary.kind(), "subject" => %summary,
+                "outcome" => event::outcome(outcome));
         }
     }
 
-    /// Whether a lease ends with a part, of a holder that may not know it.
-    fn cuts_lease(&self, part: &Part) -> bool {
-        let cut =
-            |lease: &Lease| lease.entry == part.entry && lease.incarnation <= part.incarnation;
-        let ended = self.state.ended(&part.entry, part.incarnation);
-        !ended && self.state.groups.values().any(|group| group.leases.iter().any(cut))
+    /// Notes when things happened that a later leader must know the time of.
+    fn remember(&mut self, command: &Command) {
+        if matches!(command.body, Some(Body::Choose(_))) && self.leader.is_none() {
+            self.past.chosen = Some(self.now());
+        }
     }
 
     fn record(&mut self, command: &Command) {
--- a/components/member/src/follow.rs
+++ b/components/member/src/follow.rs
@@ -217,7 +217,7 @@
     pub(crate) fn left(&mut self, key: Key<Follower>) {
         let Some(follower) = self.followers.get(key) else { return };
         let (entry, incarnation) = (follower.join.entry.clone(), follower.join.incarnation);
-        self.forward.leaves.push(Part { entry, incarnation });
+        self.forward.leaves.push(Part { entry, incarnation, over: true });
     }
 
     /// Sends entries elsewhere when this member has lost its leader.
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -275,7 +275,7 @@
             due: std::collections::VecDeque::new(),
             late: Vec::new(),
             unled: Some(now),
-            past: control::Past { token: 0, parted: Some(now), chosen: Some(now) },
+            past: control::Past { token: 0, chosen: Some(now) },
             roster: Roster::new(automatic),
             asks,
         };
--- a/components/member/src/lead.rs
+++ b/components/member/src/lead.rs
@@ -98,7 +98,7 @@
         for announce in forward.announces {
             self.lead(Event::Announced(announce));
         }
-        for Part { entry, incarnation } in forward.leaves {
+        for Part { entry, incarnation, .. } in forward.leaves {
             if let Ok(entry) = Name::new(&entry) {
                 self.lead(Event::Left { entry, incarnation });
             }
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -20,6 +20,7 @@
 mod disk;
 mod effects;
 mod entry;
+mod event;
 mod follow;
 pub mod host;
 mod input;
--- a/components/wire/src/log.rs
+++ b/components/wire/src/log.rs
@@ -184,6 +184,10 @@
     /// Incarnation that is gone; a later one stays.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// Whether its lease is over for certain: it left, its process has ended, or
+    /// enough time has passed.
+    #[prost(bool, tag = "3")]
+    pub over: bool,
 }
 
 /// An entry's share of one server.
