Dial again after 250 ms, at starts of hosts

Cause: a first packet to a host that is starting is lost, and the kernel sends the next one after a second; the first election after a loss of power took 0.9 s for that. Entries waited up to a second between dials.

--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -254,9 +254,7 @@
         let (name, mut entry) = Entry::read(join).ok_or(Refusal::Malformed)?;
         entry.draining = self.drained.contains(&name);
         if entry.sole {
-            self.departed.retain(|(known, start), _| {
-                *known != name || *start >= entry.incarnation
-            });
+            self.departed.retain(|(known, start), _| *known != name || *start >= entry.incarnation);
         }
         match self.entries.entry(name) {
             Slot::Occupied(known) if known.get().incarnation > entry.incarnation => {
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -27,7 +27,7 @@
 use crate::state::{Entry, Group, Server, State};
 
 /// Time for which a group without leases waits for more entries to join.
-pub const SETTLE: Duration = Duration::from_millis(300);
+pub const SETTLE: Duration = Duration::from_millis(120);
 
 /// Time between two looks at all groups when nothing was applied.
 const PACE: Duration = Duration::from_millis(100);
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -27,13 +27,13 @@
 use progress::{Fault, Progress, SILENCE};
 
 /// Longest wait before the first dial after a link broke.
-const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 
 /// Longest wait before a dial.
-const LAST_BACKOFF: Duration = Duration::from_secs(1);
+const LAST_BACKOFF: Duration = Duration::from_millis(500);
 
 /// Longest time for a dial; a lease must survive some that fail.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time between two looks at whether the link serves.
 const CHECK: Duration = Duration::from_millis(100);
--- a/components/entry/src/front/errand.rs
+++ b/components/entry/src/front/errand.rs
@@ -24,6 +24,12 @@
 /// Longest random addition to that wait.
 const PAUSE_SPREAD: Duration = Duration::from_millis(30);
 
+/// Time after a lease ran out in which it is expected again soon.
+const LEASE_GAP: Duration = Duration::from_millis(300);
+
+/// Time between two looks at the lease.
+const LEASE_STEP: Duration = Duration::from_millis(50);
+
 /// Time beyond its deadline after which a request is given up.
 const GRACE: Duration = Duration::from_secs(1);
 
@@ -70,7 +76,12 @@
         let mut last = verdict::not_run(Reason::Unavailable);
         let mut changes = self.front.view.changes();
         loop {
-            if !self.front.view.leased(self.front.clock.now()) {
+            let now = self.front.clock.now();
+            if !self.front.view.leased(now) {
+                if now < until && expects_lease(self.front, now) {
+                    self.front.view.extended(LEASE_STEP).await;
+                    continue;
+                }
                 let lease = verdict::not_run(Reason::Lease);
                 return Ok((Attempt::last(verdict::worse(last, lease)), None));
             }
@@ -159,6 +170,12 @@
     }
 }
 
+/// Whether an entry without a lease is likely to have one soon, so that a
+/// request had better wait than be refused.
+pub(super) fn expects_lease(front: &Front, now: Instant) -> bool {
+    now.since(front.view.lease_until()) < LEASE_GAP
+}
+
 /// A duration as messages carry it.
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -21,7 +21,7 @@
 use wire::plain::{Begin, Execute, Reply, Task, Value};
 
 use super::conn::Gone;
-use super::errand::{Errand, Sink, millis};
+use super::errand::{Errand, Sink, expects_lease, millis};
 use super::link::Link;
 use super::verdict::Attempt;
 use super::{Front, Phase};
@@ -32,6 +32,9 @@
 /// Longest wait for the first message of a caller.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest wait of a caller for the answer to its first message.
+const READY_TIME: Duration = Duration::from_millis(500);
+
 /// Longest time in which what still comes is read after the end.
 const LINGER: Duration = Duration::from_millis(200);
 
@@ -75,6 +78,7 @@
 /// Takes the first message; the database, if there is one of that name.
 async fn start(front: &Front, conn: &mut Conn) -> Result<Option<Name>, Report<Gone>> {
     let ask = conn.next().await?;
+    wait_for_lease(front).await;
     let known = match &ask {
         Some(Ask::Start { database }) => {
             let known = |state: &control::State| {
@@ -100,6 +104,18 @@
     Ok(None)
 }
 
+/// Waits for a lease that ran out a moment ago.
+async fn wait_for_lease(front: &Front) {
+    let until = front.clock.now() + READY_TIME;
+    loop {
+        let now = front.clock.now();
+        if front.view.leased(now) || now >= until || !expects_lease(front, now) {
+            return;
+        }
+        front.view.extended(until.since(now)).await;
+    }
+}
+
 /// A caller's connection.
 struct Conn {
     dialect: Arc<dyn Dialect>,
--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -25,6 +25,8 @@
 struct Shared {
     state: RwLock<State>,
     lease_until: AtomicU64,
+    /// Tells that a lease was extended.
+    leased: Notify,
     returned: Mutex<Vec<Name>>,
     given_up: Notify,
     /// The newest seal of each group.
@@ -42,6 +44,7 @@
         let shared = Shared {
             state: RwLock::default(),
             lease_until: AtomicU64::new(0),
+            leased: Notify::new(),
             returned: Mutex::default(),
             given_up: Notify::new(),
             seals: Mutex::default(),
@@ -84,6 +87,12 @@
     /// Extends the lease; an earlier end changes nothing.
     pub fn extend(&self, until: Instant) {
         self.shared.lease_until.fetch_max(until.as_micros(), Ordering::AcqRel);
+        self.shared.leased.notify_waiters();
+    }
+
+    /// Waits until the lease is extended, for `limit` at most.
+    pub async fn extended(&self, limit: Duration) {
+        drop(tokio::time::timeout(limit, self.shared.leased.notified()).await);
     }
 
     /// Reports what a keeper sees of a primary.
--- a/components/link/src/peer.rs
+++ b/components/link/src/peer.rs
@@ -21,6 +21,10 @@
 /// Longest time for connecting and the proofs together.
 pub const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest time for connecting alone. A host that is starting leaves the first
+/// packet without an answer, and the kernel sends the next one after a second.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Length of the number that each end draws.
 pub const NONCE_BYTES: usize = 16;
 
@@ -131,7 +135,7 @@
     own: &Peer,
     key: &Key,
 ) -> Result<(Peer, Reader, Writer), Report<Failure>> {
-    let connected = tokio::time::timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(address)).await;
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream =
         connected.change_context(Failure::Timeout)?.change_context(Failure::Connect { address })?;
     shake(stream, own, key, DIALER, ACCEPTOR).await
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -6,8 +6,8 @@
 use quorum::{Event, Snapshot};
 use slog::{crit, info};
 use wire::Message as _;
-use wire::log::command::Body;
 use wire::log::Command;
+use wire::log::command::Body;
 use wire::quorum::{Entry, entry};
 
 use crate::core::Core;
--- a/components/member/src/event.rs
+++ b/components/member/src/event.rs
@@ -36,7 +36,11 @@
             Some(Body::Announce(server)) => {
                 let state = if server.leaving { " leaving" } else { "" };
                 let role = if server.primary { " primary" } else { "" };
-                write!(f, "{} of {} at {}{role}{state}", server.server, server.group, server.address)
+                write!(
+                    f,
+                    "{} of {} at {}{role}{state}",
+                    server.server, server.group, server.address
+                )
             }
             Some(Body::Expire(server)) => {
                 let left = if server.left { " left" } else { "" };
