--- a/components/control/src/succession.rs
+++ b/components/control/src/succession.rs
@@ -240,7 +240,8 @@
         if refusals >= REFUSALS || (refusals > 0 && trouble) {
             return Some(Cause::Refused);
         }
-        if watch.is_silent(now) && (trouble || server.expired) {
+        // while its keepers are well served, only the leader is cut off from it
+        if watch.is_silent(now) && (trouble || group.leases.is_empty()) {
             return Some(Cause::Silent);
         }
         let fresh = watch.fresh(now);
--- /dev/null
+++ b/components/control/tests/succession.rs
@@ -0,0 +1,408 @@
+//! The change of primary in a group whose servers acknowledge by themselves.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use control::lease::LEASE;
+use control::leader::TICK;
+use control::{Ask, Effect, Event, Leader, Past, Phase, State, Unreached};
+use wire::control::{Seal, Sight, Symptom};
+use wire::log::{Announce, Command, Join, Part, Replace, command};
+
+const TOKEN: u64 = 7;
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+/// A server as the test plays it; `None` of a report means that it is gone.
+#[derive(Clone, Copy, Debug)]
+struct Server {
+    role: Role,
+    mark: Mark,
+    state: Health,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Health {
+    Up,
+    Refusing,
+    Silent,
+}
+
+struct World {
+    now: Instant,
+    state: State,
+    leader: Leader,
+    servers: BTreeMap<Name, Server>,
+    /// Answers on their way: when, and what.
+    probes: Vec<(Instant, Name, Ask)>,
+    designated: Vec<(Name, u64)>,
+    /// Whether designated servers follow the order.
+    obeys: bool,
+    beats: Vec<(&'static str, u64)>,
+    version: u64,
+}
+
+impl World {
+    /// A group with a primary and two replicas, kept by two entries.
+    fn new() -> Self {
+        let leader = Leader::heir(Instant::ZERO, Past { token: TOKEN, chosen: None });
+        let mut world = Self {
+            now: Instant::ZERO,
+            state: State::default(),
+            leader,
+            servers: BTreeMap::new(),
+            probes: Vec::new(),
+            designated: Vec::new(),
+            obeys: true,
+            beats: vec![("e1", 1), ("e2", 1)],
+            version: 0,
+        };
+        let content = r#"{"groups":{"g":{"servers":15,"acknowledges":true}}}"#.to_owned();
+        let document = bytes::Bytes::new();
+        world.commit(command::Body::Replace(Replace { edition: 1, content, document }));
+        for (index, server) in ["s0", "s1", "s2"].into_iter().enumerate() {
+            let role = if index == 0 { Role::Primary } else { Role::Replica };
+            let mark = Mark::new(1, 100);
+            world.servers.insert(name(server), Server { role, mark, state: Health::Up });
+            world.announce(server, false);
+        }
+        for entry in ["e1", "e2"] {
+            world.commit(command::Body::Join(Join {
+                entry: entry.to_owned(),
+                incarnation: 1,
+                address: "127.0.0.1:1".to_owned(),
+                zone: "z".to_owned(),
+                ..Join::default()
+            }));
+        }
+        world.pass(4_000);
+        assert_eq!(world.primary(), Some("s0"));
+        assert_eq!(world.state.groups["g"].leases.len(), 2);
+        world
+    }
+
+    fn commit(&mut self, body: command::Body) {
+        let index = self.state.index + 1;
+        self.state.apply(index, &Command { body: Some(body) });
+    }
+
+    fn announce(&mut self, server: &str, leaving: bool) {
+        let port = 7_000 + server.trim_start_matches('s').parse::<u16>().unwrap();
+        self.commit(command::Body::Announce(Announce {
+            server: server.to_owned(),
+            incarnation: 1,
+            group: "g".to_owned(),
+            address: format!("127.0.0.1:{port}"),
+            zone: "z".to_owned(),
+            connections: 16,
+            slots: 2,
+            leaving,
+            ..Announce::default()
+        }));
+    }
+
+    fn tell(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.leader.on(self.now, &self.state, event, &mut out);
+        for effect in out {
+            match effect {
+                Effect::Propose(command) => {
+                    self.commit(command.body.unwrap());
+                    let index = self.state.index;
+                    self.tell(Event::Applied { index });
+                }
+                Effect::Probe { server, ask, .. } => {
+                    if let Ask::Designate { token } = ask {
+                        self.designated.push((server.clone(), token));
+                    }
+                    self.probes.push((self.now + TICK, server, ask));
+                }
+            }
+        }
+    }
+
+    /// Answers the probes that are due.
+    fn answer(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.probes).into_iter().partition(|(at, ..)| *at <= now);
+        self.probes = later;
+        for (_, server, ask) in due {
+            let known = self.servers[&server];
+            let lasting = now + Duration::from_millis(700);
+            match known.state {
+                Health::Silent => self.probes.push((lasting, server, ask)),
+                Health::Refusing => self.told(server, ask, Err(Unreached::Refused)),
+                Health::Up => {
+                    if matches!(ask, Ask::Designate { .. }) && self.obeys {
+                        self.lead(&server);
+                    }
+                    let status = self.report(&server);
+                    self.told(server, ask, Ok(status));
+                }
+            }
+        }
+    }
+
+    fn lead(&mut self, server: &Name) {
+        let term = self.servers.values().map(|s| s.mark.term.0).max().unwrap() + 1;
+        let server = self.servers.get_mut(server).unwrap();
+        server.role = Role::Primary;
+        server.mark = Mark::new(term, server.mark.position.0 + 1);
+    }
+
+    fn report(&mut self, server: &Name) -> Status {
+        self.version += 1;
+        let known = self.servers[server];
+        Status {
+            server: server.clone(),
+            incarnation: 0,
+            term: known.mark.term,
+            log_term: known.mark.term,
+            received: known.mark.position,
+            applied: known.mark.position,
+            role: known.role,
+            silence: Duration::ZERO,
+            history: History::default(),
+            version: self.version,
+        }
+    }
+
+    fn told(&mut self, server: Name, ask: Ask, result: Result<Status, Unreached>) {
+        self.tell(Event::Probed { group: name("g"), server, ask, result });
+    }
+
+    fn pass(&mut self, millis: u64) {
+        let until = self.now + Duration::from_millis(millis);
+        while self.now < until {
+            self.now += TICK;
+            for (entry, incarnation) in self.beats.clone() {
+                let (entry, applied) = (name(entry), self.state.index);
+                self.tell(Event::Beat { entry, incarnation, applied, returned: Vec::new() });
+            }
+            self.answer();
+            self.tell(Event::Tick);
+        }
+    }
+
+    fn set(&mut self, server: &str, state: Health) {
+        self.servers.get_mut(server).unwrap().state = state;
+    }
+
+    fn stand(&mut self, server: &str, position: u64) {
+        self.servers.get_mut(server).unwrap().mark = Mark::new(1, position);
+    }
+
+    fn symptom(&mut self, entry: &str, sight: Sight) {
+        let symptom = Symptom {
+            group: "g".to_owned(),
+            server: self.primary().unwrap().to_owned(),
+            term: self.state.groups["g"].term.0,
+            sight: sight as i32,
+        };
+        self.tell(Event::Symptom { entry: name(entry), symptom });
+    }
+
+    /// A keeper seals, and has acknowledged up to a position.
+    fn seal(&mut self, entry: &str, position: u64) {
+        let term = self.state.groups["g"].term.0;
+        let mark = Some(Mark::new(1, position).into());
+        let seal = Seal { group: "g".to_owned(), term, mark, index: self.state.index };
+        self.tell(Event::Sealed { entry: name(entry), incarnation: 1, seal });
+    }
+
+    fn primary(&self) -> Option<&str> {
+        let group = &self.state.groups["g"];
+        group.primary.as_ref().filter(|_| group.phase == Phase::Settled).map(Name::as_str)
+    }
+
+    fn phase(&self) -> Phase {
+        self.state.groups["g"].phase.clone()
+    }
+
+    /// The primary's process is gone, and both keepers have noticed.
+    fn crash(&mut self) {
+        self.set("s0", Health::Refusing);
+        self.symptom("e1", Sight::Refused);
+        self.symptom("e2", Sight::Refused);
+        self.pass(300);
+        assert_eq!(self.phase(), Phase::Intended);
+    }
+}
+
+#[test]
+fn replaces_a_crashed_primary_once_all_keepers_have_sealed() {
+    let mut world = World::new();
+    world.crash();
+    world.seal("e1", 100);
+    world.pass(500);
+    assert_eq!(world.phase(), Phase::Intended, "the other keeper may still pass on answers");
+    world.seal("e2", 100);
+    world.pass(500);
+    assert!(matches!(world.primary(), Some("s1" | "s2")));
+}
+
+#[test]
+fn chooses_the_server_that_holds_the_most() {
+    let mut world = World::new();
+    world.stand("s1", 99);
+    world.stand("s2", 100);
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 98);
+    world.pass(500);
+    assert_eq!(world.primary(), Some("s2"));
+}
+
+#[test]
+fn waits_rather_than_lose_what_was_acknowledged() {
+    let mut world = World::new();
+    world.stand("s1", 90);
+    world.set("s2", Health::Silent);
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 95);
+    world.pass(3_000);
+    assert_eq!(world.phase(), Phase::Intended);
+    world.set("s2", Health::Up);
+    world.pass(1_500);
+    assert_eq!(world.primary(), Some("s2"));
+}
+
+#[test]
+fn takes_a_single_server_that_holds_all_that_was_acknowledged() {
+    let mut world = World::new();
+    world.set("s2", Health::Refusing);
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 99);
+    world.pass(1_000);
+    assert_eq!(world.primary(), Some("s1"));
+}
+
+#[test]
+fn does_not_trust_the_seals_after_a_keeper_vanished() {
+    let mut world = World::new();
+    world.set("s2", Health::Refusing);
+    world.crash();
+    world.seal("e1", 100);
+    world.beats = vec![("e1", 1)];
+    // what e2 acknowledged nobody knows; the only replica may lack it
+    world.commit(command::Body::Part(Part {
+        entry: "e2".to_owned(),
+        incarnation: 1,
+        over: true,
+    }));
+    world.pass(3_000);
+    assert_eq!(world.phase(), Phase::Intended);
+    world.set("s2", Health::Up);
+    world.pass(1_500);
+    assert!(world.primary().is_some(), "two servers together hold all of it");
+}
+
+#[test]
+fn goes_on_without_a_keeper_whose_lease_is_over() {
+    let mut world = World::new();
+    world.crash();
+    world.beats = vec![("e1", 1)];
+    world.seal("e1", 100);
+    world.pass(1_500);
+    assert_eq!(world.phase(), Phase::Intended, "its lease may still run");
+    world.pass(2_500);
+    assert!(world.primary().is_some());
+}
+
+#[test]
+fn designates_under_its_own_token_until_the_server_leads() {
+    let mut world = World::new();
+    world.obeys = false;
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    world.pass(1_500);
+    assert!(world.designated.len() >= 2, "an order may be lost");
+    assert!(world.designated.iter().all(|(_, token)| *token == TOKEN));
+    assert_eq!(world.primary(), None);
+    world.obeys = true;
+    world.pass(1_000);
+    assert!(world.primary().is_some());
+}
+
+#[test]
+fn a_new_leader_lets_the_orders_of_the_old_one_run_out() {
+    let mut world = World::new();
+    world.obeys = false;
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    world.pass(500);
+    assert!(matches!(world.phase(), Phase::Chosen { .. }));
+    let past = Past { token: TOKEN + 1, chosen: Some(world.now) };
+    world.leader = Leader::heir(world.now, past);
+    world.designated.clear();
+    world.pass(LEASE.as_millis() as u64 - 200);
+    assert!(world.designated.is_empty());
+    world.pass(1_000);
+    assert_eq!(world.designated.first().map(|(_, token)| *token), Some(TOKEN + 1));
+}
+
+#[test]
+fn replaces_a_primary_that_leaves_by_one_that_stays() {
+    let mut world = World::new();
+    world.announce("s0", true);
+    world.announce("s1", true);
+    world.pass(500);
+    assert_eq!(world.phase(), Phase::Intended);
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    world.pass(500);
+    assert_eq!(world.primary(), Some("s2"));
+}
+
+#[test]
+fn replaces_a_primary_that_all_keepers_miss() {
+    let mut world = World::new();
+    for _ in 0..3 {
+        if world.primary().is_some() {
+            world.symptom("e1", Sight::Silent);
+            world.symptom("e2", Sight::Silent);
+        }
+        world.pass(500);
+    }
+    assert_eq!(world.phase(), Phase::Intended);
+}
+
+#[test]
+fn keeps_a_primary_that_one_keeper_misses() {
+    let mut world = World::new();
+    for _ in 0..6 {
+        world.symptom("e1", Sight::Silent);
+        world.pass(500);
+    }
+    assert_eq!(world.primary(), Some("s0"));
+}
+
+#[test]
+fn keeps_a_primary_that_is_only_slow_to_answer_the_leader() {
+    let mut world = World::new();
+    world.set("s0", Health::Silent);
+    world.pass(3_000);
+    assert_eq!(world.primary(), Some("s0"));
+}
+
+#[test]
+fn takes_the_old_primary_again_when_it_alone_holds_all() {
+    let mut world = World::new();
+    world.stand("s1", 90);
+    world.stand("s2", 90);
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    world.pass(1_000);
+    assert_eq!(world.phase(), Phase::Intended);
+    world.set("s0", Health::Up);
+    world.pass(3_000);
+    assert_eq!(world.primary(), Some("s0"));
+}
