--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -300,6 +300,8 @@
         if known.is_some_and(|entry| entry.incarnation <= part.incarnation) {
             self.entries.remove(part.entry.as_str());
             found = true;
+            // a lease that is on its way to it must not be granted
+            self.groups.values_mut().for_each(|group| group.generation += 1);
         }
         if found { Ok(Outcome::Applied) } else { Err(Refusal::Unknown) }
     }
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -184,6 +184,20 @@
     assert!(world.state.groups["g"].leases.is_empty());
 }
 
+#[test]
+fn an_entry_that_was_given_up_meanwhile_gets_no_lease() {
+    let mut world = World::new(2, false);
+    world.tell(Event::Joined(join("e1", 1, "a")));
+    world.tell(Event::Joined(join("e2", 1, "a")));
+    let group = &world.state.groups["g"];
+    let lease = wire::log::Lease { entry: "e2".to_owned(), incarnation: 1, ..Default::default() };
+    let assign = Assign { group: "g".to_owned(), base: group.generation, leases: vec![lease] };
+    let part = Part { entry: "e2".to_owned(), incarnation: 1, over: false };
+    world.commit(command::Body::Part(part));
+    let outcome = world.commit(command::Body::Assign(assign));
+    assert_eq!(outcome, Outcome::Refused(Refusal::Generation));
+}
+
 #[test]
 fn waits_a_whole_lease_as_a_new_leader() {
     let mut world = World::new(2, false);
--- a/components/control/tests/succession.rs
+++ b/components/control/tests/succession.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
-use control::lease::LEASE;
 use control::leader::TICK;
+use control::lease::LEASE;
 use control::{Ask, Effect, Event, Leader, Past, Phase, State, Unreached};
 use wire::control::{Seal, Sight, Symptom};
 use wire::log::{Announce, Command, Join, Part, Replace, command};
@@ -290,11 +290,7 @@
     world.seal("e1", 100);
     world.beats = vec![("e1", 1)];
     // what e2 acknowledged nobody knows; the only replica may lack it
-    world.commit(command::Body::Part(Part {
-        entry: "e2".to_owned(),
-        incarnation: 1,
-        over: true,
-    }));
+    world.commit(command::Body::Part(Part { entry: "e2".to_owned(), incarnation: 1, over: true }));
     world.pass(3_000);
     assert_eq!(world.phase(), Phase::Intended);
     world.set("s2", Health::Up);
--- a/components/entry/src/front/errand.rs
+++ b/components/entry/src/front/errand.rs
@@ -30,6 +30,9 @@
 /// Time between two looks at the lease.
 const LEASE_STEP: Duration = Duration::from_millis(50);
 
+/// Time between two looks at whether a keeper is silent.
+const SILENCE_STEP: Duration = Duration::from_millis(100);
+
 /// Time beyond its deadline after which a request is given up.
 const GRACE: Duration = Duration::from_secs(1);
 
@@ -116,7 +119,10 @@
         let mut keepers = front.view.read(|state| {
             choose::keepers(state, &self.run.group, &front.name, &front.zone, *self.number)
         });
-        keepers.sort_by_key(|keeper| front.keepers.is_closing(keeper));
+        let now = front.clock.now();
+        keepers.sort_by_key(|keeper| {
+            (front.keepers.is_silent(keeper, now), front.keepers.is_closing(keeper))
+        });
         keepers
     }
 
@@ -131,7 +137,7 @@
         self.sink.start(link, request.number);
         let (mut passed, mut owed) = (false, 0);
         loop {
-            let Some(event) = self.event(&mut request, left + GRACE).await? else {
+            let Some(event) = self.event(link, &mut request, left + GRACE).await? else {
                 return Ok(Attempt::Broken { passed, own: self.sink.own() });
             };
             match event {
@@ -156,9 +162,11 @@
         }
     }
 
-    /// What becomes of a request next, or `None` when it takes too long.
+    /// What becomes of a request next, or `None` when it takes too long, or when
+    /// it may run elsewhere and its keeper is silent.
     async fn event(
         &mut self,
+        link: &Link,
         request: &mut Request,
         limit: Duration,
     ) -> Result<Option<Event>, Report<Gone>> {
@@ -166,7 +174,20 @@
             return Ok(Some(event));
         }
         self.sink.flush().await?;
-        Ok(tokio::time::timeout(limit, request.next()).await.ok())
+        let until = self.front.clock.now() + limit;
+        let movable = self.class == Class::Read && !self.run.within;
+        loop {
+            let now = self.front.clock.now();
+            let step = until.since(now).min(SILENCE_STEP);
+            if let Ok(event) = tokio::time::timeout(step, request.next()).await {
+                return Ok(Some(event));
+            }
+            let now = self.front.clock.now();
+            if now >= until || (movable && link.is_silent(now)) {
+                return Ok(None);
+            }
+            link.ping(now).await;
+        }
     }
 }
 
--- a/components/entry/src/front/keepers.rs
+++ b/components/entry/src/front/keepers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use base::clock::Clock;
@@ -26,6 +27,8 @@
 #[derive(Debug, Default)]
 struct Slot {
     live: Mutex<Option<Arc<Link>>>,
+    /// Whether the last dial failed.
+    failing: AtomicBool,
     dial: tokio::sync::Mutex<Dial>,
 }
 
@@ -83,12 +86,14 @@
         match self.dial(keeper).await {
             Ok(link) => {
                 *dial = Dial::default();
+                slot.failing.store(false, Ordering::Release);
                 slot.set(Some(Arc::clone(&link)));
                 Ok(link)
             }
             Err(report) => {
                 let wait = BACKOFF_LEAST * 2_u32.saturating_pow(dial.failures.min(8));
                 dial.failures = dial.failures.saturating_add(1);
+                slot.failing.store(true, Ordering::Release);
                 dial.not_before = self.clock.now() + wait.min(BACKOFF_MOST);
                 Err(report)
             }
@@ -101,6 +106,17 @@
         slot.and_then(|slot| slot.live()).is_some_and(|link| link.is_closing())
     }
 
+    /// Whether a keeper leaves requests without an answer, or can't be reached.
+    pub fn is_silent(&self, keeper: &Keeper, now: Instant) -> bool {
+        let Some(slot) = self.slots().get(&keeper.address).cloned() else {
+            return false;
+        };
+        match slot.live() {
+            Some(link) => link.is_silent(now),
+            None => slot.failing.load(Ordering::Acquire),
+        }
+    }
+
     async fn dial(&self, keeper: &Keeper) -> Result<Arc<Link>, Report<NotLeft>> {
         let dial = link::dial(keeper.address, &self.own, &self.key);
         let dialled = tokio::time::timeout(DIAL_TIMEOUT, dial).await.change_context(NotLeft);
@@ -113,7 +129,7 @@
             return Err(Report::new(NotLeft));
         }
         info!(self.log, "linked to a keeper"; "keeper" => %keeper.name);
-        Ok(Link::start(keeper.name.clone(), peer.incarnation, (reader, writer)))
+        Ok(Link::start(keeper.name.clone(), peer.incarnation, (reader, writer), self.clock))
     }
 
     /// Breaks the links to entries that live no more.
--- a/components/entry/src/front/link.rs
+++ b/components/entry/src/front/link.rs
@@ -10,12 +10,13 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use base::clock::Clock;
 use base::prelude::*;
 use bytes::Bytes;
 use link::{Reader, Writer};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
-use wire::data::{Answer, Ask, Cancel, Credit, End, Farewell, Part, Run, answer, ask};
+use wire::data::{Answer, Ask, Cancel, Credit, End, Farewell, Part, Ping, Run, answer, ask};
 
 /// Bytes of an answer that a keeper may send before it is given credit.
 pub const WINDOW_BYTES: u64 = 256 << 10;
@@ -23,6 +24,12 @@
 /// Messages that may wait for the link.
 const QUEUE: usize = 1_024;
 
+/// Time without a word of a keeper after which it is asked whether it lives.
+const PING_AFTER: Duration = Duration::from_millis(150);
+
+/// Time without a word after which a keeper is taken for frozen or cut off.
+const SILENCE: Duration = Duration::from_millis(400);
+
 /// Bytes that are written to the link at once.
 const BATCH_BYTES: usize = 256 << 10;
 
@@ -76,8 +83,12 @@
     pub name: Name,
     /// Incarnation of that entry.
     pub incarnation: u64,
+    clock: Clock,
     asks: mpsc::Sender<Ask>,
     routes: Mutex<Routes>,
+    /// When something came last, or the first open request was sent, in
+    /// microseconds of the clock.
+    heard: AtomicU64,
     next: AtomicU64,
     closing: AtomicBool,
     closes: Notify,
@@ -86,13 +97,15 @@
 
 impl Link {
     /// Starts the tasks of a link that was dialled.
-    pub fn start(name: Name, incarnation: u64, ends: (Reader, Writer)) -> Arc<Self> {
+    pub fn start(name: Name, incarnation: u64, ends: (Reader, Writer), clock: Clock) -> Arc<Self> {
         let (asks, queue) = mpsc::channel(QUEUE);
         let link = Arc::new(Self {
             name,
             incarnation,
+            clock,
             asks,
             routes: Mutex::default(),
+            heard: AtomicU64::new(0),
             next: AtomicU64::new(1),
             closing: AtomicBool::new(false),
             closes: Notify::new(),
@@ -114,6 +127,26 @@
         self.closing.load(Ordering::Acquire)
     }
 
+    /// Whether the keeper has left requests, and pings, without an answer.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        !self.routes().open.is_empty() && self.quiet(now) > SILENCE
+    }
+
+    /// Asks whether the keeper lives, if nothing came of it for a while.
+    pub async fn ping(&self, now: Instant) {
+        if self.quiet(now) > PING_AFTER {
+            self.tell(ask::Body::Ping(Ping {})).await;
+        }
+    }
+
+    fn quiet(&self, now: Instant) -> Duration {
+        now.since(Instant::from_micros(self.heard.load(Ordering::Acquire)))
+    }
+
+    fn hear(&self) {
+        self.heard.store(self.clock.now().as_micros(), Ordering::Release);
+    }
+
     /// Breaks the link.
     pub fn end(&self) {
         self.ended.cancel();
@@ -153,6 +186,9 @@
         if routes.broken {
             return Err(Report::new(NotLeft));
         }
+        if routes.open.is_empty() {
+            self.hear();
+        }
         let route = Route { events, sequence: 0, allowed: WINDOW_BYTES, left: false };
         routes.open.insert(number, route);
         Ok(())
@@ -237,7 +273,9 @@
     }
 
     fn dispatch(&self, body: answer::Body) {
+        self.hear();
         match body {
+            answer::Body::Pong(_) => {}
             answer::Body::Part(part) => self.part(part),
             answer::Body::End(end) => {
                 let route = self.routes().open.remove(&end.request);
--- a/components/entry/src/keep/front.rs
+++ b/components/entry/src/keep/front.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
-use wire::data::{Answer, Ask, Closing, End, Outcome, Reason, Run, answer, ask};
+use wire::data::{Answer, Ask, Closing, End, Outcome, Pong, Reason, Run, answer, ask};
 
 use super::shard::Shard;
 use super::{Host, lock};
@@ -217,6 +217,7 @@
                 shard.feed(Event::Leave { front, caller: leave.caller });
             }
         }
+        ask::Body::Ping(_) => link.tell(answer::Body::Pong(Pong {})),
         ask::Body::Farewell(_) => link.farewell.store(true, Ordering::Release),
     }
 }
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -13,7 +13,7 @@
 use pg::answer::Status;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use wire::data::{Answer, Ask, Closing, End, Outcome, Part, Reason, Run, answer, ask};
+use wire::data::{Answer, Ask, Closing, End, Outcome, Part, Pong, Reason, Run, answer, ask};
 use wire::log::Lease;
 
 use crate::server::Server;
@@ -33,6 +33,8 @@
     RunAndBreak,
     /// Sends a part twice.
     Repeat,
+    /// Stands still from then on, with all that comes.
+    Freeze,
     /// Runs it late.
     Late(Duration),
     /// Answers this many bytes in rows.
@@ -121,10 +123,17 @@
         }
     });
     while let Ok(Some(Ask { body: Some(body) })) = reader.next::<Ask>().await {
+        if let ask::Body::Ping(_) = body {
+            drop(answers.send(Some(Answer { body: Some(answer::Body::Pong(Pong {})) })));
+            continue;
+        }
         shared.asks.lock().unwrap().push(body.clone());
         match body {
             ask::Body::Run(run) => {
                 let trick = shared.tricks.lock().unwrap().pop_front();
+                if trick == Some(Trick::Freeze) {
+                    std::future::pending::<()>().await;
+                }
                 if trick == Some(Trick::RunAndBreak) {
                     drop(shared.run(&run));
                 }
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -178,6 +178,27 @@
     assert_eq!(bench.shared.runs().len(), 2);
 }
 
+#[tokio::test]
+async fn a_declared_read_leaves_a_keeper_that_stands_still_long_before_its_deadline() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    bench.shared.trick(Trick::Freeze);
+    let read = rows(&client, "select seat");
+    let limit = Duration::from_millis(2_500);
+    let answered = tokio::time::timeout(limit, read).await.expect("before the deadline of 3 s");
+    assert_eq!(answered.unwrap(), ["select seat"]);
+    assert_eq!(bench.shared.runs().len(), 2);
+}
+
+#[tokio::test]
+async fn a_late_read_stays_at_a_keeper_that_answers_pings() {
+    let bench = bench(None).await;
+    let client = bench.connect().await;
+    bench.shared.trick(Trick::Late(Duration::from_millis(1_000)));
+    assert_eq!(rows(&client, "select seat").await.unwrap(), ["select seat"]);
+    assert_eq!(bench.shared.runs().len(), 1);
+}
+
 #[tokio::test]
 async fn a_transaction_whose_keeper_is_lost_stays_failed_to_its_end() {
     let bench = bench(None).await;
--- a/components/entry/tests/keep.rs
+++ b/components/entry/tests/keep.rs
@@ -151,7 +151,7 @@
                     assert_eq!((end.request, end.parts), (self.last, parts));
                     return (whole, end);
                 }
-                answer::Body::Closing(_) => {}
+                answer::Body::Closing(_) | answer::Body::Pong(_) => {}
             }
         }
     }
--- a/components/member/tests/follow.rs
+++ b/components/member/tests/follow.rs
@@ -2,6 +2,7 @@
 
 mod trio;
 
+use control::lease::LEASE;
 use std::time::Duration;
 
 use link::{Peer, Purpose, Reader, Writer};
@@ -65,7 +66,7 @@
             }
         }
         let confirm = beat(&mut reader, &mut writer, 7).await;
-        assert_eq!((confirm.sequence, confirm.lease_ms), (7, 2_000));
+        assert_eq!((confirm.sequence, u128::from(confirm.lease_ms)), (7, LEASE.as_millis()));
         assert!(confirm.index >= index, "{confirm:?} before {index}");
     }
 }
--- a/components/member/tests/membership.rs
+++ b/components/member/tests/membership.rs
@@ -86,7 +86,18 @@
     let (status, _) = trio.change(leader, "one", 0, &json!({})).await;
     assert_eq!(status, StatusCode::OK);
     let body = json!({ "action": "remove", "name": trio.peers[leader].name });
-    let (status, answer) = trio.post(leader, "/v1/members", &body).await.expect("an answer");
+    // refused as long as the leader has not heard the third member, whose start
+    // may be later than the first election
+    let mut tries = 0;
+    let (status, answer) = loop {
+        let answered = trio.post(leader, "/v1/members", &body).await.expect("an answer");
+        tries += 1;
+        let unheard = answered.1["error"] == json!("the membership stays: quorum");
+        if !unheard || tries == 50 {
+            break answered;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    };
     assert_eq!(status, StatusCode::OK, "{answer}");
     trio.handles[leader].take().expect("runs").kill();
 
--- a/components/wire/src/data.rs
+++ b/components/wire/src/data.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
     /// The message.
-    #[prost(oneof = "ask::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "ask::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: Option<ask::Body>,
 }
 
@@ -36,6 +36,9 @@
         /// The front is stopping and asks for nothing more.
         #[prost(message, tag = "5")]
         Farewell(super::Farewell),
+        /// Asks whether the keeper lives.
+        #[prost(message, tag = "6")]
+        Ping(super::Ping),
     }
 }
 
@@ -145,7 +148,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Answer {
     /// The message.
-    #[prost(oneof = "answer::Body", tags = "1, 2, 3")]
+    #[prost(oneof = "answer::Body", tags = "1, 2, 3, 4")]
     pub body: Option<answer::Body>,
 }
 
@@ -163,6 +166,9 @@
         /// The keeper is stopping: ask the other one for what is new.
         #[prost(message, tag = "3")]
         Closing(super::Closing),
+        /// Answers a ping.
+        #[prost(message, tag = "4")]
+        Pong(super::Pong),
     }
 }
 
@@ -267,6 +273,14 @@
     pub server: String,
 }
 
+/// Asks whether a keeper lives, while it leaves requests without an answer.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Ping {}
+
+/// A keeper that lives.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
+pub struct Pong {}
+
 /// A keeper that is stopping.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct Closing {}
