Log each statement that was late or not done, on standard output and bounded

Cause: on-call engineers have logs and metrics alone. Ruled out: a line for each request; sampling. A budget a second for each severity bounds the volume, and what is left out is counted.

--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use config::Database;
 use config::model::Class;
-use slog::debug;
+use slog::{debug, info};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -451,9 +451,40 @@
         if let Attempt::Ended { end, .. } = &attempt {
             front.metrics.cycle(end);
         }
+        let objective = Duration::from_millis(declared.objective_ms);
+        self.tell(&work, &attempt, started, objective, version);
         self.settle(&work, &attempt, reply, link, group).await
     }
 
+    /// One line for a statement that was not done, or was late; each is counted.
+    fn tell(
+        &self,
+        work: &Work,
+        attempt: &Attempt,
+        started: Instant,
+        objective: Duration,
+        version: u64,
+    ) {
+        let now = self.front.clock.now();
+        let time = now.since(started);
+        let (done, reason) = match attempt {
+            Attempt::Ended { end, .. } => (end.outcome() == Outcome::Done, end.reason()),
+            Attempt::NotLeft | Attempt::Broken { .. } => (false, Reason::Broken),
+        };
+        self.front.metrics.statement(time, work.access == Access::Write, done);
+        if done && (objective.is_zero() || time <= objective) {
+            return;
+        }
+        let lease = self.front.view.lease_until().since(now);
+        info!(self.front.log, "a statement was late or not done";
+            "request" => String::from_utf8_lossy(&work.task.id).into_owned(),
+            "database" => %self.database, "access" => %work.access, "done" => done,
+            "reason" => %reason, "time_ms" => time.as_millis() as u64,
+            "objective_ms" => objective.as_millis() as u64, "version" => version,
+            "lease_ms" => lease.as_millis() as u64,
+            "answer" => if done { String::new() } else { problem(work, attempt).to_string() });
+    }
+
     fn message(
         &self,
         work: &Work,
--- a/components/entry/src/keep/shard.rs
+++ b/components/entry/src/keep/shard.rs
@@ -8,7 +8,7 @@
 
 use base::clock::Clock;
 use base::prelude::*;
-use keeper::{Connection, Count, Effect, Event, Group, Lease, Setup};
+use keeper::{Connection, Count, Effect, Ended, Event, Group, Lease, Setup};
 use slog::{Logger, info};
 use tokio::sync::watch;
 use wire::data::answer;
@@ -190,10 +190,25 @@
             Effect::Wake(at) => drop(self.wake.send_replace(at)),
             Effect::GiveUp => self.host.view.give_up(self.name.clone()),
             Effect::Count(count) => self.host.metrics.count(count),
+            Effect::Log(ended) => self.log_end(&ended),
         }
     }
 }
 
+impl Shard {
+    /// One line for a request that was not done, or not at the first try.
+    fn log_end(&self, ended: &Ended) {
+        let millis = |time: Duration| time.as_millis() as u64;
+        info!(self.host.log, "a request ended"; "request" => &ended.trace, "group" => %self.name,
+            "outcome" => %ended.outcome, "reason" => %ended.reason, "stage" => ended.stage,
+            "server" => ended.server.as_ref().map(ToString::to_string),
+            "primary" => ended.primary, "tries" => ended.tries,
+            "waited_ms" => millis(ended.waited), "sent_ms" => ended.sent.map(millis),
+            "term" => ended.term.0, "led" => ended.led, "leased" => ended.leased,
+            "version" => ended.version, "sample_ms" => ended.sample.map(millis));
+    }
+}
+
 impl Inner {
     fn take(&mut self, now: Instant, event: Event, leased: bool) {
         if let Event::Leased(told) = event {
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -194,7 +194,7 @@
 async fn a_late_read_stays_at_a_keeper_that_answers_pings() {
     let bench = bench(None).await;
     let client = bench.connect().await;
-    bench.shared.trick(Trick::Late(Duration::from_millis(1_000)));
+    bench.shared.trick(Trick::Late(Duration::from_secs(1)));
     assert_eq!(rows(&client, "select seat").await.unwrap(), ["select seat"]);
     assert_eq!(bench.shared.runs().len(), 1);
 }
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -8,7 +8,7 @@
 use config::{Declarations, Labels};
 use plain::Fault;
 use wire::control::Symptom;
-use wire::data::{End, Part, Run};
+use wire::data::{End, Outcome, Part, Reason, Run};
 
 use crate::conn::Connection;
 
@@ -311,6 +311,41 @@
     GiveUp,
     /// Count something.
     Count(Count),
+    /// Log the end of a request that was not done, or not at the first try.
+    Log(Ended),
+}
+
+/// How a request ended, and what decided it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// The request's id in logs.
+    pub trace: String,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+    /// How far it was.
+    pub stage: &'static str,
+    /// Server that it was sent to last.
+    pub server: Option<Name>,
+    /// Whether that was taken for the primary.
+    pub primary: bool,
+    /// Tries before the last one.
+    pub tries: u32,
+    /// Time since it came.
+    pub waited: Duration,
+    /// Time since it was sent last.
+    pub sent: Option<Duration>,
+    /// Term that control has intended or established.
+    pub term: Term,
+    /// Whether control names a primary.
+    pub led: bool,
+    /// Whether the entry holds its lease.
+    pub leased: bool,
+    /// Version of the configuration that admitted it.
+    pub version: u64,
+    /// Age of the youngest sample of the primary.
+    pub sample: Option<Duration>,
 }
 
 /// Something counted.
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -4,7 +4,7 @@
 use wire::data::{End, Outcome, Part, Reason};
 
 use crate::conn::{Connection, IDLE, OPEN, Owner, Work};
-use crate::event::{Count, Effect};
+use crate::event::{Count, Effect, Ended};
 use crate::fault::Fault;
 use crate::group::Group;
 use crate::request::{Attempt, Lane, Request, Stage};
@@ -31,6 +31,10 @@
             return;
         };
         request.end = Some(end);
+        self.explain(now, key, outcome, reason, out);
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
         if let Stage::Queued(lane) = request.stage {
             let service = request.service;
             self.unqueue(key, service, lane);
@@ -45,6 +49,39 @@
         self.drain(key, out);
     }
 
+    /// Tells the log of an end that a caller may ask about.
+    fn explain(
+        &self,
+        now: Instant,
+        key: Key<Request>,
+        outcome: Outcome,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get(key) else { return };
+        if outcome == Outcome::Done && request.tries == 0 {
+            return;
+        }
+        let attempt = &request.attempt;
+        let server = attempt.server.and_then(|server| self.servers.get(server));
+        out.push(Effect::Log(Ended {
+            trace: request.run.trace.clone(),
+            outcome,
+            reason,
+            stage: request.stage.name(),
+            server: server.map(|server| server.name.clone()),
+            primary: attempt.primary,
+            tries: request.tries,
+            waited: now.since(request.arrived),
+            sent: server.map(|_| now.since(attempt.sent_at)),
+            term: self.solo.as_ref().map_or(attempt.term, |solo| solo.term),
+            led: self.named.is_some(),
+            leased: self.leased,
+            version: request.run.version,
+            sample: self.ring.last().map(|sample| now.since(sample.taken)),
+        }));
+    }
+
     /// What may be told of a request: that it was not run, or that it failed,
     /// only where no earlier try may have run.
     fn honest(&self, key: Key<Request>, outcome: Outcome) -> Outcome {
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -33,7 +33,7 @@
 
 pub use conn::Connection;
 pub use event::{
-    Cause, Count, Effect, Event, Front, Kind, Lease, Piece, Reported, Setup, Solo, Trouble,
+    Cause, Count, Effect, Ended, Event, Front, Kind, Lease, Piece, Reported, Setup, Solo, Trouble,
 };
 #[cfg(feature = "fault")]
 pub use fault::Fault;
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -51,6 +51,23 @@
     Draining,
 }
 
+impl Stage {
+    /// Its name in logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Parked => "parked",
+            Self::Queued(_) => "queued",
+            Self::Urgent(_) => "urgent",
+            Self::Backoff(_) => "backoff",
+            Self::Running(_) => "running",
+            Self::Marking(_) => "marking",
+            Self::Acking => "acking",
+            Self::Doubt => "doubt",
+            Self::Draining => "draining",
+        }
+    }
+}
+
 /// One request.
 #[derive(Debug)]
 pub(crate) struct Request {
--- a/components/keeper/tests/fuzz/world.rs
+++ b/components/keeper/tests/fuzz/world.rs
@@ -188,7 +188,11 @@
             Effect::GiveUp => {
                 assert!(self.wires.is_empty(), "the lease was given up with connections open");
             }
-            Effect::Cancel { .. } | Effect::Report(_) | Effect::Wake(_) | Effect::Count(_) => {}
+            Effect::Cancel { .. }
+            | Effect::Report(_)
+            | Effect::Wake(_)
+            | Effect::Count(_)
+            | Effect::Log(_) => {}
         }
     }
 
--- a/components/telemetry/src/log.rs
+++ b/components/telemetry/src/log.rs
@@ -1,9 +1,13 @@
 //! Structured logs: a human form on a terminal, JSON lines otherwise.
 //!
-//! Logs go to standard error, so that a program's own output stays clean.
+//! Logs go to standard error, so that a program's own output stays clean, or to
+//! standard output where that is what is collected. Writing never stalls a
+//! process: records wait in a queue, and those beyond it, or beyond the budget
+//! of a second, are left out and counted.
 
 use std::io::IsTerminal;
 
+use crate::budget::Budget;
 use slog::{Drain, FnValue, Logger, PushFnValue, Record, o};
 
 /// Records that may wait; more are dropped and counted in the log itself.
@@ -35,10 +39,28 @@
     Json,
 }
 
-/// Makes the root logger of a program.
+/// Where lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output.
+    Standard,
+    /// Standard error.
+    Error,
+}
+
+/// Makes the root logger of a program, on standard error.
 pub fn logger(program: &'static str, level: Level, format: Format) -> Logger {
+    logger_to(Output::Error, program, level, format)
+}
+
+/// Makes the root logger of a program.
+pub fn logger_to(output: Output, program: &'static str, level: Level, format: Format) -> Logger {
+    let terminal = match output {
+        Output::Standard => std::io::stdout().is_terminal(),
+        Output::Error => std::io::stderr().is_terminal(),
+    };
     let json = match format {
-        Format::Auto => !std::io::stderr().is_terminal(),
+        Format::Auto => !terminal,
         Format::Human => false,
         Format::Json => true,
     };
@@ -58,16 +80,35 @@
             "level" => FnValue(|record| record.level().as_str()),
             "time_ms" => time,
         );
-        let drain = slog_json::Json::new(std::io::stderr()).add_key_value(keys).build();
-        asynchronous(drain.fuse(), level)
+        match output {
+            Output::Standard => {
+                let drain = slog_json::Json::new(std::io::stdout()).add_key_value(keys).build();
+                queued(drain.fuse(), level)
+            }
+            Output::Error => {
+                let drain = slog_json::Json::new(std::io::stderr()).add_key_value(keys).build();
+                queued(drain.fuse(), level)
+            }
+        }
     } else {
-        let decorator = slog_term::TermDecorator::new().stderr().build();
-        asynchronous(slog_term::CompactFormat::new(decorator).build().fuse(), level)
+        let decorator = match output {
+            Output::Standard => slog_term::TermDecorator::new().stdout().build(),
+            Output::Error => slog_term::TermDecorator::new().stderr().build(),
+        };
+        queued(slog_term::CompactFormat::new(decorator).build().fuse(), level)
     };
-    Logger::root(drain.fuse(), o!("program" => program))
+    Logger::root(Budget::new(drain).filter_level(level).fuse(), o!("program" => program))
+}
+
+/// A logger whose drain may block; nobody who logs waits for it.
+pub fn asynchronous<D>(drain: D, level: slog::Level) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    Logger::root(queued(drain, level), o!())
 }
 
-fn asynchronous<D>(drain: D, level: slog::Level) -> slog::Fuse<slog_async::Async>
+fn queued<D>(drain: D, level: slog::Level) -> slog::Fuse<slog_async::Async>
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
