Keep as many voters as the loss that is to be borne needs

Cause: a silent voter was removed wherever more than three voted. Change: more than twice as many voters as may be lost are kept.

--- a/components/control/src/succession.rs
+++ b/components/control/src/succession.rs
@@ -52,7 +52,11 @@
 const REFUSALS: u32 = 2;
 
 /// Time for which all keepers must miss a primary that the leader reaches.
-const UNREACHED: Duration = Duration::from_millis(900);
+const UNREACHED: Duration = Duration::from_millis(600);
+
+/// Time without an answer to the leader after which a primary that all keepers
+/// miss is taken for silent.
+const UNANSWERED: Duration = Duration::from_millis(250);
 
 /// Time after a primary was established before it may be called cut off.
 const CALM: Duration = Duration::from_secs(2);
@@ -235,11 +239,16 @@
         };
         let trouble = self.sights.trouble(now, primary, group.term);
         let missed = self.is_missed(context, primary);
+        let missed_by_all = self.misses_all(context, primary);
         let watch = self.watches.of(primary);
         let refusals = watch.refusals();
         if refusals >= REFUSALS || (refusals > 0 && trouble) {
             return Some(Cause::Refused);
         }
+        // two vantage points and the leader's own short wait are enough
+        if missed_by_all && watch.unanswered(now) >= UNANSWERED {
+            return Some(Cause::Silent);
+        }
         // while its keepers are well served, only the leader is cut off from it
         if watch.is_silent(now) && (trouble || group.leases.is_empty()) {
             return Some(Cause::Silent);
@@ -261,10 +270,7 @@
         let calm = self.established.is_some_and(|(_, at)| now.since(at) < CALM);
         let mut troubled = self.sights.troubled(now, primary, group.term);
         let cut = troubled.any(|(_, sight)| sight == Sight::CutOff);
-        let misses = |entry: &str| {
-            self.sights.troubled(now, primary, group.term).any(|(name, _)| name.as_str() == entry)
-        };
-        let all = !group.leases.is_empty() && group.leases.iter().all(|l| misses(&l.entry));
+        let all = self.misses_all(context, primary);
         if calm || !(cut || all) || !self.has_heir(context, primary) {
             self.unreached = None;
             return false;
@@ -273,6 +279,15 @@
         now.since(since) >= UNREACHED
     }
 
+    /// Whether all keepers of the group see trouble with the primary.
+    fn misses_all(&self, context: &Context<'_>, primary: &Name) -> bool {
+        let (now, group) = (context.now, context.group);
+        let misses = |entry: &str| {
+            self.sights.troubled(now, primary, group.term).any(|(name, _)| name.as_str() == entry)
+        };
+        !group.leases.is_empty() && group.leases.iter().all(|lease| misses(&lease.entry))
+    }
+
     /// Whether another server that stays can be reached.
     fn has_heir(&self, context: &Context<'_>, primary: &Name) -> bool {
         let stays = |name: &Name| context.state.servers.get(name).is_some_and(|s| !s.leaving);
--- a/components/control/src/watch.rs
+++ b/components/control/src/watch.rs
@@ -148,6 +148,11 @@
         (waits || failed) && unheard
     }
 
+    /// How long a report has been waited for.
+    pub fn unanswered(&self, now: Instant) -> Duration {
+        self.asked.map_or(Duration::ZERO, |asked| now.since(asked))
+    }
+
     /// Whether its process is gone or it is silent.
     pub fn is_down(&self, now: Instant) -> bool {
         self.refusals() > 0 || self.is_silent(now)
--- a/components/keeper/src/server.rs
+++ b/components/keeper/src/server.rs
@@ -6,7 +6,7 @@
 
 use crate::event::{self, Trouble};
 use crate::request::Request;
-use crate::solo::Lag;
+use crate::solo::{Commits, Lag};
 
 /// Time without a report after which a server counts as silent.
 pub(crate) const SILENCE: Duration = Duration::from_millis(300);
@@ -34,6 +34,8 @@
     pub(crate) connect_at: Instant,
     /// Whether it tells where it stands with its answers alone.
     pub(crate) solo: bool,
+    /// When a commit was answered last, and when one last was not in time.
+    pub(crate) commits: Commits,
     /// How far it is behind, where its answers tell.
     pub(crate) lag: Lag,
     /// No statement is sent before this: it had no slot.
@@ -73,6 +75,7 @@
             failures: 0,
             connect_at: now,
             solo,
+            commits: Commits::default(),
             lag: Lag::default(),
             full_until: Instant::ZERO,
             leaves: None,
--- a/components/keeper/src/solo.rs
+++ b/components/keeper/src/solo.rs
@@ -21,7 +21,7 @@
 const SEAL_GRACE: Duration = Duration::from_millis(300);
 
 /// Time without an answer after which a statement's server is taken for silent.
-const STALLED: Duration = Duration::from_millis(700);
+const STALLED: Duration = Duration::from_millis(450);
 
 /// Time after which a read that its replica leaves without an answer is tried
 /// on another server.
@@ -33,12 +33,15 @@
 /// How much longer a statement may take on a server that answers others.
 const HEARD: u32 = 3;
 
+/// Time for which a commit that was not answered in time tells of the primary.
+const COMMITS_TELL: Duration = Duration::from_secs(2);
+
 /// Time between two samples that are kept.
 const SAMPLE_SPACING: Duration = Duration::from_millis(40);
 
 /// Time without an answer to a commit, while other statements are answered,
 /// after which the primary is taken to have lost its replicas.
-const COMMIT_STALLED: Duration = Duration::from_millis(1_200);
+const COMMIT_STALLED: Duration = Duration::from_millis(500);
 
 /// Lag up to which a read waits at a replica for what it must show.
 const LITTLE_LAG: Duration = Duration::from_millis(60);
@@ -87,6 +90,13 @@
     until: Instant,
 }
 
+/// What became of the commits on a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Commits {
+    answered: Instant,
+    stalled: Option<Instant>,
+}
+
 /// What is seen of a replica's lag.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Lag {
@@ -325,6 +335,10 @@
             if newer {
                 solo.acked = Some((mark, index));
             }
+            let server = self.requests.get(key).and_then(|request| request.attempt.server);
+            if let Some(server) = server.and_then(|server| self.servers.get_mut(server)) {
+                server.commits = Commits { answered: now, stalled: None };
+            }
         }
         self.finish(now, key, Outcome::Done, Reason::None, out);
     }
@@ -413,6 +427,7 @@
         if !self.is_solo() {
             return;
         }
+        self.note_commits(now);
         let stalled: Vec<_> = self.conns.iter().filter(|(_, c)| self.is_stalled(now, c)).collect();
         let stalled: Vec<_> = stalled.iter().map(|(key, conn)| (*key, conn.server)).collect();
         for (conn, server) in stalled {
@@ -425,6 +440,22 @@
         }
     }
 
+    /// Notes the servers that leave a commit without an answer.
+    fn note_commits(&mut self, now: Instant) {
+        let stalled = |request: &Request| {
+            let commits = request.class != Class::Read && request.may_commit();
+            let long = now.since(request.attempt.sent_at) > COMMIT_STALLED;
+            let runs = matches!(request.stage, Stage::Running(_));
+            (runs && commits && long && request.attempt.primary).then_some(request.attempt.server)
+        };
+        let found: Vec<_> = self.requests.iter().filter_map(|(_, r)| stalled(r)?).collect();
+        for server in found {
+            if let Some(server) = self.servers.get_mut(server) {
+                server.commits.stalled = Some(now);
+            }
+        }
+    }
+
     /// Takes a server for silent until a new connection to it stands.
     fn distrust(&mut self, key: Key<Server>, out: &mut Vec<Effect>) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -469,17 +500,15 @@
             Stage::Running(_) if request.attempt.server == Some(key) => Some(request),
             _ => None,
         });
-        let commits = |request: &Request| request.class != Class::Read && request.may_commit();
-        let mut sight = Sight::Healthy;
-        for request in open {
+        let silent = |request: &Request| {
             let waits = now.since(request.attempt.sent_at);
-            if waits > STALLED && now.since(server.heard) > STALLED {
-                return Sight::Silent;
-            }
-            if commits(request) && waits > COMMIT_STALLED {
-                sight = Sight::CutOff;
-            }
+            waits > STALLED && now.since(server.heard) > STALLED
+        };
+        if open.into_iter().any(silent) {
+            return Sight::Silent;
         }
-        sight
+        let Commits { answered, stalled } = server.commits;
+        let lost = |at: Instant| at > answered && now.since(at) < COMMITS_TELL;
+        if stalled.is_some_and(lost) { Sight::CutOff } else { Sight::Healthy }
     }
 }
--- a/components/keeper/tests/solo.rs
+++ b/components/keeper/tests/solo.rs
@@ -404,7 +404,9 @@
 #[test]
 fn commits_without_an_answer_beside_others_with_one_tell_of_lost_replicas() {
     let mut bench = Bench::ready();
-    bench.write();
+    // its deadline passes soon; what it showed of the primary must be told before
+    let (class, fresh) = (Class::Write as i32, true);
+    bench.run(Run { class, fresh, commits: true, deadline_ms: 800, ..Run::default() });
     bench.sent();
     let mut seen = Vec::new();
     for _ in 0..20 {
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -76,6 +76,8 @@
     /// Whether the seeds may found the first membership: the system starts for
     /// the first time.
     pub founding: bool,
+    /// Members that may be lost at once, with their disks.
+    pub tolerance: usize,
 }
 
 impl From<Vec<Peer>> for Origin {
@@ -231,7 +233,10 @@
             received.change_context_lazy(failure)?;
         }
         scope.spawn(link::serve(listener, end.clone(), core.clone(), scope.clone()));
-        let automatic = matches!(origin, Origin::Seeds(_));
+        let tolerance = match &origin {
+            Origin::Named(_) => None,
+            Origin::Seeds(seeds) => Some(seeds.tolerance),
+        };
         match origin {
             Origin::Named(peers) if replica.is_fresh() => {
                 scope.spawn(boot::find(peers, end.clone(), core.clone()));
@@ -276,7 +281,7 @@
             late: Vec::new(),
             unled: Some(now),
             past: control::Past { token: 0, chosen: Some(now) },
-            roster: Roster::new(automatic),
+            roster: Roster::new(tolerance),
             asks,
         };
         let ended = scope.token.clone();
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -30,7 +30,7 @@
 mod meter;
 mod peers;
 mod probe;
-mod roster;
+pub mod roster;
 mod status;
 mod web;
 
--- a/components/member/src/roster.rs
+++ b/components/member/src/roster.rs
@@ -16,13 +16,10 @@
 use crate::input::Verdict;
 
 /// Silence after which a member is removed, where enough others vote.
-const GONE: Duration = Duration::from_secs(3);
+pub const GONE: Duration = Duration::from_secs(3);
 
 /// Silence after which a member that does not vote is removed.
-const LEARNER_GONE: Duration = Duration::from_secs(6);
-
-/// Voters that are kept even if one is silent: fewer bear no loss.
-const LEAST_VOTERS: usize = 3;
+pub const LEARNER_GONE: Duration = Duration::from_secs(6);
 
 /// Time for which a newcomer's request stands.
 const STANDS: Duration = Duration::from_secs(2);
@@ -32,21 +29,28 @@
 
 /// What the leader knows of those that ask.
 #[derive(Debug, Default)]
-pub(crate) struct Roster {
+pub struct Roster {
     /// Whether the membership follows those that come and go; else operators
     /// change it.
     automatic: bool,
+    /// Members that may be lost at once. More than twice as many voters are kept
+    /// even if some are silent.
+    tolerance: usize,
     newcomers: BTreeMap<u64, (Member, Instant)>,
     open: Option<oneshot::Receiver<Verdict>>,
 }
 
 impl Roster {
-    pub(crate) fn new(automatic: bool) -> Self {
-        Self { automatic, ..Self::default() }
+    /// A roster that bears the loss of some members at once; `None` where
+    /// operators change the membership.
+    pub fn new(tolerance: Option<usize>) -> Self {
+        let automatic = tolerance.is_some();
+        Self { automatic, tolerance: tolerance.unwrap_or_default(), ..Self::default() }
     }
 
-    /// The next change of a membership, if one is due.
-    pub(crate) fn next(
+    /// The next change of a membership, if one is due. `silences` says how long
+    /// the leader has heard nothing of each other member.
+    pub fn next(
         &mut self,
         now: Instant,
         members: &Members,
@@ -61,7 +65,7 @@
         let learns = |member: &Member| !member.voter && silence(member.id) < GONE;
         let heir = members.members.iter().any(learns);
         let gone = members.members.iter().find(|member| {
-            let spare = voters > LEAST_VOTERS || heir;
+            let spare = voters > 2 * self.tolerance + 1 || heir;
             let limit = if member.voter { GONE } else { LEARNER_GONE };
             silence(member.id) >= limit && (spare || !member.voter)
         });
@@ -74,7 +78,7 @@
     }
 
     /// Notes a host that asks to be a member.
-    pub(crate) fn hear(&mut self, now: Instant, member: Member) {
+    pub fn hear(&mut self, now: Instant, member: Member) {
         self.newcomers.insert(member.id, (member, now));
     }
 
