--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -58,6 +58,14 @@
     zone: Name,
 }
 
+/// Least weight with which an entry keeps groups: half of the greatest, unless
+/// too few entries have that.
+fn least_weight(weights: impl Iterator<Item = u32> + Clone) -> u32 {
+    let most = weights.clone().max().unwrap_or_default();
+    let strong = weights.filter(|&weight| weight >= most / 2).count();
+    if strong >= KEEPERS { most / 2 } else { 0 }
+}
+
 impl Planner {
     /// Knows of no return yet.
     pub fn new(flaw: Flaw) -> Self {
@@ -122,10 +130,12 @@
 
     /// Finds each group's keepers, where groups or the entries that live changed.
     fn look(&mut self, state: &State, lives: &Lives) {
-        let live = state
+        let open = state
             .entries
             .iter()
             .filter(|(name, entry)| !entry.draining && !lives.left(name, entry.incarnation));
+        let least = least_weight(open.clone().map(|(_, entry)| entry.weight));
+        let live = open.filter(|(_, entry)| entry.weight >= least);
         let candidate = |(name, entry): (&Name, &Entry)| Candidate {
             name: name.clone(),
             zone: entry.zone.clone(),
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -125,6 +125,8 @@
     pub zone: Name,
     /// Whether its earlier incarnations are known to be gone.
     pub sole: bool,
+    /// How much its host can carry beside others.
+    pub weight: u32,
     /// Whether an operator drains it.
     pub draining: bool,
 }
@@ -224,6 +226,7 @@
             web: join.web.parse().ok(),
             zone: Name::new(&join.zone).ok()?,
             sole: join.sole,
+            weight: join.weight.max(1),
             draining: false,
         };
         Some((Name::new(&join.entry).ok()?, entry))
@@ -238,6 +241,7 @@
             zone: self.zone.to_string(),
             web: self.web.map(|web| web.to_string()).unwrap_or_default(),
             sole: self.sole,
+            weight: self.weight,
         }
     }
 }
--- a/components/control/tests/image.rs
+++ b/components/control/tests/image.rs
@@ -11,6 +11,7 @@
         zone: "lansing".to_owned(),
         web: web.to_owned(),
         sole: false,
+        weight: 0,
     };
     let mut state = State::default();
     state.apply(1, &Command { body: Some(command::Body::Join(join)) });
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -38,6 +38,7 @@
         zone: zone.to_owned(),
         web: String::new(),
         sole: false,
+        weight: 0,
     }
 }
 
@@ -279,6 +280,23 @@
     assert_eq!(world.state.groups["g"].lease("e1").unwrap().incarnation, 2);
 }
 
+#[test]
+fn entries_that_carry_little_keep_groups_only_where_others_are_too_few() {
+    let mut world = World::new(2, false);
+    let weighs = |entry: &str, weight| Join { weight, ..join(entry, 1, "a") };
+    world.tell(Event::Joined(weighs("weak", 2)));
+    world.pass(Duration::from_secs(1), &[("weak", 1)]);
+    assert!(world.state.groups["g"].lease("weak").is_some(), "there is no other");
+    for entry in ["strong-1", "strong-2"] {
+        world.tell(Event::Joined(weighs(entry, 100)));
+    }
+    let beats = [("weak", 1), ("strong-1", 1), ("strong-2", 1)];
+    world.pass(Duration::from_secs(3), &beats);
+    let leases = &world.state.groups["g"].leases;
+    let holders: Vec<_> = leases.iter().map(|lease| lease.entry.as_str()).collect();
+    assert_eq!(holders, ["strong-1", "strong-2"]);
+}
+
 #[test]
 fn takes_the_leases_of_an_entry_that_left_at_once() {
     let mut world = World::new(2, false);
--- a/components/control/tests/leases.rs
+++ b/components/control/tests/leases.rs
@@ -104,6 +104,7 @@
         zone,
         web: format!("127.0.0.1:{}", 200 + entry),
         sole: false,
+        weight: 0,
     }
 }
 
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -38,6 +38,9 @@
     pub incarnation: u64,
     /// Whether the host starts an entry only after the earlier one has ended.
     pub sole: bool,
+    /// How much the host can carry beside others; groups are kept by those that
+    /// carry most.
+    pub weight: u32,
     /// Where callers connect; port 0 takes a free one.
     pub callers: SocketAddr,
     /// Where fronts of other entries connect.
@@ -233,6 +236,7 @@
         zone: settings.zone.as_str().to_owned(),
         web: addresses.web.to_string(),
         sole: settings.sole,
+        weight: settings.weight,
     };
     let Settings { controls, key, clock, log, .. } = settings;
     follow::start(follow::Settings { join, controls, key, view, symptoms, clock, log })
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -252,6 +252,7 @@
     for (keeper, address) in keepers {
         let entry = control::state::Entry {
             sole: false,
+            weight: 1,
             incarnation: 1,
             address: *address,
             web: None,
--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -22,6 +22,7 @@
         zone: "lansing".to_owned(),
         web: "127.0.0.1:2".to_owned(),
         sole: false,
+        weight: 0,
     }
 }
 
--- a/components/entry/tests/whole.rs
+++ b/components/entry/tests/whole.rs
@@ -32,6 +32,7 @@
         link: any,
         web: any,
         sole: false,
+        weight: 1,
         controls: Vec::new().into(),
         key: Key::new(b"a key of the tests of entries").unwrap(),
         users: None,
@@ -76,6 +77,7 @@
     for (own, (addresses, _)) in ["entry-1", "entry-2", "entry-3"].iter().zip(entries) {
         let entry = control::state::Entry {
             sole: false,
+            weight: 1,
             incarnation: 1,
             address: addresses.link,
             web: Some(addresses.web),
--- a/components/local/src/cluster.rs
+++ b/components/local/src/cluster.rs
@@ -191,6 +191,7 @@
             link: entry.link,
             web: entry.web,
             sole: false,
+            weight: 1,
             controls: controls.into(),
             key: self.key.clone(),
             users: None,
--- a/components/member/tests/follow.rs
+++ b/components/member/tests/follow.rs
@@ -24,6 +24,7 @@
         zone: "zone".to_owned(),
         web: String::new(),
         sole: false,
+        weight: 0,
     };
     let follow = Follow { join: Some(join), applied };
     writer.send(&Up { body: Some(up::Body::Follow(follow)) }).await.expect("sent");
--- a/components/wire/src/log.rs
+++ b/components/wire/src/log.rs
@@ -173,6 +173,9 @@
     /// that its earlier incarnations are known to be gone.
     #[prost(bool, tag = "6")]
     pub sole: bool,
+    /// How much its host can carry beside others; zero counts as one.
+    #[prost(uint32, tag = "7")]
+    pub weight: u32,
 }
 
 /// An entry that is gone.
--- a/programs/trefoil-entry/src/cmd/run.rs
+++ b/programs/trefoil-entry/src/cmd/run.rs
@@ -77,6 +77,7 @@
         link: run.link,
         web: run.web,
         sole: false,
+        weight: 1,
         controls: run.controls.into(),
         key,
         users: run.users,
--- a/programs/trefoil-slope/src/size.rs
+++ b/programs/trefoil-slope/src/size.rs
@@ -64,6 +64,7 @@
         zone: format!("region-{}-zone-{}", entry % 5, entry % 16),
         web: format!("10.0.{}.{}:9464", entry / 250, entry % 250 + 1),
         sole: false,
+        weight: 0,
     })
 }
 
