Run a member on each host with a disk, and let hosts without one stand by

Change: a share of the hosts runs control; a host without a disk says to members that it is none, and sends callers to one.

--- a/components/member/src/join.rs
+++ b/components/member/src/join.rs
@@ -1,7 +1,7 @@
 //! From seeds to a membership.
 //!
-//! The seed with the lowest address founds the first membership: it asks the
-//! others, and if all of them hold no log, names them and itself. Any other
+//! Seeds found the first membership: each asks the others, and if all of them hold
+//! no log, the one with the lowest address names them and itself. Any other
 //! member that knows no leader dials seeds and members, whose leader then adds
 //! it; that holds for a new host, for one that lost its disk, and for one that
 //! was removed while it was away.
@@ -47,31 +47,51 @@
 /// Founds the first membership, if that is this member's task.
 async fn found(seeds: &Seeds, end: &End, core: &Sender) {
     let own: Option<SocketAddr> = end.own.link.parse().ok();
-    let first = seeds.links.borrow().iter().min().copied();
-    if first.is_none() || first != own {
-        return;
-    }
+    let Some(own) = own.filter(|own| seeds.links.borrow().contains(own)) else { return };
     while end.fresh.load(Ordering::Acquire) {
-        let mut members = vec![Member { voter: true, ..end.own.clone() }];
-        let mut complete = true;
-        for link in others(seeds, own) {
-            let Ok((hello, _, _)) = peers::greet(link, end).await else {
-                complete = false;
-                break;
-            };
-            if !hello.fresh {
+        match survey(seeds, end, own).await {
+            Survey::Incomplete => tokio::time::sleep(PAUSE).await,
+            Survey::Held { link } => {
                 info!(end.log, "another member holds a log: asks to join"; "link" => %link);
                 return;
             }
-            members.extend(hello.member.map(|member| Member { voter: true, ..member }));
+            Survey::Fresh { first, members } if first == own => {
+                info!(end.log, "names the first membership"; "members" => members.len());
+                drop(core.send(Input::Bootstrap(Members { members })).await);
+                return;
+            }
+            Survey::Fresh { .. } => return,
+        }
+    }
+}
+
+/// What the seeds are.
+enum Survey {
+    /// Not all answered.
+    Incomplete,
+    /// One of them holds a log.
+    Held { link: SocketAddr },
+    /// None does; those that can be members, and the lowest address of these.
+    Fresh { first: SocketAddr, members: Vec<Member> },
+}
+
+/// Asks all other seeds. A host without a disk stands by and is no member.
+async fn survey(seeds: &Seeds, end: &End, own: SocketAddr) -> Survey {
+    let mut members = vec![Member { voter: true, ..end.own.clone() }];
+    let mut first = own;
+    for link in others(seeds, Some(own)) {
+        let Ok((hello, _, _)) = peers::greet(link, end).await else {
+            return Survey::Incomplete;
+        };
+        if !hello.fresh {
+            return Survey::Held { link };
         }
-        if complete {
-            info!(end.log, "names the first membership"; "members" => members.len());
-            drop(core.send(Input::Bootstrap(Members { members })).await);
-            return;
+        if let Some(member) = hello.member {
+            first = first.min(link);
+            members.push(Member { voter: true, ..member });
         }
-        tokio::time::sleep(PAUSE).await;
     }
+    Survey::Fresh { first, members }
 }
 
 /// Dials the seeds, so that the leader hears of this member.
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -31,6 +31,7 @@
 mod peers;
 mod probe;
 pub mod roster;
+pub mod standby;
 mod status;
 mod web;
 
--- /dev/null
+++ b/components/member/src/standby.rs
@@ -0,0 +1,37 @@
+//! A host that serves control without a disk: it tells members that it is none.
+
+use ::link::{Failure, Key, Peer, Purpose};
+use base::prelude::*;
+use slog::{Logger, debug};
+use tokio::net::{TcpListener, TcpStream};
+use wire::quorum::Hello;
+
+/// Wait after a failed accept, as when files run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers members that look for others until the task is ended.
+pub async fn serve(listener: TcpListener, name: Name, key: Key, log: Logger) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let (name, key, log) = (name.clone(), key.clone(), log.clone());
+                tokio::spawn(async move {
+                    if let Err(report) = answer(stream, &name, &key).await {
+                        debug!(log, "a link ended"; "failure" => %report);
+                    }
+                });
+            }
+            Err(error) => {
+                debug!(log, "could not accept a link"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer(stream: TcpStream, name: &Name, key: &Key) -> Result<(), Report<Failure>> {
+    let own = Peer::new(name.as_str(), 0, Purpose::Quorum);
+    let (_, mut reader, mut writer) = ::link::accept(stream, &own, key).await?;
+    let _asked: Option<Hello> = reader.next().await?;
+    writer.send(&Hello { member: None, fresh: true, asks: false }).await
+}
--- /dev/null
+++ b/components/member/tests/seeds.rs
@@ -0,0 +1,128 @@
+//! The first membership from seeds, and members that join it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::clock::Clock;
+use base::name::Name;
+use member::{Api, Handle, Origin, Seeds, Settings};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use wire::log::Replace;
+
+fn key() -> link::Key {
+    link::Key::new(b"a key for the tests only").unwrap()
+}
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+struct Member {
+    api: Api,
+    handle: Handle,
+}
+
+async fn bind(host: &str, data: &std::path::Path) -> member::Bound {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let bound = member::bind(Settings {
+        name: name(host),
+        data: data.join(host),
+        link: any,
+        web: any,
+        key: key(),
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+        clock: Clock::start(),
+        seed: 7,
+        beacons: false,
+        outside: None,
+    });
+    bound.await.unwrap()
+}
+
+fn start(bound: member::Bound, links: &[SocketAddr], founding: bool) -> Member {
+    let (_, links) = watch::channel(links.to_vec());
+    let api = bound.api();
+    let origin = Origin::Seeds(Seeds { links, founding, tolerance: 1 });
+    Member { api, handle: bound.start(origin, axum::Router::new()).unwrap() }
+}
+
+fn edition(number: u64) -> Replace {
+    let document = format!("document {number}").into();
+    Replace { edition: number, content: "{}".to_owned(), document }
+}
+
+/// Puts an edition in force, as soon as there is a leader.
+async fn replace(api: &Api, number: u64) {
+    for _ in 0..200 {
+        if api.replace(edition(number)).await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("edition {number} was not taken");
+}
+
+/// Waits until a member confirms an edition.
+async fn confirms(api: &Api, number: u64) {
+    for _ in 0..200 {
+        if api.edition().await.is_ok_and(|edition| edition.number == number) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("edition {number} is not confirmed");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn seeds_found_a_membership_that_others_join_also_with_an_empty_disk() {
+    let data = tempfile::tempdir().unwrap();
+    let mut bound = Vec::new();
+    for host in ["a", "b", "c", "d"] {
+        bound.push(bind(host, data.path()).await);
+    }
+    let seeds: Vec<_> = bound[..3].iter().map(|bound| bound.addresses().link).collect();
+    let mut members: Vec<_> =
+        bound.into_iter().map(|bound| start(bound, &seeds, true)).collect();
+    replace(&members[0].api, 3).await;
+    for member in &members {
+        confirms(&member.api, 3).await;
+    }
+
+    // one is gone with its disk, and comes back as another under its name
+    members.remove(2).handle.kill();
+    std::fs::remove_dir_all(data.path().join("c")).unwrap();
+    let again = start(bind("c", data.path()).await, &seeds, false);
+    confirms(&again.api, 3).await;
+    replace(&again.api, 4).await;
+    confirms(&members[0].api, 4).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_seed_that_stands_by_is_no_member() {
+    let data = tempfile::tempdir().unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stands_by = listener.local_addr().unwrap();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    tokio::spawn(member::standby::serve(listener, name("s"), key(), log));
+    let (a, b) = (bind("a", data.path()).await, bind("b", data.path()).await);
+    let seeds = [stands_by, a.addresses().link, b.addresses().link];
+    let (a, b) = (start(a, &seeds, true), start(b, &seeds, true));
+    replace(&a.api, 1).await;
+    confirms(&b.api, 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_older_edition_changes_nothing_and_an_equal_one_neither() {
+    let data = tempfile::tempdir().unwrap();
+    let bound = bind("a", data.path()).await;
+    let seeds = [bound.addresses().link];
+    let member = start(bound, &seeds, true);
+    replace(&member.api, 5).await;
+    for number in [4, 5] {
+        let other = Replace { document: "other".into(), ..edition(number) };
+        assert_eq!(member.api.replace(other).await.unwrap(), member::Replaced::Passed);
+    }
+    let held = member.api.edition().await.unwrap();
+    assert_eq!((held.number, &*held.document), (5, b"document 5".as_slice()));
+}
