--- a/components/member/tests/seeds.rs
+++ b/components/member/tests/seeds.rs
@@ -82,8 +82,7 @@
         bound.push(bind(host, data.path()).await);
     }
     let seeds: Vec<_> = bound[..3].iter().map(|bound| bound.addresses().link).collect();
-    let mut members: Vec<_> =
-        bound.into_iter().map(|bound| start(bound, &seeds, true)).collect();
+    let mut members: Vec<_> = bound.into_iter().map(|bound| start(bound, &seeds, true)).collect();
     replace(&members[0].api, 3).await;
     for member in &members {
         confirms(&member.api, 3).await;
