--- a/components/entry/src/keep/plain.rs
+++ b/components/entry/src/keep/plain.rs
@@ -229,32 +229,31 @@
             Begin::Write => Some(Access::Write),
             Begin::Read => Some(Access::Read),
         };
-        let mut wait = wait;
-        let statement = |wait| match task.execute.clone() {
-            None => (None, Order::Run { id: task.id.clone(), wait, text: task.text.clone() }),
-            Some(execute) => {
-                let access = if execute.writes { Access::Write } else { Access::Read };
-                let key = (access, execute.shape.clone());
-                let next = self.prepared.len() as u64 + 1;
-                let (number, known) = match self.prepared.get(&key) {
-                    Some(&number) => (number, true),
-                    None => (next, false),
-                };
-                let prepare = Order::Prepare { number, access, shape: execute.shape };
-                let arguments = execute.arguments;
-                let order = Order::Execute { id: task.id.clone(), wait, number, arguments };
-                ((!known).then_some(prepare), order)
-            }
-        };
-        let (prepare, order) = statement(if begin.is_some() { None } else { wait });
+        let (before, own) = if begin.is_some() { (wait, None) } else { (None, wait) };
+        let (prepare, statement) = self.statement(task, own);
         steps.extend(prepare);
         if let Some(access) = begin {
-            steps.push_back(Order::Begin { wait: wait.take(), access });
+            steps.push_back(Order::Begin { wait: before, access });
         }
-        steps.push_back(order);
+        steps.push_back(statement);
         steps
     }
 
+    /// The order that runs a task's statement, and the one that prepares it, if
+    /// that is not done yet.
+    fn statement(&self, task: &Task, wait: Option<Mark>) -> (Option<Order>, Order) {
+        let id = task.id.clone();
+        let Some(execute) = task.execute.clone() else {
+            return (None, Order::Run { id, wait, text: task.text.clone() });
+        };
+        let access = if execute.writes { Access::Write } else { Access::Read };
+        let shape = execute.shape;
+        let known = self.prepared.get(&(access, shape.clone())).copied();
+        let number = known.unwrap_or(self.prepared.len() as u64 + 1);
+        let prepare = known.is_none().then_some(Order::Prepare { number, access, shape });
+        (prepare, Order::Execute { id, wait, number, arguments: execute.arguments })
+    }
+
     /// Sends the first of the steps.
     async fn next(
         &mut self,
