Answer a Flush where that changes nothing

Cause: psycopg ends a pipeline with Sync and Flush, then sends a Query; the Flush was refused, the messages after it were passed over up to a Sync that never came, and the caller hung. asyncpg looks at a statement with Parse, Describe and Flush before it binds, and was refused.

Ruled out: running all that was flushed at once. Outside a transaction that would commit a part of what one Sync is to commit.

Change: a Flush splits a cycle where a Sync at that place changes nothing: no portal is left, and nothing ran outside a transaction. With nothing pending it is passed over. What can't be split is refused as before, before it runs. A Query before the Sync of other messages is refused with the end of a cycle.

Before: psycopg's executemany hung in its commit, asyncpg's fetch ended with TF004.

--- a/components/entry/src/front/caller.rs
+++ b/components/entry/src/front/caller.rs
@@ -18,6 +18,17 @@
 use super::session::{Session, Transaction};
 use super::{Front, Phase};
 
+/// What is left to do of messages that the front has looked at.
+#[derive(Debug)]
+enum Rest {
+    /// They are to be run.
+    Run(Work),
+    /// They are answered.
+    Answered,
+    /// They are answered, with an error at last.
+    Failed,
+}
+
 /// One caller.
 #[derive(Debug)]
 pub struct Caller {
@@ -51,7 +62,15 @@
             match self.protocol.on(&frame) {
                 Step::Wait => {}
                 // boxed, so that the task of an idle caller stays small
-                Step::Run(cycle) => Box::pin(self.cycle(cycle)).await?,
+                Step::Run(cycle) => {
+                    Box::pin(self.cycle(cycle)).await?;
+                    self.ready();
+                }
+                Step::Flush(messages) => {
+                    if Box::pin(self.part(messages)).await? {
+                        self.protocol.skip();
+                    }
+                }
                 Step::Refuse(problem) => self.fail(&problem).await,
                 Step::Reject(problem) => {
                     self.fail(&problem).await;
@@ -111,57 +130,70 @@
         !self.session.transaction.is_open() && self.protocol.is_idle() && self.conn.input.is_empty()
     }
 
-    async fn cycle(&mut self, cycle: Cycle) -> Result<(), Report<Gone>> {
+    /// Answers a cycle but for its end; whether that was an error.
+    async fn cycle(&mut self, cycle: Cycle) -> Result<bool, Report<Gone>> {
         self.session.cycles += 1;
-        let result = match cycle {
+        let rest = match cycle {
             Cycle::Query { text, bytes } => self.query(&text, bytes),
             Cycle::Extended(messages) => self.extended(messages),
         };
-        match result {
-            Ok(Some(work)) => self.run(work).await?,
-            Ok(None) => self.ready(),
+        let failed = match rest {
+            Ok(Rest::Run(work)) => self.run(work).await?,
+            Ok(Rest::Answered) => false,
+            Ok(Rest::Failed) => true,
             Err(problem) => {
                 self.fail(&problem).await;
-                self.ready();
+                true
             }
-        }
+        };
         if matches!(self.session.transaction, Transaction::None) {
             self.session.prepared.settle();
         }
-        Ok(())
+        Ok(failed)
+    }
+
+    /// Answers a part of a cycle, if that can be told from the rest of it;
+    /// whether that was an error.
+    async fn part(&mut self, messages: Vec<Message>) -> Result<bool, Report<Gone>> {
+        let survey = self.session.prepared.survey(&messages);
+        if survey.is_separable(!matches!(self.session.transaction, Transaction::None)) {
+            return self.cycle(Cycle::Extended(messages)).await;
+        }
+        self.fail(&Feature::Flush.into()).await;
+        Ok(true)
     }
 
     /// Answers a text, or tells what is to be run of it.
-    fn query(&mut self, text: &str, payload: bytes::Bytes) -> Result<Option<Work>, Problem> {
+    fn query(&mut self, text: &str, payload: bytes::Bytes) -> Result<Rest, Problem> {
         let scan = Scan::new(text);
         if matches!(self.session.transaction, Transaction::Lost) {
             if !scan.ends() {
                 return Err(failed_transaction());
             }
             self.end_lost();
-            return Ok(None);
+            return Ok(Rest::Answered);
         }
         if scan.statements.is_empty() {
             self.conn.output.empty();
-            return Ok(None);
+            return Ok(Rest::Answered);
         }
         self.check(&scan)?;
         if scan.is_local() {
             self.check_failed()?;
             self.local_query(&scan);
-            return Ok(None);
+            return Ok(Rest::Answered);
         }
         // as PostgreSQL does
         self.session.prepared.apply(&pg::prepared::Change::Drop(String::new()));
         let admission = self.admit(std::iter::once((text, &scan)))?;
         let plan = Plan { payload, ..Plan::default() };
-        Ok(Some(Work { plan, admission, commits: scan.commits() }))
+        Ok(Rest::Run(Work { plan, admission, commits: scan.commits() }))
     }
 
     /// Answers messages, or tells what is to be run of them.
-    fn extended(&mut self, messages: Vec<Message>) -> Result<Option<Work>, Problem> {
+    fn extended(&mut self, messages: Vec<Message>) -> Result<Rest, Problem> {
         if messages.is_empty() {
-            return Ok(None);
+            return Ok(Rest::Answered);
         }
         let survey = self.session.prepared.survey(&messages);
         let scans = || survey.statements.iter().map(|statement| &statement.scan);
@@ -169,8 +201,7 @@
             if survey.statements.is_empty() || !scans().all(Scan::ends) {
                 return Err(failed_transaction());
             }
-            self.local_cycle(&messages);
-            return Ok(None);
+            return Ok(self.local(&messages));
         }
         for scan in scans() {
             self.check(scan)?;
@@ -180,8 +211,7 @@
                 return Err(Feature::Mixed.into());
             }
             self.check_failed()?;
-            self.local_cycle(&messages);
-            return Ok(None);
+            return Ok(self.local(&messages));
         }
         let commits = scans().any(Scan::commits);
         let texts = survey.statements.iter();
@@ -190,7 +220,18 @@
         if plan.payload.len() > MAX_BYTES {
             return Err(Problem::new(Code::Limit, "the request is too long; it was not run"));
         }
-        Ok(Some(Work { plan, admission, commits }))
+        Ok(Rest::Run(Work { plan, admission, commits }))
+    }
+
+    /// Answers messages whose statements are all the front's.
+    fn local(&mut self, messages: &[Message]) -> Rest {
+        match self.local_cycle(messages) {
+            Ok(()) => Rest::Answered,
+            Err(problem) => {
+                self.conn.output.error(&problem);
+                Rest::Failed
+            }
+        }
     }
 
     fn check(&self, scan: &Scan) -> Result<(), Problem> {
--- a/components/entry/src/front/local.rs
+++ b/components/entry/src/front/local.rs
@@ -61,14 +61,12 @@
     }
 
     /// Answers messages whose statements are all the front's.
-    pub(super) fn local_cycle(&mut self, messages: &[Message]) {
+    pub(super) fn local_cycle(&mut self, messages: &[Message]) -> Result<(), Problem> {
         let mut portals = BTreeMap::new();
         for message in messages {
-            if let Err(problem) = self.local_message(message, &mut portals) {
-                self.conn.output.error(&problem);
-                return;
-            }
+            self.local_message(message, &mut portals)?;
         }
+        Ok(())
     }
 
     fn local_message(
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -34,8 +34,8 @@
 }
 
 impl Caller {
-    /// Runs a cycle and writes its whole answer.
-    pub(super) async fn run(&mut self, work: Work) -> Result<(), Report<Gone>> {
+    /// Runs a cycle and writes its answer; whether that was an error.
+    pub(super) async fn run(&mut self, work: Work) -> Result<bool, Report<Gone>> {
         let started = self.front.clock.now();
         let open = match &self.session.transaction {
             Transaction::Open { link, .. } => Some(Arc::clone(link)),
@@ -61,12 +61,13 @@
             Some(link) => errand.attempt(&link).await.map(|attempt| (attempt, Some(link))),
             None => errand.search().await,
         };
+        let failed = errand.sink.filter.failed();
         let running = self.session.cancel.set(None);
         match result {
             Ok((attempt, link)) => {
                 self.record(&work, &attempt, started);
-                self.settle(&work, attempt, link).await;
-                Ok(())
+                let done = self.settle(&work, attempt, link).await;
+                Ok(failed || !done)
             }
             Err(report) => {
                 // the caller is gone, and what it ran must not stay
@@ -104,21 +105,20 @@
         }
     }
 
-    /// Takes the end of the last attempt and ends the answer.
-    async fn settle(&mut self, work: &Work, attempt: Attempt, link: Option<Arc<Link>>) {
+    /// Takes the end of the last attempt; whether the request is done.
+    async fn settle(&mut self, work: &Work, attempt: Attempt, link: Option<Arc<Link>>) -> bool {
         let within = self.session.transaction.is_open();
         self.keep(work, attempt.own());
         if let Attempt::Ended { end, .. } = &attempt {
             self.front.metrics.cycle(end);
         }
-        match verdict::problem(&attempt, within, work.commits) {
-            None => self.done(work, &attempt, link, within),
-            Some(problem) => {
-                let held = link.filter(|_| verdict::holds(&attempt, within));
-                self.lose(work, &problem, held, within).await;
-            }
-        }
-        self.ready();
+        let Some(problem) = verdict::problem(&attempt, within, work.commits) else {
+            self.done(work, &attempt, link, within);
+            return true;
+        };
+        let held = link.filter(|_| verdict::holds(&attempt, within));
+        self.lose(work, &problem, held, within).await;
+        false
     }
 
     /// Counts the request against the objectives of its service.
--- a/components/pg/src/cycle.rs
+++ b/components/pg/src/cycle.rs
@@ -1,8 +1,9 @@
 //! A caller's messages, grouped into cycles.
 //!
 //! A cycle is what one ReadyForQuery answers: one Query, or the messages of
-//! the extended protocol up to a Sync. A cycle is passed on only when it is
-//! whole, so what comes before its end never left the front.
+//! the extended protocol up to a Sync. A cycle is passed on when it is whole, so
+//! what comes before its end never left the front. A Flush asks for the answers
+//! to what came so far; it splits the cycle where that changes nothing.
 
 use bytes::Bytes;
 
@@ -38,6 +39,8 @@
     Wait,
     /// A cycle is whole.
     Run(Cycle),
+    /// The answers to these messages are asked for before their cycle ends.
+    Flush(Vec<Message>),
     /// An error is due now; messages up to the next Sync are passed over.
     Refuse(Problem),
     /// An error is due now, and the cycle ends with it.
@@ -55,6 +58,8 @@
 pub struct Caller {
     pending: Vec<Message>,
     bytes: usize,
+    /// Whether a part of the cycle was flushed.
+    flushed: bool,
     skipping: bool,
 }
 
@@ -66,7 +71,13 @@
 
     /// Whether the caller stands between two cycles.
     pub fn is_idle(&self) -> bool {
-        self.pending.is_empty() && !self.skipping
+        self.pending.is_empty() && !self.skipping && !self.flushed
+    }
+
+    /// Passes over the messages up to the next Sync, after an error.
+    pub fn skip(&mut self) {
+        drop(self.take());
+        self.skipping = true;
     }
 
     /// Takes one message.
@@ -80,9 +91,13 @@
         };
         match message {
             Message::Terminate => Step::Terminate,
-            Message::Sync if std::mem::take(&mut self.skipping) => Step::Recover,
-            Message::Sync => Step::Run(Cycle::Extended(self.flush())),
-            Message::Flush => self.refuse(Feature::Flush.into()),
+            Message::Sync => self.sync(),
+            // all that is due was sent
+            Message::Flush if self.pending.is_empty() => Step::Wait,
+            Message::Flush => {
+                self.flushed = true;
+                Step::Flush(self.take())
+            }
             Message::Query(query) => self.query(query.query, frame.bytes.clone()),
             Message::Password(_) => {
                 Step::Break(Problem::new(Code::Protocol, "a password is due at login only"))
@@ -94,21 +109,31 @@
         }
     }
 
-    fn flush(&mut self) -> Vec<Message> {
+    fn sync(&mut self) -> Step {
+        self.flushed = false;
+        if std::mem::take(&mut self.skipping) {
+            return Step::Recover;
+        }
+        Step::Run(Cycle::Extended(self.take()))
+    }
+
+    fn take(&mut self) -> Vec<Message> {
         self.bytes = 0;
         std::mem::take(&mut self.pending)
     }
 
     fn refuse(&mut self, problem: Problem) -> Step {
-        drop(self.flush());
-        self.skipping = true;
+        self.skip();
         Step::Refuse(problem)
     }
 
     fn query(&mut self, text: String, bytes: Bytes) -> Step {
-        if !self.pending.is_empty() {
+        if !self.pending.is_empty() || self.flushed {
             let message = "a Query before the Sync of the messages before it is not carried";
-            return self.refuse(Problem::new(Code::Feature, message));
+            self.flushed = false;
+            drop(self.take());
+            // its sender waits for the end of a cycle, and may never send the Sync
+            return Step::Reject(Problem::new(Code::Feature, message));
         }
         if bytes.len() > MAX_BYTES {
             return Step::Reject(too_long());
--- a/components/pg/src/prepared.rs
+++ b/components/pg/src/prepared.rs
@@ -78,6 +78,47 @@
     pub statements: Vec<Arc<Statement>>,
     /// Those that the cycle itself prepares, in order.
     own: VecDeque<Arc<Statement>>,
+    /// What it makes of portals, in order.
+    uses: Vec<Use>,
+}
+
+/// What a cycle does with a portal.
+#[derive(Debug)]
+enum Use {
+    /// Binds a statement to it.
+    Bind(String, Arc<Statement>),
+    /// Runs it.
+    Execute(String),
+}
+
+impl Survey {
+    /// Whether a Sync after it changes nothing: it leaves no portal and runs
+    /// nothing outside a transaction. `within` tells whether one is open.
+    pub fn is_separable(&self, within: bool) -> bool {
+        let mut within = within;
+        let mut portals = BTreeMap::new();
+        for portal in &self.uses {
+            match portal {
+                Use::Bind(name, statement) => {
+                    portals.insert(name, &statement.scan);
+                    if !within && !statement.scan.begins() {
+                        return false;
+                    }
+                }
+                Use::Execute(name) => match portals.get(name) {
+                    Some(scan) if scan.begins() => within = true,
+                    Some(scan) if scan.ends() => {
+                        within = false;
+                        portals.clear();
+                    }
+                    // a portal of an earlier cycle
+                    None if !within => return false,
+                    Some(_) | None => {}
+                },
+            }
+        }
+        within || portals.is_empty()
+    }
 }
 
 /// The statements that one caller prepared.
@@ -158,10 +199,21 @@
                     names.insert(name, None);
                     continue;
                 }
+                Message::Execute(execute) => {
+                    survey.uses.push(Use::Execute(execute.name.clone().unwrap_or_default()));
+                    continue;
+                }
                 _ => continue,
             };
             let staged = names.get(name).cloned();
-            survey.statements.extend(staged.unwrap_or_else(|| self.get(name).cloned()));
+            let Some(statement) = staged.unwrap_or_else(|| self.get(name).cloned()) else {
+                continue;
+            };
+            if let Message::Bind(bind) = message {
+                let portal = bind.portal_name.clone().unwrap_or_default();
+                survey.uses.push(Use::Bind(portal, Arc::clone(&statement)));
+            }
+            survey.statements.push(statement);
         }
         survey
     }
--- a/components/pg/src/scan.rs
+++ b/components/pg/src/scan.rs
@@ -60,8 +60,9 @@
     /// A text that has no tokens.
     #[strum(serialize = "the statement can't be read: a quote or comment is not closed")]
     Unreadable,
-    /// Flush without Sync.
-    #[strum(serialize = "Flush is not carried; end each cycle with Sync")]
+    /// Flush after what runs outside a transaction, or ends one.
+    #[strum(serialize = "Flush after a statement that runs outside a transaction is not \
+                         carried; end the cycle with Sync. Nothing of it was run")]
     Flush,
     /// Calls of functions by number.
     #[strum(serialize = "calls of functions by number are not carried")]
@@ -167,10 +168,18 @@
         self.statements.iter().any(commits)
     }
 
+    /// Whether it is one statement that begins a transaction.
+    pub fn begins(&self) -> bool {
+        self.is_verb(Verb::Begin)
+    }
+
     /// Whether it is one statement that ends a transaction.
     pub fn ends(&self) -> bool {
-        let verb = |verb| self.statements[..] == [Statement::Remote(verb)];
-        verb(Verb::Commit) || verb(Verb::Rollback)
+        self.is_verb(Verb::Commit) || self.is_verb(Verb::Rollback)
+    }
+
+    fn is_verb(&self, verb: Verb) -> bool {
+        self.statements[..] == [Statement::Remote(verb)]
     }
 }
 
--- a/components/pg/tests/cycles.rs
+++ b/components/pg/tests/cycles.rs
@@ -10,7 +10,7 @@
 use pg::cycle::{Cycle, Step};
 use pg::{Caller, Filter, Prepared, frame};
 use pgwire::messages::Message as _;
-use pgwire::messages::extendedquery::{Bind, Close, Describe, Execute, Parse, Sync};
+use pgwire::messages::extendedquery::{Bind, Close, Describe, Execute, Flush, Parse, Sync};
 use pgwire::messages::simplequery::Query;
 use server::Server;
 
@@ -42,12 +42,21 @@
 }
 
 fn cycle(u: &mut Unstructured<'_>) -> Result<Bytes> {
-    let mut bytes = BytesMut::new();
     if u.ratio(1, 4)? {
+        let mut bytes = BytesMut::new();
         Query::new(text(u)?).encode(&mut bytes).unwrap();
         return Ok(bytes.freeze());
     }
+    extended(u, 0)
+}
+
+/// Messages up to a Sync, with this many Flushes in ten among them.
+fn extended(u: &mut Unstructured<'_>, flushes: u8) -> Result<Bytes> {
+    let mut bytes = BytesMut::new();
     for _ in 0..u.int_in_range(0..=8)? {
+        if flushes > 0 && u.ratio(flushes, 10)? {
+            Flush::new().encode(&mut bytes).unwrap();
+        }
         let target = *u.choose(b"SP")?;
         let encoded = match u.int_in_range(0..=4)? {
             0 => Parse::new(name(u)?, text(u)?, Vec::new()).encode(&mut bytes),
@@ -81,13 +90,19 @@
     }
 }
 
+/// What a caller gets.
+struct Answer {
+    bytes: Bytes,
+    failed: bool,
+}
+
 /// Runs a cycle on the shared connection and returns what the caller gets.
 fn run(
     u: &mut Unstructured<'_>,
     model: &mut Model,
     server: &mut Server,
     cycle: Cycle,
-) -> Result<Bytes> {
+) -> Result<Answer> {
     let plan = match cycle {
         Cycle::Query { bytes, .. } => {
             model.prepared.apply(&pg::prepared::Change::Drop(String::new()));
@@ -116,7 +131,48 @@
     if server.status == Status::Idle {
         model.prepared.settle();
     }
-    Ok(passed.freeze())
+    Ok(Answer { bytes: passed.freeze(), failed: filter.failed() })
+}
+
+/// Runs a cycle whose answers are asked for in parts; the messages up to a part
+/// that is refused, and what the caller gets for them.
+fn run_parts(
+    u: &mut Unstructured<'_>,
+    model: &mut Model,
+    server: &mut Server,
+    bytes: &[u8],
+) -> Result<(Bytes, Bytes)> {
+    let (mut taken, mut passed) = (BytesMut::new(), BytesMut::new());
+    let (mut waiting, mut over) = (BytesMut::new(), false);
+    let mut input = BytesMut::from(bytes);
+    while let Some(frame) = frame::take(&mut input).unwrap() {
+        if !over {
+            waiting.extend_from_slice(&frame.bytes);
+        }
+        let cycle = match model.caller.on(&frame) {
+            Step::Wait | Step::Recover => continue,
+            Step::Run(cycle) => cycle,
+            Step::Flush(messages) => {
+                let within = server.status != Status::Idle;
+                if !model.prepared.survey(&messages).is_separable(within) {
+                    model.caller.skip();
+                    (waiting, over) = (BytesMut::new(), true);
+                    continue;
+                }
+                Cycle::Extended(messages)
+            }
+            step => panic!("{step:?}"),
+        };
+        taken.extend_from_slice(&waiting.split());
+        let answer = run(u, model, server, cycle)?;
+        passed.extend_from_slice(&answer.bytes);
+        if answer.failed && frame.kind == b'H' {
+            model.caller.skip();
+            over = true;
+        }
+    }
+    assert!(model.caller.is_idle());
+    Ok((taken.freeze(), passed.freeze()))
 }
 
 #[test]
@@ -136,7 +192,31 @@
                 let taken = feed(u, model, &bytes)?;
                 let answer = run(u, model, &mut shared, taken)?;
                 let wanted = model.own.run(bytes);
-                assert_eq!(answer, wanted, "seed {seed}");
+                assert_eq!(answer.bytes, wanted, "seed {seed}");
+                assert_eq!(shared.status, model.own.status, "seed {seed}");
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | SIZE)
+        .run();
+    }
+}
+
+#[test]
+fn answers_that_are_asked_for_early_are_those_of_a_connection_of_its_own() {
+    for seed in 0..schedules() {
+        arbtest(|u| {
+            let mut shared = Server::default();
+            let mut models = [Model::default(), Model::default(), Model::default()];
+            let mut turn = 0;
+            for _ in 0..u.int_in_range(1..=24)? {
+                if shared.status == Status::Idle {
+                    turn = u.choose_index(models.len())?;
+                }
+                let model = &mut models[turn];
+                let bytes = extended(u, 4)?;
+                let (taken, answer) = run_parts(u, model, &mut shared, &bytes)?;
+                assert_eq!(answer, model.own.run(taken), "seed {seed}");
                 assert_eq!(shared.status, model.own.status, "seed {seed}");
             }
             Ok(())
--- a/components/pg/tests/server/mod.rs
+++ b/components/pg/tests/server/mod.rs
@@ -99,7 +99,7 @@
                 table.remove(name);
                 out.closed();
             }
-            Message::Sync => {}
+            Message::Sync | Message::Flush => {}
             other => panic!("{other:?} is not for a server"),
         }
         Ok(())
