Try a server again that one late connection took for silent

Cause: a connection that fails marks its server as silent, and only a connection that opens later clears that.

Ruled out: load (the processors were at 0.06 of 0.32 cores), slots, lag.

Change: while a server is in trouble one connection is tried, at the intervals of failed ones, whatever else stands.

--- a/components/keeper/src/pump.rs
+++ b/components/keeper/src/pump.rs
@@ -228,7 +228,9 @@
         attempt
     }
 
-    /// Opens connections ahead of need.
+    /// Opens connections ahead of need, and one to a server that could not be
+    /// reached: no work goes there before, so nothing else would tell that it
+    /// can be.
     fn connect(&mut self, now: Instant, key: Key<Server>, out: &mut Vec<Effect>) {
         if !self.keeps_idle(key) {
             return;
@@ -241,15 +243,29 @@
         }
         let (limit, warm) = (server.connections, server.slots + WARM);
         let (name, address) = (server.name.clone(), server.address);
+        let probes = self.is_solo() && server.trouble.is_some();
         let opening = self.conns.iter().filter(|(_, conn)| conn.server == key);
         let mut opening = opening.filter(|(_, conn)| conn.work == Work::Opening).count() as u32;
-        while self.standing(key) < limit && self.count_idle(key) < warm && opening < OPENING {
+        if probes && opening == 0 && self.standing(key) >= limit {
+            return self.make_room(key, out);
+        }
+        let wanted = |group: &Self, opening| {
+            (probes && opening == 0) || (group.count_idle(key) < warm && opening < OPENING)
+        };
+        while self.standing(key) < limit && wanted(self, opening) {
             let conn = self.conns.insert(Connection::new(key));
             out.push(Effect::Connect { conn, server: name.clone(), address });
             opening += 1;
         }
     }
 
+    /// Closes an idle connection, so that another may be opened.
+    fn make_room(&mut self, server: Key<Server>, out: &mut Vec<Effect>) {
+        if let Some(conn) = self.idle(server) {
+            self.shut(conn, out);
+        }
+    }
+
     /// Closes idle connections that are too many.
     fn trim(&mut self, now: Instant, key: Key<Server>, out: &mut Vec<Effect>) {
         let Some(server) = self.servers.get(key) else {
