Send configurations deflated, and keep a link while a long message comes

Cause: a configuration of 1,272 routes is 650 KB in the log as text and document; an entry on a link of 2 Mbit/s takes 2.6 s for it, with the confirmations of its beats behind it.

Ruled out: processor time (0.02 of 0.32 cores), the members' own links.

A link is not silent while bytes of a message still come, for ten seconds at most.

--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -9,6 +9,7 @@
 use smallvec::SmallVec;
 use wire::log::command::Body;
 use wire::log::{self, Command};
+use wire::pack;
 
 use crate::changes::Answer;
 use crate::state::{Entry, Group, Phase, Server, State};
@@ -107,7 +108,9 @@
         if replace.edition <= self.edition {
             return Ok(Outcome::Unchanged);
         }
-        let declarations = Declarations::parse(&replace.content);
+        let content = pack::unpack_text(&replace.content);
+        let content = content.map_err(|_garbled| Refusal::Malformed)?;
+        let declarations = Declarations::parse(&content);
         let declarations = declarations.map_err(|_faults| Refusal::Malformed)?;
         self.edition = replace.edition;
         self.document = replace.document.clone();
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -6,9 +6,10 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use bytes::Bytes;
 use config::{Declarations, Fault};
 use wire::Message;
-use wire::log;
+use wire::{log, pack};
 
 use crate::changes::{Answer, Changes};
 use crate::state::{Entry, Group, Phase, Server, State};
@@ -31,8 +32,9 @@
     index: u64,
     #[prost(uint64, tag = "2")]
     version: u64,
-    #[prost(string, tag = "3")]
-    declarations: String,
+    /// The declarations, packed.
+    #[prost(bytes = "bytes", tag = "12")]
+    declarations: Bytes,
     #[prost(message, repeated, tag = "4")]
     groups: Vec<GroupImage>,
     #[prost(message, repeated, tag = "5")]
@@ -45,8 +47,8 @@
     changes: Vec<ChangeImage>,
     #[prost(uint64, tag = "9")]
     edition: u64,
-    #[prost(bytes = "bytes", tag = "10")]
-    document: bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "13")]
+    document: Bytes,
     #[prost(message, repeated, tag = "11")]
     departed: Vec<DepartedImage>,
 }
@@ -121,20 +123,28 @@
 impl State {
     /// The whole state as bytes; equal states give equal bytes.
     pub fn encode(&self) -> Vec<u8> {
-        let image = Image {
+        Image { document: self.document.clone(), ..self.image() }.encode_to_vec()
+    }
+
+    /// What entries need of the state as bytes.
+    pub fn encode_for_entries(&self) -> Vec<u8> {
+        self.image().encode_to_vec()
+    }
+
+    fn image(&self) -> Image {
+        Image {
             index: self.index,
             version: self.version,
-            declarations: self.declarations.canonical(),
+            declarations: pack::pack(self.declarations.canonical().as_bytes()),
             groups: self.groups.iter().map(write_group).collect(),
             servers: self.servers.iter().map(write_server).collect(),
             entries: self.entries.iter().map(|(name, entry)| entry.join(name)).collect(),
             drained: self.drained.iter().map(Name::to_string).collect(),
             changes: self.changes.iter().map(write_change).collect(),
             edition: self.edition,
-            document: self.document.clone(),
+            document: Bytes::new(),
             departed: self.departed.iter().map(write_departed).collect(),
-        };
-        image.encode_to_vec()
+        }
     }
 
     /// Reads such bytes.
@@ -143,7 +153,8 @@
     /// [`Malformed`] when they are no image.
     pub fn decode(bytes: &[u8]) -> Result<Self, Report<Malformed>> {
         let image = Image::decode(bytes).change_context(Malformed)?;
-        let declarations: Declarations = read_json(&image.declarations)?;
+        let declarations = pack::unpack_text(&image.declarations).change_context(Malformed)?;
+        let declarations: Declarations = read_json(&declarations)?;
         let drained: Result<BTreeSet<Name>, _> = image.drained.iter().map(|n| name(n)).collect();
         let drained = drained?;
         let mut entries = BTreeMap::new();
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -25,7 +25,7 @@
     pub version: u64,
     /// Edition of the declarations, where they come as whole editions.
     pub edition: u64,
-    /// The document that the edition was read from.
+    /// The document that the edition was read from, packed; entries lack it.
     pub document: Bytes,
     /// The declarations in force.
     pub declarations: Arc<Declarations>,
--- a/components/control/tests/succession.rs
+++ b/components/control/tests/succession.rs
@@ -59,9 +59,8 @@
             beats: vec![("e1", 1), ("e2", 1)],
             version: 0,
         };
-        let content = r#"{"groups":{"g":{"servers":15,"acknowledges":true}}}"#.to_owned();
-        let document = bytes::Bytes::new();
-        world.commit(command::Body::Replace(Replace { edition: 1, content, document }));
+        let content = r#"{"groups":{"g":{"servers":15,"acknowledges":true}}}"#;
+        world.commit(command::Body::Replace(Replace::new(1, content, b"")));
         for (index, server) in ["s0", "s1", "s2"].into_iter().enumerate() {
             let role = if index == 0 { Role::Primary } else { Role::Replica };
             let mark = Mark::new(1, 100);
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -200,7 +200,9 @@
             Some(symptom) = settings.symptoms.recv() => {
                 send(&mut writer, up::Body::Symptom(symptom)).await?;
             }
-            _ = checks.tick() => progress.check(settings.clock.now(), &view)?,
+            _ = checks.tick() => {
+                progress.check(settings.clock.now(), &view, reader.pending())?;
+            }
             told = &mut *left => {
                 if told.is_ok() {
                     drop(send(&mut writer, up::Body::Leave(Leave {})).await);
--- a/components/entry/src/follow/progress.rs
+++ b/components/entry/src/follow/progress.rs
@@ -20,6 +20,10 @@
 /// Time after which an unconfirmed beat makes an entry try another member.
 pub const SILENCE: Duration = Duration::from_secs(1);
 
+/// Longest time for which what still comes of a long message keeps a link whose
+/// beats are unconfirmed: they are confirmed behind it.
+pub const TRANSFER: Duration = Duration::from_secs(10);
+
 /// Time after which an entry that the state does not hold joins again.
 pub const ABSENCE: Duration = Duration::from_secs(1);
 
@@ -86,6 +90,8 @@
     known: Instant,
     confirmed: bool,
     told: u64,
+    /// Bytes of an unfinished message at the last look, and since when.
+    unfinished: (usize, Instant),
 }
 
 impl Progress {
@@ -100,6 +106,7 @@
             known: now,
             confirmed: false,
             told: 0,
+            unfinished: (0, now),
         }
     }
 
@@ -169,13 +176,21 @@
         Ok(())
     }
 
-    /// Whether the link serves.
+    /// Whether the link serves. `unfinished` is what came of a message that is
+    /// not whole, in bytes.
     ///
     /// # Errors
     /// [`Fault::Silent`] or [`Fault::Absent`].
-    pub fn check(&mut self, now: Instant, view: &View) -> Result<(), Report<Fault>> {
-        let oldest = self.sent.front().map(|&(_, sent)| sent);
-        if oldest.is_some_and(|sent| now.since(sent) > SILENCE) {
+    pub fn check(
+        &mut self,
+        now: Instant,
+        view: &View,
+        unfinished: usize,
+    ) -> Result<(), Report<Fault>> {
+        if self.unfinished.0 != unfinished {
+            self.unfinished = (unfinished, now);
+        }
+        if self.is_silent(now) {
             return Err(Report::new(Fault::Silent));
         }
         let own =
@@ -190,6 +205,14 @@
         Ok(())
     }
 
+    fn is_silent(&self, now: Instant) -> bool {
+        let Some(&(_, oldest)) = self.sent.front() else {
+            return false;
+        };
+        let comes = now.since(self.unfinished.1) <= SILENCE && now.since(oldest) <= TRANSFER;
+        now.since(oldest) > SILENCE && !comes
+    }
+
     fn confirm(&mut self, confirm: Confirm) {
         while let Some(&(sequence, sent)) = self.sent.front() {
             if sequence > confirm.sequence {
--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -204,12 +204,12 @@
     let sequence = progress.beat(Instant::ZERO, &view, &mut Vec::new()).sequence;
     let confirm = |index| Down { body: Some(confirm(sequence, index)) };
     progress.on(&view, confirm(1)).unwrap();
-    assert!(progress.check(later(5_000), &view).is_ok());
+    assert!(progress.check(later(5_000), &view, 0).is_ok());
     progress.on(&view, Down { body: Some(entries(1..=1)) }).unwrap();
-    assert!(progress.check(later(10_000), &view).is_ok());
+    assert!(progress.check(later(10_000), &view, 0).is_ok());
     view.write(|state| state.entries.clear());
-    assert!(progress.check(later(10_500), &view).is_ok());
-    let report = progress.check(later(11_500), &view).unwrap_err();
+    assert!(progress.check(later(10_500), &view, 0).is_ok());
+    let report = progress.check(later(11_500), &view, 0).unwrap_err();
     assert_eq!(*report.current_context(), Fault::Absent);
 }
 
@@ -257,3 +257,25 @@
     });
     assert!(beat(&mut reader).await.returned.is_empty());
 }
+
+#[test]
+fn a_link_on_which_a_long_message_still_comes_is_not_silent() {
+    let (view, _symptoms) = View::new();
+    let start = Instant::from_millis(1_000);
+    let later = |millis| start + Duration::from_millis(millis);
+    let mut progress = Progress::new(start, join());
+    progress.beat(start, &view, &mut Vec::new());
+    // the confirmation is behind what comes at the pace of a small link
+    for step in 1..=30 {
+        assert!(progress.check(later(step * 100), &view, step as usize * 25_000).is_ok());
+    }
+    assert!(progress.check(later(3_900), &view, 750_000).is_ok());
+    let report = progress.check(later(4_200), &view, 750_000).unwrap_err();
+    assert_eq!(*report.current_context(), Fault::Silent);
+    // and no message takes for ever
+    let mut progress = Progress::new(start, join());
+    progress.beat(start, &view, &mut Vec::new());
+    let silent =
+        (1..=200).find(|step| progress.check(later(step * 100), &view, *step as usize).is_err());
+    assert_eq!(silent, Some(101));
+}
--- a/components/link/src/frame.rs
+++ b/components/link/src/frame.rs
@@ -33,6 +33,11 @@
         Self { io, buffer: BytesMut::with_capacity(READ_BYTES) }
     }
 
+    /// Bytes that came of a frame that is not whole yet.
+    pub fn pending(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// The next message, or `None` when the other end closed between frames.
     ///
     /// Safe to drop while it waits: what has come is kept.
--- a/components/member/src/api.rs
+++ b/components/member/src/api.rs
@@ -5,6 +5,7 @@
 use control::{Outcome, Refusal};
 use tokio::sync::oneshot;
 use wire::log::{Announce, Command, Replace, command};
+use wire::pack::{self, Garbled};
 
 use crate::input::{Input, Sender, Unled, Verdict};
 
@@ -33,8 +34,18 @@
 pub struct Edition {
     /// Its number; zero for none.
     pub number: u64,
+    /// The document that it was read from, packed.
+    pub(crate) packed: Bytes,
+}
+
+impl Edition {
     /// The document that it was read from.
-    pub document: Bytes,
+    ///
+    /// # Errors
+    /// [`Garbled`] when the state holds another's bytes.
+    pub fn document(&self) -> Result<Vec<u8>, Report<Garbled>> {
+        pack::unpack(&self.packed)
+    }
 }
 
 /// The way to a member that runs.
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -12,6 +12,7 @@
 
 use crate::core::Core;
 use crate::event::{self, Summary};
+use crate::follow::without_document;
 use crate::input::Verdict;
 use crate::status::Steps;
 
@@ -45,6 +46,7 @@
             Verdict::Changed { index }
         };
         self.meter.applied.inc();
+        let command = command.map(without_document);
         self.applied.push(wire::control::Entry { index, command });
         if entry.origin == self.own.id {
             self.resolve(entry.token, verdict);
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -7,6 +7,7 @@
 
 use base::clock::Clock;
 use base::prelude::*;
+use bytes::Bytes;
 use control::{Leader, Past, State};
 use quorum::{Event, Part, Replica};
 use slog::{Logger, crit, info};
@@ -64,6 +65,8 @@
     pub(crate) followers: Arena<Follower>,
     /// Entries applied since followers were told.
     pub(crate) applied: Vec<wire::control::Entry>,
+    /// The newest image for entries, and its index.
+    pub(crate) image: Option<(u64, Bytes)>,
     pub(crate) proposals: BTreeMap<u64, Pending>,
     pub(crate) reads: BTreeMap<u64, Read>,
     /// Confirmed reads that wait for their index to be applied.
--- a/components/member/src/follow.rs
+++ b/components/member/src/follow.rs
@@ -7,7 +7,8 @@
 use wire::control::{
     Beat, Down, Entries, Follow, Image, Members, Refuse, Seal, Sight, Symptom, down,
 };
-use wire::log::{Join, Part};
+use wire::log::command::Body;
+use wire::log::{Command, Join, Part};
 use wire::quorum::{Pulse, Sealed, Seen};
 
 use crate::answer::Read;
@@ -115,7 +116,7 @@
 
     fn give_image(&mut self, key: Key<Follower>) {
         let index = self.state.index;
-        let state = Bytes::from(self.state.encode());
+        let state = self.image();
         let length = state.len() as u64;
         let mut offset = 0;
         while offset < state.len() {
@@ -127,6 +128,19 @@
         }
     }
 
+    /// The state for entries; many that come back together share one.
+    fn image(&mut self) -> Bytes {
+        let index = self.state.index;
+        match &self.image {
+            Some((known, bytes)) if *known == index => bytes.clone(),
+            _ => {
+                let bytes = Bytes::from(self.state.encode_for_entries());
+                self.image = Some((index, bytes.clone()));
+                bytes
+            }
+        }
+    }
+
     /// Queues a message for a follower; one that is too slow is dropped.
     pub(crate) fn give(&mut self, key: Key<Follower>, down: Down) {
         let Some(follower) = self.followers.get(key) else { return };
@@ -240,9 +254,17 @@
 fn told(entry: &wire::quorum::Entry) -> wire::control::Entry {
     let command = match &entry.body {
         Some(wire::quorum::entry::Body::Command(bytes)) => {
-            wire::log::Command::decode(bytes.clone()).ok()
+            Command::decode(bytes.clone()).ok().map(without_document)
         }
         Some(wire::quorum::entry::Body::Members(_)) | None => None,
     };
     wire::control::Entry { index: entry.index, command }
 }
+
+/// A command as entries get it: the document of an edition is for members only.
+pub(crate) fn without_document(mut command: Command) -> Command {
+    if let Some(Body::Replace(replace)) = &mut command.body {
+        replace.document = Bytes::new();
+    }
+    command
+}
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -266,6 +266,7 @@
             probes: Probes::new(core.clone(), scope.clone(), settings.name, settings.outside),
             followers: Arena::new(),
             applied: Vec::new(),
+            image: None,
             proposals: BTreeMap::new(),
             reads: BTreeMap::new(),
             confirmed: Vec::new(),
--- a/components/member/src/status.rs
+++ b/components/member/src/status.rs
@@ -1,12 +1,13 @@
 //! What a member shows of itself and of the state.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use config::{Declarations, Patch};
 use control::overview::{Entry, Failover, Group};
 use control::{Overview, State};
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 use crate::api::Edition;
 use crate::core::Core;
@@ -15,11 +16,12 @@
 const FAILOVERS: usize = 32;
 
 /// The declarations and where they stand.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct Config {
     version: u64,
     index: u64,
-    content: String,
+    #[serde(rename = "content", serialize_with = "canonical")]
+    declarations: Arc<Declarations>,
     /// Edition and document, where declarations come as whole editions.
     #[serde(skip)]
     pub(crate) edition: Edition,
@@ -31,18 +33,25 @@
     /// A change with another base is a repeat or too late, whatever it holds,
     /// so it goes into the log empty.
     pub(crate) fn patch(&self, base: u64, declared: &Declarations) -> String {
-        let from = (base == self.version).then(|| Declarations::parse(&self.content).ok());
-        let patch = from.flatten().map(|from| Patch::between(&from, declared));
+        let patch = (base == self.version).then(|| Patch::between(&self.declarations, declared));
         patch.unwrap_or_default().text()
     }
 
     pub(crate) fn of(state: &State) -> Self {
-        let content = state.declarations.canonical();
-        let edition = Edition { number: state.edition, document: state.document.clone() };
-        Self { version: state.version, index: state.index, content, edition }
+        Self {
+            version: state.version,
+            index: state.index,
+            declarations: Arc::clone(&state.declarations),
+            edition: Edition { number: state.edition, packed: state.document.clone() },
+        }
     }
 }
 
+/// Declarations as their canonical text.
+fn canonical<S: Serializer>(declarations: &Declarations, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_str(&declarations.canonical())
+}
+
 /// What a member knows; [`Overview`] reads it.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Status {
--- a/components/member/tests/seeds.rs
+++ b/components/member/tests/seeds.rs
@@ -48,8 +48,7 @@
 }
 
 fn edition(number: u64) -> Replace {
-    let document = format!("document {number}").into();
-    Replace { edition: number, content: "{}".to_owned(), document }
+    Replace::new(number, "{}", format!("document {number}").as_bytes())
 }
 
 /// Puts an edition in force, as soon as there is a leader.
@@ -119,9 +118,9 @@
     let member = start(bound, &seeds, true);
     replace(&member.api, 5).await;
     for number in [4, 5] {
-        let other = Replace { document: "other".into(), ..edition(number) };
+        let other = Replace::new(number, "{}", b"other");
         assert_eq!(member.api.replace(other).await.unwrap(), member::Replaced::Passed);
     }
     let held = member.api.edition().await.unwrap();
-    assert_eq!((held.number, &*held.document), (5, b"document 5".as_slice()));
+    assert_eq!((held.number, &*held.document().unwrap()), (5, b"document 5".as_slice()));
 }
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`data`]: a front asks a keeper to run statements.
 //! - [`control`]: an entry follows the control log and renews its leases.
 //! - [`log`]: commands of the control log.
+//! - [`pack`]: long texts, deflated.
 //! - [`plain`]: plain statements as they travel through [`data`].
 //! - [`quorum`]: control members among themselves.
 
@@ -15,6 +16,7 @@
 pub mod data;
 pub mod log;
 pub mod mark;
+pub mod pack;
 pub mod plain;
 pub mod quorum;
 
--- a/components/wire/src/log.rs
+++ b/components/wire/src/log.rs
@@ -5,6 +5,7 @@
 //! applying a command asks no clock and no other host.
 
 use crate::mark::Mark;
+use crate::pack;
 
 /// One entry of the control log.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -79,14 +80,22 @@
     /// Number of the edition, chosen by who sends it; the highest is in force.
     #[prost(uint64, tag = "1")]
     pub edition: u64,
-    /// The whole declarations, as one canonical text.
-    #[prost(string, tag = "2")]
-    pub content: String,
-    /// The document that they were read from, to be shown as it came.
-    #[prost(bytes = "bytes", tag = "3")]
+    /// The whole declarations, as one canonical text, packed.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub content: bytes::Bytes,
+    /// The document that they were read from, to be shown as it came, packed.
+    /// Entries don't get it.
+    #[prost(bytes = "bytes", tag = "5")]
     pub document: bytes::Bytes,
 }
 
+impl Replace {
+    /// Packs an edition.
+    pub fn new(edition: u64, content: &str, document: &[u8]) -> Self {
+        Self { edition, content: pack::pack(content.as_bytes()), document: pack::pack(document) }
+    }
+}
+
 /// A label of a backend server.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Label {
