Tell a request's path from the logs of several processes

What was missing: the way from a request's id to its cause went by grep through each process' log, on clocks that are apart, and the events' field names stood where each line is written.

Change: events that follow a request or a belief are types in telemetry::event, one field one meaning; trefoilctl path REQUEST FILE... prints a request's lines and those around it in the order of one clock, which is worked out from what must have come before what. A keeper logs when it learns of another primary, term or lease, with the log's index; a front also logs PostgreSQL cycles that were not done. The field time_ms of a late statement hid the time of its line; it is took_ms now.

--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use config::Database;
 use config::model::Class;
-use slog::{debug, info};
+use slog::debug;
+use telemetry::event::Answered;
 use tokio::sync::watch;
 use wire::Message as _;
 use wire::data::{End, Leave, Outcome, Reason, Run, ask};
@@ -330,7 +331,7 @@
             front.metrics.cycle(end);
         }
         let objective = Duration::from_millis(declared.objective_ms);
-        self.tell(&work, &attempt, started, objective, version);
+        self.tell(&work, &attempt, started, &group, objective, version);
         self.settle(&work, &attempt, reply, link, group).await
     }
 
@@ -340,27 +341,32 @@
         work: &Work,
         attempt: &Attempt,
         started: Instant,
+        group: &Name,
         objective: Duration,
         version: u64,
     ) {
         let now = self.front.clock.now();
-        let time = now.since(started);
-        let (done, reason) = match attempt {
-            Attempt::Ended { end, .. } => (end.outcome() == Outcome::Done, end.reason()),
-            Attempt::NotLeft | Attempt::Broken { .. } => (false, Reason::Broken),
-        };
-        self.front.metrics.statement(time, work.access == Access::Write, done);
-        if done && (objective.is_zero() || time <= objective) {
+        let took = now.since(started);
+        let is_done = |end: &End| end.outcome() == Outcome::Done;
+        let done = matches!(attempt, Attempt::Ended { end, .. } if is_done(end));
+        self.front.metrics.statement(took, work.access == Access::Write, done);
+        if done && (objective.is_zero() || took <= objective) {
             return;
         }
-        let lease = self.front.view.lease_until().since(now);
-        info!(self.front.log, "a statement was late or not done";
-            "request" => String::from_utf8_lossy(&work.task.id).into_owned(),
-            "database" => %self.database, "access" => %work.access, "done" => done,
-            "reason" => %reason, "time_ms" => time.as_millis() as u64,
-            "objective_ms" => objective.as_millis() as u64, "version" => version,
-            "lease_ms" => lease.as_millis() as u64,
-            "answer" => if done { String::new() } else { problem(work, attempt).to_string() });
+        let answered = Answered {
+            request: &String::from_utf8_lossy(&work.task.id),
+            database: &self.database,
+            group,
+            access: &work.access.to_string(),
+            done,
+            reason: &attempt.reason().to_string(),
+            took,
+            objective,
+            version,
+            lease: self.front.view.lease_until().since(now),
+            answer: &if done { String::new() } else { problem(work, attempt).to_string() },
+        };
+        answered.log(&self.front.log);
     }
 
     fn message(
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -8,6 +8,7 @@
 use pg::answer::Status;
 use pg::prepared::Plan;
 use pg::{Filter, Problem};
+use telemetry::event::Answered;
 use wire::data::{End, Leave, Outcome, Run, ask};
 
 use super::admit::{self, Admission};
@@ -41,6 +42,7 @@
             Transaction::Open { link, .. } => Some(Arc::clone(link)),
             Transaction::None | Transaction::Lost => None,
         };
+        let trace = self.trace();
         let run = self.message(&work, open.is_some());
         let front = Arc::clone(&self.front);
         let mut errand = Errand {
@@ -66,6 +68,7 @@
         match result {
             Ok((attempt, link)) => {
                 self.record(&work, &attempt, started);
+                self.tell(&work, &attempt, started, &trace);
                 let done = self.settle(&work, attempt, link).await;
                 Ok(failed || !done)
             }
@@ -100,11 +103,16 @@
             payload: work.plan.payload.clone(),
             window: 0,
             version: work.admission.version,
-            trace: format!("{}/{}.{}", self.front.name, session.number, session.cycles),
+            trace: self.trace(),
             commits: work.commits,
         }
     }
 
+    /// The cycle's id in logs.
+    fn trace(&self) -> String {
+        format!("{}/{}.{}", self.front.name, self.session.number, self.session.cycles)
+    }
+
     /// Takes the end of the last attempt; whether the request is done.
     async fn settle(&mut self, work: &Work, attempt: Attempt, link: Option<Arc<Link>>) -> bool {
         let within = self.session.transaction.is_open();
@@ -121,6 +129,31 @@
         false
     }
 
+    /// One line for a cycle that was not done.
+    fn tell(&self, work: &Work, attempt: &Attempt, started: Instant, trace: &str) {
+        let within = self.session.transaction.is_open();
+        let Some(problem) = verdict::problem(attempt, within, work.commits) else {
+            return;
+        };
+        let now = self.front.clock.now();
+        let group = &self.session.group;
+        let read = work.admission.rule.class == Class::Read;
+        let answered = Answered {
+            request: trace,
+            database: group,
+            group,
+            access: if read { "read" } else { "write" },
+            done: false,
+            reason: &attempt.reason().to_string(),
+            took: now.since(started),
+            objective: Duration::ZERO,
+            version: work.admission.version,
+            lease: self.front.view.lease_until().since(now),
+            answer: problem.code.as_str(),
+        };
+        answered.log(&self.front.log);
+    }
+
     /// Counts the request against the objectives of its service.
     fn record(&self, work: &Work, attempt: &Attempt, started: Instant) {
         let now = self.front.clock.now();
--- a/components/entry/src/front/verdict.rs
+++ b/components/entry/src/front/verdict.rs
@@ -41,6 +41,14 @@
         Self::Ended { end, passed: false, own: 0 }
     }
 
+    /// Why it ended as it did.
+    pub fn reason(&self) -> Reason {
+        match self {
+            Self::Ended { end, .. } => end.reason(),
+            Self::NotLeft | Self::Broken { .. } => Reason::Broken,
+        }
+    }
+
     /// Number of own answers that were passed on.
     pub fn own(&self) -> usize {
         match self {
--- a/components/entry/src/keep/follow.rs
+++ b/components/entry/src/keep/follow.rs
@@ -8,7 +8,7 @@
 use keeper::{Event, Lease, Setup, Solo};
 use wire::log;
 
-use super::shard::Shard;
+use super::shard::{Shard, Stand};
 use super::{Host, lock};
 
 /// Longest time between looks at the lease.
@@ -40,16 +40,20 @@
 fn tell(host: &Arc<Host>) {
     let setups = host.view.read(|state| {
         let groups = state.groups.iter();
-        let setups = groups.map(|(name, _)| (name.clone(), setup(host, state, name)));
+        let (index, version) = (state.index, state.version);
+        let setups = groups.map(|(name, group)| {
+            let stand = Stand { index, version, term: group.term };
+            (name.clone(), stand, setup(host, state, name))
+        });
         setups.collect::<Vec<_>>()
     });
-    for (group, setup) in setups {
+    for (group, stand, setup) in setups {
         let known = host.shard(group.as_str());
         if known.is_none() && setup.lease == Lease::None {
             continue;
         }
         let shard = known.unwrap_or_else(|| add(host, &group));
-        shard.set_up(setup);
+        shard.set_up(stand, setup);
     }
 }
 
--- a/components/entry/src/keep/shard.rs
+++ b/components/entry/src/keep/shard.rs
@@ -9,7 +9,8 @@
 use base::clock::Clock;
 use base::prelude::*;
 use keeper::{Connection, Count, Effect, Ended, Event, Group, Lease, Setup};
-use slog::{Logger, info};
+use slog::Logger;
+use telemetry::event::{self, Learned, Sealed, Sighted};
 use tokio::sync::watch;
 use wire::data::answer;
 
@@ -31,6 +32,27 @@
     tools: Mutex<Tools>,
     wake: watch::Sender<Instant>,
     timer: Mutex<Option<tokio::task::AbortHandle>>,
+    /// What was logged last of the control state.
+    belief: Mutex<Belief>,
+}
+
+/// Where the control state stands that a keeper is told of.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stand {
+    /// Index of the last command applied.
+    pub(super) index: u64,
+    /// Version of the declarations.
+    pub(super) version: u64,
+    /// Term of the group that control has intended or established.
+    pub(super) term: Term,
+}
+
+/// What a keeper goes by.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Belief {
+    primary: Option<Name>,
+    term: Term,
+    lease: Lease,
 }
 
 #[derive(Debug)]
@@ -63,6 +85,7 @@
             tools: Mutex::default(),
             wake: watch::Sender::new(Instant::ZERO),
             timer: Mutex::default(),
+            belief: Mutex::default(),
         });
         let timer = tokio::spawn(tick(Arc::clone(&shard)));
         *lock(&shard.timer) = Some(timer.abort_handle());
@@ -93,11 +116,32 @@
     }
 
     /// Takes a change of the control state in.
-    pub(super) fn set_up(self: &Arc<Self>, setup: Setup) {
+    pub(super) fn set_up(self: &Arc<Self>, stand: Stand, setup: Setup) {
+        self.tell_change(stand, &setup);
         self.set_probers(&mut lock(&self.tools), &setup);
         self.feed(Event::Setup(setup));
     }
 
+    /// One line when another primary, term or lease is learned of.
+    fn tell_change(&self, stand: Stand, setup: &Setup) {
+        let (primary, lease) = (setup.primary.clone(), setup.lease);
+        let belief = Belief { primary, term: stand.term, lease };
+        let mut known = lock(&self.belief);
+        if *known == belief {
+            return;
+        }
+        let learned = Learned {
+            group: &self.name,
+            index: stand.index,
+            version: stand.version,
+            primary: setup.primary.as_ref(),
+            term: stand.term.0,
+            lease: setup.lease.into(),
+        };
+        learned.log(&self.host.log);
+        *known = belief;
+    }
+
     fn set_probers(self: &Arc<Self>, tools: &mut Tools, setup: &Setup) {
         tools.solo = setup.solo.is_some();
         if tools.stopped || tools.solo || setup.lease == Lease::None {
@@ -177,13 +221,13 @@
                 }
             }
             Effect::Report(symptom) => {
-                info!(self.host.log, "symptom of a primary"; "group" => %self.name,
-                    "server" => &symptom.server, "sight" => symptom.sight);
+                let sight = symptom.sight().to_string();
+                let (server, term) = (symptom.server.as_str(), symptom.term);
+                Sighted { group: &self.name, server, sight: &sight, term }.log(&self.host.log);
                 self.host.view.report(symptom);
             }
             Effect::Seal { term, mark, index } => {
-                info!(self.host.log, "work for earlier primaries is over"; "group" => %self.name,
-                    "term" => term.0, "mark" => mark.map(|mark| mark.to_string()));
+                Sealed { group: &self.name, term: term.0, mark, index }.log(&self.host.log);
                 let (group, mark) = (self.name.to_string(), mark.map(Into::into));
                 self.host.view.seal(wire::control::Seal { group, term: term.0, mark, index });
             }
@@ -198,14 +242,24 @@
 impl Shard {
     /// One line for a request that was not done, or not at the first try.
     fn log_end(&self, ended: &Ended) {
-        let millis = |time: Duration| time.as_millis() as u64;
-        info!(self.host.log, "a request ended"; "request" => &ended.trace, "group" => %self.name,
-            "outcome" => %ended.outcome, "reason" => %ended.reason, "stage" => ended.stage,
-            "server" => ended.server.as_ref().map(ToString::to_string),
-            "primary" => ended.primary, "tries" => ended.tries,
-            "waited_ms" => millis(ended.waited), "sent_ms" => ended.sent.map(millis),
-            "term" => ended.term.0, "led" => ended.led, "leased" => ended.leased,
-            "version" => ended.version, "sample_ms" => ended.sample.map(millis));
+        let line = event::Ended {
+            request: &ended.trace,
+            group: &self.name,
+            outcome: &ended.outcome.to_string(),
+            reason: &ended.reason.to_string(),
+            stage: ended.stage,
+            server: ended.server.as_ref(),
+            primary: ended.primary,
+            tries: ended.tries,
+            waited: ended.waited,
+            sent: ended.sent,
+            term: ended.term.0,
+            led: ended.led,
+            leased: ended.leased,
+            version: ended.version,
+            sample: ended.sample,
+        };
+        line.log(&self.host.log);
     }
 }
 
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -426,7 +426,7 @@
         bytes.extend_from_slice(&[b"Q", &length[..], text.as_bytes(), b"\0"].concat());
     }
     // this runs outside a transaction, so its answer can't be had before its Sync
-    bytes.extend_from_slice(&[&parse("", "four"), &bind(""), EXECUTE, FLUSH, SYNC].concat());
+    bytes.extend_from_slice(&[&statement("four"), FLUSH, SYNC].concat());
     bytes.extend_from_slice(TERMINATE);
     let answer = answer_to(bench.address, &bytes).await;
     let at = |text: &str| answer.windows(text.len()).position(|w| w == text.as_bytes());
@@ -452,6 +452,11 @@
     message(b'B', &[b"\0", name.as_bytes(), b"\0\0\0\0\0\0\0"].concat())
 }
 
+/// Messages that run a text.
+fn statement(text: &str) -> Vec<u8> {
+    [parse("", text), bind(""), EXECUTE.to_vec()].concat()
+}
+
 fn describe(name: &str) -> Vec<u8> {
     message(b'D', &[b"S", name.as_bytes(), b"\0"].concat())
 }
@@ -502,7 +507,7 @@
     let bench = bench(None).await;
     let mut raw = Raw::connect(bench.address).await;
     for _ in 0..2 {
-        let looked = [&parse("", "select 1")[..], &describe(""), FLUSH];
+        let looked: [&[u8]; 3] = [&parse("", "select 1"), &describe(""), FLUSH];
         assert_eq!(raw.ask(&looked, 3).await, "1tT");
         assert_eq!(raw.ask(&[&bind(""), EXECUTE, SYNC], 4).await, "2DCZ");
     }
@@ -515,11 +520,11 @@
 async fn a_pipeline_within_a_transaction_is_answered_at_each_flush() {
     let bench = bench(None).await;
     let mut raw = Raw::connect(bench.address).await;
-    let begin = [&parse("", "BEGIN")[..], &bind(""), EXECUTE].concat();
-    let insert = [&parse("", "update t")[..], &bind(""), EXECUTE].concat();
+    let begin = statement("BEGIN");
+    let insert = statement("update t");
     assert_eq!(raw.ask(&[&begin, &insert, FLUSH], 7).await, "12C12DC");
     assert_eq!(raw.ask(&[&insert, FLUSH], 4).await, "12DC");
-    let commit = [&parse("", "COMMIT")[..], &bind(""), EXECUTE].concat();
+    let commit = statement("COMMIT");
     assert_eq!(raw.ask(&[&commit, SYNC], 4).await, "12CZ");
     let runs = bench.shared.runs();
     assert_eq!(runs.iter().map(|run| run.within).collect::<Vec<_>>(), [false, true, true]);
@@ -531,7 +536,7 @@
     let mut raw = Raw::connect(bench.address).await;
     let query = message(b'Q', b"select 1\0");
     // as psycopg ends a pipeline
-    let insert = [&parse("", "update t")[..], &bind(""), EXECUTE].concat();
+    let insert = statement("update t");
     assert_eq!(raw.ask(&[&insert, SYNC, FLUSH], 5).await, "12DCZ");
     assert_eq!(raw.ask(&[&query], 4).await, "TDCZ");
     assert_eq!(raw.ask(&[&insert, &query], 2).await, "EZ");
@@ -543,8 +548,8 @@
 async fn a_part_that_fails_passes_over_the_rest_of_its_cycle() {
     let bench = bench(None).await;
     let mut raw = Raw::connect(bench.address).await;
-    let begin = [&parse("", "BEGIN")[..], &bind(""), EXECUTE].concat();
-    let fail = [&parse("", "fail")[..], &bind(""), EXECUTE].concat();
+    let begin = statement("BEGIN");
+    let fail = statement("fail");
     assert_eq!(raw.ask(&[&begin, &fail, FLUSH], 6).await, "12C12E");
     let runs = bench.shared.runs().len();
     assert_eq!(raw.ask(&[&begin, FLUSH, &begin, SYNC], 1).await, "Z");
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -190,7 +190,8 @@
 }
 
 /// An entry's lease on a group.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Lease {
     /// It has none.
     #[default]
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -5,6 +5,7 @@
 use control::{Outcome, Past, State};
 use quorum::{Event, Snapshot};
 use slog::{crit, info};
+use telemetry::event::Applied;
 use wire::Message as _;
 use wire::log::Command;
 use wire::log::command::Body;
@@ -97,9 +98,14 @@
     fn tell(&self, index: u64, command: &Command, outcome: &Outcome) {
         if self.leader.is_some() {
             let summary = Summary(command);
-            info!(self.log, "applied"; "index" => index, "term" => self.part.term,
-                "command" => summary.kind(), "subject" => %summary,
-                "outcome" => event::outcome(outcome));
+            let applied = Applied {
+                index,
+                term: self.part.term,
+                command: summary.kind(),
+                subject: &summary.to_string(),
+                outcome: &event::outcome(outcome),
+            };
+            applied.log(&self.log);
         }
     }
 
--- a/components/telemetry/src/event.rs
+++ b/components/telemetry/src/event.rs
@@ -4,9 +4,6 @@
 //! Each is a line of the log: its message, and its fields by their names here.
 //! Whoever reads logs takes both from here too.
 
-use std::fmt;
-use std::time::Duration;
-
 use base::prelude::*;
 use slog::{KV, Record, Result, Serializer};
 
@@ -40,12 +37,6 @@
     }
 }
 
-impl Value for fmt::Arguments<'_> {
-    fn emit(&self, name: &'static str, out: &mut dyn Serializer) -> Result {
-        out.emit_arguments(name, self)
-    }
-}
-
 impl Value for Name {
     fn emit(&self, name: &'static str, out: &mut dyn Serializer) -> Result {
         out.emit_str(name, self.as_str())
@@ -131,11 +122,11 @@
     /// Group that it belongs to.
     group: &'a Name = "group",
     /// Whether it reads or writes.
-    access: &'static str = "access",
+    access: &'a str = "access",
     /// Whether it was done.
     done: bool = "done",
     /// Why it was not.
-    reason: &'static str = "reason",
+    reason: &'a str = "reason",
     /// Time from the statement to its answer.
     took: Duration = "took_ms",
     /// Time in which it should be answered.
@@ -156,9 +147,9 @@
     /// Its group.
     group: &'a Name = "group",
     /// How it ended.
-    outcome: &'static str = "outcome",
+    outcome: &'a str = "outcome",
     /// Why.
-    reason: &'static str = "reason",
+    reason: &'a str = "reason",
     /// Where it stood when it ended.
     stage: &'static str = "stage",
     /// Server of its last try.
@@ -191,11 +182,11 @@
     /// Term of the member that leads.
     term: u64 = "term",
     /// Kind of the command.
-    command: &'static str = "command",
+    command: &'a str = "command",
     /// Whom it concerns.
-    subject: fmt::Arguments<'a> = "subject",
+    subject: &'a str = "subject",
     /// What became of it.
-    outcome: &'static str = "outcome",
+    outcome: &'a str = "outcome",
 }
 
 event! {
@@ -205,10 +196,12 @@
     group: &'a Name = "group",
     /// Index of the control log that the keeper has applied.
     index: u64 = "index",
+    /// Version of the declarations.
+    version: u64 = "version",
     /// Primary that new work may go to.
     primary: Option<&'a Name> = "primary",
-    /// Term of it, where servers acknowledge by themselves.
-    term: Option<u64> = "term",
+    /// Term that control has intended or established.
+    term: u64 = "term",
     /// The keeper's lease on the group.
     lease: &'static str = "lease",
 }
@@ -221,7 +214,7 @@
     /// The primary.
     server: &'a str = "server",
     /// What is wrong.
-    sight: &'static str = "sight",
+    sight: &'a str = "sight",
     /// Term of the primary.
     term: u64 = "term",
 }
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod cli;
+pub mod event;
 pub mod health;
 pub mod log;
 pub mod web;
--- a/programs/trefoilctl/src/cli.rs
+++ b/programs/trefoilctl/src/cli.rs
@@ -11,12 +11,7 @@
 #[bpaf(options, version)]
 pub struct Options {
     /// Web addresses of control members, with commas between; repeatable
-    #[bpaf(
-        long,
-        argument("ADDR"),
-        env("TREFOIL_ADMIN"),
-        some("give --admin or set TREFOIL_ADMIN")
-    )]
+    #[bpaf(long, argument("ADDR"), env("TREFOIL_ADMIN"), many)]
     pub admin: Vec<Addresses>,
     #[bpaf(external)]
     pub command: Command,
@@ -96,6 +91,16 @@
         #[bpaf(positional("ENTRY"))]
         entry: String,
     },
+    /// Show what became of a request, from the logs of several processes
+    #[bpaf(command)]
+    Path {
+        /// Id of the request
+        #[bpaf(positional("REQUEST"))]
+        request: String,
+        /// Log files; lines may have a time and a process' name in front
+        #[bpaf(positional("FILE"), some("name the log files"))]
+        files: Vec<PathBuf>,
+    },
     /// Cause a fault in a stand-in group
     #[bpaf(command)]
     Fault {
--- a/programs/trefoilctl/src/client.rs
+++ b/programs/trefoilctl/src/client.rs
@@ -122,7 +122,13 @@
 
 impl Client {
     /// Makes a client; nothing is sent yet.
+    ///
+    /// # Errors
+    /// [`Failure::Unaddressed`] without a member.
     pub fn new(members: Vec<SocketAddr>) -> Result<Self, Report<Failure>> {
+        if members.is_empty() {
+            return Err(Report::new(Failure::Unaddressed));
+        }
         let built = reqwest::Client::builder().timeout(TIMEOUT).no_proxy().build();
         Ok(Self { http: built.change_context(Failure::Answer)?, members })
     }
--- /dev/null
+++ b/programs/trefoilctl/src/cmd/path.rs
@@ -0,0 +1,31 @@
+//! Shows what became of a request, from logs alone.
+
+use std::path::{Path, PathBuf};
+
+use error_stack::{Report, ResultExt};
+use trace::Logs;
+
+use crate::failure::Failure;
+
+/// Runs the command.
+pub fn run(request: &str, files: &[PathBuf]) -> Result<(), Report<Failure>> {
+    let mut logs = Logs::default();
+    for path in files {
+        read(&mut logs, path)?;
+    }
+    let path =
+        trace::Path::find(&logs, request).map_err(|lost| Report::new(Failure::Untold(lost)))?;
+    print!("{}", path.text());
+    if logs.unread > 0 {
+        eprintln!("{} lines are no JSON lines of a log and were passed over", logs.unread);
+    }
+    Ok(())
+}
+
+fn read(logs: &mut Logs, path: &Path) -> Result<(), Report<Failure>> {
+    let bytes = std::fs::read(path);
+    let bytes = bytes.change_context_lazy(|| Failure::Unread { path: path.to_owned() })?;
+    let name = path.file_stem().unwrap_or_default().to_string_lossy();
+    logs.read(&name, &String::from_utf8_lossy(&bytes));
+    Ok(())
+}
--- a/programs/trefoilctl/src/failure.rs
+++ b/programs/trefoilctl/src/failure.rs
@@ -11,6 +11,15 @@
 pub enum Failure {
     /// The declarations are wrong; nothing was changed.
     Files(Problems),
+    /// No member's address was given.
+    Unaddressed,
+    /// A log file could not be read.
+    Unread {
+        /// The file.
+        path: PathBuf,
+    },
+    /// The logs tell nothing of a request.
+    Untold(trace::path::Lost),
     /// No member answered.
     Unreachable {
         /// Addresses that were tried.
@@ -51,6 +60,7 @@
 }
 
 const FAILED: u8 = 1;
+const MISUSED: u8 = 2;
 const BURNING: u8 = 3;
 
 impl Failure {
@@ -58,6 +68,7 @@
     pub const fn code(&self) -> u8 {
         match self {
             Self::Burning { .. } => BURNING,
+            Self::Unaddressed => MISUSED,
             _ => FAILED,
         }
     }
@@ -67,6 +78,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Files(problems) => write!(f, "nothing was changed:\n{problems}"),
+            Self::Unaddressed => f.write_str("give --admin or set TREFOIL_ADMIN"),
+            Self::Unread { path } => write!(f, "could not read {}", path.display()),
+            Self::Untold(lost) => write!(f, "{lost}"),
             Self::Unreachable { tried } => {
                 write!(f, "none of {tried} control members could serve; the outcome may be unknown")
             }
--- a/programs/trefoilctl/tests/commands.rs
+++ b/programs/trefoilctl/tests/commands.rs
@@ -112,3 +112,31 @@
         assert!(text.contains(due), "{due}: {text}");
     }
 }
+
+fn ctl(arguments: &[&str]) -> Output {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_trefoilctl"));
+    command.env_remove("TREFOIL_ADMIN").args(arguments).output().unwrap()
+}
+
+#[test]
+fn the_path_of_a_request_is_told_without_a_member() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("entry-1.log");
+    let line = r#"{"time_ms":5,"msg":"a statement was late or not done","request":"r1"}"#;
+    std::fs::write(&file, format!("{line}\nfree text\n")).unwrap();
+    let file = file.to_str().unwrap();
+    let output = ctl(&["path", "r1", file]);
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success() && text.contains("entry-1  a statement was late"), "{text}");
+    assert!(String::from_utf8(output.stderr).unwrap().starts_with("1 lines are no"));
+    assert_eq!(ctl(&["path", "r2", file]).status.code(), Some(1));
+    assert_eq!(ctl(&["path", "r1", "/no/such/file"]).status.code(), Some(1));
+    assert_eq!(ctl(&["path", "r1"]).status.code(), Some(2));
+}
+
+#[test]
+fn a_command_that_needs_a_member_asks_for_its_address() {
+    let output = ctl(&["get"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("--admin"));
+}
