Let idle callers go that an entry cut off from control can't serve

Cause: sessions stay with the entry that took them. On the side of a cut where there is no quorum an entry refused each of their requests for seconds, though others could serve them; a START was answered with READY all the same.

Ruled out: serving reads that accept an age without a lease: they would be young enough for two seconds only, and nothing tells when that is over.

Change: half a second after its lease is gone an entry takes no START and closes sessions that stand between two requests; open transactions stay.

--- a/components/entry/src/front/caller.rs
+++ b/components/entry/src/front/caller.rs
@@ -84,8 +84,11 @@
                 }
             }
         }
-        let problem = Problem::new(Code::Shutdown, "the entry is stopping; connect again");
-        self.conn.output.fatal(&problem);
+        let message = match *self.phase.borrow() {
+            Phase::Adrift => "the entry has lost touch with control; connect again",
+            Phase::Open | Phase::Closing => "the entry is stopping; connect again",
+        };
+        self.conn.output.fatal(&Problem::new(Code::Shutdown, message));
         Ok(())
     }
 
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -45,7 +45,7 @@
 use base::clock::Clock;
 use base::prelude::*;
 use pg::scram::{SALT_BYTES, Users};
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug, info, warn};
 use telemetry::web::Metrics as Registry;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -58,6 +58,13 @@
 /// Time before a listener that failed is tried again.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time without a lease after which idle callers are let go: an entry that is
+/// cut off from control can't serve them, and others can.
+const ADRIFT: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the lease.
+const ADRIFT_CHECK: Duration = Duration::from_millis(200);
+
 /// Settings of a front.
 pub struct Settings {
     /// Name of the entry.
@@ -97,6 +104,8 @@
 pub enum Phase {
     /// It takes callers.
     Open,
+    /// It has no lease, and lets idle callers go.
+    Adrift,
     /// It finishes what runs.
     Closing,
 }
@@ -199,6 +208,8 @@
     )));
     let sweep = sweep(Arc::clone(&handle.front));
     tokio::spawn(handle.kill.clone().run_until_cancelled_owned(sweep));
+    let attend = attend(Arc::clone(&handle.front));
+    tokio::spawn(handle.stop.clone().run_until_cancelled_owned(attend));
     handle
 }
 
@@ -277,6 +288,27 @@
     }
 }
 
+/// Notices when the lease is gone for good, and when one is back.
+async fn attend(front: Arc<Front>) {
+    let mut check = tokio::time::interval(ADRIFT_CHECK);
+    loop {
+        check.tick().await;
+        let gone = front.clock.now().since(front.view.lease_until());
+        let next = if gone > ADRIFT { Phase::Adrift } else { Phase::Open };
+        let changed = front.phase.send_if_modified(|phase| {
+            let changes = *phase != Phase::Closing && *phase != next;
+            if changes {
+                *phase = next;
+            }
+            changes
+        });
+        if changed {
+            info!(front.log, "callers may stay"; "stay" => next == Phase::Open,
+                "without_lease_ms" => gone.as_millis() as u64);
+        }
+    }
+}
+
 /// Breaks links to entries that are gone, and forgets counts for objectives
 /// that are, as the view changes.
 async fn sweep(front: Arc<Front>) {
--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -60,17 +60,18 @@
             return Ok(None);
         }
     };
-    let leased = front.view.leased(front.clock.now());
-    match known {
-        Some(database) => {
-            conn.put(&Answer::Ready(Status::Idle));
-            return Ok(Some(database));
-        }
-        None if leased => conn.put(&Answer::Problem(Problem::Database)),
-        // a database may be declared that this entry has not heard of
-        None => conn.put(&Answer::Problem(Problem::Busy)),
+    if !front.view.leased(front.clock.now()) {
+        // nothing could be run, and a database may be declared that this entry
+        // has not heard of
+        conn.put(&Answer::Problem(Problem::Busy));
+        return Ok(None);
     }
-    Ok(None)
+    let Some(database) = known else {
+        conn.put(&Answer::Problem(Problem::Database));
+        return Ok(None);
+    };
+    conn.put(&Answer::Ready(Status::Idle));
+    Ok(Some(database))
 }
 
 /// Waits for a lease that ran out a moment ago.
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -5,7 +5,7 @@
 
 mod fake;
 
-use std::time::Duration;
+use base::prelude::*;
 
 use fake::{Trick, bench, code, connect, rows};
 use rand::{RngExt as _, SeedableRng as _};
@@ -586,6 +586,29 @@
     assert_eq!(code(connect(&bench.config()).await), "57P03");
 }
 
+#[tokio::test]
+async fn an_entry_that_is_cut_off_from_control_lets_idle_callers_go_and_no_others() {
+    let shared = std::sync::Arc::default();
+    let keeper = fake::keeper("one", std::sync::Arc::clone(&shared)).await;
+    let lease = Duration::from_secs(2);
+    let bench = fake::bench_with(None, lease, shared, &[("one", keeper)]).await;
+    let (idle, open) = (bench.connect().await, bench.connect().await);
+    rows(&idle, "select 1").await.unwrap();
+    open.simple_query("BEGIN").await.unwrap();
+    let gone = async {
+        while !idle.is_closed() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), gone).await.expect("it is let go");
+    assert_eq!(code(connect(&bench.config()).await), "57P03");
+    open.simple_query("COMMIT").await.unwrap();
+    // a lease that is back opens the entry again
+    bench.view.extend(Instant::from_millis(u64::from(u32::MAX)));
+    let client = bench.connect().await;
+    assert_eq!(rows(&client, "select 1").await.unwrap(), ["select 1"]);
+}
+
 #[tokio::test]
 async fn a_group_without_a_keeper_runs_nothing() {
     let bench = bench(None).await;
