Let an odd number of members vote, and others stand by

Ruled out: a tie broken by an address or a term: two halves that can't hear one another can't agree on it.

Change: where members join by themselves, as many vote as bear the losses that must be borne at once, twice that and one; others learn and get the vote of a voter that is gone. The quorum's fuzz bounds the voters in half of its worlds.

Before: four of four voted in the test of seeds. After: three.

--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -28,7 +28,7 @@
 use crate::meter::Meter;
 use crate::peers::Links;
 use crate::probe::Probes;
-use crate::roster::Roster;
+use crate::roster::{self, Roster};
 use crate::{boot, join, link, web};
 
 /// Longest time that a planned stop tries to hand over leadership.
@@ -212,7 +212,12 @@
         })?;
         let now = settings.clock.now();
         let seed = settings.seed ^ draw_id();
-        let quorum = quorum::Settings::new(own.id, seed);
+        let tolerance = match &origin {
+            Origin::Named(_) => None,
+            Origin::Seeds(seeds) => Some(seeds.tolerance),
+        };
+        let voters = tolerance.map_or(usize::MAX, roster::voters);
+        let quorum = quorum::Settings { voters, ..quorum::Settings::new(own.id, seed) };
         let replica = Replica::new(now, quorum, opened.stored);
         let fresh = Arc::new(AtomicBool::new(replica.is_fresh()));
         let cut = Arc::new(AtomicBool::new(false));
@@ -233,10 +238,6 @@
             received.change_context_lazy(failure)?;
         }
         scope.spawn(link::serve(listener, end.clone(), core.clone(), scope.clone()));
-        let tolerance = match &origin {
-            Origin::Named(_) => None,
-            Origin::Seeds(seeds) => Some(seeds.tolerance),
-        };
         match origin {
             Origin::Named(peers) if replica.is_fresh() => {
                 scope.spawn(boot::find(peers, end.clone(), core.clone()));
--- a/components/member/src/roster.rs
+++ b/components/member/src/roster.rs
@@ -1,8 +1,9 @@
 //! Who is a member: newcomers are added, those that are gone are removed.
 //!
 //! The leader makes one change at a time, and none while an earlier one is
-//! open. A newcomer first learns and votes once it has caught up, which the
-//! quorum sees to by itself.
+//! open. A newcomer first learns. It votes once it has caught up and fewer vote
+//! than should, which the quorum sees to by itself; until then it stands by for
+//! a voter that is gone.
 
 use std::collections::BTreeMap;
 
@@ -27,6 +28,13 @@
 /// Time without a leader after which a member asks to be added.
 const UNLED: Duration = Duration::from_millis(1_200);
 
+/// Most members that vote where `tolerance` of them may be lost at once. The
+/// number is odd: one more would bear no more losses, and with an even number a
+/// cut into halves leaves neither half a quorum.
+pub const fn voters(tolerance: usize) -> usize {
+    2 * tolerance + 1
+}
+
 /// What the leader knows of those that ask.
 #[derive(Debug, Default)]
 pub struct Roster {
@@ -65,7 +73,7 @@
         let learns = |member: &Member| !member.voter && silence(member.id) < GONE;
         let heir = members.members.iter().any(learns);
         let gone = members.members.iter().find(|member| {
-            let spare = voters > 2 * self.tolerance + 1 || heir;
+            let spare = voters > self::voters(self.tolerance) || heir;
             let limit = if member.voter { GONE } else { LEARNER_GONE };
             silence(member.id) >= limit && (spare || !member.voter)
         });
--- a/components/member/tests/seeds.rs
+++ b/components/member/tests/seeds.rs
@@ -21,6 +21,7 @@
 struct Member {
     api: Api,
     handle: Handle,
+    web: SocketAddr,
 }
 
 async fn bind(host: &str, data: &std::path::Path) -> member::Bound {
@@ -42,9 +43,33 @@
 
 fn start(bound: member::Bound, links: &[SocketAddr], founding: bool) -> Member {
     let (_, links) = watch::channel(links.to_vec());
-    let api = bound.api();
+    let (api, web) = (bound.api(), bound.addresses().web);
     let origin = Origin::Seeds(Seeds { links, founding, tolerance: 1 });
-    Member { api, handle: bound.start(origin, axum::Router::new()).unwrap() }
+    Member { api, handle: bound.start(origin, axum::Router::new()).unwrap(), web }
+}
+
+/// Names of the members that vote, as one of them knows them.
+async fn voters(member: &Member) -> Vec<String> {
+    let status = reqwest::get(format!("http://{}/v1/status", member.web)).await.unwrap();
+    let status: serde_json::Value = status.json().await.unwrap();
+    let members = status["members"].as_array().unwrap().iter();
+    let voting = members.filter(|member| member["voter"] == true);
+    let mut names: Vec<_> =
+        voting.map(|member| member["name"].as_str().unwrap().to_owned()).collect();
+    names.sort_unstable();
+    names
+}
+
+/// Waits until so many members vote, each of these among them.
+async fn votes(member: &Member, count: usize, names: &[&str]) {
+    for _ in 0..400 {
+        let voters = voters(member).await;
+        if voters.len() == count && names.iter().all(|name| voters.iter().any(|v| v == name)) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("{names:?} do not vote: {:?}", voters(member).await);
 }
 
 fn edition(number: u64) -> Replace {
@@ -87,6 +112,9 @@
         confirms(&member.api, 3).await;
     }
 
+    // three of four vote, so that a cut into halves leaves one of them a quorum
+    votes(&members[0], 3, &[]).await;
+
     // one is gone with its disk, and comes back as another under its name
     members.remove(2).handle.kill();
     std::fs::remove_dir_all(data.path().join("c")).unwrap();
@@ -94,6 +122,26 @@
     confirms(&again.api, 3).await;
     replace(&again.api, 4).await;
     confirms(&members[0].api, 4).await;
+    votes(&members[0], 3, &[]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_member_that_stands_by_votes_once_a_voter_is_gone() {
+    let data = tempfile::tempdir().unwrap();
+    let mut bound = Vec::new();
+    for host in ["a", "b", "c", "d"] {
+        bound.push(bind(host, data.path()).await);
+    }
+    let seeds: Vec<_> = bound[..3].iter().map(|bound| bound.addresses().link).collect();
+    let mut members: Vec<_> = bound.into_iter().map(|bound| start(bound, &seeds, true)).collect();
+    replace(&members[0].api, 1).await;
+    confirms(&members[3].api, 1).await;
+    // two voters are lost one after the other; with the third alone none would lead
+    members.remove(2).handle.kill();
+    votes(&members[0], 3, &["a", "b", "d"]).await;
+    members.remove(1).handle.kill();
+    replace(&members[0].api, 2).await;
+    confirms(&members[1].api, 2).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/components/quorum/src/change.rs
+++ b/components/quorum/src/change.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use wire::quorum::message::Body;
-use wire::quorum::{Entry, Members, Refusal, Refused, entry, propose};
+use wire::quorum::{Entry, Member, Members, Refusal, Refused, entry, propose};
 
 use crate::event::{Change, Effect};
 use crate::hold::Hard;
@@ -132,11 +132,19 @@
         self.step_down(now, self.hard.term, None);
     }
 
-    /// The next membership towards one in which each learner votes.
+    /// The next membership towards one in which each learner votes, or as many
+    /// members as may.
     fn next_members(&self, now: Instant) -> Option<Members> {
+        let members = self.members().members.iter().enumerate();
+        let ready = |member: &Member| !member.voter && self.has_caught_up(now, member.id);
+        let mut ready = members.filter(|(_, member)| ready(member));
+        ready.find_map(|(place, _)| self.give_vote(now, place))
+    }
+
+    /// The membership in which a learner takes the place of a member of its name,
+    /// or else votes, if that is due and would work.
+    fn give_vote(&self, now: Instant, place: usize) -> Option<Members> {
         let members = self.members();
-        let ready = |id| self.has_caught_up(now, id);
-        let place = members.members.iter().position(|member| !member.voter && ready(member.id))?;
         let name = &members.members[place].name;
         let replaced = members.members[..place].iter().position(|member| member.name == *name);
         if let Some(replaced) = replaced {
@@ -146,6 +154,10 @@
                 return Some(fewer);
             }
         }
+        let voters = members.members.iter().filter(|member| member.voter).count();
+        if voters >= self.settings.voters {
+            return None;
+        }
         let mut more = members.clone();
         more.members[place].voter = true;
         self.would_work(now, &more).then_some(more)
--- a/components/quorum/src/event.rs
+++ b/components/quorum/src/event.rs
@@ -35,6 +35,8 @@
     pub batch: usize,
     /// Length of a piece of a snapshot in bytes.
     pub piece: usize,
+    /// Learners beyond this many voters get no vote until a voter is gone.
+    pub voters: usize,
     /// A rule to break, in tests only.
     pub flaw: Option<Flaw>,
 }
@@ -42,7 +44,15 @@
 impl Settings {
     /// The settings of a member but for its id and seed.
     pub fn new(id: u64, seed: u64) -> Self {
-        Self { id, seed, keep: KEPT_ENTRIES, batch: BATCH_ENTRIES, piece: PIECE_BYTES, flaw: None }
+        Self {
+            id,
+            seed,
+            keep: KEPT_ENTRIES,
+            batch: BATCH_ENTRIES,
+            piece: PIECE_BYTES,
+            voters: usize::MAX,
+            flaw: None,
+        }
     }
 }
 
--- a/components/quorum/tests/fuzz/oracle.rs
+++ b/components/quorum/tests/fuzz/oracle.rs
@@ -14,6 +14,8 @@
     reads: BTreeMap<(u64, u64), u64>,
     /// Newest committed membership.
     pub members: Members,
+    /// Most members that vote.
+    voters: usize,
     pub acknowledged: u64,
     pub confirmed: u64,
 }
@@ -33,6 +35,11 @@
 }
 
 impl Oracle {
+    /// An oracle of members of which at most so many vote.
+    pub fn new(voters: usize) -> Self {
+        Self { voters, ..Self::default() }
+    }
+
     pub fn len(&self) -> u64 {
         self.committed.len() as u64
     }
@@ -55,6 +62,8 @@
         assert_eq!(entry.index, self.len() + 1, "member {member} applied past a gap");
         self.committed.push((entry.term, digest));
         if let Some(entry::Body::Members(members)) = &entry.body {
+            let voters = members.members.iter().filter(|member| member.voter).count();
+            assert!(voters <= self.voters, "{voters} members vote");
             self.members = members.clone();
         }
         if entry.origin != 0 && matches!(entry.body, Some(entry::Body::Command(_))) {
--- a/components/quorum/tests/fuzz/world.rs
+++ b/components/quorum/tests/fuzz/world.rs
@@ -61,6 +61,8 @@
     flaw: Option<Flaw>,
     batch: usize,
     keep: u64,
+    /// Most members that vote.
+    voters: usize,
 }
 
 impl World {
@@ -68,10 +70,11 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let batch = rng.random_range(1..=4);
         let keep = rng.random_range(0..=8);
+        let most = if rng.random_bool(0.5) { voters } else { usize::MAX };
         let mut world = Self {
             rng,
             nodes: Vec::new(),
-            oracle: Oracle::default(),
+            oracle: Oracle::new(most),
             now: 1,
             loss: 0,
             copies: 0,
@@ -84,6 +87,7 @@
             flaw,
             batch,
             keep,
+            voters: most,
         };
         for place in 0..voters {
             world.add_node(&format!("n{place}"));
@@ -126,7 +130,9 @@
             return;
         }
         node.life += 1;
-        let settings = Settings { keep, batch, piece: 16, flaw, ..Settings::new(node.id, seed) };
+        let voters = self.voters;
+        let settings =
+            Settings { keep, batch, piece: 16, voters, flaw, ..Settings::new(node.id, seed) };
         let stored = node.durable.clone();
         node.applied = stored.snapshot.index;
         node.digest = read_digest(&stored.snapshot.data);
