Count a commit for its primary also while that one leaves

Cause: a transaction that is open on a primary that leaves may end within a grace after control names no primary. With one replica left a promotion could have lost the commit.

Ruled out: samples (their marks cover what was acknowledged before them), the ring, and sessions that are let go: the read came on the same connection.

Change: a connection keeps where its transaction began; what is sent on it is a primary's to its end.

Two tests, both failing before: the mark and the seal, and the lease.

--- a/components/keeper/src/conn.rs
+++ b/components/keeper/src/conn.rs
@@ -16,6 +16,14 @@
 /// A caller, by its link and session.
 pub(crate) type Owner = (Front, u64);
 
+/// Where a transaction began.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Began {
+    pub(crate) term: Term,
+    /// Whether its server was taken for the primary.
+    pub(crate) primary: bool,
+}
+
 /// One connection, as its group knows it.
 #[derive(Debug)]
 pub struct Connection {
@@ -27,6 +35,9 @@
     pub(crate) owner: Option<Owner>,
     /// Term in which that transaction began.
     pub(crate) term: Term,
+    /// Whether it began on the primary; it stays a primary's to its end, also
+    /// where control names none any more.
+    pub(crate) primary: bool,
     pub(crate) service: Option<Key<Service>>,
     pub(crate) paused: bool,
 }
@@ -63,6 +74,7 @@
             status: IDLE,
             owner: None,
             term: Term::default(),
+            primary: false,
             service: None,
             paused: false,
         }
--- a/components/keeper/src/pump.rs
+++ b/components/keeper/src/pump.rs
@@ -215,7 +215,7 @@
             attempt.lo = Position::default();
         }
         let leads = self.primary().is_some_and(|(key, _)| key == server);
-        attempt.primary = leads || (request.run.within && !self.is_solo());
+        attempt.primary = leads || pinned.is_some_and(|pinned| pinned.primary);
         if let Some(solo) = &self.solo {
             attempt.index = solo.index;
             return attempt;
--- a/components/keeper/src/solo.rs
+++ b/components/keeper/src/solo.rs
@@ -13,7 +13,7 @@
 use route::Ring;
 use wire::data::{Class, Outcome, Reason};
 
-use crate::conn::{Connection, IDLE, Work};
+use crate::conn::{Began, Connection, IDLE, Work};
 use crate::event::{Effect, Reported, Setup};
 use crate::group::Group;
 use crate::request::{Lane, Over, Request, Stage};
@@ -288,7 +288,8 @@
             self.roll_back(now, conn, out);
         } else {
             let term = self.server_of(conn).and_then(Server::status).map(|status| status.term);
-            self.pin(now, conn, owner, term.unwrap_or_default(), service);
+            let began = Began { term: term.unwrap_or_default(), primary };
+            self.pin(now, conn, owner, began, service);
         }
         match fault {
             Some(fault) if fault.is_not_run() && !within && !orphan => {
--- a/components/keeper/tests/solo.rs
+++ b/components/keeper/tests/solo.rs
@@ -399,6 +399,58 @@
     assert_eq!(bench.seals(), [(2, Some(Mark::new(1, 102)), 10)]);
 }
 
+#[test]
+fn a_commit_while_a_primary_leaves_raises_what_is_sealed_and_what_its_session_must_see() {
+    let mut bench = Bench::ready();
+    let run = |within, commits| Run {
+        class: Class::Write as i32,
+        fresh: true,
+        caller: 77,
+        within,
+        commits,
+        ..Run::default()
+    };
+    bench.run(run(false, false));
+    let (conn, ..) = bench.sent()[0].clone();
+    bench.answer(conn, b'T', Mark::new(1, 100));
+    bench.seats[0].leaving = true;
+    bench.set_up(Some("server-0"), 1, 11);
+    bench.set_up(None, 2, 20);
+    bench.out.clear();
+    bench.run(run(true, true));
+    assert_eq!(bench.sent()[0].0, conn, "an open transaction may end");
+    bench.answer(conn, b'I', Mark::new(1, 102));
+    let out = bench.out.clone();
+    let end = bench.ends().remove(0);
+    assert_eq!(end.outcome(), Outcome::Done);
+    assert_eq!(end.mark.map(Mark::from), Some(Mark::new(1, 102)));
+    bench.out = out;
+    assert_eq!(bench.seals(), [(2, Some(Mark::new(1, 102)), 20)]);
+}
+
+#[test]
+fn a_commit_while_a_primary_leaves_is_in_doubt_without_the_lease() {
+    let mut bench = Bench::ready();
+    let run = |within, commits| Run {
+        class: Class::Write as i32,
+        caller: 77,
+        within,
+        commits,
+        ..Run::default()
+    };
+    bench.run(run(false, false));
+    let (conn, ..) = bench.sent()[0].clone();
+    bench.answer(conn, b'T', Mark::new(1, 100));
+    bench.seats[0].leaving = true;
+    bench.set_up(Some("server-0"), 1, 11);
+    bench.set_up(None, 2, 20);
+    bench.out.clear();
+    bench.run(run(true, true));
+    bench.feed(Event::Leased(false));
+    bench.answer(conn, b'I', Mark::new(1, 102));
+    assert_eq!(bench.ends()[0].outcome(), Outcome::Unknown);
+}
+
 #[test]
 fn a_transaction_stays_on_its_connection_and_is_gone_with_it() {
     let mut bench = Bench::ready();
