End the questions to a server whose group is gone

Ruled out: a deadlock (no thread waits for a lock), a lost change of the view.

Change: a prober ends when its group is gone.

--- a/components/entry/src/keep/probe.rs
+++ b/components/entry/src/keep/probe.rs
@@ -60,27 +60,40 @@
     address: SocketAddr,
 }
 
+/// What came of a question.
+enum Asked {
+    /// A report of this version.
+    Reported(u64),
+    /// None.
+    Failed,
+    /// Nobody waits for one: the group is gone. Its last holder may have been
+    /// the task that asked, which nothing else would end then.
+    Over,
+}
+
 impl Target {
-    /// Asks once and feeds what comes; the last version, or `None` on failure.
-    async fn ask(&self, probe: &mut Option<Probe>, after: u64, wait: Duration) -> Option<u64> {
+    /// Asks once and feeds what comes.
+    async fn ask(&self, probe: &mut Option<Probe>, after: u64, wait: Duration) -> Asked {
         let asked = self.status(probe, after, wait).await;
-        let shard = self.shard.upgrade()?;
+        let Some(shard) = self.shard.upgrade() else {
+            return Asked::Over;
+        };
         match asked {
             Ok((status, sent)) if status.server == self.server => {
                 let version = status.version;
                 shard.feed(Event::Status { status, sent });
-                Some(version)
+                Asked::Reported(version)
             }
             Ok(_) => {
                 *probe = None;
-                None
+                Asked::Failed
             }
             Err(report) => {
                 *probe = None;
                 if let Some(trouble) = trouble(*report.current_context()) {
                     shard.feed(Event::Unreached { server: self.server.clone(), trouble });
                 }
-                None
+                Asked::Failed
             }
         }
     }
@@ -114,10 +127,13 @@
     let mut after = 0;
     loop {
         let stood = probe.is_some();
-        let asked = target.ask(&mut probe, after, WAIT).await;
-        after = asked.unwrap_or_default();
+        after = match target.ask(&mut probe, after, WAIT).await {
+            Asked::Reported(version) => version,
+            Asked::Failed => 0,
+            Asked::Over => return,
+        };
         // a connection that broke is tried again at once: it may be refused now
-        if asked.is_none() && !stood {
+        if after == 0 && !stood {
             tokio::time::sleep(PAUSE).await;
         }
     }
@@ -128,10 +144,13 @@
     loop {
         wanted.notified().await;
         let fresh = probe.is_none();
-        let asked = target.ask(&mut probe, 0, Duration::ZERO).await;
+        let mut asked = target.ask(&mut probe, 0, Duration::ZERO).await;
         // an old connection may have broken unnoticed
-        if asked.is_none() && !fresh {
-            target.ask(&mut probe, 0, Duration::ZERO).await;
+        if matches!(asked, Asked::Failed) && !fresh {
+            asked = target.ask(&mut probe, 0, Duration::ZERO).await;
+        }
+        if matches!(asked, Asked::Over) {
+            return;
         }
     }
 }
