Keep one copy of what callers' tasks, command lines and links share

- the wait of an idle caller, and the close of its connection, stood in both dialects of the front; seals were sent in two loops;
- trefoil-control read its log settings, told of wrong ones and showed its help by code of its own; it uses telemetry::cli as the others do.
Its test looked for the words must be and looks for is not allowed, expected: the same three things are told (flag, value, what is allowed);
- a server that left was marked as expired and then removed; two lists were collected twice.

Ports are drawn below those that the kernel gives out.

--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -238,13 +238,13 @@
         if server.incarnation != expire.incarnation {
             return Err(Refusal::Incarnation);
         }
-        server.expired = true;
         if expire.left {
             self.servers.remove(expire.server.as_str());
             let name = Name::new(&expire.server).map_err(|_malformed| Refusal::Malformed)?;
             self.unseat(&name);
             return Ok(Outcome::Applied);
         }
+        server.expired = true;
         let group = self.groups.get(&server.group);
         let seated = group.is_some_and(|g| g.seats.iter().any(|s| s.as_str() == expire.server));
         if !seated {
--- a/components/control/src/succession.rs
+++ b/components/control/src/succession.rs
@@ -227,7 +227,7 @@
         }
         match self.judge(context, primary) {
             Some(cause) => self.intend(context, cause, out),
-            None => self.trace.take_if(|trace| trace.established.is_none()).map_or((), drop),
+            None => self.trace = self.trace.take().filter(|trace| trace.established.is_some()),
         }
     }
 
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -172,9 +172,7 @@
     let applied = view.read(|state| state.index);
     let hello = Follow { join: Some(settings.join.clone()), applied };
     send(&mut writer, up::Body::Follow(hello)).await?;
-    for seal in view.seals() {
-        send(&mut writer, up::Body::Seal(seal)).await?;
-    }
+    send_seals(&view, &mut writer).await?;
     let mut beats = ticks(BEAT);
     let mut checks = ticks(CHECK);
     loop {
@@ -192,11 +190,7 @@
             }
             _ = beats.tick() => beat(settings, progress, given, &mut writer).await?,
             () = view.given_up() => beat(settings, progress, given, &mut writer).await?,
-            () = view.sealed() => {
-                for seal in view.seals() {
-                    send(&mut writer, up::Body::Seal(seal)).await?;
-                }
-            }
+            () = view.sealed() => send_seals(&view, &mut writer).await?,
             Some(symptom) = settings.symptoms.recv() => {
                 send(&mut writer, up::Body::Symptom(symptom)).await?;
             }
@@ -229,6 +223,13 @@
     send(writer, up::Body::Beat(beat)).await
 }
 
+async fn send_seals(view: &View, writer: &mut Writer) -> Result<(), Report<Fault>> {
+    for seal in view.seals() {
+        send(writer, up::Body::Seal(seal)).await?;
+    }
+    Ok(())
+}
+
 async fn send(writer: &mut Writer, body: up::Body) -> Result<(), Report<Fault>> {
     let message = Up { body: Some(body) };
     let sent = timeout(SILENCE, writer.send(&message)).await;
--- a/components/entry/src/front/caller.rs
+++ b/components/entry/src/front/caller.rs
@@ -16,7 +16,7 @@
 use super::conn::{Conn, Gone};
 use super::run::Work;
 use super::session::{Session, Transaction};
-use super::{Front, Phase};
+use super::{Front, Phase, stays};
 
 /// What is left to do of messages that the front has looked at.
 #[derive(Debug)]
@@ -110,20 +110,8 @@
                 self.conn.fill().await?;
                 continue;
             }
-            if *self.phase.borrow_and_update() != Phase::Open {
-                // a request that came before the stop was seen is still run
-                match tokio::time::timeout(Duration::ZERO, self.conn.fill()).await {
-                    Ok(filled) => filled?,
-                    Err(_) => return Ok(None),
-                }
-                continue;
-            }
-            tokio::select! {
-                biased;
-                filled = self.conn.fill() => filled?,
-                changed = self.phase.changed() => if changed.is_err() {
-                    return Ok(None);
-                },
+            if !stays(&mut self.phase, self.conn.fill()).await? {
+                return Ok(None);
             }
         }
     }
--- a/components/entry/src/front/conn.rs
+++ b/components/entry/src/front/conn.rs
@@ -126,18 +126,22 @@
         written.change_context(Gone::Timeout)?.change_context(Gone::Io)
     }
 
-    /// Sends what waits and closes. What still comes is read for a moment,
-    /// since unread bytes would reset the connection, and the caller would lose
-    /// the last message.
+    /// Sends what waits and closes.
     pub async fn close(mut self) {
-        if self.flush().await.is_err() {
-            return;
+        if self.flush().await.is_ok() {
+            linger(&mut self.io).await;
         }
-        let rest = async {
-            drop(self.io.shutdown().await);
-            let mut scrap = [0; IDLE_BYTES];
-            while self.io.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
-        };
-        drop(tokio::time::timeout(LINGER, rest).await);
     }
 }
+
+/// Closes a connection. What still comes is read for a moment, since unread bytes
+/// would reset the connection, and the caller would lose the last message.
+pub async fn linger(io: &mut (impl AsyncRead + AsyncWrite + Unpin)) {
+    let rest = async {
+        // whoever is gone already needs no farewell
+        drop(io.shutdown().await);
+        let mut scrap = [0; IDLE_BYTES];
+        while io.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
+    };
+    drop(tokio::time::timeout(LINGER, rest).await);
+}
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -288,6 +288,26 @@
     }
 }
 
+/// Waits for input of a caller that stands between two requests, or for another
+/// phase; whether the caller stays.
+async fn stays(
+    phase: &mut watch::Receiver<Phase>,
+    input: impl Future<Output = Result<(), Report<conn::Gone>>>,
+) -> Result<bool, Report<conn::Gone>> {
+    if *phase.borrow_and_update() != Phase::Open {
+        // a request that came before the phase was seen is still run
+        return match tokio::time::timeout(Duration::ZERO, input).await {
+            Ok(filled) => filled.map(|()| true),
+            Err(_nothing) => Ok(false),
+        };
+    }
+    tokio::select! {
+        biased;
+        filled = input => filled.map(|()| true),
+        changed = phase.changed() => Ok(changed.is_ok()),
+    }
+}
+
 /// Notices when the lease is gone for good, and when one is back.
 async fn attend(front: Arc<Front>) {
     let mut check = tokio::time::interval(ADRIFT_CHECK);
--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -21,7 +21,7 @@
 use crate::front::errand::{Errand, millis};
 use crate::front::link::Link;
 use crate::front::verdict::Attempt;
-use crate::front::{Front, Phase};
+use crate::front::{Front, Phase, stays};
 
 /// Most values, and most prepared statements, of one session.
 const SESSION_ITEMS: usize = 1_024;
@@ -122,20 +122,8 @@
                 self.conn.fill().await?;
                 continue;
             }
-            if *self.phase.borrow_and_update() != Phase::Open {
-                // a request that came before the stop was seen is still run
-                match tokio::time::timeout(Duration::ZERO, self.conn.fill()).await {
-                    Ok(filled) => filled?,
-                    Err(_nothing) => return Ok(None),
-                }
-                continue;
-            }
-            tokio::select! {
-                biased;
-                filled = self.conn.fill() => filled?,
-                changed = self.phase.changed() => if changed.is_err() {
-                    return Ok(None);
-                },
+            if !stays(&mut self.phase, self.conn.fill()).await? {
+                return Ok(None);
             }
         }
     }
--- a/components/entry/src/front/plain/conn.rs
+++ b/components/entry/src/front/plain/conn.rs
@@ -8,14 +8,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::front::conn::Gone;
+use crate::front::conn::{Gone, linger};
 
 /// Longest time that a caller may take to accept an answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Longest time in which what still comes is read after the end.
-const LINGER: Duration = Duration::from_millis(200);
-
 /// Room for input in bytes.
 const INPUT_BYTES: usize = 1 << 10;
 
@@ -77,17 +74,10 @@
         written.change_context(Gone::Timeout)?.change_context(Gone::Io)
     }
 
-    /// Sends what waits and closes; what still comes is read for a moment,
-    /// since unread bytes would reset the connection.
+    /// Sends what waits and closes.
     pub(super) async fn close(mut self) {
-        if self.flush().await.is_err() {
-            return;
+        if self.flush().await.is_ok() {
+            linger(&mut self.io).await;
         }
-        let rest = async {
-            drop(self.io.shutdown().await);
-            let mut scrap = [0; INPUT_BYTES];
-            while self.io.read(&mut scrap).await.is_ok_and(|read| read > 0) {}
-        };
-        drop(tokio::time::timeout(LINGER, rest).await);
     }
 }
--- a/components/keeper/src/solo/stall.rs
+++ b/components/keeper/src/solo/stall.rs
@@ -40,8 +40,8 @@
             return;
         }
         self.note_commits(now);
-        let stalled: Vec<_> = self.conns.iter().filter(|(_, c)| self.is_stalled(now, c)).collect();
-        let stalled: Vec<_> = stalled.iter().map(|(key, conn)| (*key, conn.server)).collect();
+        let stalled = self.conns.iter().filter(|(_, conn)| self.is_stalled(now, conn));
+        let stalled: Vec<_> = stalled.map(|(key, conn)| (key, conn.server)).collect();
         for (conn, server) in stalled {
             let silent =
                 self.servers.get(server).is_some_and(|s| now.since(s.heard) > READ_STALLED);
@@ -74,8 +74,8 @@
             server.trouble = Some(Trouble::Silent);
         }
         let idle = |conn: &Connection| conn.server == key && matches!(conn.work, Work::Idle(_));
-        let idle: Vec<_> = self.conns.iter().filter(|(_, conn)| idle(conn)).collect();
-        let idle: Vec<_> = idle.iter().map(|(key, _)| *key).collect();
+        let idle = self.conns.iter().filter(|(_, conn)| idle(conn));
+        let idle: Vec<_> = idle.map(|(key, _)| key).collect();
         for conn in idle {
             self.shut(conn, out);
         }
@@ -107,7 +107,7 @@
             Some(Trouble::Silent) => return Sight::Silent,
             None => {}
         }
-        let open = self.requests.iter().filter_map(|(_, request)| match request.stage {
+        let mut open = self.requests.iter().filter_map(|(_, request)| match request.stage {
             Stage::Running(_) if request.attempt.server == Some(key) => Some(request),
             _ => None,
         });
@@ -115,7 +115,7 @@
             let waits = now.since(request.attempt.sent_at);
             waits > STALLED && now.since(server.heard) > STALLED
         };
-        if open.into_iter().any(silent) {
+        if open.any(silent) {
             return Sight::Silent;
         }
         let Commits { answered, stalled } = server.commits;
--- a/components/soak/src/bench.rs
+++ b/components/soak/src/bench.rs
@@ -8,6 +8,7 @@
 use load::bench::{Sight, settings as group_settings};
 use load::scenario::GROUPS;
 use load::{Bench, Scenario};
+use rand::RngExt as _;
 use slog::Logger;
 use standin::Group;
 use tokio::sync::Mutex;
@@ -24,6 +25,12 @@
 /// Number of entries.
 const ENTRIES: usize = 4;
 
+/// Ports below those that kernels give to connections.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Ports that are tried.
+const ATTEMPTS: usize = 1_000;
+
 /// Key that the processes of one soak share.
 const KEY: &str = "a key for soaks only";
 
@@ -108,12 +115,24 @@
     chaos: Option<Chaos>,
 }
 
-/// Addresses that nothing listens on at present.
+/// Addresses that nothing listens on at present. They must be free again each
+/// time that a process starts, so they are none that the kernel gives out.
 fn free(count: usize) -> Result<Vec<SocketAddr>, Report<Failure>> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").change_context(Failure::Start);
-    let held: Vec<_> = (0..count).map(bind).collect::<Result<_, _>>()?;
+    let mut random = rand::rng();
+    let mut held = Vec::new();
+    for _ in 0..ATTEMPTS {
+        let port = random.random_range(PORTS);
+        held.extend(TcpListener::bind(("127.0.0.1", port)));
+        if held.len() == count {
+            break;
+        }
+    }
     let address = |held: &TcpListener| held.local_addr().change_context(Failure::Start);
-    held.iter().map(address).collect()
+    let found: Vec<_> = held.iter().map(address).collect::<Result<_, _>>()?;
+    if found.len() < count {
+        return Err(Report::new(Failure::Start));
+    }
+    Ok(found)
 }
 
 async fn proxies(targets: &[SocketAddr]) -> Result<Vec<Proxy>, Report<Failure>> {
--- a/components/standin/tests/failover.rs
+++ b/components/standin/tests/failover.rs
@@ -89,8 +89,18 @@
     }
     fenced.sort_unstable();
     let (_, chosen) = fenced.pop().unwrap();
-    let promoted = probe(chosen).await.promote(term).await.unwrap();
-    assert_eq!((promoted.role, promoted.term), (Role::Primary, term));
+    let mut promoted = probe(chosen).await;
+    // one that still rebuilds after an earlier rewind leads once that is done
+    let leads = async {
+        loop {
+            let status = promoted.promote(term).await.unwrap();
+            assert_eq!(status.term, term);
+            if status.role == Role::Primary {
+                break;
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, leads).await.expect("it leads");
     for (_, address) in fenced {
         probe(address).await.follow(term, chosen).await.unwrap();
     }
--- a/programs/trefoil-control/src/cli.rs
+++ b/programs/trefoil-control/src/cli.rs
@@ -1,17 +1,14 @@
 //! Settings: each is a flag and an environment variable.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use base::prelude::*;
-use bpaf::{Bpaf, ParseFailure};
+use bpaf::Bpaf;
 use member::Peer;
+use telemetry::cli::{self, Invalid};
 use telemetry::{Format, Level};
 
-/// Width of the help text in columns.
-const HELP_COLUMNS: usize = 100;
-
 /// A member of the control quorum
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -52,30 +49,12 @@
     /// The first membership, this host included: NAME=LINK/WEB,NAME=LINK/WEB,..
     #[bpaf(long, env("TREFOIL_PEERS"), argument("PEERS"))]
     peers: String,
-    /// Least severity to log: error, warning, info or debug
-    #[bpaf(long, env("TREFOIL_LOG_LEVEL"), argument("LEVEL"), fallback("info".to_owned()))]
-    log_level: String,
-    /// Form of the log: auto, human or json
-    #[bpaf(long, env("TREFOIL_LOG_FORMAT"), argument("FORMAT"), fallback("auto".to_owned()))]
-    log_format: String,
-}
-
-/// A setting that is not allowed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Invalid {
-    flag: &'static str,
-    value: String,
-    allowed: &'static str,
+    #[bpaf(external(level))]
+    level: Level,
+    #[bpaf(external(cli::format))]
+    format: Format,
 }
 
-impl fmt::Display for Invalid {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "--{} is `{}`, but must be {}", self.flag, self.value, self.allowed)
-    }
-}
-
-impl std::error::Error for Invalid {}
-
 /// Why the program ended without success.
 #[derive(Debug, Clone, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "title_case")]
@@ -109,29 +88,8 @@
     pub(crate) format: Format,
 }
 
-/// What the command line came to.
-pub(crate) enum Parsed {
-    /// A command to carry out.
-    Command(Command),
-    /// Help or the version, which is shown.
-    Shown,
-    /// A usage error, which is shown.
-    Refused,
-}
-
-/// Reads the command line.
-pub(crate) fn parse() -> Parsed {
-    match command().run_inner(bpaf::Args::current_args()) {
-        Ok(command) => Parsed::Command(command),
-        Err(ParseFailure::Stderr(shown)) => {
-            ParseFailure::Stderr(shown).print_message(HELP_COLUMNS);
-            Parsed::Refused
-        }
-        Err(shown) => {
-            shown.print_message(HELP_COLUMNS);
-            Parsed::Shown
-        }
-    }
+fn level() -> impl bpaf::Parser<Level> {
+    cli::level(Level::Info)
 }
 
 impl Options {
@@ -145,45 +103,33 @@
 
     fn checked(self) -> Result<Settings, Invalid> {
         const ADDRESS: &str = "an IP number and port, as 10.0.0.1:7000";
-        let name = parse_as("name", &self.name, "1 to 128 of letters, digits and -_./:")?;
-        let level = parse_as("log-level", &self.log_level, "error, warning, info or debug")?;
-        let format = parse_as("log-format", &self.log_format, "auto, human or json")?;
+        let name = cli::read("--name", &self.name, "1 to 128 of letters, digits and -_./:")?;
         let peers = peers(&self.peers)?;
-        let invalid = |flag, value: &str, allowed| Invalid { flag, value: value.into(), allowed };
         if self.data.is_empty() {
-            return Err(invalid("data", &self.data, "the path of a folder"));
+            return Err(Invalid::new("--data", &self.data, "the path of a folder"));
         }
         if !peers.iter().any(|peer| peer.name == name) {
-            return Err(invalid("peers", &self.peers, "a list that names this host too"));
+            return Err(Invalid::new("--peers", &self.peers, "a list that names this host too"));
         }
         let key = link::Key::new(self.key.as_bytes());
-        let key = key.map_err(|_short| invalid("key", "..", "a key of at least 16 bytes"))?;
+        let key =
+            key.map_err(|_short| Invalid::new("--key", "..", "a key of at least 16 bytes"))?;
         Ok(Settings {
             data: PathBuf::from(&self.data),
-            link: parse_as("link", &self.link, ADDRESS)?,
-            web: parse_as("web", &self.web, ADDRESS)?,
+            link: cli::read("--link", &self.link, ADDRESS)?,
+            web: cli::read("--web", &self.web, ADDRESS)?,
             name,
             key,
             peers,
-            level,
-            format,
+            level: self.level,
+            format: self.format,
         })
     }
 }
 
-fn parse_as<T: std::str::FromStr>(
-    flag: &'static str,
-    value: &str,
-    allowed: &'static str,
-) -> Result<T, Invalid> {
-    value.parse().map_err(|_unfit| Invalid { flag, value: value.to_owned(), allowed })
-}
-
 fn peers(list: &str) -> Result<Vec<Peer>, Invalid> {
-    let invalid = || Invalid {
-        flag: "peers",
-        value: list.to_owned(),
-        allowed: "a list of NAME=LINK/WEB with commas between, each name once",
+    let invalid = || {
+        Invalid::new("--peers", list, "a list of NAME=LINK/WEB with commas between, each name once")
     };
     let mut peers: Vec<Peer> = Vec::new();
     for part in list.split(',') {
--- a/programs/trefoil-control/src/main.rs
+++ b/programs/trefoil-control/src/main.rs
@@ -5,16 +5,13 @@
 
 use std::process::ExitCode;
 
-use cli::{Command, Parsed};
-
-/// Exit code for settings that are not allowed.
-const EXIT_USAGE: u8 = 2;
+use cli::Command;
+use telemetry::cli::{Invalid, USAGE, show};
 
 fn main() -> ExitCode {
-    let command = match cli::parse() {
-        Parsed::Command(command) => command,
-        Parsed::Shown => return ExitCode::SUCCESS,
-        Parsed::Refused => return ExitCode::from(EXIT_USAGE),
+    let command = match cli::command().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => command,
+        Err(failure) => return show(&failure),
     };
     let done = match command {
         Command::Run(options) => options.check().and_then(cmd::run),
@@ -24,8 +21,8 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
             eprintln!("trefoil-control: {report:#}");
-            let usage = report.contains::<cli::Invalid>();
-            if usage { ExitCode::from(EXIT_USAGE) } else { ExitCode::FAILURE }
+            let usage = report.contains::<Invalid>();
+            if usage { ExitCode::from(USAGE) } else { ExitCode::FAILURE }
         }
     }
 }
--- a/programs/trefoil-control/tests/settings.rs
+++ b/programs/trefoil-control/tests/settings.rs
@@ -45,7 +45,7 @@
         let shown = String::from_utf8_lossy(&output.stderr);
         assert_eq!(output.status.code(), Some(2), "{flag} {value}: {shown}");
         assert!(shown.contains(flag) && shown.contains(value), "{shown}");
-        assert!(shown.contains("must be"), "{shown}");
+        assert!(shown.contains("is not allowed, expected"), "{shown}");
     }
 }
 
