Dial a member anew whose link has gone silent

Cause: members waited on the kernel alone to notice a connection that passes nothing and is never closed.

Ruled out: votes, disks and stopped processes: all three ran, and new connections passed.

Change: the end that takes messages says so at most each 200 ms as long as some come; the end that sends dials anew after a second without that word, if the other said that it gives it.

--- a/components/member/src/link.rs
+++ b/components/member/src/link.rs
@@ -7,6 +7,7 @@
 use base::prelude::*;
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep_until};
 use wire::quorum::{Hello, Member, Message};
 
 use crate::entry;
@@ -16,6 +17,9 @@
 /// Wait after a failed accept, as when files run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Least time between two words that messages come.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
+
 /// This member's end of its links.
 #[derive(Clone, Debug)]
 pub(crate) struct End {
@@ -41,7 +45,7 @@
 
     pub(crate) fn hello(&self) -> Hello {
         let (fresh, asks) = (self.fresh.load(Ordering::Acquire), self.asks.load(Ordering::Acquire));
-        Hello { member: Some(self.own.clone()), fresh, asks }
+        Hello { member: Some(self.own.clone()), fresh, asks, confirms: true }
     }
 }
 
@@ -92,16 +96,27 @@
     let Some(member) = hello.member else { return Err(Report::new(Failure::Garbled)) };
     let id = member.id;
     drop(core.send(Input::Greeted { member, asks: hello.asks }).await);
-    while let Some(message) = reader.next::<Message>().await? {
+    let mut confirmed = Instant::now();
+    let mut owed = false;
+    loop {
+        let message = tokio::select! {
+            message = reader.next::<Message>() => message?,
+            () = sleep_until(confirmed + CONFIRM_PAUSE), if owed => {
+                writer.send(&Hello::default()).await?;
+                (confirmed, owed) = (Instant::now(), false);
+                continue;
+            }
+        };
+        let Some(message) = message else { return Ok(()) };
         if message.from != id {
             return Err(Report::new(Failure::Garbled));
         }
         if end.is_cut() {
             continue;
         }
+        owed = true;
         if core.send(Input::Message(message)).await.is_err() {
             return Ok(());
         }
     }
-    Ok(())
 }
--- a/components/member/src/peers.rs
+++ b/components/member/src/peers.rs
@@ -9,6 +9,7 @@
 use base::prelude::*;
 use slog::debug;
 use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
 use wire::quorum::{Hello, Member, Members, Message};
 
 use crate::host::Scope;
@@ -23,6 +24,10 @@
 /// Wait between two tries to dial a member.
 const REDIAL_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time without a word that messages come after which a link is dialled anew: a
+/// connection may go silent and never be closed.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Members outside the membership that are answered.
 const GUESTS: usize = 16;
 
@@ -139,16 +144,22 @@
     due: &mut mpsc::Receiver<Message>,
 ) -> Result<(), Report<Failure>> {
     let (hello, mut reader, mut writer) = greet(address, end).await?;
-    if hello.member.is_none_or(|member| member.id != id) {
+    if hello.member.as_ref().is_none_or(|member| member.id != id) {
         return Err(Report::new(Failure::Unproved));
     }
     let mut burst = Vec::with_capacity(BURST);
+    // since when messages were sent without a word that they come
+    let mut waits: Option<Instant> = None;
     loop {
+        let silent = waits.filter(|_| hello.confirms).map(|since| since + SILENCE);
         tokio::select! {
-            // nothing more is due from there: this tells when the other end goes
-            ended = reader.next::<Hello>() => {
-                return ended.and(Err(Report::new(Failure::Cut)));
+            word = reader.next::<Hello>() => {
+                word?.ok_or(Failure::Cut)?;
+                waits = None;
+                continue;
             }
+            () = sleep_until(silent.unwrap_or_else(Instant::now)),
+                if silent.is_some() => return Err(Report::new(Failure::Timeout)),
             count = due.recv_many(&mut burst, BURST) => {
                 if count == 0 {
                     return Ok(());
@@ -159,5 +170,6 @@
             writer.put(&message)?;
         }
         writer.flush().await?;
+        waits.get_or_insert_with(Instant::now);
     }
 }
--- a/components/member/src/standby.rs
+++ b/components/member/src/standby.rs
@@ -33,5 +33,5 @@
     let own = Peer::new(name.as_str(), 0, Purpose::Quorum);
     let (_, mut reader, mut writer) = ::link::accept(stream, &own, key).await?;
     let _asked: Option<Hello> = reader.next().await?;
-    writer.send(&Hello { member: None, fresh: true, asks: false }).await
+    writer.send(&Hello { fresh: true, ..Hello::default() }).await
 }
--- a/components/wire/src/quorum.rs
+++ b/components/wire/src/quorum.rs
@@ -21,6 +21,9 @@
     /// Whether it knows no leader and asks to be a member.
     #[prost(bool, tag = "3")]
     pub asks: bool,
+    /// Whether it says that messages come, as long as some do.
+    #[prost(bool, tag = "4")]
+    pub confirms: bool,
 }
 
 /// A member of the quorum.
