--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -60,7 +60,10 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(request) = self.requests.get(key) else { return };
-        if outcome == Outcome::Done && request.tries == 0 {
+        let objective = self.services.get(request.service).map(|service| service.objective);
+        let objective = objective.filter(|objective| !objective.is_zero());
+        let late = objective.is_some_and(|objective| now.since(request.arrived) > objective);
+        if outcome == Outcome::Done && request.tries == 0 && !late {
             return;
         }
         let attempt = &request.attempt;
--- a/components/keeper/tests/solo.rs
+++ b/components/keeper/tests/solo.rs
@@ -657,3 +657,18 @@
     }
     assert!(bench.ends().is_empty());
 }
+
+#[test]
+fn a_request_that_is_done_late_is_told_of_and_one_in_time_is_not() {
+    let told =
+        |bench: &Bench| bench.out.iter().filter(|effect| matches!(effect, Effect::Log(_))).count();
+    for (wait, lines) in [(50, 0), (150, 1)] {
+        let mut bench = Bench::ready();
+        let run = Run { service: "busy".into(), commits: true, fresh: true, ..Run::default() };
+        bench.run(Run { class: Class::Write as i32, ..run });
+        let (conn, ..) = bench.sent()[0].clone();
+        bench.pass(wait);
+        bench.answer(conn, b'I', Mark::new(1, 101));
+        assert_eq!(told(&bench), lines, "after {wait} ms of an objective of 100");
+    }
+}
