--- a/components/entry/src/front/caller.rs
+++ b/components/entry/src/front/caller.rs
@@ -85,7 +85,7 @@
             }
         }
         let message = match *self.phase.borrow() {
-            Phase::Adrift => "the entry has lost touch with control; connect again",
+            Phase::Unleased => "the entry has lost touch with control; connect again",
             Phase::Open | Phase::Closing => "the entry is stopping; connect again",
         };
         self.conn.output.fatal(&Problem::new(Code::Shutdown, message));
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -60,10 +60,10 @@
 
 /// Time without a lease after which idle callers are let go: an entry that is
 /// cut off from control can't serve them, and others can.
-const ADRIFT: Duration = Duration::from_millis(500);
+const UNLEASED: Duration = Duration::from_millis(500);
 
 /// Time between two looks at the lease.
-const ADRIFT_CHECK: Duration = Duration::from_millis(200);
+const LEASE_CHECK: Duration = Duration::from_millis(200);
 
 /// Settings of a front.
 pub struct Settings {
@@ -105,7 +105,7 @@
     /// It takes callers.
     Open,
     /// It has no lease, and lets idle callers go.
-    Adrift,
+    Unleased,
     /// It finishes what runs.
     Closing,
 }
@@ -208,8 +208,8 @@
     )));
     let sweep = sweep(Arc::clone(&handle.front));
     tokio::spawn(handle.kill.clone().run_until_cancelled_owned(sweep));
-    let attend = attend(Arc::clone(&handle.front));
-    tokio::spawn(handle.stop.clone().run_until_cancelled_owned(attend));
+    let watch = watch_lease(Arc::clone(&handle.front));
+    tokio::spawn(handle.stop.clone().run_until_cancelled_owned(watch));
     handle
 }
 
@@ -309,12 +309,12 @@
 }
 
 /// Notices when the lease is gone for good, and when one is back.
-async fn attend(front: Arc<Front>) {
-    let mut check = tokio::time::interval(ADRIFT_CHECK);
+async fn watch_lease(front: Arc<Front>) {
+    let mut check = tokio::time::interval(LEASE_CHECK);
     loop {
         check.tick().await;
         let gone = front.clock.now().since(front.view.lease_until());
-        let next = if gone > ADRIFT { Phase::Adrift } else { Phase::Open };
+        let next = if gone > UNLEASED { Phase::Unleased } else { Phase::Open };
         let changed = front.phase.send_if_modified(|phase| {
             let changes = *phase != Phase::Closing && *phase != next;
             if changes {
@@ -323,8 +323,8 @@
             changes
         });
         if changed {
-            info!(front.log, "callers may stay"; "stay" => next == Phase::Open,
-                "without_lease_ms" => gone.as_millis() as u64);
+            info!(front.log, "the lease is lost or back"; "leased" => next == Phase::Open,
+                "gone_ms" => gone.as_millis() as u64);
         }
     }
 }
--- a/components/keeper/src/intake.rs
+++ b/components/keeper/src/intake.rs
@@ -59,7 +59,7 @@
             service.budget.earn();
         }
         self.enqueue(now, key, pinned);
-        if self.is_crowded_out(now, key) {
+        if self.would_wait_too_long(now, key) {
             self.finish(now, key, Outcome::NotRun, Reason::QueueFull, out);
         }
     }
--- a/components/keeper/src/load.rs
+++ b/components/keeper/src/load.rs
@@ -16,7 +16,7 @@
 impl Group {
     /// Whether the work that waits before a new request takes longer than its
     /// objective.
-    pub(crate) fn is_crowded_out(&self, now: Instant, key: Key<Request>) -> bool {
+    pub(crate) fn would_wait_too_long(&self, now: Instant, key: Key<Request>) -> bool {
         let Some(request) = self.requests.get(key).filter(|_| self.is_solo()) else {
             return false;
         };
