Split the keeper's and the front's tests by what they are about

The tests of early answers have a file of their own beside entry::front, and the messages that both send stand once. Four members from seeds, a transaction of one caller, and callers that take turns stood two or three times.

--- a/components/entry/examples/idle.rs
+++ b/components/entry/examples/idle.rs
@@ -8,7 +8,6 @@
 mod server;
 
 #[path = "../tests/fake/mod.rs"]
-#[expect(dead_code, reason = "only a part of the fake is used")]
 mod fake;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -1,4 +1,7 @@
 //! A keeper over a model of one backend connection, and a front that asks it.
+#![allow(dead_code, reason = "each test uses a part")]
+
+pub mod raw;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -7,6 +7,7 @@
 
 use base::prelude::*;
 
+use fake::raw::{FLUSH, SYNC, TERMINATE, startup, statement};
 use fake::{Trick, bench, code, connect, rows};
 use rand::{RngExt as _, SeedableRng as _};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -373,13 +374,6 @@
     assert!(answer_to(bench.address, &early).await.is_empty());
 }
 
-fn startup() -> Vec<u8> {
-    let body = b"\0\x03\0\0user\0web\0database\0booking\0\0";
-    let mut packet = (body.len() as u32 + 4).to_be_bytes().to_vec();
-    packet.extend_from_slice(body);
-    packet
-}
-
 fn holds(answer: &[u8], text: &str) -> bool {
     answer.windows(text.len()).any(|window| window == text.as_bytes())
 }
@@ -435,127 +429,6 @@
     assert_eq!(bench.shared.runs().len(), 3);
 }
 
-const EXECUTE: &[u8] = b"E\0\0\0\x09\0\0\0\0\0";
-const FLUSH: &[u8] = b"H\0\0\0\x04";
-const SYNC: &[u8] = b"S\0\0\0\x04";
-const TERMINATE: &[u8] = b"X\0\0\0\x04";
-
-fn message(kind: u8, body: &[u8]) -> Vec<u8> {
-    [&[kind], &(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
-}
-
-fn parse(name: &str, text: &str) -> Vec<u8> {
-    message(b'P', &[name.as_bytes(), b"\0", text.as_bytes(), b"\0\0\0"].concat())
-}
-
-fn bind(name: &str) -> Vec<u8> {
-    message(b'B', &[b"\0", name.as_bytes(), b"\0\0\0\0\0\0\0"].concat())
-}
-
-/// Messages that run a text.
-fn statement(text: &str) -> Vec<u8> {
-    [parse("", text), bind(""), EXECUTE.to_vec()].concat()
-}
-
-fn describe(name: &str) -> Vec<u8> {
-    message(b'D', &[b"S", name.as_bytes(), b"\0"].concat())
-}
-
-/// A session that a test speaks byte by byte.
-struct Raw {
-    stream: TcpStream,
-    input: bytes::BytesMut,
-}
-
-impl Raw {
-    async fn connect(address: std::net::SocketAddr) -> Self {
-        let mut stream = TcpStream::connect(address).await.unwrap();
-        stream.write_all(&startup()).await.unwrap();
-        let mut raw = Self { stream, input: bytes::BytesMut::new() };
-        while raw.next().await != b'Z' {}
-        raw
-    }
-
-    /// Kind of the next message that is no setting.
-    async fn next(&mut self) -> u8 {
-        loop {
-            if let Some(frame) = pg::frame::take(&mut self.input).unwrap() {
-                if frame.kind == b'S' {
-                    continue;
-                }
-                return frame.kind;
-            }
-            let read = self.stream.read_buf(&mut self.input);
-            let read = tokio::time::timeout(Duration::from_secs(20), read).await;
-            assert_ne!(read.expect("an answer").unwrap(), 0);
-        }
-    }
-
-    /// Sends messages and returns the kinds of what is answered at once.
-    async fn ask(&mut self, messages: &[&[u8]], answers: usize) -> String {
-        self.stream.write_all(&messages.concat()).await.unwrap();
-        let mut kinds = String::new();
-        while kinds.len() < answers {
-            kinds.push(char::from(self.next().await));
-        }
-        kinds
-    }
-}
-
-#[tokio::test]
-async fn a_driver_that_looks_at_a_statement_before_it_binds_is_answered() {
-    let bench = bench(None).await;
-    let mut raw = Raw::connect(bench.address).await;
-    for _ in 0..2 {
-        let looked: [&[u8]; 3] = [&parse("", "select 1"), &describe(""), FLUSH];
-        assert_eq!(raw.ask(&looked, 3).await, "1tT");
-        assert_eq!(raw.ask(&[&bind(""), EXECUTE, SYNC], 4).await, "2DCZ");
-    }
-    assert_eq!(raw.ask(&[&parse("", "bad"), &describe(""), FLUSH], 1).await, "E");
-    assert_eq!(raw.ask(&[&bind(""), EXECUTE, SYNC], 1).await, "Z");
-    assert_eq!(raw.ask(&[FLUSH, SYNC], 1).await, "Z");
-}
-
-#[tokio::test]
-async fn a_pipeline_within_a_transaction_is_answered_at_each_flush() {
-    let bench = bench(None).await;
-    let mut raw = Raw::connect(bench.address).await;
-    let begin = statement("BEGIN");
-    let insert = statement("update t");
-    assert_eq!(raw.ask(&[&begin, &insert, FLUSH], 7).await, "12C12DC");
-    assert_eq!(raw.ask(&[&insert, FLUSH], 4).await, "12DC");
-    let commit = statement("COMMIT");
-    assert_eq!(raw.ask(&[&commit, SYNC], 4).await, "12CZ");
-    let runs = bench.shared.runs();
-    assert_eq!(runs.iter().map(|run| run.within).collect::<Vec<_>>(), [false, true, true]);
-}
-
-#[tokio::test]
-async fn a_query_is_answered_whatever_was_flushed_or_left_open_before() {
-    let bench = bench(None).await;
-    let mut raw = Raw::connect(bench.address).await;
-    let query = message(b'Q', b"select 1\0");
-    // as psycopg ends a pipeline
-    let insert = statement("update t");
-    assert_eq!(raw.ask(&[&insert, SYNC, FLUSH], 5).await, "12DCZ");
-    assert_eq!(raw.ask(&[&query], 4).await, "TDCZ");
-    assert_eq!(raw.ask(&[&insert, &query], 2).await, "EZ");
-    assert_eq!(raw.ask(&[&parse("", "select 1"), FLUSH, &query], 3).await, "1EZ");
-    assert_eq!(raw.ask(&[&query], 4).await, "TDCZ");
-}
-
-#[tokio::test]
-async fn a_part_that_fails_passes_over_the_rest_of_its_cycle() {
-    let bench = bench(None).await;
-    let mut raw = Raw::connect(bench.address).await;
-    let begin = statement("BEGIN");
-    let fail = statement("fail");
-    assert_eq!(raw.ask(&[&begin, &fail, FLUSH], 6).await, "12C12E");
-    let runs = bench.shared.runs().len();
-    assert_eq!(raw.ask(&[&begin, FLUSH, &begin, SYNC], 1).await, "Z");
-    assert_eq!(bench.shared.runs().len(), runs);
-}
-
 #[tokio::test]
 async fn a_planned_stop_cuts_nothing() {
     let bench = bench(None).await;
--- /dev/null
+++ b/components/keeper/tests/solo/bench.rs
@@ -0,0 +1,235 @@
+//! One group of a primary and two replicas, driven by hand.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use bytes::Bytes;
+use config::{Database, Declarations, Limits};
+use keeper::event;
+use keeper::{Connection, Effect, Event, Front, Group, Kind, Lease, Piece, Reported, Setup, Solo};
+use plain::Fault;
+use wire::control::Sight;
+use wire::data::{Class, End, Run};
+
+pub const FRONT: Front = Front(1);
+
+pub fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+pub fn declarations() -> Declarations {
+    let limits = Limits { retry_share: 1.0, ..Limits::default() };
+    let database =
+        Database { group: name("group"), age_ms: 1_000, priority: 0, objective_ms: 0, limits };
+    let group = config::Group { servers: 15, acknowledges: true, ..config::Group::default() };
+    let busy = Database { objective_ms: 100, ..database.clone() };
+    Declarations {
+        groups: [(name("group"), group)].into(),
+        databases: [(name("ring"), database), (name("busy"), busy)].into(),
+        ..Declarations::default()
+    }
+}
+
+pub fn seat(index: u16) -> event::Server {
+    event::Server {
+        name: name(&format!("server-{index}")),
+        incarnation: 1,
+        address: ([127, 0, 0, 1], 5432 + index).into(),
+        zone: name("zone"),
+        labels: config::Labels::new(),
+        connections: 6,
+        slots: 2,
+        share: 2,
+        leaving: false,
+        expired: false,
+    }
+}
+
+pub struct Bench {
+    pub group: Group,
+    pub now: Instant,
+    pub out: Vec<Effect>,
+    pub next: u64,
+    pub seats: Vec<event::Server>,
+    pub conns: Vec<(Key<Connection>, Name)>,
+}
+
+pub fn setup(seats: &[event::Server], primary: Option<&str>, term: u64, index: u64) -> Setup {
+    Setup {
+        declared: 1,
+        primary: primary.map(name),
+        servers: seats.to_vec(),
+        lease: Lease::Held,
+        declarations: Arc::new(declarations()),
+        solo: Some(Solo { term: Term(term), index }),
+    }
+}
+
+impl Bench {
+    /// A group of a primary and two replicas that holds its lease; nothing is
+    /// connected yet.
+    pub fn new() -> Self {
+        let group = Group::new(name("group"), name("zone"), 1);
+        let now = Instant::from_millis(10_000);
+        let seats: Vec<_> = (0..3).map(seat).collect();
+        let (out, conns) = (Vec::new(), Vec::new());
+        let mut bench = Self { group, now, out, next: 0, seats, conns };
+        bench.feed(Event::Leased(true));
+        bench.set_up(Some("server-0"), 1, 10);
+        bench
+    }
+
+    /// The same with its first connections open.
+    pub fn ready() -> Self {
+        let mut bench = Self::new();
+        bench.open_all();
+        bench.out.clear();
+        bench
+    }
+
+    pub fn feed(&mut self, event: Event) {
+        self.group.on(self.now, event, &mut self.out);
+        for effect in &self.out {
+            if let Effect::Connect { conn, server, .. } = effect
+                && !self.conns.iter().any(|(known, _)| known == conn)
+            {
+                self.conns.push((*conn, server.clone()));
+            }
+        }
+    }
+
+    pub fn set_up(&mut self, primary: Option<&str>, term: u64, index: u64) {
+        let setup = setup(&self.seats, primary, term, index);
+        self.feed(Event::Setup(setup));
+    }
+
+    /// The same with more slots on each server.
+    pub fn with_slots(slots: u32) -> Self {
+        let mut bench = Self::new();
+        for seat in &mut bench.seats {
+            (seat.slots, seat.share, seat.connections) = (slots, slots, slots + 4);
+        }
+        bench.set_up(Some("server-0"), 1, 11);
+        for _ in 0..3 {
+            let opened = std::mem::take(&mut bench.out);
+            for effect in opened {
+                if let Effect::Connect { conn, .. } = effect {
+                    bench.report(conn, b'I', None, Mark::new(1, 100));
+                }
+            }
+        }
+        bench.out.clear();
+        bench
+    }
+
+    pub fn open_all(&mut self) {
+        for (conn, _) in self.conns.clone() {
+            self.report(conn, b'I', None, Mark::new(1, 100));
+        }
+    }
+
+    pub fn report(&mut self, conn: Key<Connection>, status: u8, fault: Option<Fault>, mark: Mark) {
+        let reported = Reported { status, fault, mark: Some(mark), sent: self.now };
+        self.feed(Event::Reported { conn, reported });
+    }
+
+    /// The whole answer to a statement.
+    pub fn answer(&mut self, conn: Key<Connection>, status: u8, mark: Mark) {
+        let piece = Piece { bytes: Bytes::from_static(b"rows"), kind: Kind::Complete };
+        self.feed(Event::Piece { conn, piece });
+        self.report(conn, status, None, mark);
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis.div_ceil(10) {
+            self.now += Duration::from_millis(10);
+            self.feed(Event::Tick);
+        }
+    }
+
+    pub fn run(&mut self, run: Run) -> u64 {
+        self.next += 1;
+        let run = Run {
+            request: self.next,
+            caller: if run.caller == 0 { self.next } else { run.caller },
+            service: if run.service.is_empty() { "ring".to_owned() } else { run.service },
+            group: "group".to_owned(),
+            deadline_ms: if run.deadline_ms == 0 { 3_000 } else { run.deadline_ms },
+            payload: Bytes::from(self.next.to_string()),
+            window: 1 << 20,
+            ..run
+        };
+        self.feed(Event::Run { front: FRONT, run });
+        self.next
+    }
+
+    /// Opens a transaction on the primary; its connection.
+    pub fn begin(&mut self) -> Key<Connection> {
+        self.run(transaction(false, false));
+        let (conn, ..) = self.sent()[0].clone();
+        self.answer(conn, b'T', Mark::new(1, 100));
+        conn
+    }
+
+    /// Has control replace the primary, which leaves.
+    pub fn replace_leaving(&mut self) {
+        self.seats[0].leaving = true;
+        self.set_up(Some("server-0"), 1, 11);
+        self.set_up(None, 2, 20);
+        self.out.clear();
+    }
+
+    pub fn write(&mut self) -> u64 {
+        self.run(Run { class: Class::Write as i32, fresh: true, commits: true, ..Run::default() })
+    }
+
+    pub fn read(&mut self, age_ms: u64, floor: Option<Mark>) -> u64 {
+        let floor = floor.map(Into::into);
+        let fresh = age_ms == 0;
+        self.run(Run { class: Class::Read as i32, age_ms, fresh, floor, ..Run::default() })
+    }
+
+    /// What was sent: where, which request, and what the server must show first.
+    pub fn sent(&mut self) -> Vec<(Key<Connection>, String, u64, Option<Mark>)> {
+        let conns = &self.conns;
+        let server = |conn| conns.iter().find(|(known, _)| *known == conn).unwrap().1.to_string();
+        let sent = self.out.drain(..).filter_map(|effect| match effect {
+            Effect::Send { conn, bytes, wait } => {
+                let number = std::str::from_utf8(&bytes).unwrap().parse().unwrap();
+                Some((conn, server(conn), number, wait))
+            }
+            _ => None,
+        });
+        sent.collect()
+    }
+
+    pub fn ends(&mut self) -> Vec<End> {
+        let ends = self.out.drain(..).filter_map(|effect| match effect {
+            Effect::End { end, .. } => Some(end),
+            _ => None,
+        });
+        ends.collect()
+    }
+
+    /// What was reported of the primary; the effects stay.
+    pub fn sights(&self) -> Vec<Sight> {
+        let sights = self.out.iter().filter_map(|effect| match effect {
+            Effect::Report(symptom) => Some(symptom.sight()),
+            _ => None,
+        });
+        sights.collect()
+    }
+
+    pub fn seals(&mut self) -> Vec<(u64, Option<Mark>, u64)> {
+        let seals = self.out.drain(..).filter_map(|effect| match effect {
+            Effect::Seal { term, mark, index } => Some((term.0, mark, index)),
+            _ => None,
+        });
+        seals.collect()
+    }
+}
+
+/// A statement of one caller's transaction.
+pub fn transaction(within: bool, commits: bool) -> Run {
+    Run { class: Class::Write as i32, fresh: true, caller: 77, within, commits, ..Run::default() }
+}
--- a/components/member/tests/seeds.rs
+++ b/components/member/tests/seeds.rs
@@ -72,6 +72,17 @@
     panic!("{names:?} do not vote: {:?}", voters(member).await);
 }
 
+/// Four members that found a membership, and the seeds of the first three.
+async fn four(data: &std::path::Path) -> (Vec<SocketAddr>, Vec<Member>) {
+    let mut bound = Vec::new();
+    for host in ["a", "b", "c", "d"] {
+        bound.push(bind(host, data).await);
+    }
+    let seeds: Vec<_> = bound[..3].iter().map(|bound| bound.addresses().link).collect();
+    let members = bound.into_iter().map(|bound| start(bound, &seeds, true)).collect();
+    (seeds, members)
+}
+
 fn edition(number: u64) -> Replace {
     Replace::new(number, "{}", format!("document {number}").as_bytes())
 }
@@ -101,12 +112,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_found_a_membership_that_others_join_also_with_an_empty_disk() {
     let data = tempfile::tempdir().unwrap();
-    let mut bound = Vec::new();
-    for host in ["a", "b", "c", "d"] {
-        bound.push(bind(host, data.path()).await);
-    }
-    let seeds: Vec<_> = bound[..3].iter().map(|bound| bound.addresses().link).collect();
-    let mut members: Vec<_> = bound.into_iter().map(|bound| start(bound, &seeds, true)).collect();
+    let (seeds, mut members) = four(data.path()).await;
     replace(&members[0].api, 3).await;
     for member in &members {
         confirms(&member.api, 3).await;
@@ -128,12 +134,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_member_that_stands_by_votes_once_a_voter_is_gone() {
     let data = tempfile::tempdir().unwrap();
-    let mut bound = Vec::new();
-    for host in ["a", "b", "c", "d"] {
-        bound.push(bind(host, data.path()).await);
-    }
-    let seeds: Vec<_> = bound[..3].iter().map(|bound| bound.addresses().link).collect();
-    let mut members: Vec<_> = bound.into_iter().map(|bound| start(bound, &seeds, true)).collect();
+    let (_seeds, mut members) = four(data.path()).await;
     replace(&members[0].api, 1).await;
     confirms(&members[3].api, 1).await;
     // two voters are lost one after the other; with the third alone none would lead
--- a/components/pg/tests/cycles.rs
+++ b/components/pg/tests/cycles.rs
@@ -175,25 +175,22 @@
     Ok((taken.freeze(), passed.freeze()))
 }
 
-#[test]
-fn answers_are_those_of_a_connection_of_its_own() {
+/// Three callers that share a connection, in turns.
+fn taking_turns(
+    mut turn: impl FnMut(&mut Unstructured<'_>, &mut Model, &mut Server) -> Result<()>,
+) {
     for seed in 0..schedules() {
         arbtest(|u| {
             let mut shared = Server::default();
             let mut models = [Model::default(), Model::default(), Model::default()];
-            let mut turn = 0;
+            let mut at = 0;
             for _ in 0..u.int_in_range(1..=24)? {
                 // a transaction has the connection to itself
                 if shared.status == Status::Idle {
-                    turn = u.choose_index(models.len())?;
+                    at = u.choose_index(models.len())?;
                 }
-                let model = &mut models[turn];
-                let bytes = cycle(u)?;
-                let taken = feed(u, model, &bytes)?;
-                let answer = run(u, model, &mut shared, taken)?;
-                let wanted = model.own.run(bytes);
-                assert_eq!(answer.bytes, wanted, "seed {seed}");
-                assert_eq!(shared.status, model.own.status, "seed {seed}");
+                turn(u, &mut models[at], &mut shared)?;
+                assert_eq!(shared.status, models[at].own.status, "seed {seed}");
             }
             Ok(())
         })
@@ -202,28 +199,25 @@
     }
 }
 
+#[test]
+fn answers_are_those_of_a_connection_of_its_own() {
+    taking_turns(|u, model, shared| {
+        let bytes = cycle(u)?;
+        let taken = feed(u, model, &bytes)?;
+        let answer = run(u, model, shared, taken)?;
+        assert_eq!(answer.bytes, model.own.run(bytes));
+        Ok(())
+    });
+}
+
 #[test]
 fn answers_that_are_asked_for_early_are_those_of_a_connection_of_its_own() {
-    for seed in 0..schedules() {
-        arbtest(|u| {
-            let mut shared = Server::default();
-            let mut models = [Model::default(), Model::default(), Model::default()];
-            let mut turn = 0;
-            for _ in 0..u.int_in_range(1..=24)? {
-                if shared.status == Status::Idle {
-                    turn = u.choose_index(models.len())?;
-                }
-                let model = &mut models[turn];
-                let bytes = extended(u, 4)?;
-                let (taken, answer) = run_parts(u, model, &mut shared, &bytes)?;
-                assert_eq!(answer, model.own.run(taken), "seed {seed}");
-                assert_eq!(shared.status, model.own.status, "seed {seed}");
-            }
-            Ok(())
-        })
-        .seed(seed << 32 | SIZE)
-        .run();
-    }
+    taking_turns(|u, model, shared| {
+        let bytes = extended(u, 4)?;
+        let (taken, answer) = run_parts(u, model, shared, &bytes)?;
+        assert_eq!(answer, model.own.run(taken));
+        Ok(())
+    });
 }
 
 #[test]
