--- a/components/entry/src/keep/probe.rs
+++ b/components/entry/src/keep/probe.rs
@@ -61,7 +61,7 @@
 }
 
 /// What came of a question.
-enum Asked {
+enum Answer {
     /// A report of this version.
     Reported(u64),
     /// None.
@@ -73,27 +73,27 @@
 
 impl Target {
     /// Asks once and feeds what comes.
-    async fn ask(&self, probe: &mut Option<Probe>, after: u64, wait: Duration) -> Asked {
+    async fn ask(&self, probe: &mut Option<Probe>, after: u64, wait: Duration) -> Answer {
         let asked = self.status(probe, after, wait).await;
         let Some(shard) = self.shard.upgrade() else {
-            return Asked::Over;
+            return Answer::Over;
         };
         match asked {
             Ok((status, sent)) if status.server == self.server => {
                 let version = status.version;
                 shard.feed(Event::Status { status, sent });
-                Asked::Reported(version)
+                Answer::Reported(version)
             }
             Ok(_) => {
                 *probe = None;
-                Asked::Failed
+                Answer::Failed
             }
             Err(report) => {
                 *probe = None;
                 if let Some(trouble) = trouble(*report.current_context()) {
                     shard.feed(Event::Unreached { server: self.server.clone(), trouble });
                 }
-                Asked::Failed
+                Answer::Failed
             }
         }
     }
@@ -128,9 +128,9 @@
     loop {
         let stood = probe.is_some();
         after = match target.ask(&mut probe, after, WAIT).await {
-            Asked::Reported(version) => version,
-            Asked::Failed => 0,
-            Asked::Over => return,
+            Answer::Reported(version) => version,
+            Answer::Failed => 0,
+            Answer::Over => return,
         };
         // a connection that broke is tried again at once: it may be refused now
         if after == 0 && !stood {
@@ -146,10 +146,10 @@
         let fresh = probe.is_none();
         let mut asked = target.ask(&mut probe, 0, Duration::ZERO).await;
         // an old connection may have broken unnoticed
-        if matches!(asked, Asked::Failed) && !fresh {
+        if matches!(asked, Answer::Failed) && !fresh {
             asked = target.ask(&mut probe, 0, Duration::ZERO).await;
         }
-        if matches!(asked, Asked::Over) {
+        if matches!(asked, Answer::Over) {
             return;
         }
     }
--- a/components/keeper/src/conn.rs
+++ b/components/keeper/src/conn.rs
@@ -18,7 +18,7 @@
 
 /// Where a transaction began.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Began {
+pub(crate) struct Origin {
     pub(crate) term: Term,
     /// Whether its server was taken for the primary.
     pub(crate) primary: bool,
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -4,7 +4,7 @@
 use base::prelude::*;
 use wire::data::{Class, Outcome, Part, Reason};
 
-use crate::conn::{Began, Connection, IDLE, Work};
+use crate::conn::{Connection, IDLE, Origin, Work};
 use crate::event::{Effect, Kind, Piece, Trouble};
 use crate::group::Group;
 use crate::request::{HELD_BYTES, Over, Request, Stage};
@@ -174,7 +174,7 @@
             }
             self.rest(now, conn);
         } else if primary && !orphan {
-            self.pin(now, conn, owner, Began { term, primary }, service);
+            self.pin(now, conn, owner, Origin { term, primary }, service);
         } else {
             self.unpin(conn);
             self.roll_back(now, conn, out);
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use wire::data::{End, Outcome, Part, Reason};
 
-use crate::conn::{Began, Connection, IDLE, OPEN, Owner, Work};
+use crate::conn::{Connection, IDLE, OPEN, Origin, Owner, Work};
 use crate::event::{Count, Effect, Ended};
 use crate::fault::Fault;
 use crate::group::Group;
@@ -303,14 +303,14 @@
         now: Instant,
         key: Key<Connection>,
         owner: Owner,
-        began: Began,
+        origin: Origin,
         service: Key<crate::service::Service>,
     ) {
         if let Some(conn) = self.conns.get_mut(key) {
             conn.work = Work::Pinned(now);
             conn.owner = Some(owner);
-            conn.term = began.term;
-            conn.primary = began.primary;
+            conn.term = origin.term;
+            conn.primary = origin.primary;
             conn.service = Some(service);
             self.pins.insert(owner, key);
         }
--- a/components/keeper/src/solo.rs
+++ b/components/keeper/src/solo.rs
@@ -13,7 +13,7 @@
 use route::Ring;
 use wire::data::{Class, Outcome, Reason};
 
-use crate::conn::{Began, Connection, IDLE, Work};
+use crate::conn::{Connection, IDLE, Origin, Work};
 use crate::event::{Effect, Reported, Setup};
 use crate::group::Group;
 use crate::request::{Lane, Over, Request, Stage};
@@ -288,8 +288,8 @@
             self.roll_back(now, conn, out);
         } else {
             let term = self.server_of(conn).and_then(Server::status).map(|status| status.term);
-            let began = Began { term: term.unwrap_or_default(), primary };
-            self.pin(now, conn, owner, began, service);
+            let origin = Origin { term: term.unwrap_or_default(), primary };
+            self.pin(now, conn, owner, origin, service);
         }
         match fault {
             Some(fault) if fault.is_not_run() && !within && !orphan => {
--- a/components/soak/src/bench.rs
+++ b/components/soak/src/bench.rs
@@ -212,10 +212,10 @@
     }
 
     /// What the faults were, and whether a change that was taken is lost.
-    pub async fn report(&self) -> crate::chaos::Told {
+    pub async fn report(&self) -> crate::chaos::Summary {
         match &self.chaos {
             Some(chaos) => chaos.report().await,
-            None => crate::chaos::Told::default(),
+            None => crate::chaos::Summary::default(),
         }
     }
 
--- a/components/soak/src/chaos.rs
+++ b/components/soak/src/chaos.rs
@@ -24,7 +24,7 @@
 
 /// What the faults were and what they showed.
 #[derive(Debug, Default)]
-pub struct Told {
+pub struct Summary {
     /// Faults that were put on, in order.
     pub faults: Vec<String>,
     /// Highest version of the declarations that was acknowledged.
@@ -33,7 +33,7 @@
     pub version: u64,
 }
 
-impl Told {
+impl Summary {
     /// Whether a change that was acknowledged is gone.
     pub fn is_reverted(&self) -> bool {
         self.version < self.acknowledged
@@ -98,7 +98,7 @@
     }
 
     /// What the faults were, and what became of the declarations.
-    pub async fn report(&self) -> Told {
+    pub async fn report(&self) -> Summary {
         let acknowledged = self.shared.acknowledged.load(Ordering::Relaxed);
         let mut version = 0;
         for _ in 0..ATTEMPTS {
@@ -108,7 +108,7 @@
             }
             tokio::time::sleep(POLL).await;
         }
-        Told { faults: self.shared.faults.lock().await.clone(), acknowledged, version }
+        Summary { faults: self.shared.faults.lock().await.clone(), acknowledged, version }
     }
 }
 
--- a/components/soak/src/run.rs
+++ b/components/soak/src/run.rs
@@ -6,7 +6,7 @@
 
 use crate::Failure;
 use crate::bench::{Place, Soak, folder};
-use crate::chaos::Told;
+use crate::chaos::Summary;
 
 /// Settings of a soak.
 #[derive(Clone, Debug)]
@@ -29,7 +29,7 @@
     /// What callers were told against what the groups hold.
     pub verdict: Verdict,
     /// The faults, and the declarations.
-    pub told: Told,
+    pub told: Summary,
 }
 
 impl Outcome {
