Run a Query that comes after what was flushed

Cause: asyncpg looks at a statement with Flush, finds that it can't encode the arguments, and ends its transaction by a Query without a Sync; it was refused, and the connection could not be used any more (found by running the drivers again).

Change: what was flushed stands as if a Sync had come after it, so a Query is refused only behind messages that were not. The test took the refusal for right; it now wants the answer, as a server gives it.

--- a/components/pg/src/cycle.rs
+++ b/components/pg/src/cycle.rs
@@ -128,9 +128,10 @@
     }
 
     fn query(&mut self, text: String, bytes: Bytes) -> Step {
-        if !self.pending.is_empty() || self.flushed {
+        // what was flushed stands as if a Sync had come after it
+        self.flushed = false;
+        if !self.pending.is_empty() {
             let message = "a Query before the Sync of the messages before it is not carried";
-            self.flushed = false;
             drop(self.take());
             // its sender waits for the end of a cycle, and may never send the Sync
             return Step::Reject(Problem::new(Code::Feature, message));
