Give what stands twice one place, and work nothing out twice

Behaviour is as it was, and so are the tests.

- A step of a group goes by one context, whichever way its primary changes; the leader had two contexts with four fields alike and two copies of open, step, trace, remember.
Whether leases still run is worked out only where a change is to be chosen, not at each step of each group.
- Whether all keepers miss a primary was worked out twice in each judgement.
- A service's objective is none or a time; zero was filtered out in two places.
How many slots serve a lane is looked at only when more work waits than fits.
- The front made a cycle's id twice and its problem twice.
- Declarations were put to members, and health asked for, by three copies of a loop, in the local cluster, the load and the soak; local::admin has one.

--- a/components/control/src/failover.rs
+++ b/components/control/src/failover.rs
@@ -27,10 +27,10 @@
 use wire::log::{Establish, Intend, command};
 
 use crate::choice::{Choice, Fenced};
+use crate::context::Context;
 use crate::evidence::{self, Cause, Sights, Watches};
-use crate::flaw::Flaw;
 use crate::leader::{Ask, Effect, PROPOSAL_TIMEOUT, Unreached};
-use crate::state::{Group, Phase, State};
+use crate::state::Phase;
 use crate::trace::Trace;
 
 /// Time for which a fenced majority waits for the other servers.
@@ -63,31 +63,6 @@
 /// Time between two planned switchovers of a group.
 const SWITCH_PAUSE: Duration = Duration::from_secs(2);
 
-/// What a step of a group goes by.
-#[derive(Clone, Copy, Debug)]
-pub struct Context<'a> {
-    /// The present time.
-    pub now: Instant,
-    /// The state as applied.
-    pub state: &'a State,
-    /// The group's name.
-    pub name: &'a Name,
-    /// The group.
-    pub group: &'a Group,
-    /// A rule to break, in tests.
-    pub flaw: Flaw,
-}
-
-impl Context<'_> {
-    fn majority(&self) -> usize {
-        self.state.majority(self.name.as_str())
-    }
-
-    fn elects(&self) -> bool {
-        self.state.declarations.groups.get(self.name).is_some_and(|group| group.elects)
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Stage {
     Idle,
--- a/components/control/src/failover/orders.rs
+++ b/components/control/src/failover/orders.rs
@@ -2,7 +2,8 @@
 
 use base::prelude::*;
 
-use super::{Context, Failover, LONELY, Stage};
+use super::{Failover, LONELY, Stage};
+use crate::context::Context;
 use crate::evidence;
 use crate::leader::{Ask, Effect};
 use crate::state::Phase;
--- a/components/control/src/failover/takeover.rs
+++ b/components/control/src/failover/takeover.rs
@@ -5,10 +5,9 @@
 use base::prelude::*;
 use wire::log::{Choose, command};
 
-use super::{
-    CALM, Context, FENCE_GRACE, FOLLOW_TIMEOUT, Failover, ORDER_PACE, PROMOTE_TIMEOUT, Stage,
-};
+use super::{CALM, FENCE_GRACE, FOLLOW_TIMEOUT, Failover, ORDER_PACE, PROMOTE_TIMEOUT, Stage};
 use crate::choice::{Fenced, choose};
+use crate::context::Context;
 use crate::evidence::Cause;
 use crate::flaw::Flaw;
 use crate::leader::{Ask, Effect, PROPOSAL_TIMEOUT};
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -12,13 +12,14 @@
 use wire::control::{Seal, Symptom};
 use wire::log::{Announce, Command, Join, command};
 
-use crate::failover::{Context, Failover};
+use crate::context::{Context, Past};
+use crate::failover::Failover;
 use crate::flaw::Flaw;
 use crate::lives::Lives;
 use crate::planner::Planner;
 use crate::renewals::Renewals;
 use crate::state::{Entry, State};
-use crate::succession::{self, Past, Succession};
+use crate::succession::Succession;
 use crate::trace::Trace;
 
 /// Time after which a proposal that changed nothing is made again.
@@ -319,42 +320,30 @@
         self.successions.entry(group.clone()).or_default()
     }
 
-    fn succeed(&mut self, now: Instant, state: &State, name: &Name, out: &mut Vec<Effect>) {
-        let Some(group) = state.groups.get(name) else {
+    fn step(&mut self, now: Instant, state: &State, name: &Name, out: &mut Vec<Effect>) {
+        let Some(group) = state.groups.get(name).filter(|_| state.declares(name.as_str())) else {
             return;
         };
-        let past = self.past;
-        let succession = self.successions.entry(name.clone()).or_default();
-        let lingers = !self.lives.are_over(now);
-        let context = succession::Context { now, state, name, group, lingers, past };
-        let open = succession.is_open();
-        succession.step(&context, out);
-        let trace = succession.trace().filter(|trace| open && trace.established.is_some());
-        let trace = trace.cloned();
-        self.remember(trace);
-    }
-
-    fn remember(&mut self, trace: Option<Trace>) {
-        self.traces.extend(trace);
+        let (lives, past, flaw) = (&self.lives, self.past, self.flaw);
+        let context = Context { now, state, name, group, lives, past, flaw };
+        let over = if state.acknowledges(name.as_str()) {
+            let succession = self.successions.entry(name.clone()).or_default();
+            let open = succession.is_open();
+            succession.step(&context, out);
+            succession.trace().filter(|_| open)
+        } else {
+            let fresh = || Failover::new(now);
+            let failover = self.failovers.entry(name.clone()).or_insert_with(fresh);
+            let open = failover.is_open();
+            failover.step(&context, out);
+            failover.trace().filter(|_| open)
+        };
+        let over = over.filter(|trace| trace.established.is_some()).cloned();
+        self.traces.extend(over);
         if self.traces.len() > TRACES {
             self.traces.pop_front();
         }
     }
-
-    fn step(&mut self, now: Instant, state: &State, name: &Name, out: &mut Vec<Effect>) {
-        if state.acknowledges(name.as_str()) {
-            return self.succeed(now, state, name, out);
-        }
-        let Some(group) = state.groups.get(name).filter(|_| state.declares(name.as_str())) else {
-            return;
-        };
-        let context = Context { now, state, name, group, flaw: self.flaw };
-        let failover = self.failover(now, name);
-        let open = failover.is_open();
-        failover.step(&context, out);
-        let over = failover.trace().filter(|trace| open && trace.established.is_some()).cloned();
-        self.remember(over);
-    }
 }
 
 fn joined(state: &State, join: Join, out: &mut Vec<Effect>) {
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod apply;
 pub mod changes;
 pub mod choice;
+pub mod context;
 pub mod evidence;
 pub mod failover;
 pub mod flaw;
@@ -31,10 +32,10 @@
 
 pub use apply::{Outcome, Refusal};
 pub use changes::Answer;
+pub use context::Past;
 pub use evidence::Cause;
 pub use flaw::Flaw;
 pub use leader::{Ask, Effect, Event, Leader, Unreached};
 pub use overview::Overview;
 pub use state::{Entry, Group, Phase, Server, State};
-pub use succession::Past;
 pub use trace::Trace;
--- a/components/control/src/succession.rs
+++ b/components/control/src/succession.rs
@@ -20,10 +20,11 @@
 use wire::control::{Seal, Sight, Symptom};
 use wire::log::{Choose, Establish, Intend, command};
 
+use crate::context::Context;
 use crate::evidence::{Cause, Sights, Watches};
 use crate::leader::{Ask, Effect, PROPOSAL_TIMEOUT, Unreached};
 use crate::lease::LEASE;
-use crate::state::{Group, Phase, State};
+use crate::state::{Group, Phase};
 use crate::trace::Trace;
 
 /// Time for which a choice waits for the positions of all servers.
@@ -61,32 +62,6 @@
 /// Time after a primary was established before it may be called cut off.
 const CALM: Duration = Duration::from_secs(2);
 
-/// What a leader must know of the time before it led.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Past {
-    /// Term of the quorum in which it leads; the token of its designations.
-    pub token: u64,
-    /// When a server was last seen to be chosen.
-    pub chosen: Option<Instant>,
-}
-
-/// What a step of a group goes by.
-#[derive(Clone, Copy, Debug)]
-pub struct Context<'a> {
-    /// The present time.
-    pub now: Instant,
-    /// The state as applied.
-    pub state: &'a State,
-    /// The group's name.
-    pub name: &'a Name,
-    /// The group.
-    pub group: &'a Group,
-    /// Whether a lease of an entry that was given up may still run.
-    pub lingers: bool,
-    /// What the leader knows of the time before it led.
-    pub past: Past,
-}
-
 /// Where a server stood.
 #[derive(Clone, Copy, Debug)]
 struct Position {
@@ -238,8 +213,8 @@
             return Some(Cause::Refused);
         };
         let trouble = self.sights.trouble(now, primary, group.term);
-        let missed = self.is_missed(context, primary);
         let missed_by_all = self.misses_all(context, primary);
+        let missed = self.is_missed(context, primary, missed_by_all);
         let watch = self.watches.of(primary);
         let refusals = watch.refusals();
         if refusals >= REFUSALS || (refusals > 0 && trouble) {
@@ -265,13 +240,12 @@
 
     /// Whether every keeper has missed the primary for some time, or sees that
     /// it has lost its replicas.
-    fn is_missed(&mut self, context: &Context<'_>, primary: &Name) -> bool {
+    fn is_missed(&mut self, context: &Context<'_>, primary: &Name, by_all: bool) -> bool {
         let (now, group) = (context.now, context.group);
         let calm = self.established.is_some_and(|(_, at)| now.since(at) < CALM);
         let mut troubled = self.sights.troubled(now, primary, group.term);
         let cut = troubled.any(|(_, sight)| sight == Sight::CutOff);
-        let all = self.misses_all(context, primary);
-        if calm || !(cut || all) || !self.has_heir(context, primary) {
+        if calm || !(cut || by_all) || !self.has_heir(context, primary) {
             self.unreached = None;
             return false;
         }
@@ -367,7 +341,8 @@
                 seal.is_some_and(|seal| seal.term >= group.term.0)
             })
         };
-        group.leases.iter().all(is_sealed) && (group.generation == 0 || !context.lingers)
+        group.leases.iter().all(is_sealed)
+            && (group.generation == 0 || context.lives.are_over(context.now))
     }
 
     /// The server that is to lead next, if it is sure to hold all that was
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -9,7 +9,7 @@
 use pg::prepared::Plan;
 use pg::{Filter, Problem};
 use telemetry::event::Answered;
-use wire::data::{End, Leave, Outcome, Run, ask};
+use wire::data::{End, Leave, Outcome, Reason, Run, ask};
 
 use super::admit::{self, Admission};
 use super::caller::Caller;
@@ -42,7 +42,6 @@
             Transaction::Open { link, .. } => Some(Arc::clone(link)),
             Transaction::None | Transaction::Lost => None,
         };
-        let trace = self.trace();
         let run = self.message(&work, open.is_some());
         let front = Arc::clone(&self.front);
         let mut errand = Errand {
@@ -64,12 +63,12 @@
             None => errand.search().await,
         };
         let failed = errand.sink.filter.failed();
+        let trace = std::mem::take(&mut errand.run.trace);
         let running = self.session.cancel.set(None);
         match result {
             Ok((attempt, link)) => {
                 self.record(&work, &attempt, started);
-                self.tell(&work, &attempt, started, &trace);
-                let done = self.settle(&work, attempt, link).await;
+                let done = self.settle(&work, attempt, link, started, &trace).await;
                 Ok(failed || !done)
             }
             Err(report) => {
@@ -103,18 +102,20 @@
             payload: work.plan.payload.clone(),
             window: 0,
             version: work.admission.version,
-            trace: self.trace(),
+            trace: format!("{}/{}.{}", self.front.name, session.number, session.cycles),
             commits: work.commits,
         }
     }
 
-    /// The cycle's id in logs.
-    fn trace(&self) -> String {
-        format!("{}/{}.{}", self.front.name, self.session.number, self.session.cycles)
-    }
-
     /// Takes the end of the last attempt; whether the request is done.
-    async fn settle(&mut self, work: &Work, attempt: Attempt, link: Option<Arc<Link>>) -> bool {
+    async fn settle(
+        &mut self,
+        work: &Work,
+        attempt: Attempt,
+        link: Option<Arc<Link>>,
+        started: Instant,
+        trace: &str,
+    ) -> bool {
         let within = self.session.transaction.is_open();
         self.keep(work, attempt.own());
         if let Attempt::Ended { end, .. } = &attempt {
@@ -124,17 +125,14 @@
             self.done(work, &attempt, link, within);
             return true;
         };
+        self.tell(work, attempt.reason(), &problem, started, trace);
         let held = link.filter(|_| verdict::holds(&attempt, within));
         self.lose(work, &problem, held, within).await;
         false
     }
 
     /// One line for a cycle that was not done.
-    fn tell(&self, work: &Work, attempt: &Attempt, started: Instant, trace: &str) {
-        let within = self.session.transaction.is_open();
-        let Some(problem) = verdict::problem(attempt, within, work.commits) else {
-            return;
-        };
+    fn tell(&self, work: &Work, reason: Reason, problem: &Problem, started: Instant, trace: &str) {
         let now = self.front.clock.now();
         let group = &self.session.group;
         let read = work.admission.rule.class == Class::Read;
@@ -144,7 +142,7 @@
             group,
             access: if read { "read" } else { "write" },
             done: false,
-            reason: &attempt.reason().to_string(),
+            reason: &reason.to_string(),
             took: now.since(started),
             objective: Duration::ZERO,
             version: work.admission.version,
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -27,15 +27,12 @@
         out: &mut Vec<Effect>,
     ) {
         let outcome = self.honest(key, outcome);
+        self.explain(now, key, outcome, reason, out);
         let end = self.end(now, key, outcome, reason);
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
         request.end = Some(end);
-        self.explain(now, key, outcome, reason, out);
-        let Some(request) = self.requests.get_mut(key) else {
-            return;
-        };
         if let Stage::Queued(lane) = request.stage {
             let service = request.service;
             self.unqueue(key, service, lane);
@@ -60,9 +57,9 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(request) = self.requests.get(key) else { return };
-        let objective = self.services.get(request.service).map(|service| service.objective);
-        let objective = objective.filter(|objective| !objective.is_zero());
-        let late = objective.is_some_and(|objective| now.since(request.arrived) > objective);
+        let waited = now.since(request.arrived);
+        let objective = self.services.get(request.service).and_then(|service| service.objective);
+        let late = objective.is_some_and(|objective| waited > objective);
         if outcome == Outcome::Done && request.tries == 0 && !late {
             return;
         }
@@ -76,7 +73,7 @@
             server: server.map(|server| server.name.clone()),
             primary: attempt.primary,
             tries: request.tries,
-            waited: now.since(request.arrived),
+            waited,
             sent: server.map(|_| now.since(attempt.sent_at)),
             term: self.solo.as_ref().map_or(attempt.term, |solo| solo.term),
             led: self.named.is_some(),
--- a/components/keeper/src/load.rs
+++ b/components/keeper/src/load.rs
@@ -20,15 +20,17 @@
         let Some(request) = self.requests.get(key).filter(|_| self.is_solo()) else {
             return false;
         };
-        let objective = self.services.get(request.service).map(|service| service.objective);
-        let Some(objective) = objective.filter(|objective| !objective.is_zero()) else {
+        let objective = self.services.get(request.service).and_then(|service| service.objective);
+        let (Some(objective), Stage::Queued(lane)) = (objective, request.stage) else {
             return false;
         };
-        let Stage::Queued(lane) = request.stage else {
+        let work = self.typical * self.waiting(lane);
+        // with every slot to itself it would wait no longer than for all of it
+        if work <= objective {
             return false;
-        };
+        }
         let slots = self.slots_for(now, request, lane);
-        slots > 0 && self.typical * self.waiting(lane) / slots > objective
+        slots > 0 && work / slots > objective
     }
 
     /// Requests that wait in a lane.
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -13,8 +13,8 @@
     pub(crate) name: Name,
     pub(crate) weight: u32,
     pub(crate) limits: Limits,
-    /// Time in which its requests should be answered; zero for none.
-    pub(crate) objective: Duration,
+    /// Time in which its requests should be answered.
+    pub(crate) objective: Option<Duration>,
     /// Requests that have not ended.
     pub(crate) open: u32,
     pub(crate) budget: Budget,
@@ -26,8 +26,7 @@
     pub(crate) fn new(name: Name) -> Self {
         let limits = Limits::default();
         let budget = Budget::new(limits.retry_share);
-        let objective = Duration::ZERO;
-        Self { name, weight: 1, limits, objective, open: 0, budget, reach: SmallVec::new() }
+        Self { name, weight: 1, limits, objective: None, open: 0, budget, reach: SmallVec::new() }
     }
 
     /// Takes over what the declarations say of it.
@@ -43,8 +42,8 @@
             self.budget.set_share(self.limits.retry_share);
         }
         let database = declarations.databases.get(self.name.as_str());
-        let objective = database.map_or(0, |database| database.objective_ms);
-        self.objective = Duration::from_millis(objective);
+        let objective = database.map(|database| Duration::from_millis(database.objective_ms));
+        self.objective = objective.filter(|objective| !objective.is_zero());
         let reached = |server: &Server| {
             declarations.reaches(self.name.as_str(), group.as_str(), &server.labels)
         };
--- a/components/load/src/whole.rs
+++ b/components/load/src/whole.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use local::Cluster;
+use local::{Cluster, admin};
 use slog::{Logger, warn};
 
 use crate::bench::{Bench, FAR_BEHIND, Fault, Sight};
@@ -13,6 +13,7 @@
 const ENTRIES: usize = 9;
 const CONTROLS: usize = 3;
 const ATTEMPTS: usize = 50;
+const DECLARE_TIMEOUT: Duration = Duration::from_secs(5);
 const RETRY: Duration = Duration::from_millis(100);
 const SECOND_CRASH: Duration = Duration::from_millis(700);
 // entries that one rolling restart stops in turn
@@ -58,18 +59,12 @@
 
     // the first change is that of the example
     async fn declare(&self) -> Result<(), Report<Failure>> {
-        let client = reqwest::Client::new();
         let content = self.scenario.declarations().canonical();
-        let change = serde_json::json!({ "change": "load", "base": 1, "content": content });
-        for admin in self.cluster.admins().into_iter().cycle().take(ATTEMPTS) {
-            let url = format!("http://{admin}/v1/changes");
-            let answer = client.post(url).json(&change).send().await;
-            if answer.is_ok_and(|answer| answer.status().is_success()) {
-                return Ok(());
-            }
-            tokio::time::sleep(RETRY).await;
-        }
-        Err(Report::new(Failure::Start))
+        let change = admin::Change { id: "load", base: 1, content: &content };
+        let (client, admins) = (reqwest::Client::new(), self.cluster.admins());
+        let told = admin::change(&client, &admins, change, RETRY, DECLARE_TIMEOUT).await;
+        let done = told.is_some_and(|status| status.is_success());
+        if done { Ok(()) } else { Err(Report::new(Failure::Start)) }
     }
 
     // a group that has no primary yet after an earlier fault is passed over
--- a/components/local/src/cluster.rs
+++ b/components/local/src/cluster.rs
@@ -5,10 +5,12 @@
 
 use base::clock::Clock;
 use base::prelude::*;
+use reqwest::StatusCode;
 use slog::{Logger, info};
 use tempfile::TempDir;
 use tokio::sync::Mutex;
 
+use crate::admin;
 use crate::fault;
 use crate::scenario::{self, Scenario};
 
@@ -242,29 +244,14 @@
 
     async fn declare(&self) -> Result<(), Report<Failure>> {
         let declarations = self.settings.scenario.declarations();
-        let declarations = declarations.change_context(Failure::Declarations)?;
-        let change = serde_json::json!({
-            "change": "first",
-            "base": 0,
-            "content": declarations.canonical(),
-        });
-        let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
-        let client = reqwest::Client::new();
-        for admin in self.admins().into_iter().cycle() {
-            let url = format!("http://{admin}/v1/changes");
-            let answer = client.post(url).json(&change).send().await;
-            match answer.map(|answer| answer.status()) {
-                Ok(status) if status.is_success() => return Ok(()),
-                // data of an earlier run holds a configuration already
-                Ok(reqwest::StatusCode::CONFLICT) => return Ok(()),
-                Ok(reqwest::StatusCode::BAD_REQUEST) => break,
-                Ok(_) | Err(_) => tokio::time::sleep(READY_POLL).await,
-            }
-            if tokio::time::Instant::now() > deadline {
-                return Err(Report::new(Failure::Timeout));
-            }
+        let content = declarations.change_context(Failure::Declarations)?.canonical();
+        let change = admin::Change { id: "first", base: 0, content: &content };
+        let (client, admins) = (reqwest::Client::new(), self.admins());
+        match admin::change(&client, &admins, change, READY_POLL, READY_TIMEOUT).await {
+            // data of an earlier run holds a configuration already
+            Some(status) if status.is_success() || status == StatusCode::CONFLICT => Ok(()),
+            Some(_) | None => Err(Report::new(Failure::Timeout)),
         }
-        Err(Report::new(Failure::Declarations))
     }
 
     /// Waits until each entry is ready and each group has a primary.
@@ -272,7 +259,7 @@
         let client = reqwest::Client::new();
         let waits = async {
             for web in self.webs().await {
-                until(async || is_ready(&client, web).await).await;
+                until(async || admin::is_ready(&client, web).await).await;
             }
             for address in self.entries().await {
                 for group in self.settings.scenario.groups() {
@@ -290,11 +277,6 @@
     }
 }
 
-async fn is_ready(client: &reqwest::Client, web: SocketAddr) -> bool {
-    let answer = client.get(format!("http://{web}/ready")).send().await;
-    answer.is_ok_and(|answer| answer.status().is_success())
-}
-
 async fn serves(address: SocketAddr, scenario: Scenario, group: &str) -> bool {
     let mut config = tokio_postgres::Config::new();
     config.host(address.ip().to_string()).port(address.port());
--- a/components/soak/src/bench.rs
+++ b/components/soak/src/bench.rs
@@ -8,6 +8,7 @@
 use load::bench::{Sight, settings as group_settings};
 use load::scenario::GROUPS;
 use load::{Bench, Scenario};
+use local::admin;
 use rand::RngExt as _;
 use slog::Logger;
 use standin::Group;
@@ -94,18 +95,13 @@
     pub async fn ready(&self) -> Result<(), Report<Failure>> {
         let all = async {
             for web in self.webs.iter().chain(&self.admins) {
-                while !self.is_ready(*web).await {
+                while !admin::is_ready(&self.client, *web).await {
                     tokio::time::sleep(READY_POLL).await;
                 }
             }
         };
         tokio::time::timeout(READY_TIMEOUT, all).await.change_context(Failure::Heal)
     }
-
-    async fn is_ready(&self, web: SocketAddr) -> bool {
-        let asked = self.client.get(format!("http://{web}/ready")).send().await;
-        asked.is_ok_and(|answer| answer.status().is_success())
-    }
 }
 
 /// All parts, and the faults that are put on them.
@@ -220,21 +216,12 @@
     }
 
     async fn declare(&self) -> Result<(), Report<Failure>> {
-        let content = self.parts.scenario.declarations().canonical();
-        let change = serde_json::json!({ "change": "first", "base": 0, "content": content });
-        let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
-        for admin in self.parts.admins.iter().cycle() {
-            let url = format!("http://{admin}/v1/changes");
-            let answer = self.parts.client.post(url).json(&change).send().await;
-            if answer.is_ok_and(|answer| answer.status().is_success()) {
-                return Ok(());
-            }
-            if tokio::time::Instant::now() > deadline {
-                break;
-            }
-            tokio::time::sleep(READY_POLL).await;
-        }
-        Err(Report::new(Failure::Start))
+        let Parts { client, admins, scenario, .. } = &*self.parts;
+        let content = scenario.declarations().canonical();
+        let change = admin::Change { id: "first", base: 0, content: &content };
+        let told = admin::change(client, admins, change, READY_POLL, READY_TIMEOUT).await;
+        let done = told.is_some_and(|status| status.is_success());
+        if done { Ok(()) } else { Err(Report::new(Failure::Start)) }
     }
 }
 
