Take a suspension of the process for no run time and no silence of a server

Cause: a keeper that had been frozen for 8 s refused requests until it was killed. The answers it read after the thaw had run times of 8 s, since the clock counts a suspension; their average exceeded the objective, so each request was refused, and only requests that run correct the average. The fair queues were charged with the same times. Statements were also given up as unanswered, and servers reported as silent, for the time in which the process itself did not run. Ruled out: leaked slots and connections (all come back in the fuzz). Change: `keeper::uptime` notices suspensions by gaps between events. A run time, a silence and a deadline of a running request count only from the end of the last one. Requests are shed after they were offered to free slots, so one that a slot can run is never refused. Tests: `suspension` (three of the tests fail on the state before), and `recovery`, a fuzz with suspensions, late answers, lost connections and leases: 3 s after the last fault each request is done within its objective; 3,000 schedules pass, `Flaw::CountSuspension` is found.

--- a/components/keeper/src/admission.rs
+++ b/components/keeper/src/admission.rs
@@ -6,6 +6,7 @@
 
 use crate::conn::{Connection, IDLE, Work};
 use crate::event::{Effect, Front, Lease};
+use crate::flaw::Flaw;
 use crate::group::Group;
 use crate::request::{Lane, Request, Stage};
 use crate::service::Service;
@@ -37,9 +38,16 @@
 }
 
 impl Group {
-    pub(crate) fn run(&mut self, now: Instant, front: Front, run: Run, out: &mut Vec<Effect>) {
+    /// Queues a request, or refuses it. Returns the key of a queued request.
+    pub(crate) fn run(
+        &mut self,
+        now: Instant,
+        front: Front,
+        run: Run,
+        out: &mut Vec<Effect>,
+    ) -> Option<Key<Request>> {
         if self.by_number.contains_key(&(front, run.request)) {
-            return;
+            return None;
         }
         let owner = (front, run.caller);
         if !run.in_transaction
@@ -52,7 +60,7 @@
             Ok(service) => service,
             Err(refusal) => {
                 out.push(Effect::End { front, end: refused(&run, &refusal) });
-                return;
+                return None;
             }
         };
         let number = run.request;
@@ -63,9 +71,10 @@
             service.budget.deposit();
         }
         self.enqueue(now, key, pinned);
-        if self.would_wait_too_long(now, key) {
-            self.finish(now, key, Outcome::NotRun, Reason::QueueFull, out);
+        if self.has_flaw(Flaw::CountSuspension) {
+            self.shed(now, key, out);
         }
+        Some(key)
     }
 
     /// Queues a request for its first attempt or for a retry.
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -167,7 +167,7 @@
         attempt.durable = attempt.primary && (attempt.committed || (holds && status == IDLE));
         let (durable, primary, term) = (attempt.durable, attempt.primary, attempt.term);
         let sent_at = attempt.sent_at;
-        self.charge(service, primary, now.since(sent_at));
+        self.charge(now, service, primary, sent_at);
         if status == IDLE {
             self.unpin(conn);
             if durable && !orphan {
--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -8,6 +8,7 @@
 
 use crate::conn::{Connection, Work};
 use crate::event::{Count, Effect};
+use crate::flaw::Flaw;
 use crate::group::Group;
 use crate::request::{Attempt, Request, Stage};
 use crate::server::Server;
@@ -300,8 +301,19 @@
     }
 
     /// Charges the run time of a request to its service in the fair queues, and
-    /// updates the typical run time.
-    pub(crate) fn charge(&mut self, key: Key<Service>, primary: bool, run: Duration) {
+    /// updates the typical run time. A time that includes a suspension of the process
+    /// is no run time.
+    pub(crate) fn charge(
+        &mut self,
+        now: Instant,
+        key: Key<Service>,
+        primary: bool,
+        sent_at: Instant,
+    ) {
+        if self.uptime.was_suspended_since(sent_at) && !self.has_flaw(Flaw::CountSuspension) {
+            return;
+        }
+        let run = now.since(sent_at);
         let charge = |queue: &mut Queue<_, _>| queue.charge(key, run);
         if primary {
             charge(&mut self.lanes.primary);
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -228,8 +228,10 @@
 
     fn expire(&mut self, now: Instant, out: &mut Vec<Effect>) {
         let typical = self.typical_run_time;
+        let unread = self.uptime.has_just_resumed(now);
         let is_expired = |request: &Request| match request.stage {
             Stage::Draining => false,
+            Stage::Running(_) if unread => false,
             Stage::Running(_) | Stage::Marking(_) | Stage::Acking | Stage::Doubt => {
                 now >= request.deadline
             }
--- a/components/keeper/src/flaw.rs
+++ b/components/keeper/src/flaw.rs
@@ -15,4 +15,7 @@
     EarlyReuse,
     /// Uses the position of a primary that no majority has confirmed.
     Unverified,
+    /// Takes a suspension of the process for a run time, and refuses requests for the
+    /// load estimated from it although free slots can run them.
+    CountSuspension,
 }
--- a/components/keeper/src/group.rs
+++ b/components/keeper/src/group.rs
@@ -19,6 +19,7 @@
 use crate::server::Server;
 use crate::service::Service;
 use crate::unfenced::Unfenced;
+use crate::uptime::Uptime;
 
 /// Time between ticks while requests or samples are pending.
 const TICK: Duration = Duration::from_millis(10);
@@ -76,6 +77,7 @@
     pub(crate) backoff: Backoff,
     /// Moving average of the run time of a cycle.
     pub(crate) typical_run_time: Duration,
+    pub(crate) uptime: Uptime,
     wake_at: Instant,
     flaw: Option<Flaw>,
     /// Set if the servers acknowledge commits by themselves and can't be
@@ -113,6 +115,7 @@
             health: Health::default(),
             backoff: Backoff::new(BACKOFF.0, BACKOFF.1, seed),
             typical_run_time: Duration::from_millis(1),
+            uptime: Uptime::default(),
             wake_at: Instant::ZERO,
             flaw: None,
             unfenced: None,
@@ -141,8 +144,10 @@
 
     /// Handles an event and appends the resulting effects to `out`.
     pub fn on(&mut self, now: Instant, event: Event, out: &mut Vec<Effect>) {
+        self.uptime.record(now);
+        let mut admitted = None;
         match event {
-            Event::Run { front, run } => self.run(now, front, run, out),
+            Event::Run { front, run } => admitted = self.run(now, front, run, out),
             Event::Credit { front, request, bytes } => self.credit(front, request, bytes, out),
             Event::Cancel { front, request } => self.cancel(now, front, request, out),
             Event::Leave { front, caller } => self.leave(now, front, Some(caller), out),
@@ -161,6 +166,9 @@
             Event::Tick => self.tick(now, out),
         }
         self.dispatch(now, out);
+        if let Some(key) = admitted {
+            self.shed(now, key, out);
+        }
         self.sample(now, out);
         self.seal(now, out);
         self.release_lease(out);
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -17,6 +17,7 @@
 //! - `finish`: ends of requests, and retries.
 //! - `health`: symptoms of a failed primary.
 //! - `setup`: servers, leases and declarations from the control log.
+//! - `uptime`: suspensions of the process.
 //! - `unfenced`: groups whose servers acknowledge by themselves.
 
 mod admission;
@@ -36,6 +37,7 @@
 mod setup;
 mod shedding;
 mod unfenced;
+mod uptime;
 
 pub use conn::Connection;
 pub use event::{
--- a/components/keeper/src/shedding.rs
+++ b/components/keeper/src/shedding.rs
@@ -2,19 +2,31 @@
 //! time are refused at once.
 //!
 //! Without shedding, queues under overload grow until all waiting requests are
-//! answered late or not at all. A request is refused if the work queued up to
-//! and including it takes longer than its objective, so that admitted requests
-//! are answered in time. Requests that wait because no server is usable, as
-//! during a change of primary, are not refused for load.
+//! answered late or not at all. A request that no slot can run at once is refused if
+//! the work queued up to and including it takes longer than its objective, so that
+//! admitted requests are answered in time. A request that a slot can run is never
+//! refused: the estimate of the run time is corrected only by requests that run.
+//! Requests that wait because no server is usable, as during a change of primary, are
+//! not refused for load.
 
 use base::prelude::*;
+use wire::data::{Outcome, Reason};
 
+use crate::event::Effect;
 use crate::group::Group;
 use crate::request::{Lane, Request, Stage};
 use crate::server::Server;
 use crate::unfenced::{Need, will_show_soon};
 
 impl Group {
+    /// Refuses a new request that still waits after requests were dispatched and
+    /// would be answered too late.
+    pub(crate) fn shed(&mut self, now: Instant, key: Key<Request>, out: &mut Vec<Effect>) {
+        if self.would_wait_too_long(now, key) {
+            self.finish(now, key, Outcome::NotRun, Reason::QueueFull, out);
+        }
+    }
+
     /// Whether the work queued up to and including a new request takes longer
     /// than the request's objective. Always false in a fenced group.
     pub(crate) fn would_wait_too_long(&self, now: Instant, key: Key<Request>) -> bool {
--- a/components/keeper/src/unfenced.rs
+++ b/components/keeper/src/unfenced.rs
@@ -290,7 +290,7 @@
             attempt.mark_after = mark;
             attempt.durable = true;
         }
-        self.charge(service, primary, now.since(sent_at));
+        self.charge(now, service, primary, sent_at);
         if status == IDLE {
             self.unpin(conn);
             self.release_conn(now, conn);
--- a/components/keeper/src/unfenced/stall.rs
+++ b/components/keeper/src/unfenced/stall.rs
@@ -48,8 +48,10 @@
         let stalled = self.conns.iter().filter(|(_, conn)| self.is_stalled(now, conn));
         let stalled: Vec<_> = stalled.map(|(key, conn)| (key, conn.server)).collect();
         for (conn, server) in stalled {
-            let silent =
-                self.servers.get(server).is_some_and(|s| now.since(s.last_heard) > READ_STALL);
+            let silent = self
+                .servers
+                .get(server)
+                .is_some_and(|server| self.uptime.awake_since(now, server.last_heard) > READ_STALL);
             self.abort_conn(now, conn, out);
             if silent {
                 self.mark_silent(server, out);
@@ -59,9 +61,10 @@
 
     /// Records the servers that leave a commit unanswered.
     fn record_stalled_commits(&mut self, now: Instant) {
+        let uptime = self.uptime;
         let stalled = |request: &Request| {
             let commits = request.class != Class::Read && request.may_commit();
-            let long = now.since(request.attempt.sent_at) > COMMIT_STALL;
+            let long = uptime.awake_since(now, request.attempt.sent_at) > COMMIT_STALL;
             let runs = matches!(request.stage, Stage::Running(_));
             (runs && commits && long && request.attempt.primary).then_some(request.attempt.server)
         };
@@ -89,7 +92,7 @@
 
     fn is_stalled(&self, now: Instant, conn: &Connection) -> bool {
         let request = match conn.work {
-            Work::Sampling(since) => return now.since(since) > READ_STALL,
+            Work::Sampling(since) => return self.uptime.awake_since(now, since) > READ_STALL,
             Work::Busy(key) => self.requests.get(key),
             _ => None,
         };
@@ -103,7 +106,7 @@
         } else {
             STATEMENT_STALL
         };
-        let waits = now.since(request.attempt.sent_at);
+        let waits = self.uptime.awake_since(now, request.attempt.sent_at);
         let heard =
             self.servers.get(conn.server).is_some_and(|s| s.last_heard > request.attempt.sent_at);
         waits > if heard { limit * RESPONSIVE_FACTOR } else { limit }
@@ -122,8 +125,8 @@
             _ => None,
         });
         let silent = |request: &Request| {
-            let waits = now.since(request.attempt.sent_at);
-            waits > STATEMENT_STALL && now.since(server.last_heard) > STATEMENT_STALL
+            let since = request.attempt.sent_at.max(server.last_heard);
+            self.uptime.awake_since(now, since) > STATEMENT_STALL
         };
         if open.any(silent) {
             return Condition::Silent;
--- a/components/keeper/tests/unfenced/main.rs
+++ b/components/keeper/tests/unfenced/main.rs
@@ -4,6 +4,8 @@
 mod leaving;
 mod overload;
 mod reach;
+mod recovery;
+mod suspension;
 
 use base::prelude::*;
 use keeper::{Effect, Event};
