Let elections end and leaders stay where a sync takes longer than an election

Followers answered heartbeats only after all their writes were durable, so a leader with followers on slow disks lost its quorum and confirmed no reads. Ruled out: sending vote requests before the vote is durable. Change: while the term or vote is not durable, a member neither starts an election nor grants pre-votes, and the timeout restarts once it is. A candidate counts votes while it asks for pre-votes for the next term. Heartbeats are answered at once with the durable index, and again once the new entries are durable. The simulated network holds at most 5,000 messages, since a deliberate break can make members exchange denials for ever.

--- a/components/quorum/src/barrier.rs
+++ b/components/quorum/src/barrier.rs
@@ -55,6 +55,8 @@
     /// Token of the last write that is durable.
     last_persisted: u64,
     durable_index: u64,
+    /// Token of the last write with a hard state.
+    hard_token: u64,
     /// Tokens of writes that are not durable yet, each with the last index of the log after it.
     last_indexes: VecDeque<(u64, u64)>,
     /// Deferred actions, each with the token of the write that must be durable first.
@@ -70,6 +72,7 @@
             last_issued: 0,
             last_persisted: 0,
             durable_index,
+            hard_token: 0,
             last_indexes: VecDeque::new(),
             held: VecDeque::new(),
             new_actions: Vec::new(),
@@ -81,6 +84,11 @@
         self.durable_index
     }
 
+    /// Whether the newest hard state is durable.
+    pub(crate) fn is_hard_durable(&self) -> bool {
+        self.next.hard.is_none() && self.hard_token <= self.last_persisted
+    }
+
     pub(crate) fn set_hard(&mut self, hard: Hard) {
         self.next.hard = Some(hard);
     }
@@ -119,6 +127,9 @@
             self.last_issued += 1;
             let mut next = std::mem::take(&mut self.next);
             next.token = self.last_issued;
+            if next.hard.is_some() {
+                self.hard_token = next.token;
+            }
             self.last_indexes.push_back((self.last_issued, last_index));
             write = Some(next);
         }
--- a/components/quorum/src/election.rs
+++ b/components/quorum/src/election.rs
@@ -4,6 +4,11 @@
 //! after a long partition doesn't disrupt the others. A member with an active
 //! leader grants neither pre-votes nor votes, except for a transfer of the
 //! leadership.
+//!
+//! Where a sync takes longer than the election timeout, an election must not be
+//! overtaken by the next one before its votes are durable. A member whose term or vote
+//! is not durable therefore neither starts an election nor grants pre-votes, and a
+//! candidate still counts votes in its term while it requests pre-votes for the next.
 
 use std::collections::BTreeSet;
 
@@ -13,7 +18,7 @@
 use wire::quorum::{Member, Members, Vote, Voted};
 
 use crate::barrier::{Action, Hard};
-use crate::event::Flaw;
+use crate::event::{Effect, Flaw};
 use crate::leader::Leader;
 use crate::replica::{Replica, Role};
 use crate::{ELECTION_RETRY_MAX, ELECTION_RETRY_MIN, ELECTION_TIMEOUT_MIN, HEARTBEAT_INTERVAL};
@@ -31,13 +36,17 @@
             self.campaign(now, false);
             return;
         }
-        self.role = Role::PreCandidate { votes: BTreeSet::from([self.settings.id]) };
+        let own = BTreeSet::from([self.settings.id]);
+        match &mut self.role {
+            Role::Candidate { pre_votes, .. } => *pre_votes = own,
+            role => *role = Role::PreCandidate { pre_votes: own },
+        }
         self.votes_requested_at = now;
         let term = self.hard.term + 1;
         let vote = self.vote_request(false);
         for peer in self.peers() {
             let message = self.message(peer, term, Body::PreVote(vote));
-            self.out.push(crate::Effect::Send(message));
+            self.out.push(Effect::Send(message));
         }
         self.count_pre_votes(now);
     }
@@ -52,7 +61,8 @@
         self.incoming = None;
         self.set_leader(None);
         self.reset_deadline(now);
-        self.role = Role::Candidate { votes: BTreeSet::new(), transfer };
+        self.role =
+            Role::Candidate { votes: BTreeSet::new(), pre_votes: BTreeSet::new(), transfer };
         self.barrier.defer(Action::Vote(self.hard.term));
         self.votes_requested_at = now;
         let vote = self.vote_request(transfer);
@@ -63,22 +73,32 @@
 
     /// Repeats the request to members that have not granted their vote or pre-vote.
     pub(crate) fn resend_vote_requests(&mut self, now: Instant) {
-        let (term, votes, transfer) = match &self.role {
-            Role::Candidate { votes, transfer } => (self.hard.term, votes, Some(*transfer)),
-            Role::PreCandidate { votes } => (self.hard.term + 1, votes, None),
+        // requests in a term that is not durable yet wait for it already
+        if now.since(self.votes_requested_at) < HEARTBEAT_INTERVAL
+            || !self.barrier.is_hard_durable()
+        {
+            return;
+        }
+        let (votes, pre_votes, transfer) = match &self.role {
             Role::Follower | Role::Leader(_) => return,
+            Role::PreCandidate { pre_votes } => (None, Some(pre_votes), false),
+            Role::Candidate { votes, pre_votes, transfer } => {
+                (Some(votes), Some(pre_votes).filter(|votes| !votes.is_empty()), *transfer)
+            }
         };
-        if now.since(self.votes_requested_at) < HEARTBEAT_INTERVAL {
-            return;
+        let lacks = |votes: Option<&BTreeSet<u64>>, id| votes.is_some_and(|v| !v.contains(&id));
+        let term = self.hard.term;
+        let mut messages = Vec::new();
+        for id in self.peers() {
+            if lacks(votes, id) {
+                messages.push(self.message(id, term, Body::Vote(self.vote_request(transfer))));
+            }
+            if lacks(pre_votes, id) {
+                messages.push(self.message(id, term + 1, Body::PreVote(self.vote_request(false))));
+            }
         }
-        let missing = self.peers().into_iter().filter(|id| !votes.contains(id));
-        let vote = self.vote_request(transfer == Some(true));
-        let body = |vote| transfer.map_or(Body::PreVote(vote), |_| Body::Vote(vote));
-        let messages: Vec<_> = missing.map(|id| self.message(id, term, body(vote))).collect();
         self.votes_requested_at = now;
-        for message in messages {
-            self.barrier.defer(Action::Send(message));
-        }
+        self.out.extend(messages.into_iter().map(Effect::Send));
     }
 
     /// Counts the member's vote for itself, once it is durable.
@@ -93,11 +113,12 @@
     }
 
     pub(crate) fn on_pre_vote(&mut self, now: Instant, from: u64, term: u64, vote: Vote) {
-        let eligible = term > self.hard.term && !self.has_active_leader(now);
+        let votes = !self.barrier.is_hard_durable();
+        let eligible = term > self.hard.term && !votes && !self.has_active_leader(now);
         let granted = eligible && self.is_current(vote);
         let term = if granted { term } else { self.hard.term };
         let message = self.message(from, term, Body::PreVoted(Voted { granted }));
-        self.out.push(crate::Effect::Send(message));
+        self.out.push(Effect::Send(message));
     }
 
     pub(crate) fn on_pre_voted(&mut self, now: Instant, from: u64, term: u64, voted: Voted) {
@@ -112,10 +133,12 @@
         if term != self.hard.term + 1 {
             return;
         }
-        if let Role::PreCandidate { votes } = &mut self.role {
-            votes.insert(from);
-            self.count_pre_votes(now);
-        }
+        match &mut self.role {
+            Role::PreCandidate { pre_votes } => pre_votes.insert(from),
+            Role::Candidate { pre_votes, .. } if !pre_votes.is_empty() => pre_votes.insert(from),
+            _ => return,
+        };
+        self.count_pre_votes(now);
     }
 
     pub(crate) fn on_vote(&mut self, now: Instant, from: u64, vote: Vote) {
@@ -164,8 +187,11 @@
     }
 
     fn count_pre_votes(&mut self, now: Instant) {
-        let Role::PreCandidate { votes } = &self.role else { return };
-        if self.is_quorum(|id| votes.contains(&id)) {
+        let (Role::PreCandidate { pre_votes } | Role::Candidate { pre_votes, .. }) = &self.role
+        else {
+            return;
+        };
+        if self.is_quorum(|id| pre_votes.contains(&id)) {
             self.campaign(now, false);
         }
     }
--- a/components/quorum/src/follower.rs
+++ b/components/quorum/src/follower.rs
@@ -39,8 +39,14 @@
             self.append_entry(entry);
         }
         self.commit_to(append.commit.min(matched));
-        let appended = Appended { matched: true, index: matched, round };
-        self.send_durable(from, Body::Appended(appended));
+        let durable = matched.min(self.barrier.durable_index());
+        let answer = |index| Body::Appended(Appended { matched: true, index, round });
+        // a heartbeat is answered at once: the contact with the leader and the reads that it
+        // confirms must not wait for the disk
+        self.send(from, answer(durable));
+        if durable < matched {
+            self.send_durable(from, answer(matched));
+        }
     }
 
     fn append_entry(&mut self, entry: wire::quorum::Entry) {
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -20,8 +20,16 @@
 #[derive(Debug)]
 pub(crate) enum Role {
     Follower,
-    PreCandidate { votes: BTreeSet<u64> },
-    Candidate { votes: BTreeSet<u64>, transfer: bool },
+    PreCandidate {
+        pre_votes: BTreeSet<u64>,
+    },
+    /// `pre_votes` are those for the next term, once the election takes long. Votes in the
+    /// current term are counted meanwhile.
+    Candidate {
+        votes: BTreeSet<u64>,
+        pre_votes: BTreeSet<u64>,
+        transfer: bool,
+    },
     Leader(Box<Leader>),
 }
 
@@ -179,8 +187,13 @@
     }
 
     fn persisted(&mut self, now: Instant, token: u64) {
+        let was_hard_durable = self.barrier.is_hard_durable();
         let actions = self.barrier.persisted(token);
         self.run_actions(actions);
+        if !was_hard_durable && self.barrier.is_hard_durable() && self.leader.is_none() {
+            // the others learn of the term or the vote only now
+            self.reset_deadline(now);
+        }
         if matches!(self.role, Role::Candidate { .. }) {
             self.count_votes(now);
         }
@@ -210,7 +223,7 @@
         if stalled {
             self.reset_deadline(now);
         }
-        if now >= self.deadline {
+        if now >= self.deadline && self.barrier.is_hard_durable() {
             self.start_election(now);
         }
     }
--- a/components/quorum/tests/fuzz/main.rs
+++ b/components/quorum/tests/fuzz/main.rs
@@ -1,11 +1,12 @@
 //! Fuzz test of replicas under message loss, duplication and reordering, crashes
-//! that drop unsynced writes, network partitions, clocks of different rates,
+//! that drop unsynced writes, disks of 1 to 800 ms a sync, network partitions, clocks of different rates,
 //! membership changes and lost disks. An oracle keeps the list of committed
 //! entries, against which all replicas are checked.
 //!
 //! `TREFOIL_FUZZ_SCHEDULES` sets the number of schedules. `TREFOIL_FUZZ_SEED` runs
 //! only the schedule of the seed that a failure reported.
 
+mod disks;
 mod oracle;
 mod schedule;
 mod world;
--- a/components/quorum/tests/fuzz/schedule.rs
+++ b/components/quorum/tests/fuzz/schedule.rs
@@ -21,9 +21,18 @@
 /// Maximum wait for an election in [`Step::CrashNextLeader`], in milliseconds.
 const ELECTION_WAIT_MILLIS: u64 = 700;
 
-/// Time in microseconds after the last fault within which the cluster must recover.
+/// Time in microseconds after the last fault within which the cluster must recover, beside
+/// a number of syncs.
 const SETTLE_MICROS: u64 = 6_000_000;
 
+/// Number of syncs of the slowest disk within which the cluster must recover, beside
+/// [`SETTLE_MICROS`]: elections, a membership change, a snapshot and the first entry.
+const SETTLE_SYNCS: u64 = 16;
+
+/// Number of syncs of the slowest disk within which a proposal is committed: the one in
+/// progress and the next, at the leader and again at a follower, and the answer to it.
+const COMMIT_SYNCS: u64 = 5;
+
 /// Counts of one schedule.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Summary {
@@ -59,6 +68,8 @@
     Lose(u8),
     Replace(u8),
     RunLong(u8),
+    /// Makes a node's disk slow: at most the number times four milliseconds a sync.
+    Disk(u8, u8),
     /// Crashes the current leaders, and the next leader shortly after its election.
     CrashNextLeader(u8),
 }
@@ -104,6 +115,7 @@
         36 => Step::Lose(choice),
         37 | 38 => Step::Replace(choice),
         39 => Step::RunLong(choice),
+        44 => Step::Disk(choice, u.arbitrary()?),
         _ => Step::Heal,
     })
 }
@@ -211,6 +223,10 @@
             add(world, choice, lost.map(|lost| world.nodes[lost].name.clone()));
         }
         Step::RunLong(choice) => world.run(u64::from(choice) * 20_000),
+        Step::Disk(choice, slowness) => {
+            let node = index(choice);
+            world.nodes[node].sync_micros = 100..u64::from(slowness) * 4_000 + 15_000;
+        }
         Step::CrashNextLeader(choice) => crash_next_leader(world, u64::from(choice) * 100),
     }
 }
@@ -302,7 +318,8 @@
     if !has_disk_quorum(world, None) {
         return;
     }
-    world.run(SETTLE_MICROS);
+    let sync = world.nodes.iter().map(|node| node.sync_micros.end).max().unwrap_or_default();
+    world.run(SETTLE_MICROS + sync * SETTLE_SYNCS);
     let leaders = world.leaders();
     assert!(!leaders.is_empty(), "no leader although all faults are over\n{}", world.describe());
     let before = (world.oracle.acknowledged, world.oracle.confirmed);
@@ -310,7 +327,7 @@
         world.propose(leader);
         world.read(leader);
     }
-    world.run(1_000_000);
+    world.run(1_000_000 + sync * COMMIT_SYNCS);
     let after = (world.oracle.acknowledged, world.oracle.confirmed);
     assert!(
         after.0 > before.0,
--- a/components/quorum/tests/fuzz/world.rs
+++ b/components/quorum/tests/fuzz/world.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::ops::Range;
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -15,6 +16,12 @@
 /// Tick interval of each node, in microseconds of simulation time.
 const TICK_MICROS: u64 = 10_000;
 
+/// Number of messages in flight from which on further ones are lost.
+const MAX_IN_FLIGHT: usize = 5_000;
+
+/// Time that a disk takes for a sync, unless a test makes it slow.
+pub const FAST_SYNC_MICROS: Range<u64> = 100..15_000;
+
 /// Scheduled occurrence in the simulation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Occurrence {
@@ -38,8 +45,10 @@
     durable: Stored,
     /// Writes that are not synced yet.
     pending: VecDeque<Write>,
-    /// Time in microseconds at which the disk has synced all writes.
-    disk_free: u64,
+    /// Whether a sync is in progress. Writes that are queued meanwhile share the next one.
+    syncing: bool,
+    /// Range of the time that the disk takes for a sync, in microseconds.
+    pub sync_micros: Range<u64>,
     /// Rate of the node's clock relative to simulation time, in percent.
     rate: u64,
     /// Offset of the node's clock in microseconds.
@@ -128,7 +137,8 @@
             incarnation: 0,
             durable: Stored::default(),
             pending: VecDeque::new(),
-            disk_free: 0,
+            syncing: false,
+            sync_micros: FAST_SYNC_MICROS,
             rate: self.rng.random_range(85..=118),
             offset: self.rng.random_range(0..1_000_000),
             digest: 0,
@@ -174,6 +184,7 @@
         node.replica = None;
         node.waiting.clear();
         node.reads.clear();
+        node.syncing = false;
         let durable_writes = self.rng.random_range(0..=node.pending.len());
         for write in std::mem::take(&mut node.pending).into_iter().take(durable_writes) {
             persist(&mut node.durable, write);
@@ -301,12 +312,16 @@
         if node.replica.is_none() {
             return;
         }
+        node.syncing = false;
         while node.pending.front().is_some_and(|write| write.token <= token) {
             if let Some(write) = node.pending.pop_front() {
                 persist(&mut node.durable, write);
             }
         }
         self.event(index, Event::Persisted(token));
+        if !self.nodes[index].syncing {
+            self.start_sync(index);
+        }
     }
 
     fn clock(&self, index: usize) -> Instant {
@@ -375,15 +390,20 @@
     }
 
     fn write(&mut self, index: usize, write: Write) {
-        let delay = self.rng.random_range(100..15_000);
-        let now = self.now;
+        self.nodes[index].pending.push_back(write);
+        if !self.nodes[index].syncing {
+            self.start_sync(index);
+        }
+    }
+
+    /// Starts a sync that covers all queued writes.
+    fn start_sync(&mut self, index: usize) {
         let node = &mut self.nodes[index];
-        node.disk_free = node.disk_free.max(now) + delay;
-        let occurrence =
-            Occurrence::Synced { node: index, incarnation: node.incarnation, token: write.token };
-        let time = node.disk_free;
-        node.pending.push_back(write);
-        self.schedule(time, occurrence);
+        let Some(token) = node.pending.back().map(|write| write.token) else { return };
+        node.syncing = true;
+        let time = self.now + self.rng.random_range(node.sync_micros.clone());
+        let incarnation = node.incarnation;
+        self.schedule(time, Occurrence::Synced { node: index, incarnation, token });
     }
 
     fn send(&mut self, from: usize, message: &Message) {
@@ -392,7 +412,10 @@
             (Some(from), Some(to)) => from != to,
             _ => false,
         };
-        if partitioned || self.rng.random_ratio(self.loss, 100) {
+        if partitioned
+            || self.in_flight.len() >= MAX_IN_FLIGHT
+            || self.rng.random_ratio(self.loss, 100)
+        {
             return;
         }
         let copies = if self.rng.random_ratio(self.copies, 100) { 2 } else { 1 };
