Let a read leave a silent keeper in time to meet its objective

Cause: a read that had been sent to a keeper whose host froze waited 400 ms of silence, or until its deadline where the other keeper was slow, while its objective was 250 ms. Change: `front::patience` pings a keeper after a quarter of the objective without a message and moves a read to the other keeper after half of it, between 100 and 400 ms. At most a tenth of the requests move before 400 ms of silence. Keepers are ranked by the same limit. A write is never moved: its outcome is not known. Tests: `patience`, without network.

--- a/components/entry/src/front/dispatch.rs
+++ b/components/entry/src/front/dispatch.rs
@@ -3,7 +3,7 @@
 //! A request is retried only if it is proved not to have run or is declared as a
 //! read, and never after a part of an answer was forwarded to the caller.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use base::prelude::*;
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use super::choose::{self, Keeper};
 use super::conn::Disconnect;
 use super::link::{Event, Link, Request};
+use super::patience::Patience;
 
 /// Shortest delay before the keepers are tried again.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(10);
@@ -29,9 +30,6 @@
 /// Longest wait for a renewed lease before the deadline is checked again.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time between two checks whether a keeper responds.
-const RESPONSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Time after the deadline of a request at which its attempt is abandoned.
 const DEADLINE_GRACE: Duration = Duration::from_secs(1);
 
@@ -68,6 +66,7 @@
     pub(super) deadline: Duration,
     /// Time since `started` in which the request may be retried.
     pub(super) retry_window: Duration,
+    pub(super) patience: Patience,
     /// The request as a message; each attempt sets its caller number and deadline.
     pub(super) run: Run,
     pub(super) sink: S,
@@ -80,6 +79,7 @@
         &mut self,
     ) -> Result<(Attempt, Option<Arc<Link>>), Report<Disconnect>> {
         let until = self.started + self.retry_window.min(self.deadline);
+        self.front.early.lock().unwrap_or_else(PoisonError::into_inner).deposit();
         let mut last = attempt::not_run(Reason::Unavailable);
         let mut changes = self.front.view.changes();
         loop {
@@ -126,7 +126,10 @@
         });
         let now = front.clock.now();
         keepers.sort_by_key(|keeper| {
-            (front.keepers.is_unresponsive(keeper, now), front.keepers.is_closing(keeper))
+            (
+                front.keepers.is_unresponsive(keeper, self.patience, now),
+                front.keepers.is_closing(keeper),
+            )
         });
         keepers
     }
@@ -195,19 +198,27 @@
         let retryable = self.class == Class::Read && !self.run.in_transaction;
         loop {
             let now = self.front.clock.now();
-            let step = until.since(now).min(RESPONSE_CHECK_INTERVAL);
+            let step = until.since(now).min(self.patience.ping_after());
             if let Ok(event) = tokio::time::timeout(step, request.next()).await {
                 return Ok(Some(event));
             }
             let now = self.front.clock.now();
-            if now >= until || (retryable && link.is_unresponsive(now)) {
+            if now >= until || (retryable && self.leaves(link, now)) {
                 return Ok(None);
             }
-            link.ping(now).await;
+            link.ping(now, self.patience.ping_after()).await;
         }
     }
 }
 
+impl<S> Dispatch<'_, S> {
+    /// Whether the request leaves a keeper because of its silence.
+    fn leaves(&self, link: &Link, now: Instant) -> bool {
+        let mut early = self.front.early.lock().unwrap_or_else(PoisonError::into_inner);
+        self.patience.leaves(link.silence(now), &mut early)
+    }
+}
+
 /// Whether the lease expired so recently that it is likely to be renewed soon, so
 /// that a request should wait instead of being refused.
 pub(super) fn expects_lease(front: &Front, now: Instant) -> bool {
--- a/components/entry/src/front/keepers.rs
+++ b/components/entry/src/front/keepers.rs
@@ -14,6 +14,7 @@
 
 use super::choose::Keeper;
 use super::link::{Link, NotSent};
+use super::patience::Patience;
 
 /// Delay before a keeper is dialled again after the first failure; the delay doubles
 /// with each further failure.
@@ -110,13 +111,14 @@
         slot.and_then(|slot| slot.live()).is_some_and(|link| link.is_closing())
     }
 
-    /// Whether a keeper does not respond on its link or could not be dialled.
-    pub fn is_unresponsive(&self, keeper: &Keeper, now: Instant) -> bool {
+    /// Whether a keeper was silent for longer than a request's patience, or could not be
+    /// dialled.
+    pub fn is_unresponsive(&self, keeper: &Keeper, patience: Patience, now: Instant) -> bool {
         let Some(slot) = self.slots().get(&keeper.address).cloned() else {
             return false;
         };
         match slot.live() {
-            Some(link) => link.is_unresponsive(now),
+            Some(link) => patience.is_exceeded(link.silence(now)),
             None => slot.failing.load(Ordering::Acquire),
         }
     }
--- a/components/entry/src/front/link.rs
+++ b/components/entry/src/front/link.rs
@@ -24,13 +24,6 @@
 /// Capacity of the queue of outgoing messages.
 const QUEUE_MESSAGES: usize = 1_024;
 
-/// Time without a message from a keeper after which it is pinged.
-const PING_AFTER: Duration = Duration::from_millis(150);
-
-/// Time without a message after which a keeper with open requests is considered
-/// frozen or unreachable.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Size of a batch of messages, in bytes, at which it is written to the link.
 const BATCH_BYTES: usize = 256 << 10;
 
@@ -134,15 +127,15 @@
         self.closing.load(Ordering::Acquire)
     }
 
-    /// Whether requests are open and the keeper has sent nothing for a while, not even
-    /// answers to pings.
-    pub fn is_unresponsive(&self, now: Instant) -> bool {
-        !self.table().open.is_empty() && self.idle_time(now) > RESPONSE_TIMEOUT
+    /// Time for which the keeper has sent nothing, not even answers to pings, while
+    /// requests are open; zero if none is open.
+    pub fn silence(&self, now: Instant) -> Duration {
+        if self.table().open.is_empty() { Duration::ZERO } else { self.idle_time(now) }
     }
 
-    /// Sends a ping if the keeper has sent nothing for a while.
-    pub async fn ping(&self, now: Instant) {
-        if self.idle_time(now) > PING_AFTER {
+    /// Sends a ping if the keeper has sent nothing for the given time.
+    pub async fn ping(&self, now: Instant, after: Duration) {
+        if self.idle_time(now) > after {
             self.send(ask::Body::Ping(Ping {})).await;
         }
     }
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -17,6 +17,7 @@
 //! - `local`: cycles that the front answers without a keeper.
 //! - [`choose`]: the order in which keepers are tried.
 //! - [`keepers`], [`link`]: the links to keepers.
+//! - [`patience`]: how long a read waits for a silent keeper.
 //! - `counts`: requests counted against the objectives of services.
 //! - [`cancels`]: cancel requests.
 //! - [`tls`]: TLS towards callers.
@@ -35,6 +36,7 @@
 mod local;
 pub mod login;
 pub mod metrics;
+pub mod patience;
 mod plain;
 mod run;
 pub mod session;
@@ -42,7 +44,7 @@
 
 use std::fmt;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use ::plain::Dialect;
 use ::session::Keys;
@@ -130,6 +132,8 @@
     cancels: Arc<cancels::Cancels>,
     phase: watch::Sender<Phase>,
     next_session: AtomicU64,
+    /// Budget of reads that leave a silent keeper early.
+    early: Mutex<patience::Early>,
     metrics: metrics::Metrics,
     counts: counts::Counts,
     log: Logger,
@@ -195,6 +199,7 @@
         cancels: Arc::default(),
         phase: watch::Sender::new(Phase::Open),
         next_session: AtomicU64::new(1),
+        early: Mutex::default(),
         metrics,
         counts: counts::Counts::default(),
         log,
--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -21,6 +21,7 @@
 use crate::front::conn::Disconnect;
 use crate::front::dispatch::{Dispatch, millis};
 use crate::front::link::Link;
+use crate::front::patience::Patience;
 use crate::front::{Front, Phase, wait_for_input};
 
 /// Maximum number of session variables in one session, and likewise of prepared
@@ -303,6 +304,7 @@
         };
         let started = self.front.clock.now();
         let deadline = Duration::from_millis(declared.limits.deadline_ms);
+        let objective = Duration::from_millis(declared.objective_ms);
         let run = self.build_request(&work, &declared, &group, link.is_some(), version);
         let front = Arc::clone(&self.front);
         let class = if work.access == Access::Read { Class::Read } else { Class::Write };
@@ -313,6 +315,7 @@
             started,
             deadline,
             retry_window: deadline,
+            patience: Patience::new(objective),
             run,
             sink: Buffer::default(),
         };
@@ -324,7 +327,6 @@
         if let Attempt::Ended { end, .. } = &attempt {
             front.metrics.record_cycle(end);
         }
-        let objective = Duration::from_millis(declared.objective_ms);
         self.record(&work, &attempt, started, &group, objective, version);
         self.finish(&work, &attempt, reply, link, group).await
     }
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -18,6 +18,7 @@
 use super::conn::{Conn, Disconnect, FLUSH_BYTES};
 use super::dispatch::{Dispatch, Sink, millis};
 use super::link::Link;
+use super::patience::Patience;
 use super::session::Transaction;
 
 /// Time in which a cycle may be retried: a lease is expected to move from one keeper
@@ -52,6 +53,7 @@
             started,
             deadline: work.admission.deadline,
             retry_window: RETRY_WINDOW,
+            patience: Patience::new(Duration::ZERO),
             run,
             sink: Answer {
                 conn: &mut self.conn,
