Dial control members side by side, the one on the same host first

Cause: after a loss of power of all hosts, entries dialled one seed after the other, each for 250 ms while the host had no power. Change: `follow::dialer` dials up to three members, the next 60 ms after the one before; the first that answers is followed. An entry on the platform dials the member on its own host first.

--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -1,20 +1,19 @@
 //! The entry's link to control.
 //!
-//! The entry dials a randomly chosen control member, follows the control log
+//! The entry dials control members until one answers, follows the control log
 //! there, and sends heartbeats. When the member confirms no heartbeat, the entry
 //! moves to another member. Before each dial but the first, the entry waits for a
 //! random time, so that entries that lost the same member don't reconnect all at
 //! once.
 
 pub mod controls;
+pub mod dialer;
 pub mod progress;
 
-use std::net::SocketAddr;
-
 use base::clock::Clock;
 use base::prelude::*;
 use control::lease::HEARTBEAT_INTERVAL;
-use link::{Key, Peer, Purpose, Reader, Writer};
+use link::{Key, Peer, Purpose, Writer};
 use rand::RngExt;
 use slog::Logger;
 use tokio::sync::oneshot;
@@ -25,6 +24,7 @@
 
 use crate::view::{Symptoms, View};
 pub use controls::Controls;
+use dialer::Dialled;
 use progress::{CONFIRM_TIMEOUT, Failure, Progress};
 
 /// Limit on the random wait before the first dial after a failure. The limit doubles,
@@ -34,10 +34,6 @@
 /// Limit on the random wait before any dial.
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
-/// Timeout for a dial; short enough that several dials can fail before the lease
-/// expires.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Time between two checks of whether the member still serves this entry.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -104,17 +100,28 @@
     let mut backoff = Duration::ZERO;
     let mut last = None;
     loop {
-        let Some(address) = pick(&settings.controls.known(), last) else {
+        let members = dialer::order(settings.controls.known(), settings.controls.local(), last);
+        if members.is_empty() {
             slog::error!(settings.log, "no control member is known");
             sleep(MAX_BACKOFF).await;
             continue;
-        };
-        last = Some(address);
+        }
         tokio::select! {
             () = sleep(jitter(backoff)) => {}
             _ = &mut leave => return,
         }
-        match follow_member(&mut settings, address, &mut released, &mut leave).await {
+        let own = Peer::new(&settings.join.entry, settings.join.incarnation, Purpose::Control);
+        let dialled = match dialer::dial_first(members, &own, &settings.key).await {
+            Ok(dialled) => dialled,
+            Err(report) => {
+                slog::info!(settings.log, "reached no control member"; "reason" => %report);
+                backoff = next_backoff(backoff);
+                continue;
+            }
+        };
+        let address = dialled.0;
+        last = Some(address);
+        match follow_member(&mut settings, dialled, &mut released, &mut leave).await {
             End::Left => return,
             End::Failed { confirmed, report } => {
                 slog::info!(settings.log, "left a control member"; "address" => %address, "reason" => %report);
@@ -124,18 +131,6 @@
     }
 }
 
-/// Picks a random member other than the last one, or the last one if there is no
-/// other.
-fn pick(controls: &[SocketAddr], last: Option<SocketAddr>) -> Option<SocketAddr> {
-    let others = || controls.iter().filter(|&&address| Some(address) != last);
-    let count = others().count();
-    if count == 0 {
-        return controls.first().copied();
-    }
-    let chosen = rand::rng().random_range(0..count);
-    others().nth(chosen).copied()
-}
-
 fn next_backoff(backoff: Duration) -> Duration {
     (backoff * 2).clamp(MIN_BACKOFF, MAX_BACKOFF)
 }
@@ -147,37 +142,24 @@
 
 async fn follow_member(
     settings: &mut Settings,
-    address: SocketAddr,
+    dialled: Dialled,
     released: &mut Vec<Name>,
     leave: &mut oneshot::Receiver<()>,
 ) -> End {
     let mut progress = Progress::new(settings.clock.now(), settings.join.clone());
-    match follow(settings, address, &mut progress, released, leave).await {
+    match follow(settings, dialled, &mut progress, released, leave).await {
         Ok(()) => End::Left,
         Err(report) => End::Failed { confirmed: progress.has_confirmed(), report },
     }
 }
 
-async fn dial(
-    settings: &Settings,
-    address: SocketAddr,
-) -> Result<(Reader, Writer), Report<Failure>> {
-    let join = &settings.join;
-    let own = Peer::new(&join.entry, join.incarnation, Purpose::Control);
-    let dialled = timeout(DIAL_TIMEOUT, link::dial(address, &own, &settings.key)).await;
-    let (_peer, reader, writer) =
-        dialled.change_context(Failure::Link)?.change_context(Failure::Link)?;
-    Ok((reader, writer))
-}
-
 async fn follow(
     settings: &mut Settings,
-    address: SocketAddr,
+    (_, mut reader, mut writer): Dialled,
     progress: &mut Progress,
     released: &mut Vec<Name>,
     leave: &mut oneshot::Receiver<()>,
 ) -> Result<(), Report<Failure>> {
-    let (mut reader, mut writer) = dial(settings, address).await?;
     let view = settings.view.clone();
     let applied = view.read(|state| state.index);
     let request = Follow { join: Some(settings.join.clone()), applied };
--- a/components/entry/src/follow/controls.rs
+++ b/components/entry/src/follow/controls.rs
@@ -13,12 +13,27 @@
     configured: watch::Receiver<Vec<SocketAddr>>,
     /// Addresses from the last list that a member sent.
     announced: Vec<SocketAddr>,
+    /// Address at which a member on this host would accept links.
+    local: Option<SocketAddr>,
 }
 
 impl Controls {
     /// Creates a list from settings that may change.
     pub fn watch(configured: watch::Receiver<Vec<SocketAddr>>) -> Self {
-        Self { configured, announced: Vec::new() }
+        Self { configured, announced: Vec::new(), local: None }
+    }
+
+    /// Adds the address of a member that may run on this host. It is dialled first: after
+    /// a loss of power it is back at the same time as the entry, and other hosts may not be.
+    #[must_use]
+    pub fn with_local(mut self, local: SocketAddr) -> Self {
+        self.local = Some(local);
+        self
+    }
+
+    /// Address at which a member on this host would accept links, if one may run here.
+    pub fn local(&self) -> Option<SocketAddr> {
+        self.local
     }
 
     /// Returns all known addresses, each of them once.
--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use entry::View;
 use entry::follow;
+use entry::follow::dialer;
 use entry::follow::progress::{Failure, Progress};
 use link::{Key, Peer, Purpose, Reader, Writer};
 use tokio::net::TcpListener;
@@ -284,3 +285,29 @@
         (1..=200).find(|step| progress.check(later(step * 100), &view, *step as usize).is_err());
     assert_eq!(silent, Some(101));
 }
+
+#[test]
+fn the_member_on_this_host_is_dialled_first_and_the_last_one_followed_at_the_end() {
+    let address = |last: u8| SocketAddr::from(([10, 0, 0, last], 1));
+    let seeds = || vec![address(1), address(2)];
+    for _ in 0..20 {
+        let first = dialer::order(seeds(), Some(address(9)), None);
+        assert_eq!((first[0], first.len()), (address(9), 3));
+        let next = dialer::order(seeds(), Some(address(9)), Some(address(9)));
+        assert_eq!(next[2], address(9));
+        let other = dialer::order(seeds(), None, Some(address(1)));
+        assert_eq!(other, [address(2), address(1)]);
+    }
+}
+
+#[tokio::test]
+async fn an_entry_finds_the_one_member_that_answers_without_waiting_for_the_others() {
+    // both accept connections and never answer the handshake, as hosts without power
+    let (silent, first) = listen().await;
+    let (other, second) = listen().await;
+    let (listener, third) = listen().await;
+    let _entry = start(vec![first, second, third]);
+    let (_reader, _writer, follow) = accept(&listener).await;
+    assert_eq!(follow.join, Some(join()));
+    drop((silent, other));
+}
