Make control and entries pay once for many commands, and for own groups only

Cause: with 100 hosts and 120 groups nothing settled: entries left their members because heartbeats stayed unconfirmed for a second, leaders lost their quorum, and half of the requests failed. The leader looked at all servers, entries and groups after each applied command, and each entry built the setup of every group after each command, kept or not. Both grow with the square of the size, most of all at the start, when there are thousands of commands. Ruled out: images for entries that reconnect (they get the missing commands only). Change: the leader makes a pass over all groups at most every 20 ms because of applied commands, and goes on with changes of primary at once. Entries build the setups of the groups that they keep. Test: `a_burst_of_applied_commands_leads_to_one_pass_over_all_groups` (fails before).

--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use smallvec::SmallVec;
 use wire::control::{Seal, Symptom};
 use wire::log::{Announce, Command, Join, command};
 
@@ -167,6 +168,11 @@
 /// silence of other hosts in that time proves nothing.
 const STALL_LIMIT: Duration = Duration::from_millis(100);
 
+/// Shortest time between two ticks because of applied commands. A tick looks at all
+/// entries, servers and groups, so with one for each command the work would grow with the
+/// square of the size.
+const APPLIED_TICK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time between two checks of all servers' announcements while no command is applied.
 const RENEWAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -248,7 +254,11 @@
             Event::Tick => self.tick(now, state, out),
             Event::Applied { .. } => {
                 self.designations.values_mut().for_each(Designation::record_applied);
-                self.tick(now, state, out);
+                if now.since(self.ticked) >= APPLIED_TICK_INTERVAL {
+                    self.tick(now, state, out);
+                } else {
+                    self.step_changes(now, state, out);
+                }
             }
             Event::Sealed { entry, incarnation, seal } => {
                 let Ok(group) = Name::new(&seal.group) else {
@@ -321,6 +331,20 @@
         }
     }
 
+    /// Goes on with the changes of primaries that are in progress.
+    fn step_changes(&mut self, now: Instant, state: &State, out: &mut Vec<Effect>) {
+        let failovers = self.failovers.iter().filter(|(_, failover)| failover.is_in_progress());
+        let designations =
+            self.designations.iter().filter(|(_, designation)| designation.is_in_progress());
+        let groups: SmallVec<[Name; 4]> = failovers
+            .map(|(group, _)| group.clone())
+            .chain(designations.map(|(group, _)| group.clone()))
+            .collect();
+        for group in groups {
+            self.step(now, state, &group, out);
+        }
+    }
+
     fn failover(&mut self, now: Instant, group: &Name) -> &mut Failover {
         self.failovers.entry(group.clone()).or_insert_with(|| Failover::new(now))
     }
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -407,3 +407,33 @@
         assert_eq!(seats.map(Name::as_str).collect::<Vec<_>>(), left);
     }
 }
+
+/// Commits a command that changes nothing.
+fn apply_any(world: &mut World) {
+    world.commit(command::Body::Join(join("e0", 1, "z")));
+    let index = world.state.index;
+    world.tell(Event::Applied { index });
+}
+
+#[test]
+fn a_burst_of_applied_commands_leads_to_one_pass_over_all_groups() {
+    let mut world = World::new(6, false);
+    for (entry, zone) in [("e0", "z"), ("e1", "y")] {
+        world.commit(command::Body::Join(join(entry, 1, zone)));
+    }
+    world.tell(Event::Tick);
+    // the wait for more entries ends between two ticks, while many commands are applied
+    world.now += control::planner::JOIN_WAIT.saturating_sub(Duration::from_millis(5));
+    world.tell(Event::Tick);
+    let assigned = |world: &World| {
+        world.proposed.iter().filter(|body| matches!(body, command::Body::Assign(_))).count()
+    };
+    for _ in 0..8 {
+        world.now += Duration::from_millis(2);
+        apply_any(&mut world);
+    }
+    assert_eq!(assigned(&world), 0, "a command looked at all groups");
+    world.now += Duration::from_millis(4);
+    apply_any(&mut world);
+    assert_eq!(assigned(&world), 1);
+}
--- a/components/entry/src/keep/follow.rs
+++ b/components/entry/src/keep/follow.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
+use control::state::Group;
 use control::{Phase, State};
 use keeper::event::Server;
 use keeper::{Event, Lease, Setup, Unfenced};
@@ -37,12 +38,17 @@
     }
 }
 
-/// Passes each shard its new setup; starts a shard for each new lease.
+/// Passes each shard its new setup; starts a shard for each new lease. An entry spends
+/// nothing on the setups of groups that it doesn't keep: with many groups, each command
+/// of the log would cost more than all else that it does.
 fn configure_shards(host: &Arc<Host>) {
     let setups = host.view.read(|state| {
-        let groups = state.groups.iter();
         let (index, version) = (state.index, state.version);
-        let setups = groups.map(|(name, group)| {
+        let keeps = |(name, group): &(&Name, &Group)| {
+            group.lease(host.name.as_str()).is_some() || host.shard(name.as_str()).is_some()
+        };
+        let kept = state.groups.iter().filter(keeps);
+        let setups = kept.map(|(name, group)| {
             let revision = Revision { index, version, term: group.term };
             (name.clone(), revision, setup(host, state, name))
         });
