Let commands of other groups make no group propose again

Cause: a change of primary forgot that it had proposed a command whenever any command was applied. With many new groups each of them proposed its command again for each command of the others, and each of these proposals was applied and forgotten in turn: the number of log entries grew with the square of the groups, and each goes to every entry. At 300 hosts a member was ended over its memory limit.

--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -82,6 +82,22 @@
     sent: Instant,
 }
 
+/// The last proposal, and the state of the group that it was based on. While the group
+/// is in that state, the proposal may still be applied.
+#[derive(Debug)]
+struct Proposal {
+    at: Instant,
+    term: Term,
+    phase: Phase,
+}
+
+impl Proposal {
+    fn is_open(&self, context: &Context<'_>) -> bool {
+        let same = self.term == context.group.term && self.phase == context.group.phase;
+        same && context.now.since(self.at) < PROPOSAL_TIMEOUT
+    }
+}
+
 /// State machine for the change of primary in one unfenced group.
 #[derive(Debug, Default)]
 pub struct Designation {
@@ -93,8 +109,7 @@
     /// When the last status probe was sent, by server.
     probed: BTreeMap<Name, Instant>,
     positions: BTreeMap<Name, Position>,
-    /// When the last command was proposed, if no command was applied since.
-    proposed: Option<Instant>,
+    proposed: Option<Proposal>,
     /// Intended term, and the time since which no keeper works for the old primary.
     sealed_since: Option<(Term, Instant)>,
     /// When the last designation was sent to the chosen server.
@@ -318,20 +333,16 @@
             self.trace = Some(Trace::new(context.now, context.name.clone(), term, cause));
         }
         let intend = Intend { group: context.name.to_string(), term: term.0 };
-        self.propose(context.now, command::Body::Intend(intend), out);
+        self.propose(context, command::Body::Intend(intend), out);
     }
 
-    fn propose(&mut self, now: Instant, body: command::Body, out: &mut Vec<Effect>) {
-        let waits = self.proposed.is_some_and(|at| now.since(at) < PROPOSAL_TIMEOUT);
-        if !waits {
-            self.proposed = Some(now);
-            out.push(Effect::propose(body));
+    fn propose(&mut self, context: &Context<'_>, body: command::Body, out: &mut Vec<Effect>) {
+        if self.proposed.as_ref().is_some_and(|proposal| proposal.is_open(context)) {
+            return;
         }
-    }
-
-    /// Records that a command was applied: the next proposal need not wait.
-    pub fn record_applied(&mut self) {
-        self.proposed = None;
+        let (term, phase) = (context.group.term, context.group.phase.clone());
+        self.proposed = Some(Proposal { at: context.now, term, phase });
+        out.push(Effect::propose(body));
     }
 
     fn choose(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
@@ -355,7 +366,7 @@
             server: server.to_string(),
             start: Some(start.into()),
         };
-        self.propose(now, command::Body::Choose(choose), out);
+        self.propose(context, command::Body::Choose(choose), out);
     }
 
     /// Whether no keeper can pass on answers of an earlier primary any more.
@@ -462,7 +473,7 @@
     ) {
         let (group, server) = (context.name.to_string(), server.to_string());
         let establish = Establish { group, term: term.0, server };
-        self.propose(context.now, command::Body::Establish(establish), out);
+        self.propose(context, command::Body::Establish(establish), out);
     }
 }
 
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -253,7 +253,6 @@
         match event {
             Event::Tick => self.tick(now, state, out),
             Event::Applied { .. } => {
-                self.designations.values_mut().for_each(Designation::record_applied);
                 if now.since(self.ticked) >= APPLIED_TICK_INTERVAL {
                     self.tick(now, state, out);
                 } else {
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -437,3 +437,75 @@
     apply_any(&mut world);
     assert_eq!(assigned(&world), 1);
 }
+
+/// Number of unfenced groups that are set up at the same time.
+const MANY_GROUPS: usize = 40;
+
+/// A state with new unfenced groups of one server each.
+fn many_groups() -> State {
+    let mut state = State::default();
+    let groups: Vec<_> = (0..MANY_GROUPS)
+        .map(|group| format!(r#""g{group}":{{"servers":1,"acknowledges":true}}"#))
+        .collect();
+    let content = format!(r#"{{"groups":{{{}}}}}"#, groups.join(","));
+    let configure = Configure { change: "c".to_owned(), base: 0, content, patch: String::new() };
+    state.apply(1, &wrap(command::Body::Configure(configure)));
+    for index in 0..MANY_GROUPS {
+        let announce = Announce { group: format!("g{index}"), ..announce(&format!("s{index}"), 2) };
+        state.apply(state.index + 1, &wrap(command::Body::Announce(announce)));
+    }
+    state
+}
+
+fn primary_status(server: &Name) -> Status {
+    Status {
+        server: server.clone(),
+        incarnation: 1,
+        term: Term(1),
+        log_term: Term(1),
+        received: Position(5),
+        applied: Position(5),
+        role: Role::Primary,
+        silence: Duration::ZERO,
+        history: History::default(),
+        version: 1,
+    }
+}
+
+#[test]
+fn commands_of_other_groups_make_no_group_propose_again() {
+    let mut state = many_groups();
+    let mut now = Instant::from_millis(1_000);
+    let mut leader = Leader::new(now);
+    let mut out = Vec::new();
+    leader.on(now, &state, Event::Tick, &mut out);
+    let mut due = Vec::new();
+    let mut establishes = 0;
+    for effect in out.split_off(0) {
+        if let Effect::Probe { group, server, ask: Ask::Status, .. } = effect {
+            let result = Ok(primary_status(&server));
+            let probed = Event::Probed { group, server, ask: Ask::Status, result };
+            leader.on(now, &state, probed, &mut out);
+        }
+    }
+    // all groups wait for their own command while those of the others are applied
+    loop {
+        for effect in out.split_off(0) {
+            if let Effect::Propose(command) = effect
+                && matches!(command.body, Some(command::Body::Establish(_)))
+            {
+                establishes += 1;
+                due.push(command);
+            }
+        }
+        if due.is_empty() {
+            break;
+        }
+        now += Duration::from_millis(5);
+        let index = state.index + 1;
+        state.apply(index, &due.remove(0));
+        leader.on(now, &state, Event::Applied { index }, &mut out);
+    }
+    assert_eq!(establishes, MANY_GROUPS);
+    assert!(state.groups.values().all(|group| group.primary.is_some()));
+}
