Send entries shared messages and a recent image, and one join each

Cause: with 300 entries a member decoded and encoded each command once for every entry, and up to 4,096 of them again for each entry that started; each entry's queue held its own copy. Each heartbeat of an entry whose join was not applied yet led to another join. Change: messages are encoded once and shared by all entries that lack the same commands. An entry without state that lacks more than 64 commands gets an image that may be 256 commands old, shared too, and the commands after it. Tests: `entries_that_start_late_get_a_recent_image_and_the_commands_after_it`, `an_entry_that_asks_to_join_again_while_its_join_is_open_leads_to_one_command` (fails before).

--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -186,6 +186,8 @@
     liveness: Liveness,
     renewals: Renewals,
     planner: Planner,
+    /// Incarnation of each entry whose join was proposed, and the time of the proposal.
+    joining: BTreeMap<Name, (u64, Instant)>,
     failovers: BTreeMap<Name, Failover>,
     designations: BTreeMap<Name, Designation>,
     leadership: Leadership,
@@ -214,6 +216,7 @@
             liveness: Liveness::new(now, flaw),
             renewals: Renewals::new(),
             planner: Planner::new(flaw),
+            joining: BTreeMap::new(),
             failovers: BTreeMap::new(),
             designations: BTreeMap::new(),
             leadership: Leadership::default(),
@@ -274,7 +277,7 @@
                     self.planner.tick(now, state, &self.liveness, out);
                 }
             }
-            Event::Joined(join) => propose_join(state, join, out),
+            Event::Joined(join) => self.propose_join(now, state, join, out),
             Event::Left { entry, incarnation } => {
                 self.liveness.mark_left(now, entry, incarnation);
                 self.liveness.tick(now, state, out);
@@ -316,6 +319,7 @@
             self.renewals_checked = Some((state.index, now));
             self.renewals.tick(now, state, out);
         }
+        self.joining.retain(|_, (_, at)| now.since(*at) < PROPOSAL_TIMEOUT);
         self.liveness.tick(now, state, out);
         self.planner.tick(now, state, &self.liveness, out);
         let fenced =
@@ -330,6 +334,27 @@
         }
     }
 
+    /// Proposes that an entry joins, unless a proposal for it is open: each heartbeat of an
+    /// entry that is not in the state yet asks for one.
+    fn propose_join(&mut self, now: Instant, state: &State, join: Join, out: &mut Vec<Effect>) {
+        let Some((name, entry)) = Entry::from_join(&join) else {
+            return;
+        };
+        let known = state.entries.get(&name);
+        if known.is_some_and(|known| known.incarnation >= entry.incarnation) {
+            return;
+        }
+        let proposal = (entry.incarnation, now);
+        if let Some((incarnation, at)) = self.joining.insert(name.clone(), proposal)
+            && incarnation == entry.incarnation
+            && now.since(at) < PROPOSAL_TIMEOUT
+        {
+            self.joining.insert(name, (incarnation, at));
+            return;
+        }
+        out.push(Effect::propose(command::Body::Join(join)));
+    }
+
     /// Goes on with the changes of primaries that are in progress.
     fn step_changes(&mut self, now: Instant, state: &State, out: &mut Vec<Effect>) {
         let failovers = self.failovers.iter().filter(|(_, failover)| failover.is_in_progress());
@@ -377,13 +402,3 @@
         }
     }
 }
-
-fn propose_join(state: &State, join: Join, out: &mut Vec<Effect>) {
-    let Some((name, entry)) = Entry::from_join(&join) else {
-        return;
-    };
-    let known = state.entries.get(&name);
-    if known.is_none_or(|known| known.incarnation < entry.incarnation) {
-        out.push(Effect::propose(command::Body::Join(join)));
-    }
-}
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -509,3 +509,18 @@
     assert_eq!(establishes, MANY_GROUPS);
     assert!(state.groups.values().all(|group| group.primary.is_some()));
 }
+
+#[test]
+fn an_entry_that_asks_to_join_again_while_its_join_is_open_leads_to_one_command() {
+    let state = State::default();
+    let mut leader = Leader::new(Instant::ZERO);
+    let mut proposals = |millis, incarnation| {
+        let mut out = Vec::new();
+        let joined = Event::Joined(join("e0", incarnation, "z"));
+        leader.on(Instant::from_millis(millis), &state, joined, &mut out);
+        out.len()
+    };
+    assert_eq!((proposals(0, 1), proposals(400, 1)), (1, 0));
+    assert_eq!(proposals(410, 2), 1, "the entry has restarted");
+    assert_eq!(proposals(1_000, 2), 1, "the first command may be lost");
+}
--- a/components/link/src/frame.rs
+++ b/components/link/src/frame.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use error_stack::{Report, ResultExt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::net::TcpStream;
@@ -79,6 +79,32 @@
     }
 }
 
+/// An encoded message, which several writers can share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame(Bytes);
+
+impl Frame {
+    /// Encodes a message.
+    ///
+    /// # Errors
+    /// [`Failure::Oversized`].
+    pub fn encode<M: Message>(message: &M) -> Result<Self, Report<Failure>> {
+        let mut buffer = BytesMut::new();
+        put(message, &mut buffer)?;
+        Ok(Self(buffer.freeze()))
+    }
+}
+
+fn put<M: Message>(message: &M, buffer: &mut BytesMut) -> Result<(), Report<Failure>> {
+    let length = message.encoded_len();
+    if length > MAX_BYTES {
+        return Err(Report::new(Failure::Oversized { bytes: length }));
+    }
+    buffer.reserve(LENGTH_BYTES + length);
+    buffer.extend_from_slice(&(length as u32).to_be_bytes());
+    message.encode(buffer).change_context(Failure::Malformed)
+}
+
 /// The write half of a link.
 #[derive(Debug)]
 pub struct Writer {
@@ -96,12 +122,12 @@
     /// # Errors
     /// [`Failure::Oversized`]; the buffer is unchanged then.
     pub fn put<M: Message>(&mut self, message: &M) -> Result<(), Report<Failure>> {
-        let length = message.encoded_len();
-        if length > MAX_BYTES {
-            return Err(Report::new(Failure::Oversized { bytes: length }));
-        }
-        self.buffer.extend_from_slice(&(length as u32).to_be_bytes());
-        message.encode(&mut self.buffer).change_context(Failure::Malformed)
+        put(message, &mut self.buffer)
+    }
+
+    /// Appends an encoded message to the buffer; [`Writer::flush`] sends it.
+    pub fn put_frame(&mut self, frame: &Frame) {
+        self.buffer.extend_from_slice(&frame.0);
     }
 
     /// Returns the number of buffered bytes that [`Writer::flush`] would send.
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -11,6 +11,6 @@
 pub mod peer;
 pub mod socket;
 
-pub use frame::{Reader, Writer};
+pub use frame::{Frame, Reader, Writer};
 pub use key::Key;
 pub use peer::{Failure, Peer, Purpose, accept, dial};
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -7,7 +7,6 @@
 
 use base::clock::Clock;
 use base::prelude::*;
-use bytes::Bytes;
 use control::{Leader, State};
 use quorum::{Event, Leadership, Replica};
 use slog::{Logger, crit, info};
@@ -19,7 +18,7 @@
 
 use crate::beacon::{Beacon, Beacons};
 use crate::disk::Writes;
-use crate::follower::Follower;
+use crate::follower::{Follower, SharedImage};
 use crate::host::STOP_TIMEOUT;
 use crate::input::Input;
 use crate::meter::Meter;
@@ -72,8 +71,8 @@
     pub(crate) followers: Arena<Follower>,
     /// Log entries applied since the last batch sent to followers.
     pub(crate) applied: Vec<wire::control::Entry>,
-    /// Newest encoded state for entries, with its index.
-    pub(crate) image: Option<(u64, Bytes)>,
+    /// Newest encoded state for entries.
+    pub(crate) image: Option<SharedImage>,
     /// Proposals without a result, by token.
     pub(crate) proposals: BTreeMap<u64, Pending>,
     /// Reads that the quorum has yet to confirm, by token.
--- a/components/member/src/entry.rs
+++ b/components/member/src/entry.rs
@@ -1,7 +1,7 @@
 //! The link of an entry (a proxy process): received messages go to the core, and
 //! messages of the core go to the entry.
 
-use ::link::{Failure, Reader, Writer};
+use ::link::{Failure, Frame, Reader, Writer};
 use base::prelude::*;
 use tokio::sync::{mpsc, oneshot};
 use wire::control::{Down, Up, down, up};
@@ -79,17 +79,17 @@
 async fn send(
     writer: &mut Writer,
     endpoint: &Endpoint,
-    due: &mut mpsc::Receiver<Down>,
+    due: &mut mpsc::Receiver<Frame>,
 ) -> Result<(), Report<Failure>> {
     let mut burst = Vec::with_capacity(BURST_MESSAGES);
     while due.recv_many(&mut burst, BURST_MESSAGES).await > 0 {
-        for down in burst.drain(..) {
+        for frame in burst.drain(..) {
             if endpoint.is_isolated() {
                 // the link is closed, since a dropped message would leave a gap in the log
                 // entries, which looks like a faulty member
                 return Err(Report::new(Failure::UnexpectedEof));
             }
-            writer.put(&down)?;
+            writer.put_frame(&frame);
         }
         writer.flush().await?;
     }
--- a/components/member/src/follower.rs
+++ b/components/member/src/follower.rs
@@ -1,7 +1,9 @@
 //! Entries (proxy processes) that follow the log through this member.
 
+use ::link::Frame;
 use base::prelude::*;
 use bytes::Bytes;
+use control::State;
 use tokio::sync::{mpsc, oneshot};
 use wire::Message as _;
 use wire::control::{
@@ -20,10 +22,20 @@
 /// Largest number of commands in one message.
 const BATCH_COMMANDS: usize = 256;
 
+/// Largest total length of several commands in one message, in bytes.
+const BATCH_BYTES: usize = 1 << 20;
+
 /// Largest number of missing commands that are sent as commands; an entry that lacks
 /// more receives the whole state.
 const MAX_CATCH_UP_COMMANDS: u64 = 4_096;
 
+/// Largest number of commands that are sent as commands to an entry that has no state.
+/// Small, since many entries that start at once share one image.
+const MAX_FIRST_COMMANDS: u64 = 64;
+
+/// Number of commands by which a shared image may be older than the state.
+const MAX_IMAGE_LAG: u64 = 256;
+
 /// Time without a leader after which entries are refused, so that they connect to
 /// other members.
 const LEADERLESS_TIMEOUT: Duration = Duration::from_millis(700);
@@ -35,7 +47,7 @@
 #[derive(Debug)]
 pub(crate) struct Follower {
     join: Join,
-    sender: mpsc::Sender<Down>,
+    sender: mpsc::Sender<Frame>,
     /// Index of the next command to send.
     next: u64,
     /// Current symptoms of backend servers that the entry reported, one per group.
@@ -52,7 +64,7 @@
     pub(crate) fn add_follower(
         &mut self,
         follow: Follow,
-        sender: mpsc::Sender<Down>,
+        sender: mpsc::Sender<Frame>,
         reply: oneshot::Sender<Key<Follower>>,
     ) {
         let Some(join) = follow.join.filter(|_| self.stopping_since.is_none()) else { return };
@@ -79,7 +91,7 @@
     fn send_members(&mut self, key: Key<Follower>) {
         let members = &self.replica.members().members;
         let links = members.iter().map(|member| member.link.clone()).collect();
-        self.enqueue(key, Down { body: Some(down::Body::Members(Members { links })) });
+        self.send_down(key, down::Body::Members(Members { links }));
     }
 
     /// Sends all followers the current addresses of the members.
@@ -90,87 +102,106 @@
         }
     }
 
-    /// Sends a follower the commands that it lacks, or the whole state.
+    /// Sends a follower the commands that it lacks, or the whole state if it lacks many.
     fn catch_up(&mut self, key: Key<Follower>) {
         let applied = self.state.index;
-        let Some(follower) = self.followers.get_mut(key) else { return };
+        let Some(follower) = self.followers.get(key) else { return };
         let known = follower.next - 1;
         if known >= applied {
             return;
         }
-        follower.next = applied + 1;
-        let entries = if applied - known <= MAX_CATCH_UP_COMMANDS {
-            self.replica.entries_after(known).map(|entries| {
-                entries
-                    .filter(|entry| entry.index <= applied)
-                    .map(entry_message)
-                    .collect::<Vec<_>>()
-            })
-        } else {
-            None
-        };
-        match entries {
-            Some(entries) => {
-                for batch in entries.chunks(BATCH_COMMANDS) {
-                    let entries = Entries { entries: batch.to_vec() };
-                    self.enqueue(key, Down { body: Some(down::Body::Entries(entries)) });
-                }
-            }
-            None => self.send_image(key),
+        let limit = if known == 0 { MAX_FIRST_COMMANDS } else { MAX_CATCH_UP_COMMANDS };
+        let few = applied - known <= limit;
+        if !(few && self.send_commands_after(key, known)) {
+            self.send_image(key);
         }
     }
 
-    /// Sends a follower the whole state in pieces.
-    fn send_image(&mut self, key: Key<Follower>) {
-        let index = self.state.index;
-        let state = self.image();
-        let length = state.len() as u64;
-        let mut offset = 0;
-        while offset < state.len() {
-            let end = (offset + CHUNK_BYTES).min(state.len());
-            let bytes = state.slice(offset..end);
-            let image = Image { index, offset: offset as u64, length, bytes };
-            self.enqueue(key, Down { body: Some(down::Body::Image(image)) });
-            offset = end;
+    /// Sends a follower the commands after an index. Returns false if the log has
+    /// dropped some of them.
+    fn send_commands_after(&mut self, key: Key<Follower>, known: u64) -> bool {
+        let applied = self.state.index;
+        let Some(entries) = self.replica.entries_after(known) else { return false };
+        let entries = entries.filter(|entry| entry.index <= applied).map(entry_message);
+        let frames = encode_entries(entries);
+        self.enqueue_all(key, &frames);
+        if let Some(follower) = self.followers.get_mut(key) {
+            follower.next = applied + 1;
         }
+        true
     }
 
-    /// Encoded state for entries, shared by all entries that reconnect at the same index.
-    fn image(&mut self) -> Bytes {
-        let index = self.state.index;
-        match &self.image {
-            Some((known, bytes)) if *known == index => bytes.clone(),
-            _ => {
-                let bytes = Bytes::from(self.state.encode_for_entries());
-                self.image = Some((index, bytes.clone()));
-                bytes
+    /// Sends a follower the whole state in pieces: a recent image, and the commands after
+    /// it.
+    fn send_image(&mut self, key: Key<Follower>) {
+        let recent = self.image.as_ref().map(|image| image.index);
+        let recent = recent.filter(|index| self.state.index - index <= MAX_IMAGE_LAG);
+        if let Some(index) = recent {
+            self.enqueue_image(key);
+            if self.send_commands_after(key, index) {
+                return;
             }
         }
+        self.image = Some(SharedImage::encode(&self.state));
+        self.enqueue_image(key);
+        if let Some(follower) = self.followers.get_mut(key) {
+            follower.next = self.state.index + 1;
+        }
+    }
+
+    fn enqueue_image(&mut self, key: Key<Follower>) {
+        let frames = self.image.as_ref().map(|image| image.frames.clone());
+        self.enqueue_all(key, &frames.unwrap_or_default());
+    }
+
+    /// Sends a message to one follower.
+    pub(crate) fn send_down(&mut self, key: Key<Follower>, body: down::Body) {
+        match Frame::encode(&Down { body: Some(body) }) {
+            Ok(frame) => self.enqueue(key, frame),
+            Err(_oversized) => self.drop_follower(key),
+        }
+    }
+
+    fn enqueue_all(&mut self, key: Key<Follower>, frames: &[Frame]) {
+        for frame in frames {
+            self.enqueue(key, frame.clone());
+        }
     }
 
     /// Queues a message for a follower, and drops the follower if its queue is full.
-    pub(crate) fn enqueue(&mut self, key: Key<Follower>, down: Down) {
+    fn enqueue(&mut self, key: Key<Follower>, frame: Frame) {
         let Some(follower) = self.followers.get(key) else { return };
-        if follower.sender.try_send(down).is_err() {
-            drop(self.followers.remove(key));
-            self.meter.followers_dropped.inc();
+        if follower.sender.try_send(frame).is_err() {
+            self.drop_follower(key);
         }
     }
 
-    /// Sends followers the log entries applied since the last call.
+    fn drop_follower(&mut self, key: Key<Follower>) {
+        drop(self.followers.remove(key));
+        self.meter.followers_dropped.inc();
+    }
+
+    /// Sends followers the log entries applied since the last call. Followers that lack
+    /// the same entries share the encoded messages.
     pub(crate) fn send_applied(&mut self) {
         let applied = std::mem::take(&mut self.applied);
-        let Some(last) = applied.last().map(|entry| entry.index) else { return };
+        let (Some(first), Some(last)) = (applied.first(), applied.last()) else { return };
+        let (first, last) = (first.index, last.index);
         let keys: Vec<_> = self.followers.iter().map(|(key, _)| key).collect();
+        let mut shared: Option<(u64, Vec<Frame>)> = None;
         for key in keys {
             let Some(follower) = self.followers.get_mut(key) else { continue };
-            let next = follower.next;
-            follower.next = next.max(last + 1);
-            let lacking = applied.iter().filter(|entry| entry.index >= next).cloned();
-            let entries: Vec<_> = lacking.collect();
-            for batch in entries.chunks(BATCH_COMMANDS) {
-                let entries = Entries { entries: batch.to_vec() };
-                self.enqueue(key, Down { body: Some(down::Body::Entries(entries)) });
+            let from = follower.next.max(first);
+            follower.next = follower.next.max(last + 1);
+            let frames = match &shared {
+                Some((known, frames)) if *known == from => frames,
+                _ => {
+                    let lacking = applied.iter().filter(|entry| entry.index >= from).cloned();
+                    &shared.insert((from, encode_entries(lacking))).1
+                }
+            };
+            for frame in frames.clone() {
+                self.enqueue(key, frame);
             }
         }
     }
@@ -255,12 +286,64 @@
     pub(crate) fn refuse_all(&mut self) {
         let keys: Vec<_> = self.followers.iter().map(|(key, _)| key).collect();
         for key in keys {
-            self.enqueue(key, Down { body: Some(down::Body::Refuse(Refuse {})) });
+            self.send_down(key, down::Body::Refuse(Refuse {}));
             drop(self.followers.remove(key));
         }
     }
 }
 
+/// An encoded image of the state, shared by the entries that come for one.
+#[derive(Debug)]
+pub(crate) struct SharedImage {
+    /// Index of the state.
+    index: u64,
+    /// Messages that carry the pieces.
+    frames: Vec<Frame>,
+}
+
+impl SharedImage {
+    fn encode(state: &State) -> Self {
+        let index = state.index;
+        let bytes = Bytes::from(state.encode_for_entries());
+        let length = bytes.len() as u64;
+        let piece = |offset: usize| {
+            let end = (offset + CHUNK_BYTES).min(bytes.len());
+            let bytes = bytes.slice(offset..end);
+            let image = Image { index, offset: offset as u64, length, bytes };
+            Frame::encode(&Down { body: Some(down::Body::Image(image)) })
+        };
+        // pieces are shorter than the limit of a message
+        let frames = (0..bytes.len()).step_by(CHUNK_BYTES).filter_map(|offset| piece(offset).ok());
+        Self { index, frames: frames.collect() }
+    }
+}
+
+/// Encodes log entries as messages of at most [`BATCH_COMMANDS`] commands and, unless one
+/// command is longer, [`BATCH_BYTES`].
+fn encode_entries(entries: impl Iterator<Item = wire::control::Entry>) -> Vec<Frame> {
+    let mut frames = Vec::new();
+    let (mut batch, mut bytes) = (Vec::new(), 0);
+    for entry in entries {
+        let length = entry.encoded_len();
+        if batch.len() >= BATCH_COMMANDS || (bytes + length > BATCH_BYTES && !batch.is_empty()) {
+            frames.extend(encode_batch(std::mem::take(&mut batch)));
+            bytes = 0;
+        }
+        bytes += length;
+        batch.push(entry);
+    }
+    if !batch.is_empty() {
+        frames.extend(encode_batch(batch));
+    }
+    frames
+}
+
+/// Encodes one message. A command that doesn't fit into a message is left out: it didn't
+/// fit into a message between members either, so there is none.
+fn encode_batch(entries: Vec<wire::control::Entry>) -> Option<Frame> {
+    Frame::encode(&Down { body: Some(down::Body::Entries(Entries { entries })) }).ok()
+}
+
 /// Converts a log entry to the message for followers.
 fn entry_message(entry: &wire::quorum::Entry) -> wire::control::Entry {
     let command = match &entry.body {
--- a/components/member/src/input.rs
+++ b/components/member/src/input.rs
@@ -1,8 +1,9 @@
 //! Inputs of the core.
 
+use ::link::Frame;
 use base::prelude::*;
 use tokio::sync::{mpsc, oneshot};
-use wire::control::{Down, Follow, Heartbeat, Seal, Symptom};
+use wire::control::{Follow, Heartbeat, Seal, Symptom};
 use wire::log::{Announce, Command};
 use wire::quorum::{Member, Members, Message, Refusal};
 
@@ -32,7 +33,7 @@
     /// The first membership, determined by this member.
     Bootstrap(Members),
     /// An entry asks to follow the log; the reply is dropped if the entry is refused.
-    Follow { follow: Follow, sender: mpsc::Sender<Down>, reply: oneshot::Sender<Key<Follower>> },
+    Follow { follow: Follow, sender: mpsc::Sender<Frame>, reply: oneshot::Sender<Key<Follower>> },
     /// A heartbeat of an entry.
     Heartbeat { key: Key<Follower>, heartbeat: Heartbeat },
     /// A keeper reported a symptom of a backend server.
--- a/components/member/src/pending.rs
+++ b/components/member/src/pending.rs
@@ -8,7 +8,7 @@
 use quorum::{Change, Event};
 use tokio::sync::oneshot;
 use wire::Message as _;
-use wire::control::{Confirm, Down, down};
+use wire::control::{Confirm, down};
 use wire::log::Command;
 use wire::quorum::Heartbeat;
 
@@ -127,6 +127,6 @@
         self.meter.heartbeats_confirmed.inc();
         let lease_ms = control::lease::LEASE_DURATION.as_millis() as u64;
         let confirm = Confirm { sequence, index, lease_ms };
-        self.enqueue(key, Down { body: Some(down::Body::Confirm(confirm)) });
+        self.send_down(key, down::Body::Confirm(confirm));
     }
 }
--- a/components/member/tests/follow.rs
+++ b/components/member/tests/follow.rs
@@ -123,3 +123,51 @@
         }
     }
 }
+
+/// Reads an image, or a part of it, and commands, and returns the index that the entry has
+/// reached once a heartbeat is confirmed.
+async fn reach(reader: &mut Reader, writer: &mut Writer) -> (u64, bool) {
+    let heartbeat = Heartbeat { sequence: 1, applied: 0, returned: Vec::new() };
+    writer.send(&Up { body: Some(up::Body::Heartbeat(heartbeat)) }).await.expect("sent");
+    let (mut index, mut image, mut confirmed) = (0, Vec::new(), None);
+    while confirmed.is_none_or(|confirmed| index < confirmed) {
+        match next(reader).await {
+            down::Body::Image(piece) => {
+                assert_eq!(piece.offset, image.len() as u64);
+                image.extend_from_slice(&piece.bytes);
+                if image.len() as u64 == piece.length {
+                    index = control::State::decode(&image).expect("an image").index;
+                    assert_eq!(index, piece.index);
+                }
+            }
+            down::Body::Entries(entries) => {
+                for entry in entries.entries {
+                    assert_eq!(entry.index, index + 1, "no gap after the image");
+                    index = entry.index;
+                }
+            }
+            down::Body::Confirm(confirm) => confirmed = Some(confirm.index),
+            _ => {}
+        }
+    }
+    (index, !image.is_empty())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_start_late_get_a_recent_image_and_the_commands_after_it() {
+    let cluster = Cluster::start().await;
+    let leader = cluster.leader().await;
+    for version in 0..80 {
+        let (status, _) = cluster.change(leader, &format!("c{version}"), version, &json!({})).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+    let mut last = 0;
+    for version in 80..83 {
+        let (mut reader, mut writer) = follow(&cluster, leader, 0).await;
+        let (index, has_image) = reach(&mut reader, &mut writer).await;
+        assert!(has_image && index > last, "{index} after {last}");
+        last = index;
+        let (status, _) = cluster.change(leader, &format!("c{version}"), version, &json!({})).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+}
