Let no call of a replaced leader follow one of its successor

A leader repeats its call until the server leads, each time once a quorum has confirmed it; the call itself then waited in a starved process. The next leader only waited for calls that follow the choice of the server, which was older than a lease. Ruled out: the confirmation (it was given before the election). A leader that takes over a group for which a server is chosen waits for a lease of 1.6 s before its first call.

--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -110,6 +110,11 @@
     probed: BTreeMap<Name, Instant>,
     positions: BTreeMap<Name, Position>,
     proposed: Option<Proposal>,
+    /// Whether this leader has looked at the group before.
+    seen: bool,
+    /// When this leader took over a group for which an earlier one had chosen a server, and
+    /// may still be calling.
+    inherited_at: Option<Instant>,
     /// Intended term, and the time since which no keeper works for the old primary.
     sealed_since: Option<(Term, Instant)>,
     /// When the last designation was sent to the chosen server.
@@ -189,6 +194,10 @@
     pub fn step(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
         self.watches.retain(&context.group.seats);
         self.positions.retain(|server, _| context.group.seats.contains(server));
+        let chosen = matches!(context.group.phase, Phase::Chosen { .. });
+        if !std::mem::replace(&mut self.seen, true) && chosen {
+            self.inherited_at = Some(context.now);
+        }
         self.probe_seats(context, out);
         match (&context.group.phase, &context.group.primary) {
             (Phase::Settled, Some(primary)) => self.settled(context, primary, out),
@@ -449,9 +458,9 @@
             return self.intend(context, Cause::Unfinished, out);
         }
         // the designations of an earlier leader must have timed out before the first
-        // one of this leader
-        let early =
-            context.leadership.last_chosen.is_some_and(|at| now.since(at) <= LEASE_DURATION);
+        // one of this leader; an earlier leader repeats them until it is replaced
+        let is_early = |at: Option<Instant>| at.is_some_and(|at| now.since(at) <= LEASE_DURATION);
+        let early = is_early(context.leadership.last_chosen) || is_early(self.inherited_at);
         let recent = self.designated.is_some_and(|at| now.since(at) < DESIGNATE_INTERVAL);
         if early || recent || !self.watches.get_or_insert(server).accepts_order(now) {
             return;
--- a/components/control/tests/designation.rs
+++ b/components/control/tests/designation.rs
@@ -371,6 +371,25 @@
     assert_eq!(world.designated.first().map(|(_, token)| *token), Some(TOKEN + 1));
 }
 
+#[test]
+fn a_new_leader_waits_for_repeated_designations_of_a_choice_that_is_old() {
+    let mut world = World::new();
+    world.accepts_designation = false;
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    // the old leader repeats its designations until it is replaced, long after the choice
+    world.pass(2_500);
+    assert!(matches!(world.phase(), Phase::Chosen { .. }));
+    let leadership = Leadership { token: TOKEN + 1, last_chosen: None };
+    world.leader = Leader::with_leadership(world.now, leadership);
+    world.designated.clear();
+    world.pass(LEASE_DURATION.as_millis() as u64 - 200);
+    assert!(world.designated.is_empty(), "{:?}", world.designated);
+    world.pass(1_000);
+    assert_eq!(world.designated.first().map(|(_, token)| *token), Some(TOKEN + 1));
+}
+
 #[test]
 fn replaces_a_primary_that_leaves_by_one_that_stays() {
     let mut world = World::new();
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -243,13 +243,7 @@
             received.change_context_lazy(failure)?;
         }
         scope.spawn(link::serve(listener, endpoint.clone(), core.clone(), scope.clone()));
-        match origin {
-            Origin::Peers(peers) if replica.is_fresh() => {
-                scope.spawn(bootstrap::run(peers, endpoint.clone(), core.clone()));
-            }
-            Origin::Peers(_) => {}
-            Origin::Seeds(seeds) => scope.spawn(join::run(seeds, endpoint.clone(), core.clone())),
-        }
+        find_members(origin, replica.is_fresh(), &endpoint, &core, &scope);
         let routes = web::routes(Api::new(core.clone()), endpoint.clone())
             .merge(telemetry::web::routes(health.clone(), metrics))
             .merge(extra);
@@ -269,7 +263,13 @@
             links: Links::new(endpoint, scope.clone()),
             beacons,
             beacons_received: BTreeMap::new(),
-            probes: Probes::new(core.clone(), scope.clone(), settings.name, settings.adapter),
+            probes: Probes::new(
+                core.clone(),
+                scope.clone(),
+                settings.name,
+                settings.adapter,
+                settings.clock,
+            ),
             followers: Arena::new(),
             applied: Vec::new(),
             image: None,
@@ -300,6 +300,22 @@
     }
 }
 
+/// Starts the task that founds a membership or joins one.
+fn find_members(
+    origin: Origin,
+    fresh: bool,
+    endpoint: &link::Endpoint,
+    core: &input::Sender,
+    scope: &Scope,
+) {
+    let (endpoint, core) = (endpoint.clone(), core.clone());
+    match origin {
+        Origin::Peers(peers) if fresh => scope.spawn(bootstrap::run(peers, endpoint, core)),
+        Origin::Peers(_) => {}
+        Origin::Seeds(seeds) => scope.spawn(join::run(seeds, endpoint, core)),
+    }
+}
+
 fn own(settings: &Settings, addresses: Addresses, origin: &Origin, id: u64) -> Member {
     let peers = match origin {
         Origin::Peers(peers) => peers.as_slice(),
--- a/components/member/src/leader.rs
+++ b/components/member/src/leader.rs
@@ -13,6 +13,8 @@
 use crate::core::Core;
 use crate::input::NoLeader;
 use crate::pending::{Designation, Read};
+use crate::permit::Permit;
+use crate::probe::Request;
 
 impl Core {
     /// Passes an event to the control leader if this member leads.
@@ -29,13 +31,14 @@
                     self.quorum_events.push_back(quorum::Event::Propose { token, command });
                 }
                 Effect::Probe { group, server, address, ask: ask @ Ask::Designate { .. } } => {
-                    let designation = Designation { group, server, address, ask };
+                    let requested_at = now;
+                    let designation = Designation { group, server, address, ask, requested_at };
                     self.read(Read::Designate(designation), None);
                 }
                 Effect::Probe { group, server, address, ask } => {
                     let unfenced = self.state.acknowledges(group.as_str());
-                    self.leader_events
-                        .extend(self.probes.ask(group, server, address, ask, unfenced));
+                    let request = Request { group, ask, permit: None };
+                    self.leader_events.extend(self.probes.ask(server, address, request, unfenced));
                 }
             }
         }
@@ -47,10 +50,11 @@
         if self.leader.is_none() {
             return;
         }
-        let Designation { group, server, address, ask } = designation;
+        let Designation { group, server, address, ask, requested_at } = designation;
         info!(self.log, "designating a primary"; "group" => %group, "server" => %server,
             "term" => self.leadership.term);
-        self.leader_events.extend(self.probes.ask(group, server, address, ask, true));
+        let request = Request { group, ask, permit: Some(Permit::new(requested_at)) };
+        self.leader_events.extend(self.probes.ask(server, address, request, true));
     }
 
     /// Runs one tick of the control leader.
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -44,6 +44,7 @@
 mod meter;
 mod peers;
 mod pending;
+pub mod permit;
 mod probe;
 pub mod roster;
 pub mod standby;
--- a/components/member/src/pending.rs
+++ b/components/member/src/pending.rs
@@ -35,6 +35,8 @@
     pub(crate) server: Name,
     pub(crate) address: SocketAddr,
     pub(crate) ask: Ask,
+    /// When the quorum was asked to confirm the leader.
+    pub(crate) requested_at: Instant,
 }
 
 /// Purpose of a confirmed read: a linearizable read, for which a quorum confirms that
--- a/components/member/src/probe.rs
+++ b/components/member/src/probe.rs
@@ -10,6 +10,7 @@
 
 use backend::Probe as _;
 use backend::{Adapter, Promotion, sql};
+use base::clock::Clock;
 use base::prelude::*;
 use control::leader::STATUS_WAIT;
 use control::{Ask, Event, ProbeError};
@@ -17,6 +18,7 @@
 
 use crate::host::Scope;
 use crate::input::{Input, Sender};
+use crate::permit::Permit;
 
 /// Length of the request queue of one connection.
 const QUEUE_REQUESTS: usize = 16;
@@ -34,9 +36,11 @@
 
 /// A request to a server.
 #[derive(Debug)]
-struct Request {
-    group: Name,
-    ask: Ask,
+pub(crate) struct Request {
+    pub(crate) group: Name,
+    pub(crate) ask: Ask,
+    /// Time limit of a request that only the leader may send.
+    pub(crate) permit: Option<Permit>,
 }
 
 /// Request queues of all connections.
@@ -47,6 +51,7 @@
     /// Name of this member, sent as the holder with each promotion.
     own: Name,
     adapter: Option<Arc<dyn Adapter>>,
+    clock: Clock,
     queues: HashMap<Target, mpsc::Sender<Request>>,
 }
 
@@ -56,34 +61,35 @@
         scope: Scope,
         own: Name,
         adapter: Option<Arc<dyn Adapter>>,
+        clock: Clock,
     ) -> Self {
-        Self { core, scope, own, adapter, queues: HashMap::new() }
+        Self { core, scope, own, adapter, clock, queues: HashMap::new() }
     }
 
     /// Sends a request to a server; the core receives the answer as an input. If the
     /// request can't be queued, returns an event that reports the server as silent.
     pub(crate) fn ask(
         &mut self,
-        group: Name,
         server: Name,
         address: SocketAddr,
-        ask: Ask,
+        request: Request,
         unfenced: bool,
     ) -> Option<Event> {
-        let target = Target { server, address, order: ask != Ask::Status };
+        let target = Target { server, address, order: request.ask != Ask::Status };
         self.queues.retain(|_, queue| !queue.is_closed());
         if !self.queues.contains_key(&target) {
             let (queue, due) = mpsc::channel(QUEUE_REQUESTS);
             match self.adapter.clone().filter(|_| unfenced) {
                 Some(adapter) => {
-                    let access = Unfenced { group: group.clone(), own: self.own.clone(), adapter };
+                    let (group, own, clock) = (request.group.clone(), self.own.clone(), self.clock);
+                    let access = Unfenced { group, own, adapter, clock };
                     self.scope.spawn(run_unfenced(target.clone(), access, due, self.core.clone()));
                 }
                 None => self.scope.spawn(run(target.clone(), due, self.core.clone())),
             }
             self.queues.insert(target.clone(), queue);
         }
-        let put = self.queues.get(&target)?.try_send(Request { group, ask });
+        let put = self.queues.get(&target)?.try_send(request);
         let (mpsc::error::TrySendError::Full(unsent) | mpsc::error::TrySendError::Closed(unsent)) =
             put.err()?;
         Some(probed(unsent.group, target.server, unsent.ask, Err(ProbeError::Silent)))
@@ -112,6 +118,7 @@
     group: Name,
     own: Name,
     adapter: Arc<dyn Adapter>,
+    clock: Clock,
 }
 
 /// Serves the requests of one connection to a server of an unfenced group.
@@ -121,14 +128,15 @@
     mut due: mpsc::Receiver<Request>,
     core: Sender,
 ) {
-    let Unfenced { group, own, adapter } = access;
+    let Unfenced { group, own, adapter, clock } = access;
     let mut connection = adapter.connection(&group, &target.server, target.address);
     while let Ok(Some(request)) = tokio::time::timeout(IDLE_TIMEOUT, due.recv()).await {
         let status = match request.ask {
             Ask::Designate { token } => {
                 let (group, server, holder) = (group.clone(), target.server.clone(), own.clone());
                 let promotion = Promotion { group, server, holder, token };
-                match adapter.promote(promotion).await {
+                let left = request.permit.and_then(|permit| permit.remaining(clock.now()));
+                match promote(adapter.as_ref(), promotion, left).await {
                     Ok(()) => connection.status().await,
                     Err(report) => Err(report),
                 }
@@ -146,6 +154,17 @@
     }
 }
 
+/// Promotes a server within the time left. Without any, the request is not sent.
+async fn promote(
+    adapter: &dyn Adapter,
+    promotion: Promotion,
+    left: Option<Duration>,
+) -> Result<(), Report<backend::Failure>> {
+    let timeout = || Report::new(backend::Failure::Timeout);
+    let left = left.ok_or_else(timeout)?;
+    tokio::time::timeout(left, adapter.promote(promotion)).await.map_err(|_elapsed| timeout())?
+}
+
 /// An open connection.
 #[derive(Debug)]
 struct Connection {
