Bring no server back that left for good by a late announcement

Cause: the state forgot a server when it left, and only the leader of that time knew its newest announcement, for 3 s. After a change of leader or a restart a late announcement registered the server again, until it expired. Change: the state remembers the incarnations of the last 1,024 servers that left, images carry them, and a leader proposes no announcement of theirs. Tests: `a_late_announcement_brings_no_server_back_that_left_before_the_leader_started` (fails before), `only_the_newest_of_many_servers_that_left_are_remembered`.

--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -69,7 +69,7 @@
         let applied = match &command.body {
             Some(Body::Configure(configure)) => Ok(self.configure(index, configure)),
             Some(Body::Announce(announce)) => self.announce(announce),
-            Some(Body::Expire(expire)) => self.expire(expire),
+            Some(Body::Expire(expire)) => self.expire(index, expire),
             Some(Body::Join(join)) => self.join(join),
             Some(Body::Leave(departure)) => self.leave(index, departure),
             Some(Body::Assign(assign)) => self.assign(index, assign),
@@ -241,7 +241,7 @@
         if free || seats(known) { Ok(()) } else { Err(Refusal::Seats) }
     }
 
-    fn expire(&mut self, expire: &log::Expire) -> Result<Outcome, Refusal> {
+    fn expire(&mut self, index: u64, expire: &log::Expire) -> Result<Outcome, Refusal> {
         let server = self.servers.get_mut(expire.server.as_str()).ok_or(Refusal::Unknown)?;
         if server.incarnation != expire.incarnation {
             return Err(Refusal::Incarnation);
@@ -250,6 +250,7 @@
             self.servers.remove(expire.server.as_str());
             let name = Name::new(&expire.server).map_err(|_malformed| Refusal::Malformed)?;
             self.unseat(&name);
+            self.retire(name, expire.incarnation, index);
             return Ok(Outcome::Applied);
         }
         server.expired = true;
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -12,7 +12,7 @@
 use wire::{log, pack};
 
 use crate::changes::{Answer, Changes};
-use crate::state::{Entry, Group, Phase, Server, State};
+use crate::state::{Entry, Group, Phase, Retired, Server, State};
 
 /// Error for bytes that are no valid image.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +51,8 @@
     document: Bytes,
     #[prost(message, repeated, tag = "11")]
     departed: Vec<DepartedImage>,
+    #[prost(message, repeated, tag = "14")]
+    retired: Vec<RetiredImage>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -63,6 +65,16 @@
     index: u64,
 }
 
+#[derive(Clone, PartialEq, prost::Message)]
+struct RetiredImage {
+    #[prost(string, tag = "1")]
+    server: String,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    index: u64,
+}
+
 #[derive(Clone, PartialEq, prost::Message)]
 struct GroupImage {
     #[prost(string, tag = "1")]
@@ -144,6 +156,7 @@
             edition: self.edition,
             document: Bytes::new(),
             departed: self.departed.iter().map(write_departed).collect(),
+            retired: self.retired.iter().map(write_retired).collect(),
         }
     }
 
@@ -182,6 +195,7 @@
             servers: servers?,
             entries,
             departed: image.departed.iter().map(read_departed).collect::<Result<_, _>>()?,
+            retired: image.retired.iter().map(read_retired).collect::<Result<_, _>>()?,
             drained,
             changes,
         })
@@ -204,6 +218,16 @@
     Ok(((name(&image.entry)?, image.incarnation), image.index))
 }
 
+fn write_retired((server, retired): (&Name, &Retired)) -> RetiredImage {
+    let Retired { incarnation, index } = *retired;
+    RetiredImage { server: server.to_string(), incarnation, index }
+}
+
+fn read_retired(image: &RetiredImage) -> Result<(Name, Retired), Report<Malformed>> {
+    let retired = Retired { incarnation: image.incarnation, index: image.index };
+    Ok((name(&image.server)?, retired))
+}
+
 fn write_group((name, group): (&Name, &Group)) -> GroupImage {
     let chosen = match &group.phase {
         Phase::Chosen { server, start } => Some(log::Choose {
--- a/components/control/src/renewals.rs
+++ b/components/control/src/renewals.rs
@@ -55,6 +55,9 @@
         let Ok(new) = checked.map(|found| found.is_some()) else {
             return;
         };
+        if state.has_retired(&name, announce.incarnation) {
+            return;
+        }
         let renewal = self.renewal(now, name);
         let newest = (announce.incarnation, announce.sequence);
         if newest < renewal.newest {
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -16,6 +16,9 @@
 use crate::changes::Changes;
 use crate::lease::RESERVED_CONNECTIONS;
 
+/// Number of servers that left for good and are remembered.
+const MAX_RETIRED: usize = 1_024;
+
 /// Result of all commands of the control log up to an index.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct State {
@@ -33,6 +36,9 @@
     pub groups: BTreeMap<Name, Group>,
     /// Backend servers, by name.
     pub servers: BTreeMap<Name, Server>,
+    /// Servers that left for good, by name. A leader proposes no announcement of theirs, so
+    /// that a late one doesn't bring a server back.
+    pub retired: BTreeMap<Name, Retired>,
     /// Entries that are alive, by name.
     pub entries: BTreeMap<Name, Entry>,
     /// Incarnations of entries that were removed while they held leases and may not
@@ -116,6 +122,15 @@
     pub primary: bool,
 }
 
+/// A backend server that left for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Retired {
+    /// Incarnation that left.
+    pub incarnation: u64,
+    /// Index of the command that removed it.
+    pub index: u64,
+}
+
 /// An entry that is alive.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -154,6 +169,26 @@
         self.entries.get(entry).is_some_and(|known| known.sole && known.incarnation > incarnation)
     }
 
+    /// Whether an incarnation of a server, or a later one, left for good.
+    pub fn has_retired(&self, server: &Name, incarnation: u64) -> bool {
+        self.retired.get(server).is_some_and(|retired| retired.incarnation >= incarnation)
+    }
+
+    /// Records that an incarnation of a server left for good. Incarnation zero is that of
+    /// all starts of a server that numbers none, so it is not recorded.
+    pub(crate) fn retire(&mut self, server: Name, incarnation: u64, index: u64) {
+        if incarnation == 0 {
+            return;
+        }
+        self.retired.insert(server, Retired { incarnation, index });
+        if self.retired.len() > MAX_RETIRED {
+            let oldest = self.retired.iter().min_by_key(|(_, retired)| retired.index);
+            if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+                self.retired.remove(&oldest);
+            }
+        }
+    }
+
     /// Whether a group is declared.
     pub fn declares(&self, group: &str) -> bool {
         self.declarations.groups.contains_key(group)
--- a/components/control/tests/leader.rs
+++ b/components/control/tests/leader.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use control::lease::{LEASE_DURATION, LEASE_MARGIN};
 use control::{Ask, Effect, Event, Flaw, Leader, Outcome, Refusal, State};
-use wire::log::{Announce, Assign, Command, Configure, Establish, Join, Leave, command};
+use wire::log::{Announce, Assign, Command, Configure, Establish, Expire, Join, Leave, command};
 
 const TICK: Duration = control::leader::TICK;
 
@@ -524,3 +524,35 @@
     assert_eq!(proposals(410, 2), 1, "the entry has restarted");
     assert_eq!(proposals(1_000, 2), 1, "the first command may be lost");
 }
+
+#[test]
+fn a_late_announcement_brings_no_server_back_that_left_before_the_leader_started() {
+    let mut world = World::new(2, false);
+    let expire = Expire { server: "s1".to_owned(), incarnation: 1, left: true };
+    world.commit(command::Body::Expire(expire));
+    // all members restart: the state comes from an image, and the leader knows nothing else
+    world.state = State::decode(&world.state.encode()).expect("an image");
+    world.leader = Leader::new(world.now);
+    world.tell(Event::Announced(announce("s1", 2)));
+    assert!(!world.state.servers.contains_key("s1"), "an announcement that was held up");
+    let restarted = Announce { incarnation: 2, ..announce("s1", 2) };
+    world.tell(Event::Announced(restarted));
+    assert!(world.state.servers.contains_key("s1"), "the server was started again");
+}
+
+#[test]
+fn only_the_newest_of_many_servers_that_left_are_remembered() {
+    let mut state = State::default();
+    let content = r#"{"groups":{"g":{"servers":3}}}"#.to_owned();
+    let configure = Configure { change: "c".to_owned(), base: 0, content, patch: String::new() };
+    state.apply(1, &wrap(command::Body::Configure(configure)));
+    for index in 0..1_100 {
+        let server = format!("s{index}");
+        let announced = command::Body::Announce(announce(&server, 2));
+        state.apply(state.index + 1, &wrap(announced));
+        let expire = Expire { server, incarnation: 1, left: true };
+        state.apply(state.index + 1, &wrap(command::Body::Expire(expire)));
+    }
+    assert_eq!(state.retired.len(), 1_024);
+    assert!(state.has_retired(&name("s1099"), 1) && !state.has_retired(&name("s0"), 1));
+}
