--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -23,7 +23,6 @@
 pub mod lease;
 pub mod liveness;
 pub mod overview;
-pub mod placement;
 pub mod planner;
 pub mod rendezvous;
 pub mod renewals;
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -23,10 +23,9 @@
 use crate::flaw::Flaw;
 use crate::leader::{Effect, PROPOSAL_TIMEOUT};
 use crate::liveness::Liveness;
-use crate::placement::Placement;
-use crate::rendezvous::KEEPERS_PER_GROUP;
+use crate::rendezvous::{KEEPERS_PER_GROUP, keepers};
 use crate::split::{Allocation, split};
-use crate::state::{Group, Server, State};
+use crate::state::{Entry, Group, Server, State};
 
 /// Time for which a group without leases waits for more entries to join.
 pub const JOIN_WAIT: Duration = Duration::from_millis(120);
@@ -47,10 +46,28 @@
     proposed: BTreeMap<Name, (u64, Instant)>,
     /// Index of the state at the last planning pass, and its time.
     planned: Option<(u64, Instant)>,
-    placement: Placement,
+    /// Entries that may keep groups; [`Planner::targets`] is computed from them.
+    candidates: Vec<Candidate>,
+    /// Entries that should keep each group, chosen among the candidates.
+    targets: BTreeMap<Name, SmallVec<[Name; KEEPERS_PER_GROUP]>>,
     flaw: Flaw,
 }
 
+/// An entry that may keep groups.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Candidate {
+    name: Name,
+    zone: Name,
+}
+
+/// Least weight with which an entry may keep groups: half of the greatest weight,
+/// or zero if too few entries reach that.
+fn least_weight(weights: impl Iterator<Item = u32> + Clone) -> u32 {
+    let most = weights.clone().max().unwrap_or_default();
+    let strong = weights.filter(|&weight| weight >= most / 2).count();
+    if strong >= KEEPERS_PER_GROUP { most / 2 } else { 0 }
+}
+
 impl Planner {
     /// Creates a planner that knows no released leases yet.
     pub fn new(flaw: Flaw) -> Self {
@@ -59,7 +76,8 @@
             empty: BTreeMap::new(),
             proposed: BTreeMap::new(),
             planned: None,
-            placement: Placement::default(),
+            candidates: Vec::new(),
+            targets: BTreeMap::new(),
             flaw,
         }
     }
@@ -100,11 +118,7 @@
             return;
         }
         self.planned = Some((state.index, now));
-        let open = state
-            .entries
-            .iter()
-            .filter(|(name, entry)| !entry.draining && !liveness.has_left(name, entry.incarnation));
-        self.placement.update(now, state, open);
+        self.update_targets(state, liveness);
         self.returned.retain(|(group, _), generation| {
             state.groups.get(group).is_some_and(|group| group.generation == *generation)
         });
@@ -124,6 +138,31 @@
         }
     }
 
+    /// Updates the keepers that each group should have, if groups or candidates
+    /// changed.
+    fn update_targets(&mut self, state: &State, liveness: &Liveness) {
+        let open = state
+            .entries
+            .iter()
+            .filter(|(name, entry)| !entry.draining && !liveness.has_left(name, entry.incarnation));
+        let least = least_weight(open.clone().map(|(_, entry)| entry.weight));
+        let live = open.filter(|(_, entry)| entry.weight >= least);
+        let candidate = |(name, entry): (&Name, &Entry)| Candidate {
+            name: name.clone(),
+            zone: entry.zone.clone(),
+        };
+        let candidates: Vec<Candidate> = live.clone().map(candidate).collect();
+        if candidates != self.candidates {
+            self.candidates = candidates;
+            self.targets.clear();
+        }
+        self.targets.retain(|name, _| state.groups.contains_key(name));
+        for name in state.groups.keys() {
+            let find = || keepers(name, live.clone()).into_iter().cloned().collect();
+            self.targets.entry(name.clone()).or_insert_with(find);
+        }
+    }
+
     /// Whether the leases of a group may be planned: the group has leases, no entry is
     /// alive, or the group has waited for [`JOIN_WAIT`].
     fn is_ready(&mut self, now: Instant, state: &State, name: &Name, group: &Group) -> bool {
@@ -142,7 +181,7 @@
         name: &Name,
         group: &Group,
     ) -> Option<Vec<Lease>> {
-        let known = self.placement.keepers(name).filter(|_| state.declares(name.as_str()));
+        let known = self.targets.get(name).filter(|_| state.declares(name.as_str()));
         let targets: Targets<'_> = known.into_iter().flatten().collect();
         let mut leases: Vec<Lease> = group.leases.to_vec();
         leases.retain(|lease| !self.is_returned(name, group, lease));
--- a/components/control/src/rendezvous.rs
+++ b/components/control/src/rendezvous.rs
@@ -9,38 +9,24 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::state::Entry;
+
 /// Number of entries that keep a group.
 pub const KEEPERS_PER_GROUP: usize = 2;
 
-/// An entry that may keep groups.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Candidate {
-    /// Name of the entry.
-    pub name: Name,
-    /// Availability zone of the entry.
-    pub zone: Name,
-    hash: u64,
-}
-
-impl Candidate {
-    /// Makes a candidate of an entry.
-    pub fn new(name: Name, zone: Name) -> Self {
-        let hash = hash(&name);
-        Self { name, zone, hash }
-    }
-}
-
 /// The entries that keep a group, highest score first.
-pub fn keepers(group: &Name, candidates: &[Candidate]) -> SmallVec<[Name; KEEPERS_PER_GROUP]> {
+pub fn keepers<'a>(
+    group: &Name,
+    entries: impl Iterator<Item = (&'a Name, &'a Entry)> + Clone,
+) -> SmallVec<[&'a Name; KEEPERS_PER_GROUP]> {
     let group = hash(group);
-    let ranked = candidates.iter().map(|one| (score(group, one.hash), &one.name, one));
-    let Some((_, _, first)) = ranked.clone().max_by_key(|&(score, name, _)| (score, name)) else {
+    let best = |one: &(&'a Name, &Entry)| (score(group, hash(one.0)), one.0);
+    let Some(first) = entries.clone().max_by_key(best) else {
         return SmallVec::new();
     };
-    let others = ranked.filter(|(_, name, _)| **name != first.name);
-    let second = others.max_by_key(|&(score, name, one)| (one.zone != first.zone, score, name));
-    let second = second.map(|(_, _, second)| second);
-    std::iter::once(first).chain(second).map(|found| found.name.clone()).collect()
+    let others = entries.filter(|other| other.0 != first.0);
+    let second = others.max_by_key(|other| (other.1.zone != first.1.zone, best(other)));
+    std::iter::once(first.0).chain(second.map(|second| second.0)).collect()
 }
 
 fn hash(name: &Name) -> u64 {
