Refuse reads for load also while no replica shows their data

Since requests are shed after they were offered to free slots, a read that no replica could serve was parked by then, and only queued requests were shed. Change: parked reads that the primary may serve are shed as before. Test: `reads_beyond_what_the_primary_serves_are_refused_at_once_while_no_replica_shows_their_data` (fails before).

--- a/components/keeper/src/shedding.rs
+++ b/components/keeper/src/shedding.rs
@@ -34,7 +34,13 @@
             return false;
         };
         let objective = self.services.get(request.service).and_then(|service| service.objective);
-        let (Some(objective), Stage::Queued(lane)) = (objective, request.stage) else {
+        let lane = match request.stage {
+            Stage::Queued(lane) => Some(lane),
+            // no replica shows what the read needs, but the primary may serve it
+            Stage::Parked => self.unfenced_lane(now, request),
+            _ => None,
+        };
+        let (Some(objective), Some(lane)) = (objective, lane) else {
             return false;
         };
         let work = self.typical_run_time * self.waiting(lane);
--- a/components/keeper/tests/unfenced/overload.rs
+++ b/components/keeper/tests/unfenced/overload.rs
@@ -115,6 +115,40 @@
     assert!((100..=200).contains(&refused), "{refused}");
 }
 
+#[test]
+fn reads_beyond_what_the_primary_serves_are_refused_at_once_while_no_replica_shows_their_data() {
+    let mut bench = Bench::with_slots(2);
+    // both replicas are far behind
+    for _ in 0..2 {
+        bench.read(1_000, Some(Mark::new(1, 130)));
+        let (conn, server, ..) = bench.sent()[0].clone();
+        assert_ne!(server, "server-0");
+        bench.report(conn, b'I', Some(ErrorKind::Behind), Mark::new(1, 20));
+    }
+    let floor = Some(Mark::new(1, 130).into());
+    let busy = Run { service: "busy".into(), age_ms: 1_000, floor, ..Run::default() };
+    let busy = Run { class: Class::Read as i32, ..busy };
+    // the primary answers a few reads of 40 ms, so that their run time is known to be over
+    // half of that; the lag of the replicas counts as known for half a second
+    for _ in 0..8 {
+        bench.pass(10);
+        bench.run(busy.clone());
+        let sent = bench.sent();
+        bench.pass(40);
+        for (conn, ..) in sent {
+            bench.answer(conn, b'I', Mark::new(1, 130));
+        }
+    }
+    bench.out.clear();
+    for _ in 0..40 {
+        bench.run(busy.clone());
+    }
+    let ends = bench.ends();
+    // two slots run at most ten reads of 20 ms within the objective, beside the first two
+    assert!(ends.len() >= 28, "{} of 40 reads were refused at once", ends.len());
+    assert!(ends.iter().all(|end| end.reason() == Reason::QueueFull));
+}
+
 #[test]
 fn no_request_is_refused_if_the_servers_can_handle_the_load() {
     let ends = overload(40, 10, 400);
