--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -109,6 +109,7 @@
     /// When the last status probe was sent, by server.
     probed: BTreeMap<Name, Instant>,
     positions: BTreeMap<Name, Position>,
+    /// Last proposal of this leader.
     proposed: Option<Proposal>,
     /// Whether this leader has looked at the group before.
     seen: bool,
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -344,14 +344,13 @@
         if known.is_some_and(|known| known.incarnation >= entry.incarnation) {
             return;
         }
-        let proposal = (entry.incarnation, now);
-        if let Some((incarnation, at)) = self.joining.insert(name.clone(), proposal)
-            && incarnation == entry.incarnation
-            && now.since(at) < PROPOSAL_TIMEOUT
-        {
-            self.joining.insert(name, (incarnation, at));
+        let is_open = |&(incarnation, at): &(u64, Instant)| {
+            incarnation == entry.incarnation && now.since(at) < PROPOSAL_TIMEOUT
+        };
+        if self.joining.get(&name).is_some_and(is_open) {
             return;
         }
+        self.joining.insert(name, (entry.incarnation, now));
         out.push(Effect::propose(command::Body::Join(join)));
     }
 
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -133,7 +133,7 @@
     phase: watch::Sender<Phase>,
     next_session: AtomicU64,
     /// Budget of reads that leave a silent keeper early.
-    early: Mutex<patience::Early>,
+    early: Mutex<retry::Budget>,
     metrics: metrics::Metrics,
     counts: counts::Counts,
     log: Logger,
@@ -199,7 +199,7 @@
         cancels: Arc::default(),
         phase: watch::Sender::new(Phase::Open),
         next_session: AtomicU64::new(1),
-        early: Mutex::default(),
+        early: Mutex::new(retry::Budget::new(patience::EARLY_SHARE)),
         metrics,
         counts: counts::Counts::default(),
         log,
--- a/components/entry/src/front/patience.rs
+++ b/components/entry/src/front/patience.rs
@@ -17,7 +17,7 @@
 const PATIENCE_MIN: Duration = Duration::from_millis(100);
 
 /// Share of requests that may leave a keeper before [`RESPONSE_TIMEOUT`].
-const EARLY_SHARE: f64 = 0.1;
+pub const EARLY_SHARE: f64 = 0.1;
 
 /// Time limits of one request towards its keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,27 +45,9 @@
         silence > self.limit
     }
 
-    /// Whether a read leaves a keeper that was silent for the given time.
-    pub fn leaves(self, silence: Duration, early: &mut Early) -> bool {
-        silence > RESPONSE_TIMEOUT || (self.is_exceeded(silence) && early.budget.withdraw())
-    }
-}
-
-/// Budget of reads that leave a keeper before [`RESPONSE_TIMEOUT`].
-#[derive(Clone, Copy, Debug)]
-pub struct Early {
-    budget: Budget,
-}
-
-impl Default for Early {
-    fn default() -> Self {
-        Self { budget: Budget::new(EARLY_SHARE) }
-    }
-}
-
-impl Early {
-    /// Counts a request.
-    pub fn deposit(&mut self) {
-        self.budget.deposit();
+    /// Whether a read leaves a keeper that was silent for the given time. `early` is the
+    /// budget of the reads that leave before [`RESPONSE_TIMEOUT`].
+    pub fn leaves(self, silence: Duration, early: &mut Budget) -> bool {
+        silence > RESPONSE_TIMEOUT || (self.is_exceeded(silence) && early.withdraw())
     }
 }
--- a/components/quorum/src/election.rs
+++ b/components/quorum/src/election.rs
@@ -113,8 +113,8 @@
     }
 
     pub(crate) fn on_pre_vote(&mut self, now: Instant, from: u64, term: u64, vote: Vote) {
-        let votes = !self.barrier.is_hard_durable();
-        let eligible = term > self.hard.term && !votes && !self.has_active_leader(now);
+        let settled = self.barrier.is_hard_durable() && !self.has_active_leader(now);
+        let eligible = term > self.hard.term && settled;
         let granted = eligible && self.is_current(vote);
         let term = if granted { term } else { self.hard.term };
         let message = self.message(from, term, Body::PreVoted(Voted { granted }));
