Identify callers of plain statements by a key of their team

Callers of plain statements gave a key that was dropped, and backend servers saw one constant client name. A deployment with teams needs to know whose statement runs.

Declarations hold teams with digests of their keys and an optional quota. A caller whose key identifies no team is refused, also on an open session once the key is withdrawn. Without teams nothing changes.

--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -1,11 +1,12 @@
 //! Validation of declarations as a whole.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use base::name::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Class, Declarations, Limits, Measure, Selector, Service};
+use crate::model::{Class, Declarations, Limits, Measure, Selector, Service, Team};
 
 /// Largest number of servers that a group may declare.
 pub const MAX_SERVERS: u32 = 15;
@@ -45,6 +46,10 @@
     ReadOnly,
     /// A statement prefix that isn't blank.
     Statement,
+    /// Keys that no other team holds.
+    UniqueKeys,
+    /// A finite number of at least 0.
+    NotNegative,
 }
 
 impl fmt::Display for Allowed {
@@ -60,6 +65,8 @@
             ),
             Self::ReadOnly => f.write_str("this is allowed for the class `read` only"),
             Self::Statement => f.write_str("the beginning of a statement is allowed, not empty"),
+            Self::UniqueKeys => f.write_str("only keys that no other team holds are allowed"),
+            Self::NotNegative => f.write_str("a finite number of at least 0 is allowed"),
         }
     }
 }
@@ -112,6 +119,9 @@
             );
             check_limits(&mut violations, ["databases", name.as_str()], &database.limits);
         }
+        if let Some(teams) = &self.teams {
+            check_teams(&mut violations, teams);
+        }
         violations.0
     }
 
@@ -140,6 +150,22 @@
     }
 }
 
+fn check_teams(violations: &mut Violations, teams: &BTreeMap<Name, Team>) {
+    let mut known = BTreeSet::new();
+    for (name, team) in teams {
+        let unique = team.keys.iter().filter(|key| !known.insert(**key)).count() == 0;
+        violations.check(unique, &["teams", name.as_str(), "keys"], Allowed::UniqueKeys);
+        let Some(quota) = team.quota else { continue };
+        let path = |key| ["teams", name.as_str(), "quota", key];
+        violations.check(
+            is_not_negative(quota.rate_per_s),
+            &path("rate_per_s"),
+            Allowed::NotNegative,
+        );
+        violations.check(is_not_negative(quota.burst), &path("burst"), Allowed::NotNegative);
+    }
+}
+
 fn check_service(violations: &mut Violations, name: &Name, service: &Service) {
     let name = name.as_str();
     violations.check(service.weight > 0, &["services", name, "weight"], Allowed::Positive);
@@ -166,6 +192,10 @@
     violations.check(is_share(limits.retry_share), &limit("retry_share"), Allowed::Share);
 }
 
+fn is_not_negative(value: f64) -> bool {
+    value >= 0.0 && value.is_finite()
+}
+
 fn is_share(value: f64) -> bool {
     (0.0..=1.0).contains(&value)
 }
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -2,6 +2,7 @@
 //! queries that the data path runs on it.
 //!
 //! - [`model`]: the declarations as types.
+//! - [`key`]: digests of the keys by which callers are identified.
 //! - [`check`]: validation of the declarations as a whole.
 //! - [`text`]: the canonical text of declarations.
 //! - [`files`]: reading declarations from a directory of TOML files.
@@ -13,6 +14,7 @@
 pub mod check;
 pub mod diff;
 pub mod files;
+pub mod key;
 pub mod model;
 pub mod patch;
 pub mod policy;
@@ -21,8 +23,10 @@
 pub use check::{Allowed, Violation};
 pub use diff::{Change, diff};
 pub use files::{Diagnostic, Problem, Problems};
+pub use key::Digest;
 pub use model::{
-    Class, Database, Declarations, Group, Kind, Labels, Limits, Objective, Selector, Service,
+    Class, Database, Declarations, Group, Kind, Labels, Limits, Objective, Quota, Selector,
+    Service, Team,
 };
 pub use patch::Patch;
 pub use policy::Rule;
--- a/components/config/src/model.rs
+++ b/components/config/src/model.rs
@@ -3,12 +3,14 @@
 //! Operators write declarations as TOML. The control log carries them as their
 //! canonical text, which is JSON (see [`crate::text`]).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use base::name::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::key::Digest;
+
 /// Labels of a service or a backend server.
 pub type Labels = BTreeMap<Name, Name>;
 
@@ -29,6 +31,35 @@
     /// connect to a database.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub databases: BTreeMap<Name, Database>,
+    /// Teams, by name; `None` if callers of databases aren't identified.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub teams: Option<BTreeMap<Name, Team>>,
+}
+
+/// A team, whose callers are identified by one of its keys.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Digests of the keys that identify callers of the team.
+    #[serde(default)]
+    pub keys: BTreeSet<Digest>,
+    /// Priority of the team among teams whose requests have the same priority; zero is the
+    /// highest.
+    #[serde(default)]
+    pub priority: u32,
+    /// Limit on the operations of the team over all entries; `None` for no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota: Option<Quota>,
+}
+
+/// Rate limit of a team. An operation is a single statement or a whole transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Quota {
+    /// Operations per second that are allowed in the long run.
+    pub rate_per_s: f64,
+    /// Operations that are allowed at once after a rest.
+    pub burst: f64,
 }
 
 /// A database group. The servers of a group aren't declared: they announce
@@ -80,6 +111,9 @@
     /// Limits on the requests and transactions of the database's callers.
     #[serde(default)]
     pub limits: Limits,
+    /// Whether callers need no key of a team.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// A service, whose callers share a login, limits and objectives.
--- a/components/config/src/policy.rs
+++ b/components/config/src/policy.rs
@@ -5,6 +5,7 @@
 
 use base::name::Name;
 
+use crate::key::Digest;
 use crate::model::{Class, Declarations, Kind, Labels, Limits, Selector, Service};
 
 /// Weight of the service that a database implies; databases declare no weight.
@@ -59,6 +60,12 @@
         self.databases.get(service).is_some_and(|database| database.group.as_str() == group)
     }
 
+    /// Name of the team that holds a key.
+    pub fn team_of(&self, key: &Digest) -> Option<&Name> {
+        let teams = self.teams.as_ref()?;
+        teams.iter().find(|(_, team)| team.keys.contains(key)).map(|(name, _)| name)
+    }
+
     /// Name, weight and limits of a service that is declared, or that a declared
     /// database implies.
     pub fn limits(&self, service: &str) -> Option<(&Name, u32, &Limits)> {
--- a/components/entry/src/front/attempt.rs
+++ b/components/entry/src/front/attempt.rs
@@ -183,5 +183,6 @@
         Reason::TooLarge => "the answer is too large to be held back",
         Reason::Cancelled => "it was cancelled",
         Reason::RetryBudget => "the service spent its retries",
+        Reason::Quota => "the quota of the team is used up",
     }
 }
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -131,6 +131,8 @@
     keepers: keepers::Keepers,
     cancels: Arc<cancels::Cancels>,
     phase: watch::Sender<Phase>,
+    /// Version of the declarations that the entry has applied.
+    version: watch::Sender<u64>,
     next_session: AtomicU64,
     /// Budget of reads that leave a silent keeper early.
     early: Mutex<retry::Budget>,
@@ -198,6 +200,7 @@
         keepers: links,
         cancels: Arc::default(),
         phase: watch::Sender::new(Phase::Open),
+        version: watch::Sender::new(0),
         next_session: AtomicU64::new(1),
         early: Mutex::new(retry::Budget::new(patience::EARLY_SHARE)),
         metrics,
@@ -352,6 +355,7 @@
         });
         if current != version {
             version = current;
+            front.version.send_replace(version);
             front.counts.retain(&declarations);
         }
     }
--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -7,10 +7,12 @@
 //! - `conn`: the connection of a caller.
 //! - `caller`: the session of a caller, statement by statement.
 //! - `buffer`: buffers an answer until it is complete.
+//! - `login`: the database and the team of a caller.
 
 mod buffer;
 mod caller;
 mod conn;
+mod login;
 
 use std::sync::Arc;
 
@@ -24,6 +26,7 @@
 use super::dispatch::expects_lease;
 use caller::Caller;
 use conn::Conn;
+use login::Login;
 
 /// Time limit for the first message of a caller and its answer.
 const START_TIMEOUT: Duration = Duration::from_secs(5);
@@ -39,41 +42,38 @@
     }
     let mut conn = Conn::new(io, dialect);
     let started = tokio::time::timeout(START_TIMEOUT, start(&front, &mut conn)).await;
-    if let Ok(Ok(Some(database))) = started {
-        conn = Caller::new(front, conn, database).serve().await;
+    if let Ok(Ok(Some(login))) = started {
+        conn = Caller::new(front, conn, login).serve().await;
     }
     conn.close().await;
 }
 
-/// Reads and answers the first message. Returns the database that the caller named,
-/// or `None` if the connection is to be closed.
-async fn start(front: &Front, conn: &mut Conn) -> Result<Option<Name>, Report<Disconnect>> {
+/// Reads and answers the first message. Returns the login of the caller, or `None` if
+/// the connection is to be closed.
+async fn start(front: &Front, conn: &mut Conn) -> Result<Option<Login>, Report<Disconnect>> {
     let request = conn.next().await?;
     wait_for_lease(front).await;
-    let known = match &request {
-        Some(Request::Start { database }) => {
-            let known = |state: &control::State| {
-                state.declarations.databases.get_key_value(database.as_str()).map(|d| d.0.clone())
-            };
-            front.view.read(known)
-        }
-        Some(Request::Query(_) | Request::Terminate) | None => {
-            conn.put(&Answer::Problem(Problem::Malformed));
-            return Ok(None);
-        }
+    let Some(Request::Start { database, key }) = request else {
+        conn.put(&Answer::Problem(Problem::Malformed));
+        return Ok(None);
     };
+    let found = front.view.read(|state| Login::new(&state.declarations, &database, &key));
     if !front.view.has_lease(front.clock.now()) {
-        // without a lease nothing can be run, and the database may be declared in a
-        // newer state that this entry has not received
+        // without a lease nothing can be run, and the database or the key may be declared
+        // in a newer state that this entry has not received
         conn.put(&Answer::Problem(Problem::Busy));
         return Ok(None);
     }
-    let Some(database) = known else {
-        conn.put(&Answer::Problem(Problem::Database));
-        return Ok(None);
-    };
-    conn.put(&Answer::Ready(Status::Idle));
-    Ok(Some(database))
+    match found {
+        Ok(login) => {
+            conn.put(&Answer::Ready(Status::Idle));
+            Ok(Some(login))
+        }
+        Err(problem) => {
+            conn.put(&Answer::Problem(problem));
+            Ok(None)
+        }
+    }
 }
 
 /// Waits for the renewal of a lease that expired a moment ago.
--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -17,6 +17,7 @@
 
 use super::buffer::Buffer;
 use super::conn::Conn;
+use super::login::Login;
 use crate::front::attempt::Attempt;
 use crate::front::conn::Disconnect;
 use crate::front::dispatch::{Dispatch, millis};
@@ -46,7 +47,9 @@
     front: Arc<Front>,
     conn: Conn,
     phase: watch::Receiver<Phase>,
-    database: Name,
+    /// Version of the declarations that the front has applied.
+    version: watch::Receiver<u64>,
+    login: Login,
     /// Number of the session at keepers.
     number: u64,
     /// Mark of the newest write of the session; reads of the session must not show
@@ -70,13 +73,14 @@
 
 impl Caller {
     /// Makes the session of a caller on a database.
-    pub(super) fn new(front: Arc<Front>, conn: Conn, database: Name) -> Self {
+    pub(super) fn new(front: Arc<Front>, conn: Conn, login: Login) -> Self {
         Self {
             number: front.next_session_number(),
             phase: front.phase.subscribe(),
+            version: front.version.subscribe(),
             front,
             conn,
-            database,
+            login,
             floor: None,
             values: BTreeMap::new(),
             prepared: BTreeMap::new(),
@@ -128,12 +132,32 @@
                 self.conn.fill().await?;
                 continue;
             }
-            if !wait_for_input(&mut self.phase, self.conn.fill()).await? {
+            if !self.wait_idle().await? {
                 return Ok(None);
             }
         }
     }
 
+    /// Waits for input between two requests. Returns whether the caller is still to be
+    /// served: not if the front stops or loses its lease, or if the caller's key was
+    /// withdrawn.
+    async fn wait_idle(&mut self) -> Result<bool, Report<Disconnect>> {
+        loop {
+            tokio::select! {
+                biased;
+                served = wait_for_input(&mut self.phase, self.conn.fill()) => return served,
+                Ok(()) = self.version.changed() => {
+                    let identified = |state: &control::State| {
+                        self.login.team(&state.declarations).is_ok()
+                    };
+                    if !self.front.view.read(identified) {
+                        return Ok(false);
+                    }
+                }
+            }
+        }
+    }
+
     async fn query(&mut self, query: Query) -> Result<(), Report<Disconnect>> {
         let Query { id, text, statement } = query;
         let Some(statement) = statement else {
@@ -275,6 +299,13 @@
         self.conn.flush().await
     }
 
+    /// Answers a statement of a caller whose key was withdrawn, and ends its session.
+    async fn refuse_login(&mut self, problem: Problem) -> Result<(), Report<Disconnect>> {
+        self.conn.put(&Answer::Problem(problem));
+        self.conn.flush().await?;
+        Err(Report::new(Disconnect::Closed))
+    }
+
     /// Tells the keeper to roll back the transaction and forget the session, if a
     /// transaction is open there. The session continues under a new number.
     async fn release_session(&mut self) {
@@ -286,11 +317,13 @@
 
     /// Runs a statement at a keeper and answers the caller.
     async fn run(&mut self, work: Work) -> Result<(), Report<Disconnect>> {
-        let database = |state: &control::State| {
-            let found = state.declarations.databases.get(self.database.as_str()).cloned();
-            (found, state.version)
+        let read = |state: &control::State| {
+            let declarations = &state.declarations;
+            let found = declarations.databases.get(self.login.database.as_str()).cloned();
+            let team = self.login.team(declarations).map(Option::<&Name>::cloned);
+            (found, team, state.version)
         };
-        let (declared, version) = self.front.view.read(database);
+        let (declared, team, version) = self.front.view.read(read);
         let Some(declared) = declared else {
             return self.fail(Problem::Database).await;
         };
@@ -298,6 +331,11 @@
             Transaction::Open { link, group, .. } => Some((Arc::clone(link), group.clone())),
             _ => None,
         };
+        // a transaction that is open at a keeper may end after its key was withdrawn
+        let team = match team {
+            Err(problem) if open.is_none() => return self.refuse_login(problem).await,
+            team => team.unwrap_or_default(),
+        };
         let (link, group) = match open {
             Some((link, group)) => (Some(link), group),
             None => (None, declared.group.clone()),
@@ -305,7 +343,8 @@
         let started = self.front.clock.now();
         let deadline = Duration::from_millis(declared.limits.deadline_ms);
         let objective = Duration::from_millis(declared.objective_ms);
-        let run = self.build_request(&work, &declared, &group, link.is_some(), version);
+        let within = link.is_some();
+        let run = self.build_request(&work, &declared, &group, team.as_ref(), within, version);
         let front = Arc::clone(&self.front);
         let class = if work.access == Access::Read { Class::Read } else { Class::Write };
         let mut dispatch = Dispatch {
@@ -352,7 +391,7 @@
         }
         let answered = Answered {
             request: &String::from_utf8_lossy(&work.task.id),
-            database: &self.database,
+            database: &self.login.database,
             group,
             access: &work.access.to_string(),
             done,
@@ -371,6 +410,7 @@
         work: &Work,
         declared: &Database,
         group: &Name,
+        team: Option<&Name>,
         within: bool,
         version: u64,
     ) -> Run {
@@ -381,7 +421,7 @@
         Run {
             request: 0,
             caller: self.number,
-            service: self.database.to_string(),
+            service: self.login.database.to_string(),
             group: group.to_string(),
             class: class as i32,
             in_transaction: within,
@@ -395,6 +435,7 @@
             version,
             trace: String::from_utf8_lossy(&work.task.id).into_owned(),
             commits: work.commits || work.ends,
+            team: team.map_or_else(String::new, Name::to_string),
         }
     }
 
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -108,6 +108,7 @@
             version: work.admission.version,
             trace: format!("{}/{}.{}", self.front.name, session.number, session.cycles),
             commits: work.commits,
+            team: String::new(),
         }
     }
 
--- a/components/entry/src/keep/plain.rs
+++ b/components/entry/src/keep/plain.rs
@@ -55,8 +55,8 @@
 pub(super) fn open(
     shard: &Arc<Shard>,
     conn: Key<Connection>,
-    server: Name,
-    address: SocketAddr,
+    (server, address): (Name, SocketAddr),
+    team: Option<Name>,
     dialect: Arc<dyn Dialect>,
 ) -> Control {
     let (commands, command_queue) = mpsc::channel(QUEUE_COMMANDS);
@@ -65,7 +65,8 @@
     let task = tokio::spawn(async move {
         // owned by the task, so that the guard is also dropped when the task is aborted
         let guard = CloseGuard { shard, conn };
-        let result = run(&guard.shard, conn, server.clone(), address, dialect, command_queue).await;
+        let target = (server.clone(), address);
+        let result = run(&guard.shard, conn, target, team, dialect, command_queue).await;
         if let Err(report) = result {
             slog::debug!(guard.shard.log(), "connection to a backend server failed";
                 "server" => %server, "error" => %report);
@@ -77,8 +78,8 @@
 async fn run(
     shard: &Arc<Shard>,
     conn: Key<Connection>,
-    server: Name,
-    address: SocketAddr,
+    (server, address): (Name, SocketAddr),
+    team: Option<Name>,
     dialect: Arc<dyn Dialect>,
     mut commands: mpsc::Receiver<Command>,
 ) -> Result<(), Report<Failure>> {
@@ -105,7 +106,7 @@
         prepared: HashMap::new(),
         work: None,
     };
-    let start = Order::Start { group: shard.name().clone(), server: server.clone() };
+    let start = Order::Start { group: shard.name().clone(), server: server.clone(), team };
     let ready = tokio::time::timeout(OPEN_TIMEOUT, session.start(start)).await;
     let mark = match ready.change_context(Failure::Timeout).and_then(|ready| ready) {
         Ok(mark) => mark,
--- a/components/entry/src/keep/shard.rs
+++ b/components/entry/src/keep/shard.rs
@@ -202,11 +202,11 @@
 
     fn execute(self: &Arc<Self>, tasks: &mut TaskSet, effect: Effect) {
         match effect {
-            Effect::Connect { conn, server, address } => {
+            Effect::Connect { conn, server, address, team } => {
                 self.host.metrics.count(Count::Opened);
                 let dialect = self.host.dialect.clone().filter(|_| tasks.unfenced);
                 let control = match dialect {
-                    Some(dialect) => plain::open(self, conn, server, address, dialect),
+                    Some(dialect) => plain::open(self, conn, (server, address), team, dialect),
                     None => conn::open(self, conn, address),
                 };
                 tasks.conns.insert(conn, control);
--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -263,7 +263,7 @@
         };
         while self.connection_count(key) < limit && wanted(self, opening) {
             let conn = self.conns.insert(Connection::new(key));
-            out.push(Effect::Connect { conn, server: name.clone(), address });
+            out.push(Effect::Connect { conn, server: name.clone(), address, team: None });
             opening += 1;
         }
     }
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -251,6 +251,8 @@
         server: Name,
         /// Address of the server.
         address: SocketAddr,
+        /// Team whose requests the connection runs; `None` if callers have no team.
+        team: Option<Name>,
     },
     /// Send client messages to a server.
     Send {
--- a/components/keeper/tests/unfenced/bench.rs
+++ b/components/keeper/tests/unfenced/bench.rs
@@ -21,8 +21,14 @@
 
 pub fn declarations() -> Declarations {
     let limits = Limits { retry_share: 1.0, ..Limits::default() };
-    let database =
-        Database { group: name("group"), age_ms: 1_000, priority: 0, objective_ms: 0, limits };
+    let database = Database {
+        group: name("group"),
+        age_ms: 1_000,
+        priority: 0,
+        objective_ms: 0,
+        limits,
+        public: false,
+    };
     let group = config::Group { servers: 15, acknowledges: true, ..config::Group::default() };
     let busy = Database { objective_ms: 100, ..database.clone() };
     Declarations {
--- a/components/plain/src/answer.rs
+++ b/components/plain/src/answer.rs
@@ -44,6 +44,8 @@
     Timeout,
     /// No database has the requested name.
     Database,
+    /// The caller's key identifies no team.
+    Key,
     /// The text is not a valid statement, or the statement is not allowed here.
     Malformed,
     /// No prepared statement has the requested name.
--- a/components/plain/src/server.rs
+++ b/components/plain/src/server.rs
@@ -15,6 +15,8 @@
         group: Name,
         /// Expected name of the server.
         server: Name,
+        /// Team whose statements the session runs; `None` if callers have no team.
+        team: Option<Name>,
     },
     /// Runs a caller's statement unchanged.
     Run {
--- a/components/plain/src/statement.rs
+++ b/components/plain/src/statement.rs
@@ -9,6 +9,8 @@
     Start {
         /// Name of the database.
         database: String,
+        /// Key that identifies the caller; empty if the caller gave none.
+        key: Bytes,
     },
     /// Runs a statement.
     Query(Query),
--- a/components/wire/src/data.rs
+++ b/components/wire/src/data.rs
@@ -115,6 +115,9 @@
     /// Whether the payload ends a transaction (COMMIT, END) or may end one.
     #[prost(bool, tag = "16")]
     pub commits: bool,
+    /// Name of the caller's team; empty if callers have no team.
+    #[prost(string, tag = "17")]
+    pub team: String,
 }
 
 /// Flow control: allows the keeper to send more of an answer.
@@ -248,6 +251,8 @@
     Cancelled = 12,
     /// The service's retry budget is exhausted.
     RetryBudget = 13,
+    /// The quota of the caller's team is used up.
+    Quota = 14,
 }
 
 /// The end of an answer, which is the last message of a request.
