Run the requests of a team on connections of that team only

Cause: a server of an unfenced group learns the team's name when a session is started, and a reset keeps it, so a connection serves one team. The keeper sent requests of any team on any idle connection, and opened connections without a team ahead of demand.

Change: a connection belongs to the team of the request that it was opened for. Connections are opened for waiting requests in the order of the queues; an opening occupies a slot. At the connection limit, the least recently used idle connection of another team is closed first, and the new one is opened only after that close was observed. The flows of the fair queues are services and teams, so that a request without a connection holds up its own flow only. One connection to each server is kept, since a server without any is not known to be usable. A transaction is rolled back if its session changes team.

Ruled out: one warm connection for each team, 168 for each server where 56 are allowed.

Touches Lanes (key of the flows) and reads.rs (ready_slots by team).

--- a/components/keeper/src/admission.rs
+++ b/components/keeper/src/admission.rs
@@ -55,6 +55,15 @@
         {
             self.abandon(now, conn, out);
         }
+        let Some(team) = self.team_named(&run.team) else {
+            out.push(Effect::End { front, end: refused(&run, &Refusal::new(Reason::Refused)) });
+            return None;
+        };
+        if let Some(conn) = self.pins.get(&owner).copied()
+            && self.conns.get(conn).is_some_and(|conn| conn.team != team)
+        {
+            self.abandon(now, conn, out);
+        }
         let pinned = self.pins.get(&owner).copied();
         let service = match self.admit(&run, pinned) {
             Ok(service) => service,
@@ -64,7 +73,7 @@
             }
         };
         let number = run.request;
-        let key = self.requests.insert(Request::new(now, front, service, run));
+        let key = self.requests.insert(Request::new(now, front, (service, team), run));
         self.by_number.insert((front, number), key);
         if let Some(service) = self.services.get_mut(service) {
             service.open_requests += 1;
@@ -110,12 +119,12 @@
             return;
         };
         request.stage = Stage::Queued(lane);
-        let service = request.service;
-        let weight = self.services.get(service).map_or(1, |service| service.weight);
+        let flow = request.flow();
+        let weight = self.services.get(flow.0).map_or(1, |service| service.weight);
         match lane {
-            Lane::Primary => self.lanes.primary.push(service, weight, key),
-            Lane::Spare => self.lanes.spare.push(service, weight, key),
-            Lane::Replica => self.lanes.replica.push(service, weight, key),
+            Lane::Primary => self.lanes.primary.push(flow, weight, key),
+            Lane::Spare => self.lanes.spare.push(flow, weight, key),
+            Lane::Replica => self.lanes.replica.push(flow, weight, key),
         }
     }
 
--- a/components/keeper/src/conn.rs
+++ b/components/keeper/src/conn.rs
@@ -6,6 +6,7 @@
 use crate::request::Request;
 use crate::server::Server;
 use crate::service::Service;
+use crate::teams::Team;
 
 /// ReadyForQuery status byte outside of a transaction.
 pub(crate) const IDLE: u8 = b'I';
@@ -28,6 +29,13 @@
 #[derive(Debug)]
 pub struct Connection {
     pub(crate) server: Key<Server>,
+    /// Team that was named to the server when the session was started. The
+    /// connection runs requests of this team only.
+    pub(crate) team: Key<Team>,
+    /// Whether opening the connection occupies one of the server's slots.
+    pub(crate) opening_uses_slot: bool,
+    /// Team for whose connection this one is being closed.
+    pub(crate) room_for: Option<Key<Team>>,
     pub(crate) work: Work,
     /// Status byte of the last ReadyForQuery.
     pub(crate) status: u8,
@@ -69,9 +77,12 @@
 }
 
 impl Connection {
-    pub(crate) fn new(server: Key<Server>) -> Self {
+    pub(crate) fn new(server: Key<Server>, team: Key<Team>, opening_uses_slot: bool) -> Self {
         Self {
             server,
+            team,
+            opening_uses_slot,
+            room_for: None,
             work: Work::Opening,
             status: IDLE,
             owner: None,
@@ -90,12 +101,14 @@
     /// Whether the connection occupies one of the server's slots. Reading the
     /// log position after a cycle needs no slot.
     pub(crate) fn uses_slot(&self) -> bool {
-        matches!(
-            self.work,
-            Work::Busy(_)
-                | Work::Sampling(_)
-                | Work::RollingBack(_)
-                | Work::Closing { uses_slot: true }
-        )
+        let opens = self.work == Work::Opening && self.opening_uses_slot;
+        opens
+            || matches!(
+                self.work,
+                Work::Busy(_)
+                    | Work::Sampling(_)
+                    | Work::RollingBack(_)
+                    | Work::Closing { uses_slot: true }
+            )
     }
 }
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -159,7 +159,8 @@
         let Some(request) = self.requests.get_mut(key) else {
             return self.abort_conn(now, conn, out);
         };
-        let (service, owner, orphan) = (request.service, request.owner(), request.orphan);
+        let (service, flow) = (request.service, request.flow());
+        let (owner, orphan) = (request.owner(), request.orphan);
         let holds = request.holds_answer();
         let attempt = &mut request.attempt;
         attempt.completion = Some(Completion { at: now, failed });
@@ -167,7 +168,7 @@
         attempt.durable = attempt.primary && (attempt.committed || (holds && status == IDLE));
         let (durable, primary, term) = (attempt.durable, attempt.primary, attempt.term);
         let sent_at = attempt.sent_at;
-        self.charge(now, service, primary, sent_at);
+        self.charge(now, flow, primary, sent_at);
         if status == IDLE {
             self.unpin(conn);
             if durable && !orphan {
--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::group::Group;
 use crate::request::{Attempt, Request, Stage};
 use crate::server::Server;
-use crate::service::Service;
+use crate::service::Flow;
 
 /// Idle connections kept per server in addition to one for each slot.
 const SPARE_CONNECTIONS: u32 = 1;
@@ -22,7 +22,7 @@
 const MAX_OPENING: u32 = 4;
 
 /// Time after which an idle connection beyond the number to keep is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(10);
+pub(crate) const IDLE_LIMIT: Duration = Duration::from_secs(10);
 
 impl Group {
     /// Sends all requests that can run now, then opens and closes connections
@@ -109,17 +109,23 @@
         if !reached || request.floor.is_some_and(|floor| floor.term > term) {
             return Verdict::Skip;
         }
-        let conn = self.idle(server).filter(|_| self.free_slots(server) > 0);
-        let Some(conn) = conn else {
+        let caller_team = request.team;
+        if self.free_slots(server) == 0 {
             return Verdict::Stop;
-        };
-        self.send(now, key, conn, None, out);
-        Verdict::Take
+        }
+        if let Some(conn) = self.idle_of(server, caller_team) {
+            self.send(now, key, conn, None, out);
+            return Verdict::Take;
+        }
+        if !self.opens_on_demand(caller_team) {
+            return Verdict::Stop;
+        }
+        self.open_for(now, server, caller_team, out);
+        Verdict::Skip
     }
 
     fn dispatch_replicas(&mut self, now: Instant, out: &mut Vec<Effect>) {
-        let ready = |key| self.ready_slots(key) > 0;
-        if self.lanes.replica.is_empty() || !self.servers.iter().any(|(key, _)| ready(key)) {
+        if self.lanes.replica.is_empty() || !self.has_ready_server() {
             return;
         }
         let mut queue = std::mem::take(&mut self.lanes.replica);
@@ -137,10 +143,11 @@
             self.park(key);
             return Verdict::Take;
         }
+        let team = request.team;
         let Some(best) = choose(found) else {
-            return Verdict::Skip;
+            return self.open_for_read(now, key, out);
         };
-        let Some(conn) = self.idle(best.server) else {
+        let Some(conn) = self.idle_of(best.server, team) else {
             return Verdict::Skip;
         };
         self.send(now, key, conn, best.mark, out);
@@ -251,19 +258,24 @@
             return;
         }
         let (limit, warm) = (server.connections, server.slots + SPARE_CONNECTIONS);
-        let (name, address) = (server.name.clone(), server.address);
         let probes = self.is_unfenced() && server.outage.is_some();
         let opening = self.conns.iter().filter(|(_, conn)| conn.server == key);
         let mut opening = opening.filter(|(_, conn)| conn.work == Work::Opening).count() as u32;
         if probes && opening == 0 && self.connection_count(key) >= limit {
             return self.close_idle(key, out);
         }
+        let team = self.teams.last;
+        let on_demand = self.opens_on_demand(team);
         let wanted = |group: &Self, opening| {
-            (probes && opening == 0) || (group.idle_count(key) < warm && opening < MAX_OPENING)
+            let few = if on_demand {
+                !group.has_usable_connection(key)
+            } else {
+                group.idle_count(key) < warm && opening < MAX_OPENING
+            };
+            (probes && opening == 0) || few
         };
         while self.connection_count(key) < limit && wanted(self, opening) {
-            let conn = self.conns.insert(Connection::new(key));
-            out.push(Effect::Connect { conn, server: name.clone(), address, team: None });
+            self.open(key, team, out);
             opening += 1;
         }
     }
@@ -282,6 +294,7 @@
         };
         let (limit, warm) = (server.connections, server.slots + SPARE_CONNECTIONS);
         let keeps = self.may_keep_idle(key);
+        let pooled = self.has_teams();
         let idle = self.conns.iter().filter_map(|(conn, connection)| match connection.work {
             Work::Idle(since) if connection.server == key => Some((since, conn)),
             _ => None,
@@ -289,8 +302,11 @@
         let mut idle: Vec<_> = idle.collect();
         idle.sort_unstable();
         let (mut total, mut ready) = (self.connection_count(key), self.idle_count(key));
+        if pooled {
+            total = total.saturating_sub(self.closing_count(key));
+        }
         for (since, conn) in idle {
-            let old = ready > warm && now.since(since) > IDLE_LIMIT;
+            let old = !pooled && ready > warm && now.since(since) > IDLE_LIMIT;
             if keeps && total <= limit && !old {
                 break;
             }
@@ -300,21 +316,15 @@
         }
     }
 
-    /// Charges the run time of a request to its service in the fair queues, and
+    /// Charges the run time of a request to its flow in the fair queues, and
     /// updates the typical run time. A time that includes a suspension of the process
     /// is no run time.
-    pub(crate) fn charge(
-        &mut self,
-        now: Instant,
-        key: Key<Service>,
-        primary: bool,
-        sent_at: Instant,
-    ) {
+    pub(crate) fn charge(&mut self, now: Instant, flow: Flow, primary: bool, sent_at: Instant) {
         if self.uptime.was_suspended_since(sent_at) && !self.has_flaw(Flaw::CountSuspension) {
             return;
         }
         let run = now.since(sent_at);
-        let charge = |queue: &mut Queue<_, _>| queue.charge(key, run);
+        let charge = |queue: &mut Queue<_, _>| queue.charge(flow, run);
         if primary {
             charge(&mut self.lanes.primary);
             charge(&mut self.lanes.spare);
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -9,6 +9,7 @@
 use crate::flaw::Flaw;
 use crate::group::Group;
 use crate::request::{Attempt, Lane, Request, Stage};
+use crate::service::Flow;
 
 /// Time within which a rollback must be confirmed before its connection is
 /// closed.
@@ -36,8 +37,8 @@
         };
         request.end = Some(end);
         if let Stage::Queued(lane) = request.stage {
-            let service = request.service;
-            self.unqueue(key, service, lane);
+            let flow = request.flow();
+            self.unqueue(key, flow, lane);
         }
         let Some(request) = self.requests.get_mut(key) else {
             return;
@@ -97,11 +98,11 @@
         }
     }
 
-    fn unqueue(&mut self, key: Key<Request>, service: Key<crate::service::Service>, lane: Lane) {
+    fn unqueue(&mut self, key: Key<Request>, flow: Flow, lane: Lane) {
         match lane {
-            Lane::Primary => self.lanes.primary.remove(service, key),
-            Lane::Spare => self.lanes.spare.remove(service, key),
-            Lane::Replica => self.lanes.replica.remove(service, key),
+            Lane::Primary => self.lanes.primary.remove(flow, key),
+            Lane::Spare => self.lanes.spare.remove(flow, key),
+            Lane::Replica => self.lanes.replica.remove(flow, key),
         };
     }
 
@@ -219,6 +220,7 @@
         self.expire(now, out);
         self.requeue_retries(now, out);
         self.expire_conns(now, out);
+        self.close_surplus_of_teams(now, out);
         self.resolve(now, out);
         self.unpark(now);
         self.spill_to_primary(now);
--- a/components/keeper/src/group.rs
+++ b/components/keeper/src/group.rs
@@ -17,7 +17,8 @@
 use crate::reads::Sampling;
 use crate::request::Request;
 use crate::server::Server;
-use crate::service::Service;
+use crate::service::{Flow, Service};
+use crate::teams::Teams;
 use crate::unfenced::Unfenced;
 use crate::uptime::Uptime;
 
@@ -35,9 +36,9 @@
 /// only while `primary` is empty.
 #[derive(Debug, Default)]
 pub(crate) struct Lanes {
-    pub(crate) primary: Queue<Key<Service>, Key<Request>>,
-    pub(crate) spare: Queue<Key<Service>, Key<Request>>,
-    pub(crate) replica: Queue<Key<Service>, Key<Request>>,
+    pub(crate) primary: Queue<Flow, Key<Request>>,
+    pub(crate) spare: Queue<Flow, Key<Request>>,
+    pub(crate) replica: Queue<Flow, Key<Request>>,
 }
 
 /// State of one database group.
@@ -65,6 +66,7 @@
     pub(crate) pins: HashMap<Owner, Key<Connection>>,
     pub(crate) services: Arena<Service>,
     pub(crate) services_by_name: BTreeMap<Name, Key<Service>>,
+    pub(crate) teams: Teams,
     pub(crate) lanes: Lanes,
     /// Requests in [`Stage::Parked`](crate::request::Stage::Parked).
     pub(crate) parked: Vec<Key<Request>>,
@@ -107,6 +109,7 @@
             pins: HashMap::new(),
             services: Arena::new(),
             services_by_name: BTreeMap::new(),
+            teams: Teams::default(),
             lanes: Lanes::default(),
             parked: Vec::new(),
             unresolved: Vec::new(),
@@ -229,10 +232,20 @@
         slots.saturating_sub(self.running(server))
     }
 
-    /// Returns the most recently used idle connection to a server.
+    /// Returns the most recently used idle connection to a server, of any team.
     pub(crate) fn idle(&self, server: Key<Server>) -> Option<Key<Connection>> {
+        self.idle_where(server, |_| true)
+    }
+
+    /// Returns the most recently used idle connection to a server that satisfies a
+    /// condition.
+    pub(crate) fn idle_where(
+        &self,
+        server: Key<Server>,
+        accepts: impl Fn(&Connection) -> bool,
+    ) -> Option<Key<Connection>> {
         let idle = self.conns.iter().filter_map(|(key, conn)| match conn.work {
-            Work::Idle(since) if conn.server == server => Some((since, key)),
+            Work::Idle(since) if conn.server == server && accepts(conn) => Some((since, key)),
             _ => None,
         });
         idle.max().map(|(_, key)| key)
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -16,6 +16,7 @@
 //! - `resolve`: acknowledgement by a majority, and requests in doubt.
 //! - `finish`: ends of requests, and retries.
 //! - `health`: symptoms of a failed primary.
+//! - `teams`: connections of teams.
 //! - `setup`: servers, leases and declarations from the control log.
 //! - `uptime`: suspensions of the process.
 //! - `unfenced`: groups whose servers acknowledge by themselves.
@@ -36,6 +37,7 @@
 mod service;
 mod setup;
 mod shedding;
+mod teams;
 mod unfenced;
 mod uptime;
 
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -10,6 +10,7 @@
 use crate::group::Group;
 use crate::request::{Lane, Request, Stage};
 use crate::server::{Report, Server};
+use crate::teams::Team;
 use crate::unfenced::{self, will_show_soon};
 
 /// Timeout of a sampling round.
@@ -270,7 +271,7 @@
         let candidate = |(key, server, mark): (Key<Server>, &Server, Option<Mark>)| Candidate {
             server: key,
             same_zone: server.zone == self.zone && !self.is_unfenced(),
-            free: if now < server.full_until { 0 } else { self.ready_slots(key) },
+            free: if now < server.full_until { 0 } else { self.ready_slots(key, request.team) },
             waiting: server.urgent.len() as u32,
             mark,
         };
@@ -304,9 +305,9 @@
         self.servers.get(primary).map_or(0, |server| server.share).max(1)
     }
 
-    /// Number of free slots on a server, or 0 if no connection to it is idle.
-    pub(crate) fn ready_slots(&self, key: Key<Server>) -> u32 {
-        if self.idle(key).is_some() { self.free_slots(key) } else { 0 }
+    /// Number of free slots on a server, or 0 if no connection of the team to it is idle.
+    pub(crate) fn ready_slots(&self, key: Key<Server>, team: Key<Team>) -> u32 {
+        if self.idle_of(key, team).is_some() { self.free_slots(key) } else { 0 }
     }
 
     /// Moves reads that waited too long for a busy replica to the primary, if
@@ -321,9 +322,9 @@
             waits && now.since(request.arrived) > patience
         };
         let moved = self.requests.iter().filter(|(_, request)| is_overdue(request));
-        let moved: Vec<_> = moved.map(|(key, request)| (key, request.service)).collect();
-        for (key, service) in moved {
-            self.lanes.replica.remove(service, key);
+        let moved: Vec<_> = moved.map(|(key, request)| (key, request.flow())).collect();
+        for (key, flow) in moved {
+            self.lanes.replica.remove(flow, key);
             self.queue(key, Lane::Spare);
         }
     }
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -9,7 +9,8 @@
 use crate::conn::{Connection, IDLE, Owner};
 use crate::event::{Cause, Front, Kind, Piece};
 use crate::server::Server;
-use crate::service::Service;
+use crate::service::{Flow, Service};
+use crate::teams::Team;
 
 /// Maximum number of bytes of one answer that are held back.
 pub(crate) const MAX_HELD_BYTES: usize = 1 << 20;
@@ -75,6 +76,7 @@
 pub(crate) struct Request {
     pub(crate) front: Front,
     pub(crate) service: Key<Service>,
+    pub(crate) team: Key<Team>,
     pub(crate) run: Run,
     pub(crate) class: Class,
     /// Mark that the session has seen and that the request must see.
@@ -146,11 +148,12 @@
 }
 
 impl Request {
-    pub(crate) fn new(now: Instant, front: Front, service: Key<Service>, run: Run) -> Self {
+    pub(crate) fn new(now: Instant, front: Front, (service, team): Flow, run: Run) -> Self {
         let class = Class::try_from(run.class).unwrap_or(Class::Write);
         Self {
             front,
             service,
+            team,
             class,
             floor: run.floor.map(Mark::from),
             arrived: now,
@@ -168,6 +171,11 @@
         }
     }
 
+    /// Flow of the fair queues that the request belongs to.
+    pub(crate) fn flow(&self) -> Flow {
+        (self.service, self.team)
+    }
+
     pub(crate) fn owner(&self) -> Owner {
         (self.front, self.run.caller)
     }
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -6,6 +6,10 @@
 use smallvec::SmallVec;
 
 use crate::server::Server;
+use crate::teams::Team;
+
+/// Requests of one service and team, which wait in the order of their arrival.
+pub(crate) type Flow = (Key<Service>, Key<Team>);
 
 /// A service that has sent requests to this group.
 #[derive(Debug)]
--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -4,7 +4,7 @@
 use base::prelude::*;
 use wire::data::{Outcome, Reason};
 
-use crate::conn::Work;
+use crate::conn::{Connection, Work};
 use crate::event::{Effect, Lease, Setup};
 use crate::group::Group;
 use crate::request::Stage;
@@ -128,6 +128,12 @@
         self.conns.iter().filter(|(_, conn)| conn.server == server).count() as u32
     }
 
+    /// Number of connections to a server that are being closed.
+    pub(crate) fn closing_count(&self, server: Key<Server>) -> u32 {
+        let closing = |conn: &Connection| conn.server == server && conn.is_closing();
+        self.conns.iter().filter(|(_, conn)| closing(conn)).count() as u32
+    }
+
     /// Number of connections to a server that are idle or being opened.
     pub(crate) fn idle_count(&self, server: Key<Server>) -> u32 {
         let ready = |work| matches!(work, Work::Idle(_) | Work::Opening);
--- a/components/keeper/src/unfenced.rs
+++ b/components/keeper/src/unfenced.rs
@@ -275,7 +275,8 @@
             return self.abort_conn(now, conn, out);
         };
         let Reported { status, error_kind, mark, .. } = reported;
-        let (service, owner, orphan) = (request.service, request.owner(), request.orphan);
+        let (service, flow) = (request.service, request.flow());
+        let (owner, orphan) = (request.owner(), request.orphan);
         let (within, writes) = (request.run.in_transaction, request.class != Class::Read);
         let attempt = &mut request.attempt;
         let primary = attempt.primary;
@@ -290,7 +291,7 @@
             attempt.mark_after = mark;
             attempt.durable = true;
         }
-        self.charge(now, service, primary, sent_at);
+        self.charge(now, flow, primary, sent_at);
         if status == IDLE {
             self.unpin(conn);
             self.release_conn(now, conn);
--- a/components/keeper/tests/unfenced/bench.rs
+++ b/components/keeper/tests/unfenced/bench.rs
@@ -59,6 +59,7 @@
     pub out: Vec<Effect>,
     pub next: u64,
     pub members: Vec<event::Server>,
+    pub declarations: Declarations,
     pub conns: Vec<(Key<Connection>, Name)>,
 }
 
@@ -77,11 +78,15 @@
     /// A group of a primary and two replicas. The entry holds its own lease and
     /// the lease on the group. No connection is open yet.
     pub fn new() -> Self {
+        Self::declared(declarations(), (0..3).map(member).collect())
+    }
+
+    /// A group like that of [`Bench::new`], with the given declarations and servers.
+    pub fn declared(declarations: Declarations, members: Vec<event::Server>) -> Self {
         let group = Group::new(name("group"), name("zone"), 1);
         let now = Instant::from_millis(10_000);
-        let members: Vec<_> = (0..3).map(member).collect();
         let (out, conns) = (Vec::new(), Vec::new());
-        let mut bench = Self { group, now, out, next: 0, members, conns };
+        let mut bench = Self { group, now, out, next: 0, members, declarations, conns };
         bench.feed(Event::Leased(true));
         bench.set_up(Some("server-0"), 1, 10);
         bench
@@ -107,7 +112,8 @@
     }
 
     pub fn set_up(&mut self, primary: Option<&str>, term: u64, index: u64) {
-        let setup = setup(&self.members, primary, term, index);
+        let mut setup = setup(&self.members, primary, term, index);
+        setup.declarations = Arc::new(self.declarations.clone());
         self.feed(Event::Setup(setup));
     }
 
--- a/components/keeper/tests/unfenced/main.rs
+++ b/components/keeper/tests/unfenced/main.rs
@@ -6,6 +6,7 @@
 mod reach;
 mod recovery;
 mod suspension;
+mod teams;
 
 use base::prelude::*;
 use keeper::{Effect, Event};
