--- a/components/entry/src/front/keepers.rs
+++ b/components/entry/src/front/keepers.rs
@@ -10,7 +10,8 @@
 use control::State;
 use link::{Peer, Purpose};
 use slog::{Logger, info, warn};
-use wire::data::{Shutdown, ask};
+use tokio::sync::mpsc;
+use wire::data::{Loan, Shutdown, ask};
 
 use super::choose::Keeper;
 use super::link::{Link, NotSent};
@@ -26,6 +27,12 @@
 /// Time limit of one attempt to dial a keeper; short, since callers wait for it.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Length of the queue of received loans.
+const QUEUE_LOANS: usize = 1_024;
+
+/// Loans received from keepers, each with the name of the keeper.
+pub type Loans = mpsc::Receiver<(Name, Loan)>;
+
 /// The link to one keeper, and the state of dialling it.
 #[derive(Debug, Default)]
 struct Slot {
@@ -62,13 +69,22 @@
     clock: Clock,
     log: Logger,
     slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
+    loans: mpsc::Sender<(Name, Loan)>,
+    received: Mutex<Option<Loans>>,
 }
 
 impl Keepers {
     /// Makes an empty set of links for the entry `name`.
     pub fn new(name: &Name, incarnation: u64, key: link::Key, clock: Clock, log: Logger) -> Self {
         let own = Peer::new(name.as_str(), incarnation, Purpose::Data);
-        Self { own, key, clock, log, slots: Mutex::default() }
+        let (loans, received) = mpsc::channel(QUEUE_LOANS);
+        let received = Mutex::new(Some(received));
+        Self { own, key, clock, log, slots: Mutex::default(), loans, received }
+    }
+
+    /// Returns the receiver of the keepers' loans, at the first call.
+    pub fn take_loans(&self) -> Option<Loans> {
+        self.received.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
     /// Returns the link to a keeper, and dials the keeper if there is no live link.
@@ -135,7 +151,13 @@
             return Err(Report::new(NotSent));
         }
         info!(self.log, "linked to a keeper"; "keeper" => %keeper.name);
-        Ok(Link::start(keeper.name.clone(), peer.incarnation, (reader, writer), self.clock))
+        Ok(Link::start(
+            keeper.name.clone(),
+            peer.incarnation,
+            (reader, writer),
+            self.clock,
+            self.loans.clone(),
+        ))
     }
 
     /// Closes the links to entries that have left or restarted.
--- a/components/entry/src/front/link.rs
+++ b/components/entry/src/front/link.rs
@@ -16,7 +16,7 @@
 use link::{Reader, Writer};
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
-use wire::data::{Answer, Ask, Cancel, Credit, End, Part, Ping, Run, Shutdown, answer, ask};
+use wire::data::{Answer, Ask, Cancel, Credit, End, Loan, Part, Ping, Run, Shutdown, answer, ask};
 
 /// Bytes of an answer that a keeper may send before it is granted more credit.
 pub const WINDOW_BYTES: u64 = 256 << 10;
@@ -93,11 +93,20 @@
     closing: AtomicBool,
     closing_notify: Notify,
     ended: CancellationToken,
+    /// Receives the loans of the keeper.
+    loans: mpsc::Sender<(Name, Loan)>,
 }
 
 impl Link {
-    /// Starts the reading and the writing task of an established link.
-    pub fn start(name: Name, incarnation: u64, ends: (Reader, Writer), clock: Clock) -> Arc<Self> {
+    /// Starts the reading and the writing task of an established link. `loans` receives
+    /// the keeper's answers to requests for tokens.
+    pub fn start(
+        name: Name,
+        incarnation: u64,
+        ends: (Reader, Writer),
+        clock: Clock,
+        loans: mpsc::Sender<(Name, Loan)>,
+    ) -> Arc<Self> {
         let (asks, queue) = mpsc::channel(QUEUE_MESSAGES);
         let link = Arc::new(Self {
             name,
@@ -110,6 +119,7 @@
             closing: AtomicBool::new(false),
             closing_notify: Notify::new(),
             ended: CancellationToken::new(),
+            loans,
         });
         let (reader, writer) = ends;
         tokio::spawn(Arc::clone(&link).read_answers(reader));
@@ -279,6 +289,8 @@
         self.touch();
         match body {
             answer::Body::Pong(_) => {}
+            // while the queue is full a loan is dropped, and its tokens are lost
+            answer::Body::Loan(loan) => drop(self.loans.try_send((self.name.clone(), loan))),
             answer::Body::Part(part) => self.on_part(part),
             answer::Body::End(end) => {
                 let pending = self.table().open.remove(&end.request);
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -128,7 +128,7 @@
     users: Option<Users>,
     tls: Option<TlsAcceptor>,
     dialect: Option<Arc<dyn Dialect>>,
-    keepers: keepers::Keepers,
+    keepers: Arc<keepers::Keepers>,
     cancels: Arc<cancels::Cancels>,
     phase: watch::Sender<Phase>,
     /// Version of the declarations that the entry has applied.
@@ -153,6 +153,11 @@
         self.next_session.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// The links to keepers.
+    pub fn keepers(&self) -> Arc<keepers::Keepers> {
+        Arc::clone(&self.keepers)
+    }
+
     /// Requests counted against the objectives of services.
     pub fn page(&self) -> burn::Page {
         self.counts.page(self.clock.now(), &self.name, self.incarnation)
@@ -197,7 +202,7 @@
         users,
         tls,
         dialect,
-        keepers: links,
+        keepers: Arc::new(links),
         cancels: Arc::default(),
         phase: watch::Sender::new(Phase::Open),
         version: watch::Sender::new(0),
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -59,6 +59,8 @@
     /// Protocol for plain statements, spoken with callers and backend servers; `None`
     /// if they speak PostgreSQL.
     pub dialect: Option<Arc<dyn Dialect>>,
+    /// How far the limits of teams may be exceeded.
+    pub quota: quota::Bounds,
     /// Logger for events of the entry.
     pub log: Logger,
     /// Clock of the process.
@@ -197,6 +199,7 @@
             metrics: Arc::clone(&metrics),
             log: self.settings.log.clone(),
         });
+        let links = front.front().keepers();
         let routes = telemetry::web::routes(health.clone(), Arc::clone(&metrics));
         let routes = routes.merge(burn_routes(front.front()));
         tokio::spawn(web(self.settings.log.clone(), self.web, routes, ended.clone()));
@@ -212,6 +215,8 @@
                 view: view.clone(),
                 clock: self.settings.clock,
                 dialect: self.settings.dialect.clone(),
+                quota: self.settings.quota,
+                links,
                 metrics,
                 log: self.settings.log.clone(),
             }),
--- a/components/entry/src/keep/follow.rs
+++ b/components/entry/src/keep/follow.rs
@@ -42,6 +42,7 @@
 /// nothing on the setups of groups that it doesn't keep: with many groups, each command
 /// of the log would cost more than all else that it does.
 fn configure_shards(host: &Arc<Host>) {
+    host.quotas.refresh(host);
     let setups = host.view.read(|state| {
         let (index, version) = (state.index, state.version);
         let keeps = |(name, group): &(&Name, &Group)| {
--- a/components/entry/src/keep/front.rs
+++ b/components/entry/src/keep/front.rs
@@ -8,6 +8,7 @@
 use base::prelude::*;
 use keeper::{Event, Front};
 use link::{Peer, Purpose, Reader, Writer};
+use quota::Token;
 use slog::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -39,12 +40,21 @@
     closing: AtomicBool,
 }
 
+/// An open request of a link.
+#[derive(Debug)]
+pub(super) struct Open {
+    /// Shard that runs the request.
+    pub(super) shard: Arc<Shard>,
+    /// Team and token, if the request was counted against a limit.
+    pub(super) token: Option<(String, Token)>,
+}
+
 /// A link from a front.
 #[derive(Debug)]
 pub(super) struct Link {
     answers: mpsc::Sender<Answer>,
-    /// Shard of each open request of the link, by request number.
-    requests: Mutex<HashMap<u64, Arc<Shard>>>,
+    /// Open requests of the link, by request number.
+    requests: Mutex<HashMap<u64, Open>>,
     /// Task that reads from the link; aborting it closes the link.
     task: Mutex<Option<AbortHandle>>,
     /// Whether the front has announced that it sends no more requests, except those of
@@ -58,8 +68,13 @@
         has_answers || !self.shutdown.load(Ordering::Acquire)
     }
 
+    /// Registers a request that is about to be fed to its shard.
+    pub(super) fn open(&self, request: u64, open: Open) {
+        lock(&self.requests).insert(request, open);
+    }
+
     /// Queues an answer; closes the link if its queue is full or closed.
-    fn send(&self, body: answer::Body) {
+    pub(super) fn send(&self, body: answer::Body) {
         if self.answers.try_send(Answer { body: Some(body) }).is_ok() {
             return;
         }
@@ -86,12 +101,15 @@
     }
 
     /// Sends an answer to a front if its link is still open.
-    pub(super) fn send(&self, front: Front, body: answer::Body) {
+    pub(super) fn send(&self, host: &Host, front: Front, body: answer::Body) {
         let Some(link) = self.get(front) else {
             return;
         };
         if let answer::Body::End(end) = &body {
-            lock(&link.requests).remove(&end.request);
+            let open = lock(&link.requests).remove(&end.request);
+            if let Some(open) = open {
+                host.quotas.end(host, &open, Some(end));
+            }
         }
         link.send(body);
     }
@@ -139,7 +157,12 @@
 
 impl Drop for LinkGuard {
     fn drop(&mut self) {
-        lock(&self.host.fronts.links).remove(&self.front);
+        let link = lock(&self.host.fronts.links).remove(&self.front);
+        self.host.quotas.disconnect(self.front);
+        let open = link.map(|link| std::mem::take(&mut *lock(&link.requests)));
+        for open in open.into_iter().flat_map(HashMap::into_values) {
+            self.host.quotas.end(&self.host, &open, None);
+        }
         for shard in self.host.shards() {
             shard.feed(Event::Disconnected { front: self.front });
         }
@@ -205,7 +228,7 @@
 }
 
 fn handle(host: &Arc<Host>, front: Front, link: &Arc<Link>, body: ask::Body) {
-    let shard_of = |request| lock(&link.requests).get(&request).map(Arc::clone);
+    let shard_of = |request| lock(&link.requests).get(&request).map(|open| Arc::clone(&open.shard));
     match body {
         ask::Body::Run(run) => start(host, front, link, run),
         ask::Body::Credit(credit) => {
@@ -215,16 +238,21 @@
             }
         }
         ask::Body::Cancel(cancel) => {
+            host.quotas.cancel(host, front, cancel.request);
             if let Some(shard) = shard_of(cancel.request) {
                 shard.feed(Event::Cancel { front, request: cancel.request });
             }
         }
         ask::Body::Leave(leave) => {
+            host.quotas.leave(front, leave.caller);
             for shard in host.shards() {
                 shard.feed(Event::Leave { front, caller: leave.caller });
             }
         }
         ask::Body::Ping(_) => link.send(answer::Body::Pong(Pong {})),
+        ask::Body::Borrow(borrow) => {
+            link.send(answer::Body::Loan(host.quotas.lend(host, borrow)));
+        }
         ask::Body::Shutdown(_) => link.shutdown.store(true, Ordering::Release),
     }
 }
@@ -236,7 +264,12 @@
         link.send(answer::Body::End(end));
         return;
     };
-    lock(&link.requests).insert(run.request, Arc::clone(&shard));
+    // a transaction is counted once, by its first statement
+    if !run.team.is_empty() && !run.in_transaction {
+        host.quotas.admit(host, (front, link), &shard, run);
+        return;
+    }
+    link.open(run.request, Open { shard: Arc::clone(&shard), token: None });
     shard.feed(Event::Run { front, run });
 }
 
--- a/components/entry/src/keep/metrics.rs
+++ b/components/entry/src/keep/metrics.rs
@@ -1,5 +1,5 @@
-//! Counters of a keeper. No label names a service or a caller, so the number of
-//! series stays bounded.
+//! Counters of a keeper. No label names a service or a caller, and only the largest
+//! teams are named, so the number of series stays bounded.
 
 use keeper::{Cause, Count};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -20,6 +20,11 @@
     cause: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TeamLabel {
+    team: String,
+}
+
 /// Counters of a keeper.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Metrics {
@@ -28,6 +33,9 @@
     primary_reads: Family<CauseLabel, Counter>,
     repeats: Counter,
     opened: Counter,
+    granted: Family<TeamLabel, Counter>,
+    refused: Family<TeamLabel, Counter>,
+    borrowed: Family<TeamLabel, Counter>,
 }
 
 impl Metrics {
@@ -48,9 +56,40 @@
         );
         registry.register("repeats", "Requests tried again", metrics.repeats.clone());
         registry.register("opened", "Connections opened", metrics.opened.clone());
+        registry.register(
+            "quota_granted",
+            "Operations of teams with a limit that got a token",
+            metrics.granted.clone(),
+        );
+        registry.register(
+            "quota_refused",
+            "Operations refused because of the limit of their team",
+            metrics.refused.clone(),
+        );
+        registry.register(
+            "quota_borrowed",
+            "Tokens borrowed from other hosts",
+            metrics.borrowed.clone(),
+        );
         metrics
     }
 
+    /// Counts an operation that got a token. An empty `team` stands for all but the
+    /// largest teams.
+    pub(super) fn granted(&self, team: &str) {
+        self.granted.get_or_create(&TeamLabel { team: team.to_owned() }).inc();
+    }
+
+    /// Counts an operation that was refused because of the limit of its team.
+    pub(super) fn refused(&self, team: &str) {
+        self.refused.get_or_create(&TeamLabel { team: team.to_owned() }).inc();
+    }
+
+    /// Counts borrowed tokens.
+    pub(super) fn borrowed(&self, team: &str, tokens: u64) {
+        self.borrowed.get_or_create(&TeamLabel { team: team.to_owned() }).inc_by(tokens);
+    }
+
     pub(super) fn count(&self, count: Count) {
         match count {
             Count::ReplicaRead => self.replica_reads.inc(),
--- a/components/entry/src/keep/mod.rs
+++ b/components/entry/src/keep/mod.rs
@@ -9,6 +9,7 @@
 //! - `plain`: a backend connection that carries plain statements.
 //! - `probe`: polls backend servers for status reports.
 //! - `follow`: passes changes of the control state to the shards.
+//! - `quota`: counts operations against the limits of teams.
 //! - `metrics`: counters of the keeper.
 
 mod answer;
@@ -18,6 +19,7 @@
 mod metrics;
 mod plain;
 mod probe;
+mod quota;
 mod shard;
 
 use std::collections::BTreeMap;
@@ -31,9 +33,11 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 
+use crate::front::keepers::Keepers;
 use crate::view::View;
 use front::Fronts;
 use metrics::Metrics;
+use quota::Quotas;
 use shard::Shard;
 
 /// Time between checks for whether all shards are drained.
@@ -59,6 +63,10 @@
     /// Protocol of the servers of unfenced groups, which acknowledge commits by
     /// themselves.
     pub dialect: Option<Arc<dyn Dialect>>,
+    /// How far the limits of teams may be exceeded.
+    pub quota: ::quota::Bounds,
+    /// Links to the keepers of other entries, on which tokens are borrowed.
+    pub links: Arc<Keepers>,
     /// Registry for the metrics of the keeper.
     pub metrics: telemetry::web::Metrics,
     /// Logger for events.
@@ -78,6 +86,7 @@
     metrics: Metrics,
     log: Logger,
     fronts: Fronts,
+    quotas: Quotas,
     shards: Mutex<BTreeMap<Name, Arc<Shard>>>,
 }
 
@@ -90,6 +99,9 @@
 
 /// Starts a keeper.
 pub fn start(settings: Settings) -> Handle {
+    let now = settings.clock.now();
+    let name = settings.name.clone();
+    let quotas = Quotas::new(now, name, settings.quota, settings.incarnation);
     let host = Arc::new(Host {
         name: settings.name,
         zone: settings.zone,
@@ -101,11 +113,13 @@
         metrics: Metrics::register(&settings.metrics),
         log: settings.log,
         fronts: Fronts::default(),
+        quotas,
         shards: Mutex::default(),
     });
     let mut tasks = JoinSet::new();
     tasks.spawn(front::accept(Arc::clone(&host), settings.listener));
     tasks.spawn(follow::run(Arc::clone(&host)));
+    tasks.spawn(quota::run(Arc::clone(&host), settings.links));
     Handle { host, tasks }
 }
 
--- /dev/null
+++ b/components/entry/src/keep/quota.rs
@@ -0,0 +1,447 @@
+//! Limits of teams: counts operations before they reach a shard.
+//!
+//! One ledger serves all groups of the entry. An operation that waits for a loan is
+//! kept here and is not known to a shard, so it takes no slot and no connection.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+
+use base::prelude::*;
+use config::Declarations;
+use control::State as Control;
+use control::lease::LEASE_DURATION;
+use keeper::Front;
+use quota::{Bounds, Decision, Ledger, Request, Settings, Token};
+use slog::info;
+use tokio::sync::Notify;
+use wire::data::{Borrow, BorrowItem, End, Loan, LoanItem, Outcome, Reason, Run, answer, ask};
+
+use super::front::{Link, Open};
+use super::shard::Shard;
+use super::{Host, lock};
+use crate::front::choose::Keeper;
+use crate::front::keepers::{Keepers, Loans};
+
+/// Time beyond the duration of a lease after which a change of the control state is in
+/// force at all hosts: a host applies it to its limits only some time after its lease.
+const APPLY_MARGIN: Duration = Duration::from_millis(100);
+
+/// Longest wait of an operation for a loan.
+const WAIT_MAX: Duration = Duration::from_millis(50);
+
+/// Share of its objective for which an operation waits for a loan; a later refusal
+/// counts as late.
+const WAIT_SHARE: f64 = 0.2;
+
+/// Time between two looks at waiting operations.
+const WAIT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Time for which requests for tokens are collected into one message.
+const BATCH_DELAY: Duration = Duration::from_millis(2);
+
+/// Time between two checks for teams that are no longer limited.
+const LIMITED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of teams that have metrics of their own.
+const LARGEST_TEAMS: usize = 10;
+
+/// An operation that waits for a loan.
+#[derive(Debug)]
+struct Waiting {
+    front: Front,
+    link: Arc<Link>,
+    shard: Arc<Shard>,
+    run: Run,
+    since: Instant,
+    until: Instant,
+}
+
+/// What happens to an operation once the lock is released.
+#[derive(Debug)]
+enum Verdict {
+    Run(Waiting, Token),
+    Refuse(Waiting, Duration),
+    Cancel(Waiting),
+}
+
+/// Limits of all teams at one entry.
+#[derive(Debug)]
+pub(super) struct Quotas {
+    inner: Mutex<Inner>,
+    /// Notified when requests for tokens are to be sent or an operation waits.
+    changed: Notify,
+    window: Duration,
+}
+
+#[derive(Debug)]
+struct Inner {
+    ledger: Ledger,
+    waiting: HashMap<String, VecDeque<Waiting>>,
+    requests: Vec<Request>,
+    /// Teams that were refused operations, with the time of the last refusal.
+    limited: BTreeMap<String, Instant>,
+    /// Teams with metrics of their own.
+    largest: Vec<Name>,
+    /// Index of the control state that the ledger follows.
+    index: Option<u64>,
+    declarations: Option<Arc<Declarations>>,
+}
+
+impl Quotas {
+    pub(super) fn new(now: Instant, own: Name, bounds: Bounds, seed: u64) -> Self {
+        let lease = LEASE_DURATION + APPLY_MARGIN;
+        let settings = Settings { own, bounds, lease, seed, flaw: quota::Flaw::None };
+        let inner = Inner {
+            ledger: Ledger::new(now, settings),
+            waiting: HashMap::new(),
+            requests: Vec::new(),
+            limited: BTreeMap::new(),
+            largest: Vec::new(),
+            index: None,
+            declarations: None,
+        };
+        Self { inner: Mutex::new(inner), changed: Notify::new(), window: bounds.window }
+    }
+
+    /// Follows the control state.
+    pub(super) fn refresh(&self, host: &Host) {
+        let now = host.clock.now();
+        host.view.read(|state| lock(&self.inner).follow(now, state));
+    }
+
+    /// Counts an operation, and runs or refuses it now or later.
+    pub(super) fn admit(
+        &self,
+        host: &Host,
+        (front, link): (Front, &Arc<Link>),
+        shard: &Arc<Shard>,
+        run: Run,
+    ) {
+        let now = host.clock.now();
+        let until = now + wait_limit(host, &run);
+        let (link, shard) = (Arc::clone(link), Arc::clone(shard));
+        let waiting = Waiting { front, link, shard, run, since: now, until };
+        let verdict = host.view.read(|state| {
+            let mut inner = lock(&self.inner);
+            inner.follow(now, state);
+            inner.take(now, waiting)
+        });
+        if let Some(verdict) = verdict {
+            self.execute(host, now, verdict);
+        }
+        self.wake();
+    }
+
+    /// Ends a waiting operation that the caller cancels.
+    pub(super) fn cancel(&self, host: &Host, front: Front, request: u64) {
+        let found = lock(&self.inner)
+            .remove(|waiting| waiting.front == front && waiting.run.request == request);
+        for waiting in found {
+            self.execute(host, host.clock.now(), Verdict::Cancel(waiting));
+        }
+    }
+
+    /// Drops the waiting operations of a caller that has disconnected.
+    pub(super) fn leave(&self, front: Front, caller: u64) {
+        drop(
+            lock(&self.inner)
+                .remove(|waiting| waiting.front == front && waiting.run.caller == caller),
+        );
+    }
+
+    /// Drops the waiting operations of a link that has ended.
+    pub(super) fn disconnect(&self, front: Front) {
+        drop(lock(&self.inner).remove(|waiting| waiting.front == front));
+    }
+
+    /// Notes the end of an operation that has a token.
+    pub(super) fn end(&self, host: &Host, open: &Open, end: Option<&End>) {
+        let Some((team, token)) = &open.token else { return };
+        let unsent = |end: &&End| end.outcome() == Outcome::NotRun && end.server.is_empty();
+        let now = host.clock.now();
+        let mut inner = lock(&self.inner);
+        if end.as_ref().is_some_and(unsent) {
+            inner.ledger.refund(now, team, *token);
+        } else {
+            inner.ledger.settle(now, team, *token);
+        }
+    }
+
+    /// Lends tokens to another entry.
+    pub(super) fn lend(&self, host: &Host, borrow: Borrow) -> Loan {
+        let now = host.clock.now();
+        let leased = host.view.has_lease(now);
+        let items = host.view.read(|state| {
+            let mut inner = lock(&self.inner);
+            inner.follow(now, state);
+            let lend = |item: BorrowItem| {
+                let loan = if leased {
+                    inner.ledger.on_borrow(now, &item.team, item.tokens)
+                } else {
+                    quota::Loan::default()
+                };
+                let BorrowItem { team, offset_us, .. } = item;
+                LoanItem { team, tokens: loan.tokens, offset_us, left: loan.left }
+            };
+            borrow.items.into_iter().map(lend).collect()
+        });
+        Loan { sent_us: borrow.sent_us, items }
+    }
+
+    fn on_loan(&self, host: &Host, lender: &Name, loan: &Loan) {
+        let now = host.clock.now();
+        let mut inner = lock(&self.inner);
+        for item in &loan.items {
+            let sent = Instant::from_micros(loan.sent_us.saturating_add(item.offset_us.into()));
+            let lent = quota::Loan { tokens: item.tokens, left: item.left };
+            inner.ledger.on_loan(now, lender.as_str(), &item.team, lent, sent);
+            let team = inner.label(&item.team);
+            host.metrics.borrowed(&team, item.tokens.into());
+        }
+    }
+
+    /// Runs or refuses waiting operations as far as this can be decided now.
+    fn pump(&self, host: &Host) {
+        let now = host.clock.now();
+        let verdicts = lock(&self.inner).pump(now);
+        for verdict in verdicts {
+            self.execute(host, now, verdict);
+        }
+        self.wake();
+    }
+
+    fn wake(&self) {
+        let inner = lock(&self.inner);
+        if !inner.requests.is_empty() || !inner.waiting.is_empty() {
+            self.changed.notify_one();
+        }
+    }
+
+    fn execute(&self, host: &Host, now: Instant, verdict: Verdict) {
+        match verdict {
+            Verdict::Run(waiting, token) => {
+                let Waiting { front, link, shard, mut run, since, .. } = waiting;
+                let waited = now.since(since).as_millis() as u64;
+                run.deadline_ms = run.deadline_ms.saturating_sub(waited);
+                let limited = token != Token::Unlimited;
+                if limited {
+                    host.metrics.granted(&lock(&self.inner).label(&run.team));
+                }
+                let token = limited.then(|| (run.team.clone(), token));
+                link.open(run.request, Open { shard: Arc::clone(&shard), token });
+                shard.feed(keeper::Event::Run { front, run });
+            }
+            Verdict::Refuse(waiting, retry_after) => {
+                self.note_refusal(host, now, &waiting.run.team);
+                let end = not_run(&waiting.run, Reason::Quota);
+                // the time is a lower bound, so it is rounded up
+                let retry_after_ms = retry_after.as_micros().div_ceil(1_000) as u64;
+                finish(host, &waiting, End { retry_after_ms, ..end });
+            }
+            Verdict::Cancel(waiting) => {
+                finish(host, &waiting, not_run(&waiting.run, Reason::Cancelled));
+            }
+        }
+    }
+
+    fn note_refusal(&self, host: &Host, now: Instant, team: &str) {
+        let mut inner = lock(&self.inner);
+        host.metrics.refused(&inner.label(team));
+        if inner.limited.insert(team.to_owned(), now).is_none() {
+            info!(host.log, "team exceeds its limit; operations are refused"; "team" => team);
+        }
+    }
+
+    /// Logs teams that were refused nothing for the length of a window.
+    fn check_limited(&self, host: &Host) {
+        let now = host.clock.now();
+        lock(&self.inner).limited.retain(|team, last| {
+            let limited = now.since(*last) < self.window;
+            if !limited {
+                info!(host.log, "team is within its limit again"; "team" => team);
+            }
+            limited
+        });
+    }
+
+    fn flush(&self, host: &Arc<Host>, links: &Arc<Keepers>) {
+        let requests = std::mem::take(&mut lock(&self.inner).requests);
+        let mut messages: BTreeMap<Name, Vec<Request>> = BTreeMap::new();
+        for request in requests {
+            messages.entry(request.lender.clone()).or_default().push(request);
+        }
+        for (lender, requests) in messages {
+            let address =
+                host.view.read(|state| state.entries.get(&lender).map(|entry| entry.address));
+            let Some(address) = address else { continue };
+            let links = Arc::clone(links);
+            tokio::spawn(async move {
+                // an unanswered request times out in the ledger
+                if let Ok(link) = links.link(&Keeper { name: lender, address }).await {
+                    link.send(ask::Body::Borrow(message(&requests))).await;
+                }
+            });
+        }
+    }
+}
+
+impl Inner {
+    fn follow(&mut self, now: Instant, state: &Control) {
+        if self.index == Some(state.index) {
+            return;
+        }
+        self.index = Some(state.index);
+        let leases = state.groups.values().flat_map(|group| &group.leases);
+        let holders = leases.filter_map(|lease| Name::new(&lease.entry).ok());
+        self.ledger.set_holders(now, holders.collect());
+        let declarations = &state.declarations;
+        if self.declarations.as_ref().is_some_and(|known| Arc::ptr_eq(known, declarations)) {
+            return;
+        }
+        let teams = declarations.teams.iter().flatten();
+        self.ledger.set_limits(now, teams.clone().map(|(name, team)| (name, team.quota)));
+        let mut largest: Vec<_> = teams
+            .filter_map(|(name, team)| team.quota.map(|quota| (quota.rate_per_s, name)))
+            .collect();
+        largest.sort_by(|one, other| other.0.total_cmp(&one.0));
+        self.largest =
+            largest.into_iter().take(LARGEST_TEAMS).map(|(_, name)| name.clone()).collect();
+        self.declarations = Some(Arc::clone(declarations));
+    }
+
+    /// Label of a team in metrics; empty for all teams but the largest.
+    fn label(&self, team: &str) -> String {
+        let known = self.largest.iter().any(|name| name.as_str() == team);
+        if known { team.to_owned() } else { String::new() }
+    }
+
+    fn take(&mut self, now: Instant, waiting: Waiting) -> Option<Verdict> {
+        let team = waiting.run.team.clone();
+        match self.ledger.take(now, &team, &mut self.requests) {
+            Decision::Granted(token) => {
+                let Some(queue) = self.waiting.get_mut(&team) else {
+                    return Some(Verdict::Run(waiting, token));
+                };
+                // operations that waited before go first
+                queue.push_back(waiting);
+                queue.pop_front().map(|first| Verdict::Run(first, token))
+            }
+            Decision::Pending => {
+                self.waiting.entry(team).or_default().push_back(waiting);
+                None
+            }
+            Decision::Refused { retry_after } => Some(Verdict::Refuse(waiting, retry_after)),
+        }
+    }
+
+    fn pump(&mut self, now: Instant) -> Vec<Verdict> {
+        let mut verdicts = Vec::new();
+        let Self { ledger, waiting, requests, .. } = self;
+        for (team, queue) in waiting.iter_mut() {
+            while let Some(first) = queue.pop_front() {
+                let decision = ledger.resume(now, team, requests);
+                let decision = if decision == Decision::Pending && first.until <= now {
+                    ledger.expire(now, team)
+                } else {
+                    decision
+                };
+                match decision {
+                    Decision::Granted(token) => verdicts.push(Verdict::Run(first, token)),
+                    Decision::Refused { retry_after } => {
+                        verdicts.push(Verdict::Refuse(first, retry_after));
+                    }
+                    Decision::Pending => {
+                        queue.push_front(first);
+                        break;
+                    }
+                }
+            }
+        }
+        waiting.retain(|_, queue| !queue.is_empty());
+        verdicts
+    }
+
+    /// Removes waiting operations.
+    fn remove(&mut self, matches: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
+        let mut removed = Vec::new();
+        for (team, queue) in &mut self.waiting {
+            for waiting in std::mem::take(queue) {
+                if matches(&waiting) {
+                    self.ledger.leave(team);
+                    removed.push(waiting);
+                } else {
+                    queue.push_back(waiting);
+                }
+            }
+        }
+        self.waiting.retain(|_, queue| !queue.is_empty());
+        removed
+    }
+}
+
+/// Sends requests for tokens, takes loans and serves waiting operations until the task
+/// is aborted.
+pub(super) async fn run(host: Arc<Host>, links: Arc<Keepers>) {
+    let Some(mut loans) = links.take_loans() else { return };
+    let mut limited = tokio::time::interval(LIMITED_CHECK_INTERVAL);
+    loop {
+        let waits = !lock(&host.quotas.inner).waiting.is_empty();
+        tokio::select! {
+            () = next_loan(&host, &mut loans) => host.quotas.pump(&host),
+            () = host.quotas.changed.notified() => {}
+            () = tokio::time::sleep(WAIT_CHECK_INTERVAL), if waits => host.quotas.pump(&host),
+            _ = limited.tick() => {
+                host.quotas.refresh(&host);
+                host.quotas.check_limited(&host);
+            }
+        }
+        if !lock(&host.quotas.inner).requests.is_empty() {
+            tokio::time::sleep(BATCH_DELAY).await;
+            host.quotas.flush(&host, &links);
+        }
+    }
+}
+
+async fn next_loan(host: &Host, loans: &mut Loans) {
+    match loans.recv().await {
+        Some((lender, loan)) => host.quotas.on_loan(host, &lender, &loan),
+        // the links are closed
+        None => std::future::pending().await,
+    }
+}
+
+fn wait_limit(host: &Host, run: &Run) -> Duration {
+    let objective = host.view.read(|state| {
+        let database = state.declarations.databases.get(run.service.as_str());
+        database.map_or(0, |database| database.objective_ms)
+    });
+    if objective == 0 {
+        return WAIT_MAX;
+    }
+    Duration::from_millis(objective).mul_f64(WAIT_SHARE).min(WAIT_MAX)
+}
+
+fn not_run(run: &Run, reason: Reason) -> End {
+    End {
+        request: run.request,
+        outcome: Outcome::NotRun as i32,
+        reason: reason as i32,
+        status: u32::from(b'I'),
+        ..End::default()
+    }
+}
+
+fn finish(host: &Host, waiting: &Waiting, end: End) {
+    host.metrics.end(&end);
+    waiting.link.send(answer::Body::End(end));
+}
+
+fn message(requests: &[Request]) -> Borrow {
+    let first = requests.iter().map(|request| request.sent).min().unwrap_or_default();
+    let item = |request: &Request| BorrowItem {
+        team: request.team.to_string(),
+        tokens: request.tokens,
+        offset_us: request.sent.since(first).as_micros() as u32,
+    };
+    Borrow { sent_us: first.as_micros(), items: requests.iter().map(item).collect() }
+}
--- a/components/entry/src/keep/shard.rs
+++ b/components/entry/src/keep/shard.rs
@@ -219,11 +219,11 @@
             Effect::Pause { conn } => tasks.pause(conn, true),
             Effect::Resume { conn } => tasks.pause(conn, false),
             Effect::Part { front, part } => {
-                self.host.fronts.send(front, answer::Body::Part(part));
+                self.host.fronts.send(&self.host, front, answer::Body::Part(part));
             }
             Effect::End { front, end } => {
                 self.host.metrics.end(&end);
-                self.host.fronts.send(front, answer::Body::End(end));
+                self.host.fronts.send(&self.host, front, answer::Body::End(end));
             }
             Effect::Sample { server } => {
                 if let Some(prober) = tasks.probers.get(&server) {
--- a/components/entry/tests/entry.rs
+++ b/components/entry/tests/entry.rs
@@ -38,6 +38,7 @@
         users: None,
         tls: None,
         dialect: None,
+        quota: quota::Bounds::default(),
         log: slog::Logger::root(slog::Discard, slog::o!()),
         clock,
     });
--- a/components/entry/tests/keep.rs
+++ b/components/entry/tests/keep.rs
@@ -10,6 +10,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use config::Declarations;
+use entry::front::keepers::Keepers;
 use entry::{View, keep};
 use link::{Key, Peer, Purpose, Reader, Writer};
 use standin::{Fault, Group, Settings};
@@ -71,6 +72,12 @@
     state.groups.insert(name(GROUP), control_group);
 }
 
+/// Links to the keepers of other entries.
+fn links(own: &Name) -> Keepers {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Keepers::new(own, 1, Key::new(KEY).unwrap(), Clock::start(), log)
+}
+
 async fn bench() -> Bench {
     let settings = Settings { settled: true, ..Settings::new(name(GROUP)) };
     let group = Group::start(settings).await.unwrap();
@@ -89,6 +96,8 @@
         view: view.clone(),
         clock: Clock::start(),
         dialect: None,
+        quota: quota::Bounds::default(),
+        links: Arc::new(links(&name("entry-1"))),
         metrics: Arc::clone(&metrics),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
@@ -188,7 +197,7 @@
                     assert_eq!((end.request, end.parts), (self.last, parts));
                     return (payload, end);
                 }
-                answer::Body::Closing(_) | answer::Body::Pong(_) => {}
+                answer::Body::Closing(_) | answer::Body::Pong(_) | answer::Body::Loan(_) => {}
             }
         }
     }
--- a/components/local/src/cluster.rs
+++ b/components/local/src/cluster.rs
@@ -204,6 +204,7 @@
             users: None,
             tls: None,
             dialect: None,
+            quota: quota::Bounds::default(),
             log: self.settings.log.clone(),
             clock: self.clock,
         });
--- /dev/null
+++ b/components/quota/src/bucket.rs
@@ -0,0 +1,122 @@
+//! The bucket of a team at one holder.
+
+use base::prelude::*;
+
+use crate::flaw::Flaw;
+use crate::holders::Recent;
+
+/// A token bucket whose rate and capacity are a share of a limit.
+///
+/// The share in use is the least of those in force within the time `span`, after which
+/// every other host that may run operations has applied the same change: a share
+/// shrinks at once, and grows only when no other host still uses a part of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Bucket {
+    level: f64,
+    /// Part of the tokens taken by operations that are not known to have run yet, as far
+    /// as the bucket has not been full since: only these may be returned. Without this,
+    /// a burst that waits and is then not run would allow a second burst.
+    returnable: f64,
+    at: Instant,
+    shares: Recent<f64>,
+    span: Duration,
+    rate: f64,
+    pool: f64,
+    flaw: Flaw,
+}
+
+impl Bucket {
+    pub(crate) fn new(now: Instant, shares: Recent<f64>, span: Duration, flaw: Flaw) -> Self {
+        let span = if flaw == Flaw::GrowEarly { Duration::ZERO } else { span };
+        Self { level: 0.0, returnable: 0.0, at: now, shares, span, rate: 0.0, pool: 0.0, flaw }
+    }
+
+    /// Changes the limit and the share of this host. The balance never grows by this.
+    pub(crate) fn set(&mut self, now: Instant, limit: (f64, f64), share: f64) {
+        self.advance(now);
+        (self.rate, self.pool) = limit;
+        let last = *self.shares.last();
+        if last.to_bits() != share.to_bits() {
+            self.shares.push(now, share);
+        }
+        if self.flaw == Flaw::StartFull && last == 0.0 {
+            self.level = self.pool * share;
+        }
+        if self.flaw != Flaw::KeepBalance {
+            self.clip();
+        }
+    }
+
+    /// Refills the bucket up to the time `now`.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        self.shares.trim(self.at, self.span);
+        while let Some(expiry) = self.shares.expiry(self.span).filter(|&expiry| expiry <= now) {
+            self.refill(expiry);
+            self.shares.trim(expiry, self.span);
+        }
+        self.refill(now);
+    }
+
+    fn refill(&mut self, until: Instant) {
+        let gain = self.rate() * until.since(self.at).as_secs_f64();
+        if self.flaw == Flaw::KeepBalance && self.level > self.capacity() {
+            self.at = self.at.max(until);
+            return;
+        }
+        self.level += gain;
+        self.clip();
+        self.at = self.at.max(until);
+    }
+
+    fn clip(&mut self) {
+        self.level = self.level.min(self.capacity());
+        self.returnable = self.returnable.min(self.capacity() - self.level);
+    }
+
+    /// Tokens per second that this host receives.
+    pub(crate) fn rate(&self) -> f64 {
+        self.rate * self.shares.min()
+    }
+
+    /// Tokens that the bucket holds at most.
+    pub(crate) fn capacity(&self) -> f64 {
+        self.pool * self.shares.min()
+    }
+
+    pub(crate) fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Takes a token for an operation.
+    pub(crate) fn take(&mut self) -> bool {
+        let has = self.level >= 1.0;
+        if has {
+            self.level -= 1.0;
+            self.returnable += 1.0;
+        }
+        has
+    }
+
+    /// Takes tokens for a loan, which are never returned.
+    pub(crate) fn lend(&mut self, tokens: f64) {
+        if self.flaw != Flaw::LendFree {
+            self.level -= tokens;
+        }
+    }
+
+    /// Notes that an operation ran, so that its token is not returned.
+    pub(crate) fn settle(&mut self) {
+        self.returnable = (self.returnable - 1.0).max(0.0);
+    }
+
+    /// Returns the token of an operation that did not run.
+    pub(crate) fn refund(&mut self) {
+        if self.flaw == Flaw::RefundAlways {
+            self.level = (self.level + 1.0).min(self.capacity());
+            return;
+        }
+        let back = self.returnable.min(1.0);
+        self.returnable -= back;
+        self.level += back;
+    }
+}
--- /dev/null
+++ b/components/quota/src/holders.rs
@@ -0,0 +1,66 @@
+//! The hosts that hold a share of a limit, and the share of this host over time.
+
+use std::collections::VecDeque;
+
+use base::prelude::*;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// The first `count` of the hosts in a rendezvous hash of the team, so that a host that
+/// joins or leaves moves only its own shares.
+pub(crate) fn rank(team: &Name, hosts: &[Name], count: usize) -> Vec<Name> {
+    let seed = xxh3_64(team.as_str().as_bytes());
+    let score = |host: &Name| xxh3_64_with_seed(host.as_str().as_bytes(), seed);
+    let mut ranked = hosts.to_vec();
+    ranked.sort_by_cached_key(|host| std::cmp::Reverse(score(host)));
+    ranked.truncate(count);
+    ranked
+}
+
+/// A value that is in force from a time on until the next.
+#[derive(Clone, Debug)]
+struct Since<T> {
+    value: T,
+    at: Instant,
+}
+
+/// Values in force over the last time, oldest first.
+#[derive(Clone, Debug)]
+pub(crate) struct Recent<T>(VecDeque<Since<T>>);
+
+impl<T: Clone> Recent<T> {
+    pub(crate) fn new(at: Instant, value: T) -> Self {
+        Self(VecDeque::from([Since { value, at }]))
+    }
+
+    pub(crate) fn push(&mut self, at: Instant, value: T) {
+        self.0.push_back(Since { value, at });
+    }
+
+    pub(crate) fn last(&self) -> &T {
+        &self.0.back().expect("one value is always in force").value
+    }
+
+    pub(crate) fn map<U>(&self, convert: impl Fn(&T) -> U) -> Recent<U> {
+        let convert = |since: &Since<T>| Since { value: convert(&since.value), at: since.at };
+        Recent(self.0.iter().map(convert).collect())
+    }
+
+    /// Drops values that were replaced more than `span` ago.
+    pub(crate) fn trim(&mut self, now: Instant, span: Duration) {
+        while self.expiry(span).is_some_and(|expiry| expiry <= now) {
+            self.0.pop_front();
+        }
+    }
+
+    /// Time at which the oldest value was replaced `span` ago; `None` if there is only
+    /// one value.
+    pub(crate) fn expiry(&self, span: Duration) -> Option<Instant> {
+        self.0.get(1).map(|next| next.at + span)
+    }
+}
+
+impl Recent<f64> {
+    pub(crate) fn min(&self) -> f64 {
+        self.0.iter().map(|since| since.value).fold(f64::INFINITY, f64::min)
+    }
+}
--- /dev/null
+++ b/components/quota/src/ledger.rs
@@ -0,0 +1,298 @@
+//! The buckets of one host, as a state machine.
+
+use std::collections::HashMap;
+
+use base::prelude::*;
+use config::Quota;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::bounds::Bounds;
+use crate::bucket::Bucket;
+use crate::flaw::Flaw;
+use crate::holders::{Recent, rank};
+use crate::team::{Loan, Team};
+
+/// Largest random addition to a retry-after time, as a share of it.
+const RETRY_JITTER: f64 = 0.5;
+
+/// Settings of a ledger.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this host.
+    pub own: Name,
+    /// How far a limit may be exceeded.
+    pub bounds: Bounds,
+    /// Time after which a host that has not applied a change of the control state runs
+    /// nothing: the duration of the lease of an entry.
+    pub lease: Duration,
+    /// Seed of the jitter of retry-after times.
+    pub seed: u64,
+    /// Deliberate fault, for tests.
+    pub flaw: Flaw,
+}
+
+/// The token of an operation, to be returned if the operation does not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Token {
+    /// The team has no limit.
+    Unlimited,
+    /// A token of the host's own bucket.
+    Own,
+    /// A borrowed token, with the time at which it expires.
+    Borrowed(Instant),
+}
+
+/// Answer to an operation that asks for a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The operation may run.
+    Granted(Token),
+    /// The operation waits, since a loan is expected: [`Ledger::resume`] asks again, and
+    /// [`Ledger::leave`] gives up.
+    Pending,
+    /// The operation must not run.
+    Refused {
+        /// Time after which the team may have tokens again.
+        retry_after: Duration,
+    },
+}
+
+/// A request for tokens, to be sent to another holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Holder to ask.
+    pub lender: Name,
+    /// Team whose tokens are asked for.
+    pub team: Name,
+    /// Number of tokens.
+    pub tokens: u32,
+    /// Time of the request, to be given back with the answer.
+    pub sent: Instant,
+}
+
+/// The buckets of all teams at one host.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    settings: Settings,
+    teams: HashMap<Name, Team>,
+    /// Hosts that hold shares, in force over the duration of a lease.
+    hosts: Recent<Vec<Name>>,
+    rng: ChaCha8Rng,
+}
+
+impl Ledger {
+    /// Creates a ledger without hosts and teams.
+    pub fn new(now: Instant, settings: Settings) -> Self {
+        let hosts = Recent::new(now, Vec::new());
+        let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        Self { settings, teams: HashMap::new(), hosts, rng }
+    }
+
+    /// Sets the hosts that hold shares, in any order.
+    pub fn set_holders(&mut self, now: Instant, mut hosts: Vec<Name>) {
+        hosts.sort_unstable();
+        hosts.dedup();
+        if *self.hosts.last() == hosts {
+            return;
+        }
+        self.hosts.trim(now, self.settings.lease);
+        self.hosts.push(now, hosts);
+        for (name, team) in &mut self.teams {
+            divide(&self.settings, &self.hosts, now, name, team);
+        }
+    }
+
+    /// Sets the limits of all teams. A team that is not named has no limit.
+    pub fn set_limits<'a>(
+        &mut self,
+        now: Instant,
+        limits: impl Iterator<Item = (&'a Name, Option<Quota>)>,
+    ) {
+        let limits: HashMap<&Name, Quota> =
+            limits.filter_map(|(name, quota)| quota.map(|quota| (name, quota))).collect();
+        for (name, team) in &mut self.teams {
+            if !limits.contains_key(name) {
+                team.quota = None;
+            }
+        }
+        self.hosts.trim(now, self.settings.lease);
+        for (name, quota) in limits {
+            if let Some(team) = self.teams.get_mut(name) {
+                if team.quota != Some(quota) {
+                    team.quota = Some(quota);
+                    divide(&self.settings, &self.hosts, now, name, team);
+                }
+                continue;
+            }
+            let shares = self.hosts.map(|hosts| share(&self.settings, hosts, name, quota));
+            let bucket = Bucket::new(now, shares, self.settings.lease, self.settings.flaw);
+            let mut team = Team::new(now, bucket);
+            team.quota = Some(quota);
+            divide(&self.settings, &self.hosts, now, name, &mut team);
+            self.teams.insert(name.clone(), team);
+        }
+    }
+
+    /// Whether a team has a limit.
+    pub fn limits(&self, team: &str) -> bool {
+        self.teams.get(team).is_some_and(|team| team.quota.is_some())
+    }
+
+    /// Asks for a token for an operation that has arrived.
+    pub fn take(&mut self, now: Instant, team: &str, out: &mut Vec<Request>) -> Decision {
+        let Some((name, found)) = limited(&mut self.teams, team) else {
+            return Decision::Granted(Token::Unlimited);
+        };
+        found.record(now);
+        found.waiting += 1;
+        let decision = decide(&self.settings, now, &name, found, out);
+        self.finish(now, team, decision)
+    }
+
+    /// Asks again for an operation that is pending, after a loan or some time.
+    pub fn resume(&mut self, now: Instant, team: &str, out: &mut Vec<Request>) -> Decision {
+        let Some((name, found)) = limited(&mut self.teams, team) else {
+            self.leave(team);
+            return Decision::Granted(Token::Unlimited);
+        };
+        let decision = decide(&self.settings, now, &name, found, out);
+        self.finish(now, team, decision)
+    }
+
+    fn finish(&mut self, now: Instant, team: &str, decision: Decision) -> Decision {
+        if decision == Decision::Pending {
+            return decision;
+        }
+        self.leave(team);
+        match decision {
+            Decision::Refused { .. } => self.refuse(now, team),
+            decision => decision,
+        }
+    }
+
+    /// Refuses an operation.
+    fn refuse(&mut self, now: Instant, team: &str) -> Decision {
+        let bounds = &self.settings.bounds;
+        let after = self.teams.get_mut(team).map(|team| team.retry_after(now, bounds));
+        let jitter = 1.0 + RETRY_JITTER * self.rng.random::<f64>();
+        Decision::Refused { retry_after: after.unwrap_or_default().mul_f64(jitter) }
+    }
+
+    /// Refuses a pending operation that has waited too long.
+    pub fn expire(&mut self, now: Instant, team: &str) -> Decision {
+        self.leave(team);
+        self.refuse(now, team)
+    }
+
+    /// Gives up a pending operation.
+    pub fn leave(&mut self, team: &str) {
+        if let Some(team) = self.teams.get_mut(team) {
+            team.waiting = team.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an operation ran or may have run.
+    pub fn settle(&mut self, now: Instant, team: &str, token: Token) {
+        if let Some(team) = self.teams.get_mut(team).filter(|_| token == Token::Own) {
+            team.bucket.advance(now);
+            team.bucket.settle();
+        }
+    }
+
+    /// Returns the token of an operation that did not run.
+    pub fn refund(&mut self, now: Instant, team: &str, token: Token) {
+        let Some(team) = self.teams.get_mut(team) else { return };
+        match token {
+            Token::Own => {
+                team.bucket.advance(now);
+                team.bucket.refund();
+            }
+            Token::Borrowed(expires) if now < expires => team.add_borrowed(1.0, expires),
+            Token::Unlimited | Token::Borrowed(_) => {}
+        }
+    }
+
+    /// Lends tokens to another host. A host without a lease must not lend.
+    pub fn on_borrow(&mut self, now: Instant, team: &str, tokens: u32) -> Loan {
+        let found = limited(&mut self.teams, team);
+        found.map_or_else(Loan::default, |(_, team)| team.lend(now, tokens))
+    }
+
+    /// Takes the answer of a lender to the request of the time `sent`.
+    pub fn on_loan(&mut self, now: Instant, lender: &str, team: &str, loan: Loan, sent: Instant) {
+        let Some((_, team)) = limited(&mut self.teams, team) else { return };
+        let tokens = f64::from(loan.tokens);
+        if let Some(known) = team.lenders.iter_mut().find(|known| known.name.as_str() == lender) {
+            known.answer(now, sent, tokens, f64::from(loan.left));
+        }
+        // the lender took the tokens out after `sent`, so that they expire early rather
+        // than late
+        let expires = sent + self.settings.bounds.loan_life();
+        if loan.tokens > 0 && (now < expires || self.settings.flaw == Flaw::KeepLoans) {
+            team.add_borrowed(tokens, expires);
+        }
+    }
+}
+
+fn limited<'a>(teams: &'a mut HashMap<Name, Team>, name: &str) -> Option<(Name, &'a mut Team)> {
+    let known = teams.get_key_value(name).map(|(name, _)| name.clone())?;
+    let team = teams.get_mut(name).filter(|team| team.quota.is_some())?;
+    Some((known, team))
+}
+
+fn decide(
+    settings: &Settings,
+    now: Instant,
+    name: &Name,
+    team: &mut Team,
+    out: &mut Vec<Request>,
+) -> Decision {
+    team.bucket.advance(now);
+    let borrowed = team.take_borrowed(now, settings.flaw).map(Token::Borrowed);
+    let token = borrowed.or_else(|| team.bucket.take().then_some(Token::Own));
+    if token.is_some() {
+        team.waiting -= 1;
+    }
+    if settings.flaw != Flaw::NeverBorrow {
+        let request = |lender: &Name, tokens| Request {
+            lender: lender.clone(),
+            team: name.clone(),
+            tokens,
+            sent: now,
+        };
+        team.borrow(now, &settings.bounds, |lender, tokens| out.push(request(lender, tokens)));
+    }
+    if let Some(token) = token {
+        team.waiting += 1;
+        return Decision::Granted(token);
+    }
+    if team.covers_waiting(now, settings.bounds.loan_life()) {
+        return Decision::Pending;
+    }
+    Decision::Refused { retry_after: Duration::ZERO }
+}
+
+/// Share of this host in the limit of a team.
+fn share(settings: &Settings, hosts: &[Name], team: &Name, quota: Quota) -> f64 {
+    let holders = rank(team, hosts, settings.bounds.holders(quota, hosts.len()));
+    if holders.contains(&settings.own) { 1.0 / holders.len() as f64 } else { 0.0 }
+}
+
+/// Sets the share of this host, and the other holders.
+fn divide(
+    settings: &Settings,
+    hosts: &Recent<Vec<Name>>,
+    now: Instant,
+    name: &Name,
+    team: &mut Team,
+) {
+    let Some(quota) = team.quota else { return };
+    let hosts = hosts.last();
+    let share = share(settings, hosts, name, quota);
+    team.bucket.set(now, (quota.rate_per_s, settings.bounds.pool(quota)), share);
+    let count = settings.bounds.holders(quota, hosts.len());
+    let mut lenders = rank(name, hosts, count);
+    lenders.retain(|lender| *lender != settings.own);
+    team.set_lenders(now, lenders);
+}
--- a/components/wire/src/data.rs
+++ b/components/wire/src/data.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
     /// Body of the message.
-    #[prost(oneof = "ask::Body", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "ask::Body", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<ask::Body>,
 }
 
@@ -40,6 +40,9 @@
         /// Checks that the keeper is alive.
         #[prost(message, tag = "6")]
         Ping(super::Ping),
+        /// Asks for tokens of teams.
+        #[prost(message, tag = "7")]
+        Borrow(super::Borrow),
     }
 }
 
@@ -157,7 +160,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Answer {
     /// Body of the message.
-    #[prost(oneof = "answer::Body", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "answer::Body", tags = "1, 2, 3, 4, 5")]
     pub body: Option<answer::Body>,
 }
 
@@ -179,6 +182,9 @@
         /// Answer to a ping.
         #[prost(message, tag = "4")]
         Pong(super::Pong),
+        /// Answer to a request for tokens.
+        #[prost(message, tag = "5")]
+        Loan(super::Loan),
     }
 }
 
@@ -299,3 +305,58 @@
 /// Announces that a keeper is stopping.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct Closing {}
+
+/// Asks a holder of the limits of teams for tokens out of its buckets.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Borrow {
+    /// Time of the message by the clock of the borrower, in microseconds; given back in
+    /// the [`Loan`].
+    #[prost(uint64, tag = "1")]
+    pub sent_us: u64,
+    /// Requested tokens.
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<BorrowItem>,
+}
+
+/// Tokens of one team that are asked for.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct BorrowItem {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Number of tokens.
+    #[prost(uint32, tag = "2")]
+    pub tokens: u32,
+    /// Time of this request after that of the message, in microseconds; given back in
+    /// the [`LoanItem`].
+    #[prost(uint32, tag = "3")]
+    pub offset_us: u32,
+}
+
+/// Answer to a [`Borrow`]. The tokens are no longer in the lender's buckets.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Loan {
+    /// Time of the request by the clock of the borrower, in microseconds.
+    #[prost(uint64, tag = "1")]
+    pub sent_us: u64,
+    /// Lent tokens.
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<LoanItem>,
+}
+
+/// Tokens of one team that are lent.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoanItem {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Number of tokens; zero if the holder has none to lend.
+    #[prost(uint32, tag = "2")]
+    pub tokens: u32,
+    /// Time of the request after that of the message, in microseconds.
+    #[prost(uint32, tag = "3")]
+    pub offset_us: u32,
+    /// Tokens that the holder could still lend.
+    #[prost(uint32, tag = "4")]
+    pub left: u32,
+}
