Decide on connections of teams by what they save, in a crate of their own

Cause: the keeper closed the least recently used connection of another team for each waiting request, placed reads by free slots only, and each front preferred the keeper nearby, so that each team needed connections at both keepers.

Change: components/pool decides on plain values. A connection is worth the requests that would find none without it (Erlang's loss formula over the team's rate), weighted by priority and objective; the one of least value is closed. A further connection of a team closes only connections of half its value, and is opened only if it is ready sooner than the present ones are free. Reads go to an idle connection of the team, in the order of a rendezvous hash with bounded load. CONNLIMIT lowers the number of connections in use until one closes, or for a second. Fronts order the keepers by a hash of the team (TEAM_AFFINITY), by location without a team. Counters for hits and evictions.

Ruled out: plain LRU, LRU eviction with the other rules unchanged, and a pool for each team without evictions.

--- a/components/entry/src/front/dispatch.rs
+++ b/components/entry/src/front/dispatch.rs
@@ -13,7 +13,7 @@
 
 use super::Front;
 use super::attempt::{self, Attempt};
-use super::choose::{self, Keeper};
+use super::choose::{self, Caller, Keeper, TEAM_AFFINITY};
 use super::conn::Disconnect;
 use super::link::{Event, Link, Request};
 use super::patience::Patience;
@@ -121,8 +121,10 @@
     /// stopping come late, and those that don't respond last.
     fn keepers(&self) -> SmallVec<[Keeper; 2]> {
         let front = self.front;
+        let (number, team) = (*self.number, self.run.team.as_str());
+        let caller = Caller { number, team, affinity: TEAM_AFFINITY };
         let mut keepers = front.view.read(|state| {
-            choose::rank_keepers(state, &self.run.group, &front.name, &front.zone, *self.number)
+            choose::rank_keepers(state, &self.run.group, &front.name, &front.zone, caller)
         });
         let now = front.clock.now();
         keepers.sort_by_key(|keeper| {
--- a/components/entry/src/keep/metrics.rs
+++ b/components/entry/src/keep/metrics.rs
@@ -28,6 +28,8 @@
     primary_reads: Family<CauseLabel, Counter>,
     repeats: Counter,
     opened: Counter,
+    hits: Counter,
+    evicted: Counter,
 }
 
 impl Metrics {
@@ -48,6 +50,16 @@
         );
         registry.register("repeats", "Requests tried again", metrics.repeats.clone());
         registry.register("opened", "Connections opened", metrics.opened.clone());
+        registry.register(
+            "pool_hits",
+            "Requests of teams sent on a connection that had served the team before",
+            metrics.hits.clone(),
+        );
+        registry.register(
+            "pool_evicted",
+            "Idle connections closed for one of another team",
+            metrics.evicted.clone(),
+        );
         metrics
     }
 
@@ -57,6 +69,8 @@
             Count::PrimaryRead(cause) => self.primary_read(cause),
             Count::Retry => self.repeats.inc(),
             Count::Opened => self.opened.inc(),
+            Count::Hit => self.hits.inc(),
+            Count::Evicted => self.evicted.inc(),
         };
     }
 
--- a/components/entry/src/keep/plain.rs
+++ b/components/entry/src/keep/plain.rs
@@ -170,7 +170,10 @@
         loop {
             match self.dialect.decode_reply(&mut self.input).change_context(Failure::Disorder)? {
                 Some(Reply::Ready { mark, .. }) => return Ok(mark),
-                Some(Reply::Error { .. }) => return Err(Report::new(Failure::Refused)),
+                Some(Reply::Error { error_kind, .. }) => {
+                    self.shard.feed(Event::Refused { conn: self.conn, error_kind });
+                    return Err(Report::new(Failure::Refused));
+                }
                 Some(_) => return Err(Report::new(Failure::Disorder)),
                 None => self.fill().await?,
             }
--- a/components/keeper/src/conn.rs
+++ b/components/keeper/src/conn.rs
@@ -34,6 +34,9 @@
     pub(crate) team: Key<Team>,
     /// Whether opening the connection occupies one of the server's slots.
     pub(crate) opening_uses_slot: bool,
+    /// When the connection was requested.
+    pub(crate) opened_at: Instant,
+    pub(crate) session: Session,
     /// Team for whose connection this one is being closed.
     pub(crate) room_for: Option<Key<Team>>,
     pub(crate) work: Work,
@@ -50,6 +53,17 @@
     pub(crate) paused: bool,
 }
 
+/// State of the session on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Session {
+    /// No request was sent on the connection.
+    New,
+    /// A request was sent on the connection.
+    Used,
+    /// The server refused the session because it has too many connections.
+    Refused,
+}
+
 /// Current activity of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Work {
@@ -77,11 +91,18 @@
 }
 
 impl Connection {
-    pub(crate) fn new(server: Key<Server>, team: Key<Team>, opening_uses_slot: bool) -> Self {
+    pub(crate) fn new(
+        now: Instant,
+        server: Key<Server>,
+        team: Key<Team>,
+        opening_uses_slot: bool,
+    ) -> Self {
         Self {
             server,
             team,
             opening_uses_slot,
+            opened_at: now,
+            session: Session::New,
             room_for: None,
             work: Work::Opening,
             status: IDLE,
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -4,7 +4,7 @@
 use base::prelude::*;
 use wire::data::{Class, Outcome, Part, Reason};
 
-use crate::conn::{Connection, IDLE, Origin, Work};
+use crate::conn::{Connection, IDLE, Origin, Session, Work};
 use crate::event::{Effect, Kind, Outage, Piece};
 use crate::group::Group;
 use crate::request::{Completion, MAX_HELD_BYTES, Request, Stage};
@@ -23,6 +23,9 @@
             return;
         };
         conn.work = Work::Idle(now);
+        if conn.opening_uses_slot {
+            self.teams.record_opening(now.since(conn.opened_at));
+        }
         if let Some(server) = self.servers.get_mut(conn.server) {
             server.failures = 0;
             if self.unfenced.is_some() {
@@ -39,11 +42,15 @@
         let wait = self.servers.get(conn.server).map_or(0, |server| server.failures);
         let wait = self.backoff.delay(wait);
         if let Some(server) = self.servers.get_mut(conn.server) {
-            if conn.work == Work::Opening {
+            let refused = conn.session == Session::Refused;
+            if !refused {
+                server.cap = None;
+            }
+            if conn.work == Work::Opening && !refused {
                 server.failures += 1;
                 server.connect_at = now + wait;
             }
-            if !conn.is_closing() {
+            if !conn.is_closing() && !refused {
                 server.distrusted_at = now;
             }
         }
--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -120,7 +120,7 @@
         if !self.opens_on_demand(caller_team) {
             return Verdict::Stop;
         }
-        self.open_for(now, server, caller_team, out);
+        self.open_for(now, server, key, out);
         Verdict::Skip
     }
 
@@ -144,8 +144,12 @@
             return Verdict::Take;
         }
         let team = request.team;
+        if self.opens_on_demand(team) {
+            drop(found);
+            return self.offer_read_of_team(now, key, out);
+        }
         let Some(best) = choose(found) else {
-            return self.open_for_read(now, key, out);
+            return Verdict::Skip;
         };
         let Some(conn) = self.idle_of(best.server, team) else {
             return Verdict::Skip;
@@ -163,7 +167,7 @@
     }
 
     /// Sends a request on an idle connection.
-    fn send(
+    pub(crate) fn send(
         &mut self,
         now: Instant,
         key: Key<Request>,
@@ -175,6 +179,7 @@
             return;
         };
         let attempt = self.new_attempt(now, key, conn, server, mark);
+        self.record_use(now, key, conn, out);
         let (Some(request), Some(connection)) =
             (self.requests.get_mut(key), self.conns.get_mut(conn))
         else {
@@ -275,7 +280,7 @@
             (probes && opening == 0) || few
         };
         while self.connection_count(key) < limit && wanted(self, opening) {
-            self.open(key, team, out);
+            self.open(now, key, team, out);
             opening += 1;
         }
     }
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -62,6 +62,13 @@
         /// Connection that was opened.
         conn: Key<Connection>,
     },
+    /// The server refused to start a session; [`Event::Closed`] follows.
+    Refused {
+        /// Connection that could not be opened.
+        conn: Key<Connection>,
+        /// Reason for the refusal.
+        error_kind: ErrorKind,
+    },
     /// A connection was closed or could not be opened. No further event of the
     /// connection follows.
     Closed {
@@ -381,6 +388,10 @@
     Retry,
     /// A connection was opened.
     Opened,
+    /// A request of a team was sent on a connection that had served the team before.
+    Hit,
+    /// An idle connection was closed to make room for one of another team.
+    Evicted,
 }
 
 /// Why a read was sent to the primary.
--- a/components/keeper/src/flaw.rs
+++ b/components/keeper/src/flaw.rs
@@ -18,4 +18,6 @@
     /// Takes a suspension of the process for a run time, and refuses requests for the
     /// load estimated from it although free slots can run them.
     CountSuspension,
+    /// Runs a request on an idle connection of another team.
+    ForeignTeam,
 }
--- a/components/keeper/src/server.rs
+++ b/components/keeper/src/server.rs
@@ -42,6 +42,9 @@
     /// Reads that a replica may serve are not sent to the server before this
     /// time, because it had no free slot.
     pub(crate) full_until: Instant,
+    /// Limit on connections below the leased one, and its end: the server refused a session
+    /// because it has too many.
+    pub(crate) cap: Option<(u32, Instant)>,
     /// When the server began to leave the group.
     pub(crate) leaving_since: Option<Instant>,
 }
@@ -81,6 +84,7 @@
             commits: Commits::default(),
             lag: Lag::default(),
             full_until: Instant::ZERO,
+            cap: None,
             leaving_since: None,
         }
     }
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -19,6 +19,8 @@
     pub(crate) limits: Limits,
     /// Target time for answering a request.
     pub(crate) objective: Option<Duration>,
+    /// Weight of a request that has to wait for a new connection.
+    pub(crate) urgency: f64,
     /// Number of requests that have not ended.
     pub(crate) open_requests: u32,
     /// Retry budget of the service.
@@ -36,6 +38,7 @@
             weight: 1,
             limits,
             objective: None,
+            urgency: 1.0,
             open_requests: 0,
             budget,
             reach: SmallVec::new(),
@@ -57,6 +60,8 @@
         let database = declarations.databases.get(self.name.as_str());
         let objective = database.map(|database| Duration::from_millis(database.objective_ms));
         self.objective = objective.filter(|objective| !objective.is_zero());
+        let priority = database.map_or(0, |database| database.priority);
+        self.urgency = pool::urgency(priority, self.objective);
         let reached = |server: &Server| {
             declarations.can_access_server(self.name.as_str(), group.as_str(), &server.labels)
         };
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -9,14 +9,28 @@
 
 use admit::Verdict;
 use base::prelude::*;
+use plain::ErrorKind;
+use pool::{
+    Choice, Gain, Holding, Idle, Load, Usage, choose_victim, place, rendezvous, should_open,
+};
+use route::Candidate;
+use smallvec::SmallVec;
 
-use crate::conn::{Connection, Work};
+use crate::conn::{Connection, Session, Work};
 use crate::dispatch::IDLE_LIMIT;
-use crate::event::Effect;
+use crate::event::{Count, Effect};
+use crate::flaw::Flaw;
 use crate::group::Group;
-use crate::request::Request;
+use crate::request::{Request, Stage};
 use crate::server::Server;
 
+/// Time assumed for opening a connection before the first one was opened.
+const INITIAL_OPENING_TIME: Duration = Duration::from_millis(10);
+
+/// Time after which the full number of connections is tried again with a server that
+/// refused a session because it has too many, if no connection closes before.
+const CAP_DURATION: Duration = Duration::from_secs(1);
+
 /// A team of callers.
 #[derive(Debug)]
 pub(crate) struct Team {
@@ -31,6 +45,10 @@
     by_name: HashMap<Name, Key<Team>>,
     /// Team of callers that have no team.
     unnamed: Key<Team>,
+    /// Requests of each team to each server.
+    usage: HashMap<(Key<Server>, Key<Team>), Usage>,
+    /// Moving average of the time that an opening takes.
+    opening_time: Duration,
     /// Team of the last request.
     pub(crate) last: Key<Team>,
 }
@@ -39,11 +57,23 @@
     fn default() -> Self {
         let mut known = Arena::new();
         let unnamed = known.insert(Team { name: None });
-        Self { known, by_name: HashMap::new(), unnamed, last: unnamed }
+        Self {
+            known,
+            by_name: HashMap::new(),
+            unnamed,
+            usage: HashMap::new(),
+            opening_time: INITIAL_OPENING_TIME,
+            last: unnamed,
+        }
     }
 }
 
 impl Teams {
+    /// Records the time that an opening took.
+    pub(crate) fn record_opening(&mut self, time: Duration) {
+        self.opening_time = (self.opening_time * 7 + time) / 8;
+    }
+
     /// Returns the key of the team with the given name; `None` if the name is invalid.
     fn intern(&mut self, name: &str) -> Option<Key<Team>> {
         if name.is_empty() {
@@ -80,6 +110,9 @@
     /// Closes connections of teams that were idle for long, except the last one of each
     /// team. Closes all idle connections of teams if teams are no longer declared.
     pub(crate) fn close_surplus_of_teams(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        for (_, server) in self.servers.iter_mut() {
+            server.cap = server.cap.filter(|(_, until)| now < *until);
+        }
         let (has_teams, unnamed) = (self.has_teams(), self.teams.unnamed);
         if self.teams.by_name.is_empty() {
             return;
@@ -90,6 +123,8 @@
         });
         let mut idle: Vec<_> = idle.collect();
         idle.sort_unstable();
+        let servers = &self.servers;
+        self.teams.usage.retain(|(server, _), _| servers.get(*server).is_some());
         let mut kept: HashSet<(Key<Server>, Key<Team>)> = HashSet::new();
         for (since, conn, owner) in idle.into_iter().rev() {
             let surplus = has_teams && kept.contains(&owner) && now.since(since) > IDLE_LIMIT;
@@ -104,7 +139,8 @@
 
     /// Returns the most recently used idle connection of a team to a server.
     pub(crate) fn idle_of(&self, server: Key<Server>, team: Key<Team>) -> Option<Key<Connection>> {
-        self.idle_where(server, |conn| conn.team == team)
+        let any = self.has_flaw(Flaw::ForeignTeam);
+        self.idle_where(server, |conn| any || conn.team == team)
     }
 
     /// Whether the server has a connection that is idle, that runs a request, or that
@@ -125,11 +161,17 @@
     }
 
     /// Opens a connection of a team.
-    pub(crate) fn open(&mut self, server: Key<Server>, team: Key<Team>, out: &mut Vec<Effect>) {
+    pub(crate) fn open(
+        &mut self,
+        now: Instant,
+        server: Key<Server>,
+        team: Key<Team>,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(known) = self.servers.get(server) else { return };
         let (name, address) = (known.name.clone(), known.address);
         let uses_slot = self.opens_on_demand(team);
-        let conn = self.conns.insert(Connection::new(server, team, uses_slot));
+        let conn = self.conns.insert(Connection::new(now, server, team, uses_slot));
         let team = self.teams.known.get(team).and_then(|team| team.name.clone());
         out.push(Effect::Connect { conn, server: name, address, team });
     }
@@ -142,75 +184,209 @@
         &mut self,
         now: Instant,
         server: Key<Server>,
-        team: Key<Team>,
+        key: Key<Request>,
         out: &mut Vec<Effect>,
     ) {
-        if self.free_slots(server) == 0 || self.is_awaited(server, team) {
-            return;
-        }
+        let free = self.free_slots(server);
+        let Some(request) = self.requests.get(key).filter(|_| free > 0) else { return };
+        let (team, stage) = (request.team, request.stage);
         let Some(known) = self.servers.get(server).filter(|known| now >= known.connect_at) else {
             return;
         };
-        if self.connection_count(server) < known.connections {
-            return self.open(server, team, out);
+        let limit = known.cap.map_or(known.connections, |(cap, _)| cap.min(known.connections));
+        let (holding, pinned) = self.holding(server, team);
+        let has_none = holding == Holding::default();
+        let waiting = if has_none { 1 } else { self.waiting_of(team, stage) };
+        if !should_open(holding, waiting, self.typical_run_time, self.teams.opening_time) {
+            return;
+        }
+        if self.connection_count(server) < limit {
+            return self.open(now, server, team, out);
         }
-        let Some(victim) = self.least_recently_used(server, team) else {
+        let rooms = self.conns.iter().filter(|(_, conn)| conn.server == server);
+        let rooms = rooms.filter(|(_, conn)| conn.room_for.is_some()).count() as u32;
+        if rooms >= free {
+            return;
+        }
+        let held = holding.busy + holding.opening + pinned;
+        let further = Gain::Further(self.value_of(now, server, team, held + 1));
+        let gain = if has_none { Gain::Required } else { further };
+        self.evict(now, server, team, gain, out);
+    }
+
+    /// Closes an idle connection of another team.
+    fn evict(
+        &mut self,
+        now: Instant,
+        server: Key<Server>,
+        team: Key<Team>,
+        gain: Gain,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(victim) = choose_victim(team, gain, self.idle_connections(now, server)) else {
             return;
         };
         if let Some(conn) = self.conns.get_mut(victim) {
             conn.room_for = Some(team);
         }
         self.close_conn(victim, out);
+        out.push(Effect::Count(Count::Evicted));
     }
 
-    /// Whether a connection of the team is being opened, or room is being made for one.
-    fn is_awaited(&self, server: Key<Server>, team: Key<Team>) -> bool {
-        let awaited = |conn: &Connection| {
-            let opens = conn.work == Work::Opening && conn.team == team;
-            conn.server == server && (opens || conn.room_for == Some(team))
-        };
-        self.conns.iter().any(|(_, conn)| awaited(conn))
-    }
-
-    /// Returns the least recently used idle connection that belongs to another team.
-    fn least_recently_used(&self, server: Key<Server>, team: Key<Team>) -> Option<Key<Connection>> {
+    /// The idle connections to a server, with what the choice of one to close depends on.
+    fn idle_connections(
+        &self,
+        now: Instant,
+        server: Key<Server>,
+    ) -> Vec<Idle<Key<Connection>, Key<Team>>> {
+        let queued = self.requests.iter().filter(|(_, r)| matches!(r.stage, Stage::Queued(_)));
+        let queued: HashSet<_> = queued.map(|(_, request)| request.team).collect();
+        let mut held: HashMap<Key<Team>, u32> = HashMap::new();
+        let here = self.conns.iter().filter(|(_, conn)| conn.server == server);
+        for (_, conn) in here.filter(|(_, conn)| !conn.is_closing()) {
+            *held.entry(conn.team).or_default() += 1;
+        }
         let idle = self.conns.iter().filter_map(|(key, conn)| match conn.work {
-            Work::Idle(since) if conn.server == server && conn.team != team => Some((since, key)),
+            Work::Idle(since) if conn.server == server => {
+                let (team, held) = (conn.team, held.get(&conn.team).copied().unwrap_or(1));
+                let awaited = held == 1 && queued.contains(&team);
+                let value = self.value_of(now, server, team, held);
+                Some(Idle { conn: key, team, since, value, awaited })
+            }
             _ => None,
         });
-        idle.min().map(|(_, key)| key)
+        idle.collect()
+    }
+
+    /// What the last of `held` connections of a team to a server saves.
+    fn value_of(&self, now: Instant, server: Key<Server>, team: Key<Team>, held: u32) -> f64 {
+        let usage = self.teams.usage.get(&(server, team)).copied().unwrap_or_default();
+        usage.value(now, held, self.typical_run_time)
+    }
+
+    /// Connections of a team to a server that will serve its waiting requests, and the
+    /// number of those that a transaction holds.
+    fn holding(&self, server: Key<Server>, team: Key<Team>) -> (Holding, u32) {
+        let mut holding = Holding::default();
+        let mut pinned = 0;
+        for (_, conn) in self.conns.iter().filter(|(_, conn)| conn.server == server) {
+            let is_own = conn.team == team;
+            match conn.work {
+                Work::Closing { .. } if conn.room_for == Some(team) => holding.opening += 1,
+                Work::Opening if is_own => holding.opening += 1,
+                Work::Pinned(_) if is_own => pinned += 1,
+                Work::Closing { .. } => {}
+                _ if is_own => holding.busy += 1,
+                _ => {}
+            }
+        }
+        (holding, pinned)
     }
 
-    /// Opens a connection for a read whose team has no idle connection to a server that
-    /// qualifies and has a free slot.
-    pub(crate) fn open_for_read(
+    /// Number of requests of a team that wait in the same lane.
+    fn waiting_of(&self, team: Key<Team>, stage: Stage) -> u32 {
+        let waits = |request: &Request| request.team == team && request.stage == stage;
+        self.requests.iter().filter(|(_, request)| waits(request)).count() as u32
+    }
+
+    /// Sends a read of a team, or opens a connection for it.
+    pub(crate) fn offer_read_of_team(
         &mut self,
         now: Instant,
         key: Key<Request>,
         out: &mut Vec<Effect>,
     ) -> Verdict {
+        if !self.has_ready_server() {
+            return Verdict::Stop;
+        }
         let Some(request) = self.requests.get(key) else {
             return Verdict::Take;
         };
         let team = request.team;
+        let found: SmallVec<[_; 4]> = self.candidates(now, request).collect();
+        match self.place_read(now, team, &found) {
+            Some(Choice::Use(server)) => {
+                let mark = found.iter().find(|found| found.server == server);
+                let mark = mark.and_then(|found| found.mark);
+                let Some(conn) = self.idle_of(server, team) else {
+                    return Verdict::Skip;
+                };
+                self.send(now, key, conn, mark, out);
+                Verdict::Take
+            }
+            Some(Choice::Open(server)) => {
+                self.open_for(now, server, key, out);
+                Verdict::Skip
+            }
+            None => Verdict::Skip,
+        }
+    }
+
+    /// Chooses the server for a read of a team. A connection to the primary is opened only
+    /// if no replica has a free slot.
+    fn place_read(
+        &self,
+        now: Instant,
+        team: Key<Team>,
+        found: &[Candidate<Key<Server>>],
+    ) -> Option<Choice<Key<Server>>> {
+        let primary = self.control_named_primary().map(|(key, _)| key);
+        let name = self.teams.known.get(team).and_then(|team| team.name.as_ref());
+        let name = name.map_or("", Name::as_str);
+        let load = |found: &Candidate<Key<Server>>| {
+            let server = self.servers.get(found.server)?;
+            let full = now < server.full_until;
+            Some(Load {
+                server: found.server,
+                rank: rendezvous(name, server.name.as_str()),
+                used: self.running(found.server),
+                free: if full { 0 } else { self.free_slots(found.server) },
+                ready: self.idle_of(found.server, team).is_some(),
+            })
+        };
+        let loads: SmallVec<[_; 4]> = found.iter().filter_map(load).collect();
+        let preferred = loads.iter().filter(|load| load.ready || Some(load.server) != primary);
+        let preferred: SmallVec<[_; 4]> = preferred.copied().collect();
+        place(&preferred).or_else(|| place(&loads))
+    }
+
+    /// Records that a request is sent on a connection.
+    pub(crate) fn record_use(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        conn: Key<Connection>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(connection) = self.conns.get_mut(conn) else { return };
+        let (server, team) = (connection.server, connection.team);
+        let last = std::mem::replace(&mut connection.session, Session::Used);
         if !self.opens_on_demand(team) {
-            return Verdict::Skip;
+            return;
         }
-        if !self.has_ready_server() {
-            return Verdict::Stop;
+        let service = self.requests.get(key).and_then(|r| self.services.get(r.service));
+        let urgency = service.map_or(1.0, |service| service.urgency);
+        self.teams.usage.entry((server, team)).or_default().record(now, urgency);
+        if last == Session::Used {
+            out.push(Effect::Count(Count::Hit));
         }
-        let accepts = |key: Key<Server>| {
-            let full = self.servers.get(key).is_none_or(|server| now < server.full_until);
-            !full && self.free_slots(key) > 0
+    }
+
+    /// Handles the refusal of a session. Where the server has too many connections, fewer
+    /// are used until one closes, or for [`CAP_DURATION`] if none does.
+    pub(crate) fn refused(&mut self, now: Instant, conn: Key<Connection>, error_kind: ErrorKind) {
+        let Some((server, team)) = self.conns.get(conn).map(|conn| (conn.server, conn.team)) else {
+            return;
         };
-        let found = self.candidates(now, request).filter(|found| accepts(found.server));
-        let primary = self.control_named_primary().map(|(key, _)| key);
-        let best = found
-            .max_by_key(|found| (Some(found.server) != primary, self.free_slots(found.server)));
-        let server = best.map(|found| found.server);
-        if let Some(server) = server {
-            self.open_for(now, server, team, out);
+        let others = self.connection_count(server).saturating_sub(1);
+        if error_kind != ErrorKind::Full || others == 0 || !self.opens_on_demand(team) {
+            return;
+        }
+        if let Some(server) = self.servers.get_mut(server) {
+            server.cap = Some((others, now + CAP_DURATION));
+        }
+        if let Some(conn) = self.conns.get_mut(conn) {
+            conn.session = Session::Refused;
         }
-        Verdict::Skip
     }
 }
--- a/components/keeper/tests/unfenced/main.rs
+++ b/components/keeper/tests/unfenced/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod leaving;
 mod overload;
+mod pools;
 mod reach;
 mod recovery;
 mod suspension;
