Use another server for a read whose connection isn't opened in time

Cause: a read whose team has no connection waited for the opening on the first server of its hash, up to the time-out of 1 s where that server is silent, although another one could run it.

Change: a server at which an opening of the team takes over four times the average counts as busy for this team's reads.

--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -27,6 +27,11 @@
 /// Time assumed for opening a connection before the first one was opened.
 const INITIAL_OPENING_TIME: Duration = Duration::from_millis(10);
 
+/// Multiple of the average time of an opening after which an opening is late, and the
+/// shortest time that counts as late, two ticks of a group.
+const LATE_OPENING: u32 = 4;
+const MIN_LATE_OPENING: Duration = Duration::from_millis(20);
+
 /// Time after which the full number of connections is tried again with a server that
 /// refused a session because it has too many, if no connection closes before.
 const CAP_DURATION: Duration = Duration::from_secs(1);
@@ -335,7 +340,7 @@
         let name = name.map_or("", Name::as_str);
         let load = |found: &Candidate<Key<Server>>| {
             let server = self.servers.get(found.server)?;
-            let full = now < server.full_until;
+            let full = now < server.full_until || self.opens_late(now, found.server, team);
             Some(Load {
                 server: found.server,
                 rank: rendezvous(name, server.name.as_str()),
@@ -350,6 +355,17 @@
         place(&preferred).or_else(|| place(&loads))
     }
 
+    /// Whether an opening of the team takes much longer than usual, so that a read of the
+    /// team uses another server.
+    fn opens_late(&self, now: Instant, server: Key<Server>, team: Key<Team>) -> bool {
+        let limit = (self.teams.opening_time * LATE_OPENING).max(MIN_LATE_OPENING);
+        let late = |conn: &Connection| {
+            let opens = conn.work == Work::Opening && now.since(conn.opened_at) > limit;
+            conn.server == server && conn.team == team && opens
+        };
+        self.conns.iter().any(|(_, conn)| late(conn))
+    }
+
     /// Records that a request is sent on a connection.
     pub(crate) fn record_use(
         &mut self,
--- a/components/keeper/tests/unfenced/pools.rs
+++ b/components/keeper/tests/unfenced/pools.rs
@@ -249,6 +249,19 @@
         }
     }
 
+    /// Closes all connections to a server. Its transactions are lost.
+    fn crash(&mut self, server: &str) {
+        let lost = self.conns.iter().filter(|(_, conn)| conn.server == server);
+        let mut lost: Vec<_> = lost.map(|(key, _)| *key).collect();
+        lost.sort_unstable();
+        for conn in lost {
+            self.conns.remove(&conn);
+            self.due.retain(|_, (key, _)| *key != conn);
+            self.bench.feed(Event::Closed { conn });
+            self.perform();
+        }
+    }
+
     fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         let team = format!("team-{}", u.int_in_range(0..=5)?);
         match u.int_in_range(0..=9)? {
@@ -256,6 +269,10 @@
             2..=4 => self.read(&team),
             5 => self.begin(&team),
             6 => self.commit(),
+            7 if u.ratio(1, 4)? => {
+                let server = format!("server-{}", u.int_in_range(0..=2)?);
+                self.crash(&server);
+            }
             7 => self.accepted = u.int_in_range(2..=self.limit + 2)?,
             _ => self.pass(u.int_in_range(1..=20)?),
         }
@@ -301,6 +318,37 @@
     assert!((0..SCHEDULES).any(|seed| broken(seed).is_err()));
 }
 
+/// Guards against a server that gets no connections of teams any more after it was lost, and
+/// against teams of other servers that lose their connections with it.
+#[test]
+fn the_loss_of_a_server_costs_only_its_own_connections() {
+    let mut world = World::new(4, 28);
+    let round = |world: &mut World| {
+        for team in 0..12 {
+            world.read(&format!("team-{team}"));
+            world.write(&format!("team-{team}"));
+            world.pass(30);
+        }
+    };
+    round(&mut world);
+    let on = |world: &World, lost: bool| {
+        let found = world.conns.iter().filter(|(_, conn)| (conn.server == "server-2") == lost);
+        found.map(|(key, _)| *key).collect::<Vec<_>>()
+    };
+    let (others, lost) = (on(&world, false), on(&world, true).len() as u64);
+    let opened = world.opened;
+    world.crash("server-2");
+    world.pass(100);
+    round(&mut world);
+    world.pass(2_000);
+    round(&mut world);
+    let rest = on(&world, false);
+    assert!(lost > 2 && others.iter().all(|conn| rest.contains(conn)));
+    // while the server is away, its teams open a connection to another one
+    assert!(world.opened - opened <= 2 * lost, "{} for {lost}", world.opened - opened);
+    assert!(world.ends.iter().all(|end| end.outcome() == Outcome::Done));
+}
+
 /// Guards against requests that starve, or are answered late, while a server accepts fewer
 /// connections than were leased (CONNLIMIT).
 #[test]
@@ -362,3 +410,35 @@
     assert!(world.ends.len() - done < world.ends.len() / 1_000, "{done} of {}", world.ends.len());
     assert!(hits > 0.9 && share < 0.09, "hits {hits}, opening {share}");
 }
+
+/// Guards against other teams that get no connection or no slot while one team always has
+/// more requests waiting than all slots can run.
+#[test]
+fn a_team_with_more_requests_than_slots_keeps_no_other_team_from_its_connections() {
+    let mut world = World::new(4, 28);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let weights: Vec<f64> = (1..=84).map(|rank| f64::from(rank).powf(-1.2)).collect();
+    let total: f64 = weights.iter().sum();
+    let mut others = std::collections::HashSet::new();
+    for _ in 0..10_000 {
+        for (rank, weight) in weights.iter().enumerate() {
+            if rng.random::<f64>() < weight / total * 0.134 {
+                others.insert(world.bench.next + 1);
+                world.read(&format!("team-{rank}"));
+            }
+        }
+        // below the limit on the queue of a service, which teams share
+        if world.bench.next - (world.ends.len() as u64) < 200 {
+            world.read("hot");
+        }
+        world.pass(1);
+    }
+    world.pass(100);
+    let done = |end: &&End| end.outcome() == Outcome::Done && others.contains(&end.request);
+    let done = world.ends.iter().filter(done).count();
+    assert!(done as f64 > 0.99 * others.len() as f64, "{done} of {}", others.len());
+    let opening = (world.opened * OPENING) as f64;
+    let share = opening / (opening + (world.sent * STATEMENT) as f64);
+    eprintln!("{done} of {} done, {} sent, openings {share:.4}", others.len(), world.sent);
+    assert!(share < 0.08, "{share}");
+}
--- a/components/keeper/tests/unfenced/teams.rs
+++ b/components/keeper/tests/unfenced/teams.rs
@@ -204,6 +204,22 @@
     assert_eq!(name(&server), name(&opened[0].1));
 }
 
+/// Guards against a read that waits for the opening of a connection to a silent server
+/// although another server could run it.
+#[test]
+fn a_read_whose_connection_is_not_opened_in_time_uses_another_server() {
+    let mut bench = bench_with(2, 6);
+    bench.run(read_of("red"));
+    let first = opened(&mut bench);
+    bench.pass(10);
+    assert!(opened(&mut bench).is_empty());
+    bench.pass(20);
+    let second = answer_opened(&mut bench);
+    assert_eq!(second.len(), 1);
+    assert_ne!(second[0].1, first[0].1);
+    assert_eq!(bench.sent()[0].0, second[0].0);
+}
+
 /// Guards against a withdrawn `teams` section after which the connections of teams fill
 /// the limit.
 #[test]
