--- a/components/entry/src/keep/metrics.rs
+++ b/components/entry/src/keep/metrics.rs
@@ -36,6 +36,8 @@
     granted: Family<TeamLabel, Counter>,
     refused: Family<TeamLabel, Counter>,
     borrowed: Family<TeamLabel, Counter>,
+    hits: Counter,
+    evicted: Counter,
 }
 
 impl Metrics {
@@ -71,6 +73,16 @@
             "Tokens borrowed from other hosts",
             metrics.borrowed.clone(),
         );
+        registry.register(
+            "pool_hits",
+            "Requests of teams sent on a connection that had served the team before",
+            metrics.hits.clone(),
+        );
+        registry.register(
+            "pool_evicted",
+            "Idle connections closed for one of another team",
+            metrics.evicted.clone(),
+        );
         metrics
     }
 
@@ -96,6 +108,8 @@
             Count::PrimaryRead(cause) => self.primary_read(cause),
             Count::Retry => self.repeats.inc(),
             Count::Opened => self.opened.inc(),
+            Count::Hit => self.hits.inc(),
+            Count::Evicted => self.evicted.inc(),
         };
     }
 
