Serve waiting requests by priority, objective and team in unfenced groups

Declared priorities were stored and not used: the highest priority was served worst under load. Lanes are now schedules by priority, with the requests that can still meet their objective first, fair queueing over teams, and a minimum share for lower priorities. Run times are estimated per kind of request by histograms; a request is refused by the work that is served before it in this order, and waiting requests of lower priority are refused in favour of a higher one while they have waited for less than a quarter of their objective. The retry-after time follows from the time that the queue needs. One order for all lanes was ruled out, since the primary and the replicas have separate queues.

--- a/components/config/src/model.rs
+++ b/components/config/src/model.rs
@@ -100,8 +100,8 @@
     /// reads must include every write acknowledged before they arrived.
     #[serde(default)]
     pub age_ms: u64,
-    /// Declared priority under contention; zero is the highest. The priority is stored,
-    /// but no request is scheduled by it.
+    /// Declared priority under contention; zero is the highest. Keepers of unfenced groups
+    /// serve waiting requests of a higher priority first.
     #[serde(default)]
     pub priority: u32,
     /// Time within which an operation should end, in milliseconds; zero for no
--- a/components/entry/src/keep/metrics.rs
+++ b/components/entry/src/keep/metrics.rs
@@ -20,6 +20,13 @@
     cause: String,
 }
 
+/// Why a request was refused for load, and the declared priority of its database.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ShedLabels {
+    cause: String,
+    priority: String,
+}
+
 /// Counters of a keeper.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Metrics {
@@ -28,6 +35,7 @@
     primary_reads: Family<CauseLabel, Counter>,
     repeats: Counter,
     opened: Counter,
+    shed: Family<ShedLabels, Counter>,
 }
 
 impl Metrics {
@@ -48,6 +56,7 @@
         );
         registry.register("repeats", "Requests tried again", metrics.repeats.clone());
         registry.register("opened", "Connections opened", metrics.opened.clone());
+        registry.register("shed", "Requests refused for load", metrics.shed.clone());
         metrics
     }
 
@@ -57,6 +66,11 @@
             Count::PrimaryRead(cause) => self.primary_read(cause),
             Count::Retry => self.repeats.inc(),
             Count::Opened => self.opened.inc(),
+            Count::Shed(cause, priority) => {
+                let labels =
+                    ShedLabels { cause: cause.to_string(), priority: priority.to_string() };
+                self.shed.get_or_create(&labels).inc()
+            }
         };
     }
 
--- a/components/keeper/src/admission.rs
+++ b/components/keeper/src/admission.rs
@@ -64,7 +64,8 @@
             }
         };
         let number = run.request;
-        let key = self.requests.insert(Request::new(now, front, service, run));
+        let rank = self.rank(service, &run);
+        let key = self.requests.insert(Request::new(now, front, service, rank, run));
         self.by_number.insert((front, number), key);
         if let Some(service) = self.services.get_mut(service) {
             service.open_requests += 1;
@@ -104,19 +105,17 @@
         self.queue(key, Lane::Primary);
     }
 
-    /// Appends a request to its service's flow in a lane.
+    /// Adds a request to its flow in a lane.
     pub(crate) fn queue(&mut self, key: Key<Request>, lane: Lane) {
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
         request.stage = Stage::Queued(lane);
-        let service = request.service;
-        let weight = self.services.get(service).map_or(1, |service| service.weight);
-        match lane {
-            Lane::Primary => self.lanes.primary.push(service, weight, key),
-            Lane::Spare => self.lanes.spare.push(service, weight, key),
-            Lane::Replica => self.lanes.replica.push(service, weight, key),
-        }
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let place = self.place(request, lane);
+        self.lanes.get_mut(lane).push(place, key);
     }
 
     pub(crate) fn credit(&mut self, front: Front, request: u64, bytes: u64, out: &mut Vec<Effect>) {
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -166,8 +166,7 @@
         attempt.status = if attempt.primary { status } else { IDLE };
         attempt.durable = attempt.primary && (attempt.committed || (holds && status == IDLE));
         let (durable, primary, term) = (attempt.durable, attempt.primary, attempt.term);
-        let sent_at = attempt.sent_at;
-        self.charge(now, service, primary, sent_at);
+        self.charge(now, key, false);
         if status == IDLE {
             self.unpin(conn);
             if durable && !orphan {
--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -1,18 +1,18 @@
 //! Dispatch of queued requests to connections, and the number of open
 //! connections.
 
-use admit::{Queue, Verdict};
+use admit::Verdict;
 use base::prelude::*;
 use route::choose;
 use wire::data::{Class, Outcome, Reason};
 
 use crate::conn::{Connection, Work};
+use crate::estimate::Kind;
 use crate::event::{Count, Effect};
 use crate::flaw::Flaw;
 use crate::group::Group;
 use crate::request::{Attempt, Request, Stage};
 use crate::server::Server;
-use crate::service::Service;
 
 /// Idle connections kept per server in addition to one for each slot.
 const SPARE_CONNECTIONS: u32 = 1;
@@ -80,13 +80,13 @@
             return;
         };
         let mut queue = std::mem::take(&mut self.lanes.primary);
-        queue.offer(|key| self.offer_primary(now, server, term, key, out));
+        queue.offer(now, |key| self.offer_primary(now, server, term, key, out));
         self.lanes.primary = queue;
         if !self.lanes.primary.is_empty() {
             return;
         }
         let mut queue = std::mem::take(&mut self.lanes.spare);
-        queue.offer(|key| self.offer_primary(now, server, term, key, out));
+        queue.offer(now, |key| self.offer_primary(now, server, term, key, out));
         self.lanes.spare = queue;
     }
 
@@ -123,7 +123,7 @@
             return;
         }
         let mut queue = std::mem::take(&mut self.lanes.replica);
-        queue.offer(|key| self.offer_replica(now, key, out));
+        queue.offer(now, |key| self.offer_replica(now, key, out));
         self.lanes.replica = queue;
     }
 
@@ -300,27 +300,29 @@
         }
     }
 
-    /// Charges the run time of a request to its service in the fair queues, and
-    /// updates the typical run time. A time that includes a suspension of the process
-    /// is no run time.
-    pub(crate) fn charge(
-        &mut self,
-        now: Instant,
-        key: Key<Service>,
-        primary: bool,
-        sent_at: Instant,
-    ) {
+    /// Charges the run time of a request to its flow in the queues, and updates the
+    /// estimates. A time that includes a suspension of the process is no run time. `ran` is
+    /// whether the server ran the request, and did not refuse it.
+    pub(crate) fn charge(&mut self, now: Instant, key: Key<Request>, ran: bool) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let (rank, flow, service) = (request.rank, request.flow, request.service);
+        let (primary, sent_at) = (request.attempt.primary, request.attempt.sent_at);
+        let kind = Kind::new(request.class == Class::Read, primary);
         if self.uptime.was_suspended_since(sent_at) && !self.has_flaw(Flaw::CountSuspension) {
             return;
         }
         let run = now.since(sent_at);
-        let charge = |queue: &mut Queue<_, _>| queue.charge(key, run);
         if primary {
-            charge(&mut self.lanes.primary);
-            charge(&mut self.lanes.spare);
+            self.lanes.primary.charge(rank, flow, run);
+            self.lanes.spare.charge(rank, flow, run);
         } else {
-            charge(&mut self.lanes.replica);
+            self.lanes.replica.charge(rank, flow, run);
         }
         self.typical_run_time = (self.typical_run_time * 7 + run) / 8;
+        if let Some(service) = self.services.get_mut(service).filter(|_| ran) {
+            service.estimates.record(now, kind, run);
+        }
     }
 }
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -381,6 +381,21 @@
     Retry,
     /// A connection was opened.
     Opened,
+    /// A request of the given priority was refused for load.
+    Shed(Shed, u32),
+}
+
+/// Why a request was refused for load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Shed {
+    /// The service has as many open requests as its limit allows.
+    Limit,
+    /// The request would have been answered after its objective.
+    Objective,
+    /// The request waited, and would have been answered after its objective because of a
+    /// new request of a higher priority or of a flow with less work.
+    Displaced,
 }
 
 /// Why a read was sent to the primary.
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -8,7 +8,7 @@
 use crate::event::{Count, Effect, Ended};
 use crate::flaw::Flaw;
 use crate::group::Group;
-use crate::request::{Attempt, Lane, Request, Stage};
+use crate::request::{Attempt, Request, Stage};
 
 /// Time within which a rollback must be confirmed before its connection is
 /// closed.
@@ -36,8 +36,7 @@
         };
         request.end = Some(end);
         if let Stage::Queued(lane) = request.stage {
-            let service = request.service;
-            self.unqueue(key, service, lane);
+            self.lanes.get_mut(lane).remove(key);
         }
         let Some(request) = self.requests.get_mut(key) else {
             return;
@@ -97,14 +96,6 @@
         }
     }
 
-    fn unqueue(&mut self, key: Key<Request>, service: Key<crate::service::Service>, lane: Lane) {
-        match lane {
-            Lane::Primary => self.lanes.primary.remove(service, key),
-            Lane::Spare => self.lanes.spare.remove(service, key),
-            Lane::Replica => self.lanes.replica.remove(service, key),
-        };
-    }
-
     fn build_end(
         &mut self,
         now: Instant,
@@ -112,6 +103,10 @@
         outcome: Outcome,
         reason: Reason,
     ) -> End {
+        let drain_time = match reason {
+            Reason::QueueFull => self.drain_time(now, key),
+            _ => None,
+        };
         let Some(request) = self.requests.get(key) else {
             return End::default();
         };
@@ -128,7 +123,7 @@
         let server = attempt.server.and_then(|server| self.servers.get(server));
         let retry_after = match reason {
             Reason::Deadline | Reason::Replaced | Reason::Unavailable => UNAVAILABLE_RETRY_AFTER,
-            Reason::QueueFull => QUEUE_RETRY_AFTER,
+            Reason::QueueFull => drain_time.unwrap_or(QUEUE_RETRY_AFTER),
             _ => Duration::ZERO,
         };
         let reason = match reason {
--- a/components/keeper/src/group.rs
+++ b/components/keeper/src/group.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use admit::Queue;
 use base::prelude::*;
 use config::Declarations;
 use retry::Backoff;
@@ -14,10 +13,12 @@
 use crate::event::{Effect, Event, Front, Lease};
 use crate::flaw::Flaw;
 use crate::health::Health;
+use crate::place::Lanes;
 use crate::reads::Sampling;
 use crate::request::Request;
 use crate::server::Server;
 use crate::service::Service;
+use crate::team::Team;
 use crate::unfenced::Unfenced;
 use crate::uptime::Uptime;
 
@@ -30,16 +31,6 @@
 /// Initial and maximum backoff before a retry or a reconnect after a failure.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
-/// Queues of requests that wait for a slot: `primary` and `replica` by the server
-/// role that the requests need, and `spare` for reads that run on the primary
-/// only while `primary` is empty.
-#[derive(Debug, Default)]
-pub(crate) struct Lanes {
-    pub(crate) primary: Queue<Key<Service>, Key<Request>>,
-    pub(crate) spare: Queue<Key<Service>, Key<Request>>,
-    pub(crate) replica: Queue<Key<Service>, Key<Request>>,
-}
-
 /// State of one database group.
 #[derive(Debug)]
 pub struct Group {
@@ -65,6 +56,8 @@
     pub(crate) pins: HashMap<Owner, Key<Connection>>,
     pub(crate) services: Arena<Service>,
     pub(crate) services_by_name: BTreeMap<Name, Key<Service>>,
+    pub(crate) teams: Arena<Team>,
+    pub(crate) teams_by_name: BTreeMap<Name, Key<Team>>,
     pub(crate) lanes: Lanes,
     /// Requests in [`Stage::Parked`](crate::request::Stage::Parked).
     pub(crate) parked: Vec<Key<Request>>,
@@ -107,6 +100,8 @@
             pins: HashMap::new(),
             services: Arena::new(),
             services_by_name: BTreeMap::new(),
+            teams: Arena::new(),
+            teams_by_name: BTreeMap::new(),
             lanes: Lanes::default(),
             parked: Vec::new(),
             unresolved: Vec::new(),
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -9,6 +9,8 @@
 //! its [`Effect`]s.
 //!
 //! - `admission`: requests, credit and callers that disconnect.
+//! - `place`: the order of waiting requests, by priority, objective, team and service.
+//! - `estimate`: estimates of run times.
 //! - `shedding`: requests refused under overload.
 //! - `reads`: verified samples and the choice of a replica.
 //! - `dispatch`: sending of queued requests, and the number of connections.
@@ -24,11 +26,13 @@
 mod conn;
 mod cycle;
 mod dispatch;
+mod estimate;
 pub mod event;
 mod finish;
 mod flaw;
 mod group;
 mod health;
+mod place;
 mod reads;
 mod request;
 mod resolve;
@@ -36,12 +40,13 @@
 mod service;
 mod setup;
 mod shedding;
+mod team;
 mod unfenced;
 mod uptime;
 
 pub use conn::Connection;
 pub use event::{
-    Cause, Count, Effect, Ended, Event, Front, Kind, Lease, Outage, Piece, Reported, Setup,
+    Cause, Count, Effect, Ended, Event, Front, Kind, Lease, Outage, Piece, Reported, Setup, Shed,
     Unfenced,
 };
 #[cfg(feature = "fault")]
--- /dev/null
+++ b/components/keeper/src/place.rs
@@ -0,0 +1,80 @@
+//! The place of a request among the waiting ones.
+
+use admit::{INITIAL_COST, Place, Rank, Schedule};
+use base::prelude::*;
+use wire::data::{Class, Run};
+
+use crate::estimate::{Expected, Kind};
+use crate::group::Group;
+use crate::request::{Lane, Request};
+use crate::service::Service;
+use crate::team::Flow;
+
+/// Queues of requests that wait for a slot: `primary` and `replica` by the server
+/// role that the requests need, and `spare` for reads that run on the primary
+/// only while `primary` is empty.
+#[derive(Debug, Default)]
+pub(crate) struct Lanes {
+    pub(crate) primary: Schedule<Flow, Key<Request>>,
+    pub(crate) spare: Schedule<Flow, Key<Request>>,
+    pub(crate) replica: Schedule<Flow, Key<Request>>,
+}
+
+impl Lanes {
+    pub(crate) fn get(&self, lane: Lane) -> &Schedule<Flow, Key<Request>> {
+        match lane {
+            Lane::Primary => &self.primary,
+            Lane::Spare => &self.spare,
+            Lane::Replica => &self.replica,
+        }
+    }
+
+    pub(crate) fn get_mut(&mut self, lane: Lane) -> &mut Schedule<Flow, Key<Request>> {
+        match lane {
+            Lane::Primary => &mut self.primary,
+            Lane::Spare => &mut self.spare,
+            Lane::Replica => &mut self.replica,
+        }
+    }
+}
+
+impl Group {
+    /// Returns the priority and the flow of a request.
+    pub(crate) fn rank(&mut self, service: Key<Service>, run: &Run) -> (Rank, Flow) {
+        if !self.is_unfenced() {
+            return (Rank::default(), Flow::Service(service));
+        }
+        let team = self.team(run);
+        let of_team = team.and_then(|team| self.teams.get(team)).map_or(0, |team| team.priority);
+        let priority = self.services.get(service).map_or(0, |service| service.priority);
+        let flow = team.map_or(Flow::Service(service), Flow::Team);
+        (Rank { priority, team: of_team }, flow)
+    }
+
+    /// Returns the place of a request in a lane.
+    pub(crate) fn place(&self, request: &Request, lane: Lane) -> Place<Flow> {
+        let service = self.services.get(request.service);
+        let by_service = matches!(request.flow, Flow::Service(_));
+        let weight = service.filter(|_| by_service).map_or(1, |service| service.weight);
+        let objective =
+            service.and_then(|service| service.objective).filter(|_| self.is_unfenced());
+        let expected = self.expected(request, lane);
+        let until = objective.map(|objective| request.arrived + objective);
+        Place {
+            rank: request.rank,
+            flow: request.flow,
+            weight,
+            until,
+            latest_start: until.map(|until| until - expected.usual.min(expected.mean)),
+            work: if self.is_unfenced() { expected.mean } else { INITIAL_COST },
+        }
+    }
+
+    /// Expected run time of a request in a lane.
+    pub(crate) fn expected(&self, request: &Request, lane: Lane) -> Expected {
+        let kind = Kind::new(request.class == Class::Read, lane != Lane::Replica);
+        let service = self.services.get(request.service);
+        let typical = Expected { mean: self.typical_run_time, usual: self.typical_run_time };
+        service.and_then(|service| service.estimates.expected(kind)).unwrap_or(typical)
+    }
+}
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -321,9 +321,9 @@
             waits && now.since(request.arrived) > patience
         };
         let moved = self.requests.iter().filter(|(_, request)| is_overdue(request));
-        let moved: Vec<_> = moved.map(|(key, request)| (key, request.service)).collect();
-        for (key, service) in moved {
-            self.lanes.replica.remove(service, key);
+        let moved: Vec<_> = moved.map(|(key, _)| key).collect();
+        for key in moved {
+            self.lanes.replica.remove(key);
             self.queue(key, Lane::Spare);
         }
     }
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use admit::Rank;
 use base::prelude::*;
 use bytes::Bytes;
 use wire::data::{Class, End, Run};
@@ -10,6 +11,7 @@
 use crate::event::{Cause, Front, Kind, Piece};
 use crate::server::Server;
 use crate::service::Service;
+use crate::team::Flow;
 
 /// Maximum number of bytes of one answer that are held back.
 pub(crate) const MAX_HELD_BYTES: usize = 1 << 20;
@@ -75,6 +77,10 @@
 pub(crate) struct Request {
     pub(crate) front: Front,
     pub(crate) service: Key<Service>,
+    /// Priority among waiting requests.
+    pub(crate) rank: Rank,
+    /// Requests with which the capacity is shared fairly.
+    pub(crate) flow: Flow,
     pub(crate) run: Run,
     pub(crate) class: Class,
     /// Mark that the session has seen and that the request must see.
@@ -146,11 +152,19 @@
 }
 
 impl Request {
-    pub(crate) fn new(now: Instant, front: Front, service: Key<Service>, run: Run) -> Self {
+    pub(crate) fn new(
+        now: Instant,
+        front: Front,
+        service: Key<Service>,
+        (rank, flow): (Rank, Flow),
+        run: Run,
+    ) -> Self {
         let class = Class::try_from(run.class).unwrap_or(Class::Write);
         Self {
             front,
             service,
+            rank,
+            flow,
             class,
             floor: run.floor.map(Mark::from),
             arrived: now,
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -5,6 +5,7 @@
 use retry::Budget;
 use smallvec::SmallVec;
 
+use crate::estimate::Estimates;
 use crate::server::Server;
 
 /// A service that has sent requests to this group.
@@ -13,8 +14,12 @@
     pub(crate) name: Name,
     pub(crate) weight: u32,
     pub(crate) limits: Limits,
+    /// Declared priority; zero is the highest.
+    pub(crate) priority: u32,
     /// Target time for answering a request.
     pub(crate) objective: Option<Duration>,
+    /// Run times of its requests in an unfenced group.
+    pub(crate) estimates: Estimates,
     /// Number of requests that have not ended.
     pub(crate) open_requests: u32,
     /// Retry budget of the service.
@@ -31,7 +36,9 @@
             name,
             weight: 1,
             limits,
+            priority: 0,
             objective: None,
+            estimates: Estimates::default(),
             open_requests: 0,
             budget,
             reach: SmallVec::new(),
@@ -51,6 +58,7 @@
             self.budget.set_share(self.limits.retry_share);
         }
         let database = declarations.databases.get(self.name.as_str());
+        self.priority = database.map_or(0, |database| database.priority);
         let objective = database.map(|database| Duration::from_millis(database.objective_ms));
         self.objective = objective.filter(|objective| !objective.is_zero());
         let reached = |server: &Server| {
--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -22,6 +22,7 @@
         self.control_primary = setup.primary;
         self.declarations = setup.declarations;
         self.update_servers(now, setup.servers);
+        self.update_teams();
         let services = self.services.iter_mut();
         for (_, service) in services {
             service.update(&self.name, &self.declarations, &self.servers);
--- a/components/keeper/src/shedding.rs
+++ b/components/keeper/src/shedding.rs
@@ -3,81 +3,236 @@
 //!
 //! Without shedding, queues under overload grow until all waiting requests are
 //! answered late or not at all. A request that no slot can run at once is refused if
-//! the work queued up to and including it takes longer than its objective, so that
-//! admitted requests are answered in time. A request that a slot can run is never
-//! refused: the estimate of the run time is corrected only by requests that run.
-//! Requests that wait because no server is usable, as during a change of primary, are
-//! not refused for load.
+//! it can't end within its objective after the work that is served before it: that of
+//! higher priorities, and its fair part of that of its own. A request of a lower priority
+//! that no longer fits because of a new request is refused in favour of that one, unless
+//! it has waited so long already that a late answer is better than a late refusal. A
+//! request that a slot can run is never refused, and neither is a single probe of an
+//! estimate that no run time corrected for a while: estimates are corrected only by
+//! requests that run. Requests that wait because no server is usable, as during a change
+//! of primary, are not refused for load.
 
 use base::prelude::*;
-use wire::data::{Outcome, Reason};
+use smallvec::SmallVec;
+use wire::data::{Class, Outcome, Reason};
 
-use crate::event::Effect;
+use crate::estimate::{Expected, Kind};
+use crate::event::{Count, Effect, Shed};
+use crate::flaw::Flaw;
 use crate::group::Group;
 use crate::request::{Lane, Request, Stage};
 use crate::server::Server;
 use crate::unfenced::{Need, will_show_soon};
 
+/// Part of its objective after which a waiting request is no longer refused in favour of
+/// another one, as a divisor: callers count a later refusal as a late one.
+const DISPLACED_WITHIN_DIVISOR: u32 = 4;
+
+/// Maximum number of waiting requests that are refused in favour of one new request.
+const MAX_DISPLACED: usize = 4;
+
+/// Shortest and longest time after which a refused caller is asked to come back. The
+/// shortest covers the way to a caller in another zone and back several times over.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
+
+/// Expected wait of a request.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    /// Time until the request is sent to a server.
+    queued: Duration,
+    /// Run time of the request itself.
+    run: Expected,
+}
+
 impl Group {
     /// Refuses a new request that still waits after requests were dispatched and
-    /// would be answered too late.
+    /// would be answered too late, or requests of lower priority that would because of it.
     pub(crate) fn shed(&mut self, now: Instant, key: Key<Request>, out: &mut Vec<Effect>) {
-        if self.would_wait_too_long(now, key) {
-            self.finish(now, key, Outcome::NotRun, Reason::QueueFull, out);
+        if !self.is_unfenced() {
+            return;
+        }
+        if !self.would_be_late(now, key) {
+            return self.displace(now, key, out);
+        }
+        let admitted = self.may_run_now(now, key) || self.admits_probe(now, key);
+        if !admitted || self.has_flaw(Flaw::CountSuspension) {
+            self.refuse(now, key, Shed::Objective, out);
         }
     }
 
-    /// Whether the work queued up to and including a new request takes longer
-    /// than the request's objective. Always false in a fenced group.
-    pub(crate) fn would_wait_too_long(&self, now: Instant, key: Key<Request>) -> bool {
-        let Some(request) = self.requests.get(key).filter(|_| self.is_unfenced()) else {
+    fn refuse(&mut self, now: Instant, key: Key<Request>, cause: Shed, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        out.push(Effect::Count(Count::Shed(cause, request.rank.priority)));
+        self.finish(now, key, Outcome::NotRun, Reason::QueueFull, out);
+    }
+
+    /// Refuses requests of lower priority, or of flows with more work, that would be
+    /// answered too late because of a new request.
+    fn displace(&mut self, now: Instant, key: Key<Request>, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let Stage::Queued(lane) = request.stage else {
+            return;
+        };
+        let rank = request.rank;
+        for _ in 0..MAX_DISPLACED {
+            let tails: SmallVec<[_; 8]> = self.lanes.get(lane).tails_from(rank).collect();
+            let displaced = tails.into_iter().find(|tail| {
+                *tail != key && self.may_displace(now, *tail) && self.would_be_late(now, *tail)
+            });
+            let Some(displaced) = displaced else {
+                return;
+            };
+            self.refuse(now, displaced, Shed::Displaced, out);
+        }
+    }
+
+    /// Whether a waiting request may be refused in favour of another one: not if it has
+    /// waited for long, or an attempt was made already.
+    fn may_displace(&self, now: Instant, key: Key<Request>) -> bool {
+        let Some(request) = self.requests.get(key).filter(|request| request.tries == 0) else {
+            return false;
+        };
+        let objective = self.services.get(request.service).and_then(|service| service.objective);
+        let limit = objective.map(|objective| objective / DISPLACED_WITHIN_DIVISOR);
+        limit.is_some_and(|limit| now.since(request.arrived) < limit)
+    }
+
+    /// Whether a waiting request is expected to end after its objective. False where no
+    /// server is usable, since it does not wait because of load then.
+    fn would_be_late(&self, now: Instant, key: Key<Request>) -> bool {
+        let Some(request) = self.requests.get(key) else {
             return false;
         };
         let objective = self.services.get(request.service).and_then(|service| service.objective);
-        let lane = match request.stage {
+        let Some(objective) = objective else {
+            return false;
+        };
+        let wait = self.wait(now, key, request);
+        wait.is_some_and(|wait| now + wait.queued + wait.run.usual > request.arrived + objective)
+    }
+
+    /// Lane of a waiting request; `None` if it does not wait for a slot.
+    fn lane_of(&self, now: Instant, request: &Request) -> Option<Lane> {
+        match request.stage {
             Stage::Queued(lane) => Some(lane),
             // no replica shows what the read needs, but the primary may serve it
             Stage::Parked => self.unfenced_lane(now, request),
             _ => None,
+        }
+    }
+
+    /// Expected wait of a request; `None` if it waits for something else than a slot.
+    fn wait(&self, now: Instant, key: Key<Request>, request: &Request) -> Option<Wait> {
+        let lane = self.lane_of(now, request)?;
+        let slots = self.slots_for(now, request, lane);
+        if slots == 0 {
+            return None;
+        }
+        let run = self.expected(request, lane);
+        let lanes = self.lanes.get(lane);
+        let queued = lanes.work_before(key);
+        let queued =
+            queued.unwrap_or_else(|| lanes.work_before_new(now, &self.place(request, lane)));
+        let waiting = self.waiting_besides(now, request, lane);
+        let work = queued + run.mean * waiting;
+        // the slots are taken, and the one that serves the request may have been taken last
+        Some(Wait { queued: work / slots + run.mean, run })
+    }
+
+    /// Number of requests that are served before those in a lane, or with them, but wait
+    /// elsewhere: statements of open transactions, and parked reads.
+    fn waiting_besides(&self, now: Instant, request: &Request, lane: Lane) -> u32 {
+        let primary = self.usable_control_primary(now).map(|(key, _)| key);
+        let in_lane = |server| (Some(server) == primary) == (lane != Lane::Replica);
+        let servers = self.servers.iter().filter(|(key, _)| in_lane(*key));
+        let urgent: usize = servers.map(|(_, server)| server.urgent.len()).sum();
+        let parks = |key: &&Key<Request>| {
+            let other = self.requests.get(**key).filter(|other| other.rank <= request.rank);
+            other.is_some_and(|other| other.run.request != request.run.request)
         };
-        let (Some(objective), Some(lane)) = (objective, lane) else {
+        let parked =
+            if lane == Lane::Replica { self.parked.iter().filter(parks).count() } else { 0 };
+        u32::try_from(urgent + parked).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a free slot can run a request, and no request goes before it.
+    fn may_run_now(&self, now: Instant, key: Key<Request>) -> bool {
+        let Some(request) = self.requests.get(key) else {
             return false;
         };
-        let work = self.typical_run_time * self.waiting(lane);
-        // a single slot finishes this work in time, so the slots need no counting
-        if work <= objective {
+        let Some(lane) = self.lane_of(now, request) else {
             return false;
-        }
-        let slots = self.slots_for(now, request, lane);
-        slots > 0 && work / slots > objective
+        };
+        let first = self.lanes.get(lane).work_before(key).is_some_and(|work| work.is_zero());
+        first && self.servers_for(now, request, lane).any(|server| self.free_slots(server) > 0)
     }
 
-    /// Number of requests that wait in a lane.
-    fn waiting(&self, lane: Lane) -> u32 {
-        let count = match lane {
-            Lane::Primary => self.lanes.primary.len(),
-            Lane::Spare => self.lanes.spare.len(),
-            // parked reads, which no server can serve at present, wait as well
-            Lane::Replica => self.lanes.replica.len() + self.parked.len(),
+    /// Whether a request that its own expected run time alone makes late may run as a
+    /// probe of that estimate.
+    fn admits_probe(&mut self, now: Instant, key: Key<Request>) -> bool {
+        let Some(request) = self.requests.get(key) else {
+            return false;
         };
-        u32::try_from(count).unwrap_or(u32::MAX)
+        let Some(lane) = self.lane_of(now, request) else {
+            return false;
+        };
+        let run = self.expected(request, lane);
+        let kind = Kind::new(request.class == Class::Read, lane != Lane::Replica);
+        let Some(service) = self.services.get_mut(request.service) else {
+            return false;
+        };
+        let objective = service.objective.unwrap_or(Duration::MAX);
+        run.usual > objective && service.estimates.admits_probe(now, kind, objective)
     }
 
-    /// Number of slots in this keeper's share that serve a lane at present.
+    /// Number of slots that serve a lane at present: this keeper's share, or more where
+    /// it uses more.
     fn slots_for(&self, now: Instant, request: &Request, lane: Lane) -> u32 {
-        let primary = self.usable_control_primary(now).map(|(key, _)| key);
         let share = |key| self.servers.get(key).map_or(0, |server: &Server| server.share);
-        if lane == Lane::Primary {
-            return primary.map_or(0, share);
-        }
-        let Need::Mark(mark) = self.need(now, request) else {
-            return 0;
-        };
-        let serves = |key: Key<Server>, server: &Server| {
-            Some(key) != primary && server.is_available(now) && will_show_soon(now, server, mark)
+        let used = |key| share(key).max(self.running(key));
+        let slots: u32 = self.servers_for(now, request, lane).map(used).sum();
+        let primary = self.usable_control_primary(now).filter(|_| lane == Lane::Replica);
+        let known = matches!(self.need(now, request), Need::Mark(_));
+        let on_primary = primary.filter(|_| known).map_or(0, |(key, _)| self.spare_slots(key));
+        slots + on_primary
+    }
+
+    /// Servers that serve the requests of a lane. The primary also serves reads that a
+    /// replica may serve, as far as its slots are spare; it is not included for these.
+    fn servers_for(
+        &self,
+        now: Instant,
+        request: &Request,
+        lane: Lane,
+    ) -> impl Iterator<Item = Key<Server>> {
+        let primary = self.usable_control_primary(now).map(|(key, _)| key);
+        let need = self.need(now, request);
+        let in_lane = move |key: Key<Server>, server: &Server| match (lane, need) {
+            (Lane::Replica, Need::Mark(mark)) => {
+                Some(key) != primary
+                    && server.is_available(now)
+                    && will_show_soon(now, server, mark)
+            }
+            (Lane::Replica, Need::Unknown) => false,
+            (Lane::Primary | Lane::Spare, _) => Some(key) == primary,
         };
-        let replicas = self.servers.iter().filter(|(key, server)| serves(*key, server));
-        let slots: u32 = replicas.map(|(_, server)| server.share).sum();
-        slots + primary.map_or(0, |key| self.spare_slots(key))
+        let servers = self.servers.iter().filter(move |(key, server)| in_lane(*key, server));
+        servers.map(|(key, _)| key)
+    }
+
+    /// Time after which the caller of a request that is refused for load is asked to come
+    /// back: until the work that would be served before the request is done, and up to
+    /// twice that time, so that the callers don't come back together.
+    pub(crate) fn drain_time(&mut self, now: Instant, key: Key<Request>) -> Option<Duration> {
+        let request = self.requests.get(key)?;
+        self.services.get(request.service)?.objective.filter(|_| self.is_unfenced())?;
+        let wait = self.wait(now, key, request)?;
+        let least = wait.queued.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+        // between half of the bound and the bound
+        Some(self.backoff.jitter(least * 2))
     }
 }
--- a/components/keeper/src/unfenced.rs
+++ b/components/keeper/src/unfenced.rs
@@ -279,7 +279,6 @@
         let (within, writes) = (request.run.in_transaction, request.class != Class::Read);
         let attempt = &mut request.attempt;
         let primary = attempt.primary;
-        let sent_at = attempt.sent_at;
         if primary && !self.leased {
             // without the lease, the server may no longer be the primary
             return self.abort_conn(now, conn, out);
@@ -290,7 +289,7 @@
             attempt.mark_after = mark;
             attempt.durable = true;
         }
-        self.charge(now, service, primary, sent_at);
+        self.charge(now, key, !error_kind.is_some_and(ErrorKind::is_not_run));
         if status == IDLE {
             self.unpin(conn);
             self.release_conn(now, conn);
