--- a/components/entry/src/keep/metrics.rs
+++ b/components/entry/src/keep/metrics.rs
@@ -25,6 +25,13 @@
     team: String,
 }
 
+/// Why a request was refused for load, and the declared priority of its database.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ShedLabels {
+    cause: String,
+    priority: String,
+}
+
 /// Counters of a keeper.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Metrics {
@@ -38,6 +45,7 @@
     borrowed: Family<TeamLabel, Counter>,
     hits: Counter,
     evicted: Counter,
+    shed: Family<ShedLabels, Counter>,
 }
 
 impl Metrics {
@@ -83,6 +91,7 @@
             "Idle connections closed for one of another team",
             metrics.evicted.clone(),
         );
+        registry.register("shed", "Requests refused for load", metrics.shed.clone());
         metrics
     }
 
@@ -110,6 +119,11 @@
             Count::Opened => self.opened.inc(),
             Count::Hit => self.hits.inc(),
             Count::Evicted => self.evicted.inc(),
+            Count::Shed(cause, priority) => {
+                let labels =
+                    ShedLabels { cause: cause.to_string(), priority: priority.to_string() };
+                self.shed.get_or_create(&labels).inc()
+            }
         };
     }
 
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -166,7 +166,7 @@
         let Some(request) = self.requests.get_mut(key) else {
             return self.abort_conn(now, conn, out);
         };
-        let (service, flow) = (request.service, request.flow());
+        let service = request.service;
         let (owner, orphan) = (request.owner(), request.orphan);
         let holds = request.holds_answer();
         let attempt = &mut request.attempt;
@@ -174,8 +174,7 @@
         attempt.status = if attempt.primary { status } else { IDLE };
         attempt.durable = attempt.primary && (attempt.committed || (holds && status == IDLE));
         let (durable, primary, term) = (attempt.durable, attempt.primary, attempt.term);
-        let sent_at = attempt.sent_at;
-        self.charge(now, flow, primary, sent_at);
+        self.charge(now, key, false);
         if status == IDLE {
             self.unpin(conn);
             if durable && !orphan {
--- a/components/keeper/src/group.rs
+++ b/components/keeper/src/group.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use admit::Queue;
 use base::prelude::*;
 use config::Declarations;
 use retry::Backoff;
@@ -14,10 +13,11 @@
 use crate::event::{Effect, Event, Front, Lease};
 use crate::flaw::Flaw;
 use crate::health::Health;
+use crate::place::Lanes;
 use crate::reads::Sampling;
 use crate::request::Request;
 use crate::server::Server;
-use crate::service::{Flow, Service};
+use crate::service::Service;
 use crate::teams::Teams;
 use crate::unfenced::Unfenced;
 use crate::uptime::Uptime;
@@ -31,16 +31,6 @@
 /// Initial and maximum backoff before a retry or a reconnect after a failure.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
-/// Queues of requests that wait for a slot: `primary` and `replica` by the server
-/// role that the requests need, and `spare` for reads that run on the primary
-/// only while `primary` is empty.
-#[derive(Debug, Default)]
-pub(crate) struct Lanes {
-    pub(crate) primary: Queue<Flow, Key<Request>>,
-    pub(crate) spare: Queue<Flow, Key<Request>>,
-    pub(crate) replica: Queue<Flow, Key<Request>>,
-}
-
 /// State of one database group.
 #[derive(Debug)]
 pub struct Group {
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -322,9 +322,9 @@
             waits && now.since(request.arrived) > patience
         };
         let moved = self.requests.iter().filter(|(_, request)| is_overdue(request));
-        let moved: Vec<_> = moved.map(|(key, request)| (key, request.flow())).collect();
-        for (key, flow) in moved {
-            self.lanes.replica.remove(flow, key);
+        let moved: Vec<_> = moved.map(|(key, _)| key).collect();
+        for key in moved {
+            self.lanes.replica.remove(key);
             self.queue(key, Lane::Spare);
         }
     }
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -2,14 +2,16 @@
 
 use std::collections::VecDeque;
 
+use admit::Rank;
 use base::prelude::*;
 use bytes::Bytes;
 use wire::data::{Class, End, Run};
 
 use crate::conn::{Connection, IDLE, Owner};
 use crate::event::{Cause, Front, Kind, Piece};
+use crate::place::Flow;
 use crate::server::Server;
-use crate::service::{Flow, Service};
+use crate::service::Service;
 use crate::teams::Team;
 
 /// Maximum number of bytes of one answer that are held back.
@@ -77,6 +79,10 @@
     pub(crate) front: Front,
     pub(crate) service: Key<Service>,
     pub(crate) team: Key<Team>,
+    /// Priority among waiting requests.
+    pub(crate) rank: Rank,
+    /// Requests with which the capacity is shared fairly.
+    pub(crate) flow: Flow,
     pub(crate) run: Run,
     pub(crate) class: Class,
     /// Mark that the session has seen and that the request must see.
@@ -148,12 +154,20 @@
 }
 
 impl Request {
-    pub(crate) fn new(now: Instant, front: Front, (service, team): Flow, run: Run) -> Self {
+    pub(crate) fn new(
+        now: Instant,
+        front: Front,
+        (service, team): (Key<Service>, Key<Team>),
+        (rank, flow): (Rank, Flow),
+        run: Run,
+    ) -> Self {
         let class = Class::try_from(run.class).unwrap_or(Class::Write);
         Self {
             front,
             service,
             team,
+            rank,
+            flow,
             class,
             floor: run.floor.map(Mark::from),
             arrived: now,
@@ -171,11 +185,6 @@
         }
     }
 
-    /// Flow of the fair queues that the request belongs to.
-    pub(crate) fn flow(&self) -> Flow {
-        (self.service, self.team)
-    }
-
     pub(crate) fn owner(&self) -> Owner {
         (self.front, self.run.caller)
     }
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -5,11 +5,8 @@
 use retry::Budget;
 use smallvec::SmallVec;
 
+use crate::estimate::Estimates;
 use crate::server::Server;
-use crate::teams::Team;
-
-/// Requests of one service and team, which wait in the order of their arrival.
-pub(crate) type Flow = (Key<Service>, Key<Team>);
 
 /// A service that has sent requests to this group.
 #[derive(Debug)]
@@ -17,10 +14,14 @@
     pub(crate) name: Name,
     pub(crate) weight: u32,
     pub(crate) limits: Limits,
+    /// Declared priority; zero is the highest.
+    pub(crate) priority: u32,
     /// Target time for answering a request.
     pub(crate) objective: Option<Duration>,
     /// Weight of a request that has to wait for a new connection.
     pub(crate) urgency: f64,
+    /// Run times of its requests in an unfenced group.
+    pub(crate) estimates: Estimates,
     /// Number of requests that have not ended.
     pub(crate) open_requests: u32,
     /// Retry budget of the service.
@@ -37,8 +38,10 @@
             name,
             weight: 1,
             limits,
+            priority: 0,
             objective: None,
             urgency: 1.0,
+            estimates: Estimates::default(),
             open_requests: 0,
             budget,
             reach: SmallVec::new(),
@@ -58,10 +61,10 @@
             self.budget.set_share(self.limits.retry_share);
         }
         let database = declarations.databases.get(self.name.as_str());
+        self.priority = database.map_or(0, |database| database.priority);
         let objective = database.map(|database| Duration::from_millis(database.objective_ms));
         self.objective = objective.filter(|objective| !objective.is_zero());
-        let priority = database.map_or(0, |database| database.priority);
-        self.urgency = pool::urgency(priority, self.objective);
+        self.urgency = pool::urgency(self.priority, self.objective);
         let reached = |server: &Server| {
             declarations.can_access_server(self.name.as_str(), group.as_str(), &server.labels)
         };
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -9,6 +9,7 @@
 
 use admit::Verdict;
 use base::prelude::*;
+use config::Declarations;
 use plain::ErrorKind;
 use pool::{
     Choice, Gain, Holding, Idle, Load, Usage, choose_victim, place, rendezvous, should_open,
@@ -41,6 +42,8 @@
 pub(crate) struct Team {
     /// `None` if callers have no team.
     pub(crate) name: Option<Name>,
+    /// Priority among the teams whose requests have the same priority.
+    priority: u32,
 }
 
 /// Teams that have sent requests to a group.
@@ -61,7 +64,7 @@
 impl Default for Teams {
     fn default() -> Self {
         let mut known = Arena::new();
-        let unnamed = known.insert(Team { name: None });
+        let unnamed = known.insert(Team { name: None, priority: 0 });
         Self {
             known,
             by_name: HashMap::new(),
@@ -80,7 +83,7 @@
     }
 
     /// Returns the key of the team with the given name; `None` if the name is invalid.
-    fn intern(&mut self, name: &str) -> Option<Key<Team>> {
+    fn intern(&mut self, name: &str, priority: u32) -> Option<Key<Team>> {
         if name.is_empty() {
             return Some(self.unnamed);
         }
@@ -88,20 +91,40 @@
             return Some(*key);
         }
         let name = Name::new(name).ok()?;
-        let key = self.known.insert(Team { name: Some(name.clone()) });
+        let key = self.known.insert(Team { name: Some(name.clone()), priority });
         self.by_name.insert(name, key);
         Some(key)
     }
+
+    /// Priority of a team among the teams whose requests have the same priority; `None` for
+    /// callers that have no team.
+    pub(crate) fn priority(&self, team: Key<Team>) -> Option<u32> {
+        self.known.get(team).filter(|team| team.name.is_some()).map(|team| team.priority)
+    }
+}
+
+fn declared_priority(declarations: &Declarations, team: &str) -> u32 {
+    let declared = declarations.teams.as_ref().and_then(|teams| teams.get(team));
+    declared.map_or(0, |team| team.priority)
 }
 
 impl Group {
     /// Returns the team of a request; `None` if the name is invalid.
     pub(crate) fn team_named(&mut self, name: &str) -> Option<Key<Team>> {
-        let key = self.teams.intern(name)?;
+        let key = self.teams.intern(name, declared_priority(&self.declarations, name))?;
         self.teams.last = key;
         Some(key)
     }
 
+    /// Applies the declared priorities of the teams.
+    pub(crate) fn update_teams(&mut self) {
+        for (_, team) in self.teams.known.iter_mut() {
+            if let Some(name) = &team.name {
+                team.priority = declared_priority(&self.declarations, name.as_str());
+            }
+        }
+    }
+
     /// Whether connections for the team are opened only for waiting requests.
     pub(crate) fn opens_on_demand(&self, team: Key<Team>) -> bool {
         self.has_teams() || (self.is_unfenced() && team != self.teams.unnamed)
