--- a/components/keeper/src/flaw.rs
+++ b/components/keeper/src/flaw.rs
@@ -20,4 +20,15 @@
     CountSuspension,
     /// Runs a request on an idle connection of another team.
     ForeignTeam,
+    /// Serves waiting requests in the order of their arrival, whatever their priority,
+    /// objective and team.
+    ArrivalOrder,
+    /// Refuses no request for load.
+    AdmitAll,
+    /// Gives lower priorities no minimum share.
+    NoMinimumShare,
+    /// Keeps the waiting requests of callers that have left.
+    KeepLeft,
+    /// Asks all refused callers to come back after the same time.
+    FixedReturn,
 }
--- a/components/keeper/src/place.rs
+++ b/components/keeper/src/place.rs
@@ -5,6 +5,7 @@
 use wire::data::Class;
 
 use crate::estimate::{Expected, Kind};
+use crate::flaw::Flaw;
 use crate::group::Group;
 use crate::request::{Lane, Request};
 use crate::service::Service;
@@ -53,6 +54,9 @@
         if !self.is_unfenced() {
             return (Rank::default(), Flow::Service(service));
         }
+        if self.has_flaw(Flaw::ArrivalOrder) {
+            return (Rank::default(), Flow::Service(Key::from_bits(0)));
+        }
         let priority = self.services.get(service).map_or(0, |service| service.priority);
         match self.teams.priority(team) {
             Some(of_team) => (Rank { priority, team: of_team }, Flow::Team(team)),
@@ -69,6 +73,7 @@
             service.and_then(|service| service.objective).filter(|_| self.is_unfenced());
         let expected = self.expected(request, lane);
         let until = objective.map(|objective| request.arrived + objective);
+        let until = until.filter(|_| !self.has_flaw(Flaw::ArrivalOrder));
         Place {
             rank: request.rank,
             flow: request.flow,
