--- a/components/keeper/src/admission.rs
+++ b/components/keeper/src/admission.rs
@@ -10,6 +10,7 @@
 use crate::group::Group;
 use crate::request::{Lane, Request, Stage};
 use crate::service::Service;
+use crate::teams::Team;
 
 /// Retry delay sent to callers whose request is not admitted because the entry
 /// does not hold its own lease.
@@ -65,7 +66,7 @@
             self.abandon(now, conn, out);
         }
         let pinned = self.pins.get(&owner).copied();
-        let service = match self.admit(now, front, &run, pinned, out) {
+        let service = match self.admit(now, front, (&run, team), pinned, out) {
             Ok(service) => service,
             Err(refusal) => {
                 out.push(Effect::End { front, end: refused(&run, &refusal) });
@@ -222,7 +223,7 @@
         &mut self,
         now: Instant,
         front: Front,
-        run: &Run,
+        (run, team): (&Run, Key<Team>),
         pinned: Option<Key<Connection>>,
         out: &mut Vec<Effect>,
     ) -> Result<Key<Service>, Refusal> {
@@ -234,7 +235,7 @@
         let key = self.service(&run.service).ok_or_else(|| Refusal::new(Reason::Refused))?;
         let full = |service: &Service| service.open_requests >= service.limits.queue;
         if !run.in_transaction && self.services.get(key).is_none_or(full) {
-            let retry_after = self.refuse_at_limit(now, front, key, run, out);
+            let retry_after = self.refuse_at_limit(now, front, (key, team), run, out);
             return Err(Refusal::after(Reason::QueueFull, retry_after));
         }
         Ok(key)
--- a/components/keeper/src/shedding.rs
+++ b/components/keeper/src/shedding.rs
@@ -24,6 +24,7 @@
 use crate::request::{Lane, Request, Stage};
 use crate::server::Server;
 use crate::service::Service;
+use crate::teams::Team;
 use crate::unfenced::{Need, will_show_soon};
 
 /// Part of its objective after which a waiting request is no longer refused in favour of
@@ -267,13 +268,13 @@
         &mut self,
         now: Instant,
         front: Front,
-        service: Key<Service>,
+        (service, team): (Key<Service>, Key<Team>),
         run: &Run,
         out: &mut Vec<Effect>,
     ) -> Duration {
-        let rank = self.rank(service, run);
+        let rank = self.rank(service, team);
         out.push(Effect::Count(Count::Shed(Shed::Limit, rank.0.priority)));
-        let mut request = Request::new(now, front, service, rank, run.clone());
+        let mut request = Request::new(now, front, (service, team), rank, run.clone());
         if !request.is_read() {
             request.stage = Stage::Queued(Lane::Primary);
         }
