--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -59,6 +59,9 @@
     /// Protocol for plain statements, spoken with callers and backend servers; `None`
     /// if they speak PostgreSQL.
     pub dialect: Option<Arc<dyn Dialect>>,
+    /// Whether servers of unfenced groups that have started, recovered or been promoted
+    /// get work through a growing window.
+    pub slow_start: bool,
     /// Logger for events of the entry.
     pub log: Logger,
     /// Clock of the process.
@@ -212,6 +215,7 @@
                 view: view.clone(),
                 clock: self.settings.clock,
                 dialect: self.settings.dialect.clone(),
+                slow_start: self.settings.slow_start,
                 metrics,
                 log: self.settings.log.clone(),
             }),
--- a/components/entry/src/keep/metrics.rs
+++ b/components/entry/src/keep/metrics.rs
@@ -1,10 +1,13 @@
-//! Counters of a keeper. No label names a service or a caller, so the number of
+//! Counters of a keeper. Labels name servers of the groups that the keeper serves, but no
+//! service and no caller, so the number of
 //! series stays bounded.
 
-use keeper::{Cause, Count};
+use base::prelude::*;
+use keeper::{Cause, Count, Pace};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use wire::data::{End, Outcome, Reason};
 
 use super::lock;
@@ -20,6 +23,12 @@
     cause: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServerLabels {
+    group: String,
+    server: String,
+}
+
 /// Counters of a keeper.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Metrics {
@@ -28,6 +37,8 @@
     primary_reads: Family<CauseLabel, Counter>,
     repeats: Counter,
     opened: Counter,
+    windows: Family<ServerLabels, Gauge>,
+    probations: Family<ServerLabels, Gauge>,
 }
 
 impl Metrics {
@@ -48,9 +59,27 @@
         );
         registry.register("repeats", "Requests tried again", metrics.repeats.clone());
         registry.register("opened", "Connections opened", metrics.opened.clone());
+        registry.register(
+            "slow_start_window",
+            "Concurrent statements of a server in slow start; 0 without slow start",
+            metrics.windows.clone(),
+        );
+        registry.register(
+            "probation",
+            "1 for a server that fails more reads than its peers and gets single ones",
+            metrics.probations.clone(),
+        );
         metrics
     }
 
+    /// Shows the slow start and the probation of a server.
+    pub(super) fn pace(&self, group: &Name, server: &Name, pace: Pace) {
+        let labels = ServerLabels { group: group.to_string(), server: server.to_string() };
+        let window = i64::from(pace.window.unwrap_or(0));
+        self.windows.get_or_create(&labels).set(window);
+        self.probations.get_or_create(&labels).set(i64::from(pace.probation));
+    }
+
     pub(super) fn count(&self, count: Count) {
         match count {
             Count::ReplicaRead => self.replica_reads.inc(),
--- a/components/entry/src/keep/mod.rs
+++ b/components/entry/src/keep/mod.rs
@@ -59,6 +59,8 @@
     /// Protocol of the servers of unfenced groups, which acknowledge commits by
     /// themselves.
     pub dialect: Option<Arc<dyn Dialect>>,
+    /// Whether servers of unfenced groups begin with slow start.
+    pub slow_start: bool,
     /// Registry for the metrics of the keeper.
     pub metrics: telemetry::web::Metrics,
     /// Logger for events.
@@ -75,6 +77,7 @@
     view: View,
     clock: Clock,
     dialect: Option<Arc<dyn Dialect>>,
+    slow_start: bool,
     metrics: Metrics,
     log: Logger,
     fronts: Fronts,
@@ -98,6 +101,7 @@
         view: settings.view,
         clock: settings.clock,
         dialect: settings.dialect,
+        slow_start: settings.slow_start,
         metrics: Metrics::register(&settings.metrics),
         log: settings.log,
         fronts: Fronts::default(),
--- a/components/entry/src/keep/shard.rs
+++ b/components/entry/src/keep/shard.rs
@@ -8,8 +8,8 @@
 
 use base::clock::Clock;
 use base::prelude::*;
-use keeper::{Connection, Count, Effect, Ended, Event, Group, Lease, Setup};
-use slog::Logger;
+use keeper::{Connection, Count, Effect, Ended, Event, Group, Lease, Pace, Setup};
+use slog::{Logger, info, warn};
 use telemetry::event::{self, Learned, Sealed, Symptom};
 use tokio::sync::watch;
 use wire::data::answer;
@@ -245,12 +245,29 @@
             Effect::Wake(at) => drop(self.wake.send_replace(at)),
             Effect::ReleaseLease => self.host.view.release_lease(self.name.clone()),
             Effect::Count(count) => self.host.metrics.count(count),
+            Effect::Pace { server, before, now } => self.show_pace(&server, before, now),
             Effect::Log(ended) => self.log_end(&ended),
         }
     }
 }
 
 impl Shard {
+    /// Updates the metrics of a server's slow start and probation, and logs one line where
+    /// either begins or ends.
+    fn show_pace(&self, server: &Name, before: Pace, now: Pace) {
+        self.host.metrics.pace(&self.name, server, now);
+        let log = &self.host.log;
+        let (group, server) = (self.name.as_str(), server.as_str());
+        if before.window.is_some() != now.window.is_some() {
+            info!(log, "slow start of a server changed";
+                "group" => group, "server" => server, "slow_start" => now.window.is_some());
+        }
+        if before.probation != now.probation {
+            warn!(log, "probation of a server changed";
+                "group" => group, "server" => server, "probation" => now.probation);
+        }
+    }
+
     /// Logs one line for a request that failed or needed a retry.
     fn log_end(&self, ended: &Ended) {
         let line = event::Ended {
--- a/components/entry/tests/entry.rs
+++ b/components/entry/tests/entry.rs
@@ -37,6 +37,7 @@
         key: Key::new(b"a key of the tests of entries").unwrap(),
         users: None,
         tls: None,
+        slow_start: true,
         dialect: None,
         log: slog::Logger::root(slog::Discard, slog::o!()),
         clock,
--- a/components/entry/tests/keep.rs
+++ b/components/entry/tests/keep.rs
@@ -88,6 +88,7 @@
         key: Key::new(KEY).unwrap(),
         view: view.clone(),
         clock: Clock::start(),
+        slow_start: true,
         dialect: None,
         metrics: Arc::clone(&metrics),
         log: slog::Logger::root(slog::Discard, slog::o!()),
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -26,7 +26,7 @@
         if let Some(server) = self.servers.get_mut(conn.server) {
             server.failures = 0;
             if self.unfenced.is_some() {
-                server.outage = None;
+                server.recover(now);
             }
         }
     }
@@ -47,6 +47,12 @@
                 server.distrusted_at = now;
             }
         }
+        if conn.work == Work::Opening {
+            self.note_refused(now, conn.server);
+        }
+        if let Work::Busy(request) = conn.work {
+            self.note_lost(now, request);
+        }
         match conn.work {
             Work::Busy(request) | Work::Marking(request) => self.connection_lost(now, request, out),
             _ => self.drop_urgent(now, key, out),
@@ -278,6 +284,7 @@
         }
         if read || !request.attempt.primary {
             request.may_have_run = true;
+            request.avoided = request.attempt.server;
             if !self.retry(now, key, out) {
                 self.finish(now, key, Outcome::Unknown, Reason::Broken, out);
             }
--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -45,7 +45,8 @@
     /// Sends statements of open transactions, which have precedence over all
     /// other work.
     fn dispatch_urgent(&mut self, now: Instant, key: Key<Server>, out: &mut Vec<Effect>) {
-        while self.free_slots(key).max(self.min_slots(key)) > 0 {
+        // a transaction that has begun is not delayed by slow start
+        while self.slots_left(key).max(self.min_slots(key)) > 0 {
             let next = self.servers.get_mut(key).and_then(|server| server.urgent.pop_front());
             let Some(request) = next else {
                 return;
@@ -178,6 +179,7 @@
         }
         connection.work = Work::Busy(key);
         request.attempt = attempt;
+        request.may_move = self.unfenced.is_some() && request.is_read() && !request.is_fresh();
         request.stage = Stage::Running(conn);
         let wait = mark.filter(|_| self.unfenced.is_some() && !request.attempt.primary);
         out.push(Effect::Send { conn, bytes: request.run.payload.clone(), wait });
@@ -193,6 +195,7 @@
             connection.paused = true;
             out.push(Effect::Pause { conn });
         }
+        self.note_sent(now, server);
     }
 
     fn new_attempt(
@@ -259,7 +262,8 @@
             return self.close_idle(key, out);
         }
         let wanted = |group: &Self, opening| {
-            (probes && opening == 0) || (group.idle_count(key) < warm && opening < MAX_OPENING)
+            let room = opening < MAX_OPENING && group.window_room(key) > 0;
+            (probes && opening == 0) || (group.idle_count(key) < warm && room)
         };
         while self.connection_count(key) < limit && wanted(self, opening) {
             let conn = self.conns.insert(Connection::new(key));
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -185,6 +185,9 @@
     /// Set if the servers acknowledge commits by themselves and can't be
     /// fenced. `primary` is then `None` during a change of primary.
     pub unfenced: Option<Unfenced>,
+    /// Whether servers of an unfenced group that have started, recovered or been
+    /// promoted get work through a growing window.
+    pub slow_start: bool,
 }
 
 /// State of an unfenced group in the control log: one whose servers acknowledge
@@ -329,6 +332,15 @@
     Wake(Instant),
     /// Release the lease: no connection is open any more.
     ReleaseLease,
+    /// Slow start or probation of a server has changed.
+    Pace {
+        /// Name of the server.
+        server: Name,
+        /// State before the change.
+        before: Pace,
+        /// State after the change.
+        now: Pace,
+    },
     /// Increment a counter.
     Count(Count),
     /// Log the end of a request whose outcome is not `Done`, that was retried,
@@ -336,6 +348,15 @@
     Log(Ended),
 }
 
+/// Slow start and probation of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pace {
+    /// Number of concurrent statements in slow start; `None` without slow start.
+    pub window: Option<u32>,
+    /// Whether the server fails more reads than its peers and gets single ones only.
+    pub probation: bool,
+}
+
 /// Log record of the end of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ended {
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -255,6 +255,7 @@
             return;
         };
         let cannot_commit = !request.may_commit();
+        let was_running = matches!(stage, Stage::Running(_));
         let unconfirmed = stage == Stage::Acking && !request.attempt.durable;
         let outcome = match stage {
             Stage::Running(_) | Stage::Marking(_) if cannot_commit => Outcome::NotRun,
@@ -267,6 +268,9 @@
         if unconfirmed {
             self.end_transaction(now, key, out);
         }
+        if was_running {
+            self.note_lost(now, key);
+        }
         self.finish(now, key, outcome, Reason::Deadline, out);
         if let Stage::Running(conn) | Stage::Marking(conn) = stage {
             out.push(Effect::Cancel { conn });
--- a/components/keeper/src/flaw.rs
+++ b/components/keeper/src/flaw.rs
@@ -15,6 +15,12 @@
     EarlyReuse,
     /// Uses the position of a primary that no majority has confirmed.
     Unverified,
+    /// Chooses the replica with the most free slots, whatever its answers.
+    MostFree,
+    /// Puts a server on probation for any failure, also for those that callers cause.
+    EjectByRate,
+    /// Ignores errors in slow start.
+    NoBackoff,
     /// Takes a suspension of the process for a run time, and refuses requests for the
     /// load estimated from it although free slots can run them.
     CountSuspension,
--- a/components/keeper/src/group.rs
+++ b/components/keeper/src/group.rs
@@ -14,6 +14,7 @@
 use crate::event::{Effect, Event, Front, Lease};
 use crate::flaw::Flaw;
 use crate::health::Health;
+use crate::pace::Starts;
 use crate::reads::Sampling;
 use crate::request::Request;
 use crate::server::Server;
@@ -48,6 +49,7 @@
     pub(crate) declared: u32,
     /// Primary named by the control log.
     pub(crate) control_primary: Option<Name>,
+    pub(crate) starts: Starts,
     /// Lease of the entry on the group.
     pub(crate) lease: Lease,
     /// Whether the entry holds its own lease.
@@ -94,6 +96,7 @@
             zone,
             declared: 0,
             control_primary: None,
+            starts: Starts::default(),
             lease: Lease::None,
             leased: false,
             closing: false,
@@ -172,6 +175,7 @@
         self.sample(now, out);
         self.seal(now, out);
         self.release_lease(out);
+        self.report_pace(out);
         self.wake(now, out);
     }
 
@@ -223,12 +227,17 @@
         on.count() as u32
     }
 
-    /// Number of free slots on a server.
-    pub(crate) fn free_slots(&self, server: Key<Server>) -> u32 {
+    /// Number of free slots on a server, without regard to slow start.
+    pub(crate) fn slots_left(&self, server: Key<Server>) -> u32 {
         let slots = self.servers.get(server).map_or(0, |server| server.slots);
         slots.saturating_sub(self.running(server))
     }
 
+    /// Number of free slots on a server, within the window of its slow start.
+    pub(crate) fn free_slots(&self, server: Key<Server>) -> u32 {
+        self.slots_left(server).min(self.window_room(server))
+    }
+
     /// Returns the most recently used idle connection to a server.
     pub(crate) fn idle(&self, server: Key<Server>) -> Option<Key<Connection>> {
         let idle = self.conns.iter().filter_map(|(key, conn)| match conn.work {
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -15,6 +15,7 @@
 //! - `cycle`: events of connections.
 //! - `resolve`: acknowledgement by a majority, and requests in doubt.
 //! - `finish`: ends of requests, and retries.
+//! - `pace`: slow start, and servers judged by their answers.
 //! - `health`: symptoms of a failed primary.
 //! - `setup`: servers, leases and declarations from the control log.
 //! - `uptime`: suspensions of the process.
@@ -29,6 +30,7 @@
 mod flaw;
 mod group;
 mod health;
+mod pace;
 mod reads;
 mod request;
 mod resolve;
@@ -41,7 +43,7 @@
 
 pub use conn::Connection;
 pub use event::{
-    Cause, Count, Effect, Ended, Event, Front, Kind, Lease, Outage, Piece, Reported, Setup,
+    Cause, Count, Effect, Ended, Event, Front, Kind, Lease, Outage, Pace, Piece, Reported, Setup,
     Unfenced,
 };
 #[cfg(feature = "fault")]
--- /dev/null
+++ b/components/keeper/src/pace.rs
@@ -0,0 +1,327 @@
+//! What the answers of a server say about it: slow start, run times and failures
+//! compared with those of its peers, and the resulting cost of a read there.
+//!
+//! Applies to unfenced groups only. Each keeper judges by its own answers.
+
+use base::prelude::*;
+use pace::Answer;
+use plain::ErrorKind;
+use route::Candidate;
+use smallvec::SmallVec;
+use wire::data::Class;
+
+use crate::conn::Work;
+use crate::event::{Effect, Pace};
+use crate::flaw::Flaw;
+use crate::group::Group;
+use crate::request::Request;
+use crate::server::Server;
+use crate::service::Kind;
+
+/// Slowness, compared with the fastest peer, above which a server gets reads as probes
+/// and its run times are not taken for usual ones.
+const SLOW_FACTOR: f64 = 1.5;
+
+/// Parts of the usual run time in which costs are counted.
+const COST_UNITS: f64 = 1_000.0;
+
+/// What decides whether a server begins with slow start.
+#[derive(Debug, Default)]
+pub(crate) struct Starts {
+    /// Whether slow start is turned on.
+    pub(crate) slow: bool,
+    /// Last server that control named as primary.
+    pub(crate) last_primary: Option<Name>,
+}
+
+impl Group {
+    /// Number of statements and openings that slow start still allows on a server.
+    pub(crate) fn window_room(&self, key: Key<Server>) -> u32 {
+        let Some(server) = self.servers.get(key) else {
+            return 0;
+        };
+        match server.window.limit(self.uptime.last_event()) {
+            u32::MAX => u32::MAX,
+            limit => limit.saturating_sub(self.open_work(key)),
+        }
+    }
+
+    /// Number of statements on a server and of connections to it that are being opened.
+    fn open_work(&self, key: Key<Server>) -> u32 {
+        let opening =
+            self.conns.iter().filter(|(_, c)| c.server == key && c.work == Work::Opening).count();
+        self.running(key) + opening as u32
+    }
+
+    /// Records that a statement was sent.
+    pub(crate) fn note_sent(&mut self, now: Instant, key: Key<Server>) {
+        let open = self.open_work(key);
+        if let Some(server) = self.servers.get_mut(key) {
+            server.window.on_sent(now, open);
+            server.gauge.on_sent(now);
+        }
+    }
+
+    /// Records the answer to a statement.
+    pub(crate) fn note_answered(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        error_kind: Option<ErrorKind>,
+    ) {
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let (read, sent_at) = (request.is_read(), request.attempt.sent_at);
+        let (service, kind) = (request.service, Kind::of(request));
+        let Some(server) = request.attempt.server else {
+            return;
+        };
+        match error_kind {
+            Some(ErrorKind::Failed | ErrorKind::Busy) if read => {
+                return self.note_failed(now, server);
+            }
+            Some(ErrorKind::Busy) => return self.note_refused(now, server),
+            Some(_) => return,
+            None => {}
+        }
+        if self.uptime.was_suspended_since(sent_at) {
+            return;
+        }
+        let run = now.since(sent_at);
+        let Some(usual) = self.services.get(service).map(|service| service.usual(kind)) else {
+            return;
+        };
+        let slowness = usual.slowness(run);
+        let fastest = self.fastest_peer(now, server);
+        let ramping = self.servers.get(server).is_some_and(|server| server.window.is_ramping());
+        if !ramping || usual.time().is_none() {
+            self.learn(server, service, kind, run, fastest);
+        }
+        self.judge(now, server, Some(slowness), fastest, false);
+        let Some(server) = self.servers.get_mut(server) else {
+            return;
+        };
+        if !read {
+            server.gauge.observe(run, slowness);
+        } else if server.gauge.on_answered(now, run, slowness) {
+            server.begin_slow_start(now);
+        }
+    }
+
+    fn learn(
+        &mut self,
+        server: Key<Server>,
+        service: Key<crate::service::Service>,
+        kind: Kind,
+        run: Duration,
+        fastest: Option<f64>,
+    ) {
+        let own = self.servers.get(server).map_or(1.0, |server| server.gauge.slowness());
+        if fastest.is_some_and(|fastest| own > fastest * SLOW_FACTOR) {
+            return;
+        }
+        if let Some(service) = self.services.get_mut(service) {
+            service.usual_mut(kind).learn(run);
+        }
+    }
+
+    /// Passes the end of a statement or of an opening to the window of its server.
+    fn judge(
+        &mut self,
+        now: Instant,
+        key: Key<Server>,
+        slowness: Option<f64>,
+        fastest: Option<f64>,
+        error: bool,
+    ) {
+        let peers = fastest.filter(|_| !self.is_control_primary(key));
+        let error = error && !self.has_flaw(Flaw::NoBackoff);
+        if let Some(server) = self.servers.get_mut(key) {
+            let answer = Answer { slowness, peers, error, full: server.setup.slots };
+            server.window.on_answered(now, &answer);
+        }
+    }
+
+    /// Records that a server refused a statement or an opening.
+    pub(crate) fn note_refused(&mut self, now: Instant, key: Key<Server>) {
+        self.judge(now, key, None, None, true);
+    }
+
+    /// Records that a read failed on a server, and puts the server on probation if it
+    /// fails more of them than a peer.
+    pub(crate) fn note_failed(&mut self, now: Instant, key: Key<Server>) {
+        self.note_refused(now, key);
+        if let Some(server) = self.servers.get_mut(key) {
+            server.gauge.on_failed(now);
+        }
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let gauge = &server.gauge;
+        let mut peers = self.peers(now, key);
+        let worse = peers.any(|peer| gauge.fails_more_than(now, &peer.gauge));
+        drop(peers);
+        if (worse || self.has_flaw(Flaw::EjectByRate))
+            && !gauge.is_on_probation()
+            && self.is_unfenced()
+            && let Some(server) = self.servers.get_mut(key)
+        {
+            server.gauge.eject(now);
+        }
+    }
+
+    /// Records that a read was lost with its connection or was given up.
+    pub(crate) fn note_lost(&mut self, now: Instant, key: Key<Request>) {
+        let request = self.requests.get(key).filter(|request| request.is_read());
+        if let Some(server) = request.and_then(|request| request.attempt.server) {
+            self.note_failed(now, server);
+        }
+    }
+
+    /// Usable servers that are not on probation, without the given one.
+    fn peers(&self, now: Instant, key: Key<Server>) -> impl Iterator<Item = &Server> {
+        let peers = self.servers.iter().filter(move |(other, _)| *other != key);
+        peers
+            .map(|(_, server)| server)
+            .filter(move |s| s.is_available(now) && !s.gauge.is_on_probation())
+    }
+
+    /// Slowness of the fastest peer of a server.
+    fn fastest_peer(&self, now: Instant, key: Key<Server>) -> Option<f64> {
+        self.peers(now, key).map(|server| server.gauge.slowness()).reduce(f64::min)
+    }
+
+    /// Expected time until a read on a server is answered, in thousandths of the usual
+    /// run time.
+    pub(crate) fn cost(&self, now: Instant, key: Key<Server>) -> u32 {
+        let Some(server) = self.servers.get(key).filter(|_| self.is_unfenced()) else {
+            return 0;
+        };
+        if self.has_flaw(Flaw::MostFree) {
+            return 0;
+        }
+        let slowness = server.gauge.slowness().max(self.oldest_wait(now, key) / 2.0);
+        let load = f64::from(self.running(key)) / f64::from(server.slots.max(1));
+        (slowness * (1.0 + load) * COST_UNITS) as u32
+    }
+
+    /// Longest time that a statement has run on a server without an answer, as a
+    /// multiple of its usual run time.
+    fn oldest_wait(&self, now: Instant, key: Key<Server>) -> f64 {
+        let open = self.conns.iter().filter_map(|(_, conn)| match conn.work {
+            Work::Busy(request) if conn.server == key => self.requests.get(request),
+            _ => None,
+        });
+        let wait = |request: &Request| {
+            let usual = self.services.get(request.service)?.usual(Kind::of(request));
+            usual.time()?;
+            Some(usual.slowness(self.uptime.awake_since(now, request.attempt.sent_at)))
+        };
+        open.filter_map(wait).fold(0.0, f64::max)
+    }
+
+    /// Limits the candidates that should get single reads only: those on probation,
+    /// unless no other server qualifies, and gives slow ones a read when one is due.
+    pub(crate) fn limit_suspects(
+        &self,
+        now: Instant,
+        found: &mut SmallVec<[Candidate<Key<Server>>; 4]>,
+    ) {
+        let gauge = |key| self.servers.get(key).map(|server| &server.gauge);
+        let trusted = |key| gauge(key).is_some_and(|gauge| !gauge.is_on_probation());
+        if self.has_flaw(Flaw::MostFree) || !found.iter().any(|found| trusted(found.server)) {
+            return;
+        }
+        let slowness = |key| gauge(key).map_or(1.0, pace::Gauge::slowness);
+        let fastest = found.iter().map(|found| slowness(found.server)).fold(f64::MAX, f64::min);
+        for candidate in found.iter_mut() {
+            let key = candidate.server;
+            let due = gauge(key).is_some_and(|gauge| gauge.is_probe_due(now));
+            let idle = self.running(key) == 0;
+            let suspect = !trusted(key) || slowness(key) > fastest * SLOW_FACTOR;
+            candidate.probe = suspect && due && idle;
+            if !trusted(key) {
+                candidate.free = candidate.free.min(u32::from(candidate.probe));
+            }
+        }
+    }
+
+    /// Sends a failed read to another server, once and within the retry budget. Returns
+    /// false if the answer has to be passed on.
+    pub(crate) fn try_elsewhere(
+        &mut self,
+        now: Instant,
+        key: Key<Request>,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(request) = self.requests.get(key) else {
+            return false;
+        };
+        let server = request.attempt.server;
+        let tried = request.avoided.is_some() || request.parts > 0 || request.orphan;
+        if tried || !request.is_read() || request.is_fresh() || now >= request.deadline {
+            return false;
+        }
+        let other = server.is_some_and(|server| self.peers(now, server).next().is_some());
+        let service = self.services.get_mut(request.service);
+        if !other || !service.is_some_and(|service| service.budget.withdraw()) {
+            return false;
+        }
+        if let Some(request) = self.requests.get_mut(key) {
+            request.avoided = server;
+        }
+        self.resend(now, key, Duration::ZERO);
+        out.push(Effect::Count(crate::event::Count::Retry));
+        true
+    }
+
+    /// Reports changes of the windows and probations.
+    pub(crate) fn report_pace(&mut self, out: &mut Vec<Effect>) {
+        let now = self.uptime.last_event();
+        for (_, server) in self.servers.iter_mut() {
+            let ramping = server.window.is_ramping();
+            let pace = Pace {
+                window: ramping.then(|| server.window.limit(now)),
+                probation: server.gauge.is_on_probation(),
+            };
+            if pace != server.reported_pace {
+                let before = std::mem::replace(&mut server.reported_pace, pace);
+                out.push(Effect::Pace { server: server.name.clone(), before, now: pace });
+            }
+        }
+    }
+}
+
+impl Kind {
+    pub(crate) fn of(request: &Request) -> Self {
+        match (request.run.in_transaction, request.class) {
+            (true, _) => Self::Transaction,
+            (false, Class::Read) => Self::Read,
+            (false, _) => Self::Write,
+        }
+    }
+}
+
+impl Server {
+    /// Begins slow start, unless it is turned off.
+    pub(crate) fn begin_slow_start(&mut self, now: Instant) {
+        if self.slow_start {
+            self.window.on_started(now);
+            self.started_at = now;
+        }
+    }
+
+    /// Records that the server has answered or was reached.
+    pub(crate) fn recover(&mut self, now: Instant) {
+        let silent = now.since(self.last_heard) >= SHORT_OUTAGE;
+        if self.outage.take().is_some() && silent && self.unfenced {
+            self.begin_slow_start(now);
+        }
+        self.last_heard = now;
+    }
+}
+
+/// Time without an answer below which the end of an outage starts no slow start: a
+/// server that refuses some connections and answers on others is not cold.
+const SHORT_OUTAGE: Duration = Duration::from_millis(100);
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -272,14 +272,21 @@
             same_zone: server.zone == self.zone && !self.is_unfenced(),
             free: if now < server.full_until { 0 } else { self.ready_slots(key) },
             waiting: server.urgent.len() as u32,
+            cost: self.cost(now, key),
+            unused: if self.is_unfenced() { server.gauge.unused(now) } else { Duration::ZERO },
+            probe: false,
             mark,
         };
-        let found: SmallVec<[_; 4]> = self.qualified(now, request).map(candidate).collect();
+        let mut found: SmallVec<[_; 4]> = self.qualified(now, request).map(candidate).collect();
+        if self.is_unfenced() {
+            self.limit_suspects(now, &mut found);
+        }
+        let avoided = take_avoided(&mut found, request);
         let busy = found.iter().all(|candidate| candidate.free == 0);
         let spare = if busy && self.is_unfenced() { self.spare_primary(now) } else { None };
-        found
-            .into_iter()
-            .chain(spare.and_then(|key| Some(candidate((key, self.servers.get(key)?, None)))))
+        let spare = spare.and_then(|key| Some(candidate((key, self.servers.get(key)?, None))));
+        let alone = found.is_empty() && spare.is_none();
+        found.into_iter().chain(spare).chain(avoided.filter(|_| alone))
     }
 
     /// Returns the primary of an unfenced group if no work that needs the
@@ -328,3 +335,12 @@
         }
     }
 }
+
+/// Removes the server on which a read has failed from its candidates.
+fn take_avoided(
+    found: &mut SmallVec<[Candidate<Key<Server>>; 4]>,
+    request: &Request,
+) -> Option<Candidate<Key<Server>>> {
+    let avoided = found.iter().position(|found| Some(found.server) == request.avoided)?;
+    Some(found.remove(avoided))
+}
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -14,6 +14,10 @@
 /// Maximum number of bytes of one answer that are held back.
 pub(crate) const MAX_HELD_BYTES: usize = 1 << 20;
 
+/// Length of the longest answer that may be an error and is held back for a read on a
+/// replica.
+const MAX_ERROR_BYTES: usize = 4 << 10;
+
 /// The time reserved for running a request is at most the time from its arrival
 /// to its deadline, divided by this number.
 const MARGIN_DIVISOR: u32 = 10;
@@ -86,6 +90,11 @@
     pub(crate) cause: Cause,
     /// Number of attempts before the current one.
     pub(crate) tries: u32,
+    /// Server on which an earlier attempt failed, which the next one avoids.
+    pub(crate) avoided: Option<Key<Server>>,
+    /// Whether a short answer is held back until the cycle ends, since the request may
+    /// move to another server.
+    pub(crate) may_move: bool,
     /// Whether an earlier attempt may have run.
     pub(crate) may_have_run: bool,
     /// Whether the caller or its front has disconnected.
@@ -158,6 +167,8 @@
             stage: Stage::Parked,
             cause: Cause::NoReplica,
             tries: 0,
+            avoided: None,
+            may_move: false,
             may_have_run: false,
             orphan: false,
             window: run.window,
@@ -223,7 +234,10 @@
     pub(crate) fn holds_back(&self, piece: &Piece) -> bool {
         let attempt = &self.attempt;
         if !attempt.primary {
-            return false;
+            // the end of the cycle tells whether the piece is an error, for which the read is
+            // tried on another server
+            let short = self.may_move && piece.bytes.len() <= MAX_ERROR_BYTES;
+            return !attempt.held.is_empty() || (short && self.parts == 0);
         }
         let due = if self.holds_answer() { Kind::Complete } else { Kind::Commit };
         !attempt.held.is_empty() || piece.kind >= due
--- a/components/keeper/src/server.rs
+++ b/components/keeper/src/server.rs
@@ -3,8 +3,9 @@
 use std::collections::VecDeque;
 
 use base::prelude::*;
+use pace::{Gauge, Window};
 
-use crate::event::{self, Outage};
+use crate::event::{self, Outage, Pace};
 use crate::request::Request;
 use crate::unfenced::{Commits, Lag};
 
@@ -42,6 +43,16 @@
     /// Reads that a replica may serve are not sent to the server before this
     /// time, because it had no free slot.
     pub(crate) full_until: Instant,
+    /// Slow start of the server.
+    pub(crate) window: Window,
+    /// Run times and failures of the server's reads.
+    pub(crate) gauge: Gauge,
+    /// Whether slow start is turned on.
+    pub(crate) slow_start: bool,
+    /// When the last slow start began.
+    pub(crate) started_at: Instant,
+    /// Last report of slow start and probation.
+    pub(crate) reported_pace: Pace,
     /// When the server began to leave the group.
     pub(crate) leaving_since: Option<Instant>,
 }
@@ -81,6 +92,11 @@
             commits: Commits::default(),
             lag: Lag::default(),
             full_until: Instant::ZERO,
+            window: Window::default(),
+            gauge: Gauge::default(),
+            slow_start: false,
+            started_at: Instant::ZERO,
+            reported_pace: Pace::default(),
             leaving_since: None,
         }
     }
@@ -89,8 +105,7 @@
     /// version is newer. `requested_at` is the latest request time of all
     /// reports up to the stored version.
     pub(crate) fn record_status(&mut self, now: Instant, status: Status, sent: Instant) {
-        self.last_heard = now;
-        self.outage = None;
+        self.recover(now);
         let Some(report) = &mut self.report else {
             self.report = Some(Report { status, requested_at: sent, received_at: now });
             return;
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -2,11 +2,20 @@
 
 use base::prelude::*;
 use config::model::{Declarations, Limits};
+use pace::Usual;
 use retry::Budget;
 use smallvec::SmallVec;
 
 use crate::server::Server;
 
+/// Kind of a request, by which run times are comparable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Read,
+    Write,
+    Transaction,
+}
+
 /// A service that has sent requests to this group.
 #[derive(Debug)]
 pub(crate) struct Service {
@@ -17,6 +26,8 @@
     pub(crate) objective: Option<Duration>,
     /// Number of requests that have not ended.
     pub(crate) open_requests: u32,
+    /// Usual run times, by kind of request.
+    usual: [Usual; 3],
     /// Retry budget of the service.
     pub(crate) budget: Budget,
     /// Servers that selectors allow the service to reach.
@@ -32,6 +43,7 @@
             weight: 1,
             limits,
             objective: None,
+            usual: [Usual::default(); 3],
             open_requests: 0,
             budget,
             reach: SmallVec::new(),
@@ -60,6 +72,15 @@
         self.reach = reach.collect();
     }
 
+    /// Usual run time of one kind of request.
+    pub(crate) fn usual(&self, kind: Kind) -> Usual {
+        self.usual[kind as usize]
+    }
+
+    pub(crate) fn usual_mut(&mut self, kind: Kind) -> &mut Usual {
+        &mut self.usual[kind as usize]
+    }
+
     pub(crate) fn reaches(&self, server: Key<Server>) -> bool {
         self.reach.contains(&server)
     }
--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -15,13 +15,22 @@
 /// was lost or has to be returned, or the shutdown began.
 const TRANSACTION_GRACE: Duration = Duration::from_secs(10);
 
+/// Time after the begin of slow start in which a new incarnation is the one that was
+/// noticed already by the end of its outage.
+const KNOWN_START: Duration = Duration::from_secs(2);
+
 impl Group {
     pub(crate) fn set_up(&mut self, now: Instant, setup: Setup, out: &mut Vec<Effect>) {
         self.follow_control(now, &setup);
         self.declared = setup.declared;
+        let promoted = setup.primary.clone().filter(|name| self.is_promoted(name));
         self.control_primary = setup.primary;
         self.declarations = setup.declarations;
+        self.set_slow_start(setup.slow_start);
         self.update_servers(now, setup.servers);
+        if let Some(server) = promoted.and_then(|name| self.server_named(&name)) {
+            self.begin_slow_start(now, server);
+        }
         let services = self.services.iter_mut();
         for (_, service) in services {
             service.update(&self.name, &self.declarations, &self.servers);
@@ -72,11 +81,19 @@
         for (_, server) in self.servers.iter_mut() {
             server.configured = setups.iter().any(|setup| setup.name == server.name);
         }
+        // nothing tells whether the servers of a group that is new to this entry are cold
+        let joins = !self.servers.is_empty();
         for setup in setups {
-            match self.server_named(&setup.name) {
-                Some(key) => self.update_server(now, key, setup),
-                None => drop(self.servers.insert(Server::new(now, setup, self.is_unfenced()))),
+            if let Some(key) = self.server_named(&setup.name) {
+                self.update_server(now, key, setup);
+                continue;
             }
+            let mut server = Server::new(now, setup, self.is_unfenced());
+            server.slow_start = self.starts.slow;
+            if joins {
+                server.begin_slow_start(now);
+            }
+            self.servers.insert(server);
         }
         let gone = |(key, server): (Key<Server>, &Server)| {
             let used = self.conns.iter().any(|(_, conn)| conn.server == key);
@@ -88,6 +105,29 @@
         }
     }
 
+    /// Whether a server that control names as primary has not been the primary before.
+    fn is_promoted(&mut self, name: &Name) -> bool {
+        let known = self.starts.last_primary.replace(name.clone());
+        known.is_some_and(|known| known != *name)
+    }
+
+    /// Turns slow start on or off.
+    fn set_slow_start(&mut self, on: bool) {
+        self.starts.slow = on && self.is_unfenced();
+        for (_, server) in self.servers.iter_mut() {
+            server.slow_start = self.starts.slow;
+            if !self.starts.slow {
+                server.window.end();
+            }
+        }
+    }
+
+    fn begin_slow_start(&mut self, now: Instant, key: Key<Server>) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.begin_slow_start(now);
+        }
+    }
+
     fn update_server(&mut self, now: Instant, key: Key<Server>, setup: crate::event::Server) {
         let Some(server) = self.servers.get_mut(key) else {
             return;
@@ -98,6 +138,10 @@
         }
         if server.incarnation != setup.incarnation {
             server.outage = None;
+            server.gauge.reset();
+            if server.unfenced && now.since(server.started_at) > KNOWN_START {
+                server.begin_slow_start(now);
+            }
             server.lag = Lag::default();
         }
         server.leaving_since =
--- a/components/keeper/src/unfenced.rs
+++ b/components/keeper/src/unfenced.rs
@@ -229,8 +229,7 @@
         else {
             return;
         };
-        server.last_heard = now;
-        server.outage = None;
+        server.recover(now);
         let Some(mark) = reported.mark else { return };
         // without the lease, another primary may have been promoted since the answer was sent
         if primary && !self.leased {
@@ -291,6 +290,7 @@
             attempt.durable = true;
         }
         self.charge(now, service, primary, sent_at);
+        self.note_answered(now, key, error_kind);
         if status == IDLE {
             self.unpin(conn);
             self.release_conn(now, conn);
@@ -306,6 +306,7 @@
             Some(error_kind) if error_kind.is_not_run() && !within && !orphan => {
                 self.retry_refused(now, conn, key, error_kind, out);
             }
+            Some(ErrorKind::Failed) if self.try_elsewhere(now, key, out) => {}
             _ => self.acknowledge(now, key, mark, out),
         }
     }
@@ -365,7 +366,7 @@
     }
 
     /// Queues a request that is certain not to have run for another attempt.
-    fn resend(&mut self, now: Instant, key: Key<Request>, wait: Duration) {
+    pub(crate) fn resend(&mut self, now: Instant, key: Key<Request>, wait: Duration) {
         let Some(request) = self.requests.get_mut(key) else {
             return;
         };
--- a/components/keeper/src/unfenced/stall.rs
+++ b/components/keeper/src/unfenced/stall.rs
@@ -52,6 +52,9 @@
                 .servers
                 .get(server)
                 .is_some_and(|server| self.uptime.awake_since(now, server.last_heard) > READ_STALL);
+            if let Some(Work::Busy(request)) = self.conns.get(conn).map(|conn| conn.work) {
+                self.note_lost(now, request);
+            }
             self.abort_conn(now, conn, out);
             if silent {
                 self.mark_silent(server, out);
--- a/components/keeper/src/uptime.rs
+++ b/components/keeper/src/uptime.rs
@@ -31,6 +31,11 @@
         self.last_event = Some(now);
     }
 
+    /// Time of the last event.
+    pub(crate) fn last_event(&self) -> Instant {
+        self.last_event.unwrap_or_default()
+    }
+
     /// Whether the process was suspended after the given time.
     pub(crate) fn was_suspended_since(&self, at: Instant) -> bool {
         self.resumed_at > at
--- a/components/keeper/tests/fuzz/world.rs
+++ b/components/keeper/tests/fuzz/world.rs
@@ -108,6 +108,7 @@
     };
     Setup {
         unfenced: None,
+        slow_start: true,
         declared: SERVERS as u32,
         primary: None,
         servers: servers.iter().enumerate().map(member).collect(),
@@ -194,6 +195,7 @@
             | Effect::Report(_)
             | Effect::Wake(_)
             | Effect::Count(_)
+            | Effect::Pace { .. }
             | Effect::Log(_) => {}
         }
     }
--- a/components/keeper/tests/group.rs
+++ b/components/keeper/tests/group.rs
@@ -96,6 +96,7 @@
             lease: Lease::Held,
             declarations: Arc::new(self.declared.clone()),
             unfenced: None,
+            slow_start: true,
         }));
     }
 
--- a/components/keeper/tests/unfenced/bench.rs
+++ b/components/keeper/tests/unfenced/bench.rs
@@ -70,6 +70,7 @@
         lease: Lease::Held,
         declarations: Arc::new(declarations()),
         unfenced: Some(Unfenced { term: Term(term), index }),
+        slow_start: true,
     }
 }
 
--- a/components/keeper/tests/unfenced/suspension.rs
+++ b/components/keeper/tests/unfenced/suspension.rs
@@ -43,6 +43,19 @@
     bench.out.clear();
 }
 
+/// Opens and closes the connections that the group asked for, and answers its samples.
+fn settle_connections(bench: &mut Bench) {
+    for effect in bench.out.split_off(0) {
+        match effect {
+            Effect::Connect { conn, .. } | Effect::Mark { conn } => {
+                bench.report(conn, b'I', None, Mark::new(1, 100));
+            }
+            Effect::Close { conn } => bench.feed(Event::Closed { conn }),
+            _ => {}
+        }
+    }
+}
+
 /// Sends reads in pairs, each pair after the answers to the one before, and returns their
 /// outcomes.
 fn outcomes(bench: &mut Bench, pairs: u64) -> Vec<Outcome> {
@@ -90,6 +103,8 @@
         let sent = bench.sent();
         // no suspension: the timer runs meanwhile
         bench.pass(if turn < 20 { 350 } else { 2_000 });
+        // both replicas are used, so connections are opened and idle ones closed
+        settle_connections(&mut bench);
         for (conn, ..) in sent {
             bench.answer(conn, b'I', Mark::new(1, 100));
         }
--- a/components/local/src/cluster.rs
+++ b/components/local/src/cluster.rs
@@ -203,6 +203,7 @@
             key: self.key.clone(),
             users: None,
             tls: None,
+            slow_start: true,
             dialect: None,
             log: self.settings.log.clone(),
             clock: self.clock,
--- a/components/route/src/lib.rs
+++ b/components/route/src/lib.rs
@@ -5,6 +5,7 @@
 //! is recent enough. The [`Ring`] keeps recent samples, so that the staleness of
 //! a replica is known without another request to it.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 use base::prelude::*;
@@ -114,15 +115,24 @@
     pub free: u32,
     /// Number of statements that wait for the server.
     pub waiting: u32,
+    /// Expected time until a read is answered, in thousandths of the usual run time; 0 if
+    /// servers are not compared by it.
+    pub cost: u32,
+    /// Time since the server was last used, which decides between equal servers.
+    pub unused: Duration,
+    /// Whether a read is due that shows how the server answers.
+    pub probe: bool,
     /// Mark up to which a read on the server is guaranteed to see all writes.
     pub mark: Option<Mark>,
 }
 
-/// Selects the best server among those with a free slot: first by availability
-/// zone, then by the most free slots, then by the fewest waiting statements.
+/// Selects the best server among those with a free slot: first one that is due for a
+/// probe, then by availability zone, by the lowest cost, by the most free slots, by the
+/// fewest waiting statements, and by the longest time without use.
 pub fn choose<K: Copy>(candidates: impl IntoIterator<Item = Candidate<K>>) -> Option<Candidate<K>> {
     let free = candidates.into_iter().filter(|candidate| candidate.free > 0);
     free.max_by_key(|candidate| {
-        (candidate.same_zone, candidate.free, std::cmp::Reverse(candidate.waiting))
+        let load = (Reverse(candidate.cost), candidate.free, Reverse(candidate.waiting));
+        (candidate.probe, candidate.same_zone, load, candidate.unused)
     })
 }
--- a/components/route/tests/choice.rs
+++ b/components/route/tests/choice.rs
@@ -66,6 +66,9 @@
         same_zone,
         free,
         waiting,
+        cost: 0,
+        unused: Duration::ZERO,
+        probe: false,
         mark: None,
     };
     let best = |all: &[Candidate<u8>]| choose(all.iter().copied()).map(|found| found.server);
--- a/programs/trefoil-entry/src/cmd/run.rs
+++ b/programs/trefoil-entry/src/cmd/run.rs
@@ -83,6 +83,7 @@
         users: run.users,
         tls: run.tls.map(|(cert, key)| Tls { cert, key }),
         dialect: None,
+        slow_start: run.slow_start,
         log,
         clock: Clock::start(),
     }
