--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -61,6 +61,9 @@
     pub dialect: Option<Arc<dyn Dialect>>,
     /// How far the limits of teams may be exceeded.
     pub quota: quota::Bounds,
+    /// Whether servers of unfenced groups that have started, recovered or been promoted
+    /// get work through a growing window.
+    pub slow_start: bool,
     /// Logger for events of the entry.
     pub log: Logger,
     /// Clock of the process.
@@ -217,6 +220,7 @@
                 dialect: self.settings.dialect.clone(),
                 quota: self.settings.quota,
                 links,
+                slow_start: self.settings.slow_start,
                 metrics,
                 log: self.settings.log.clone(),
             }),
--- a/components/entry/src/keep/mod.rs
+++ b/components/entry/src/keep/mod.rs
@@ -67,6 +67,8 @@
     pub quota: ::quota::Bounds,
     /// Links to the keepers of other entries, on which tokens are borrowed.
     pub links: Arc<Keepers>,
+    /// Whether servers of unfenced groups begin with slow start.
+    pub slow_start: bool,
     /// Registry for the metrics of the keeper.
     pub metrics: telemetry::web::Metrics,
     /// Logger for events.
@@ -83,6 +85,7 @@
     view: View,
     clock: Clock,
     dialect: Option<Arc<dyn Dialect>>,
+    slow_start: bool,
     metrics: Metrics,
     log: Logger,
     fronts: Fronts,
@@ -110,6 +113,7 @@
         view: settings.view,
         clock: settings.clock,
         dialect: settings.dialect,
+        slow_start: settings.slow_start,
         metrics: Metrics::register(&settings.metrics),
         log: settings.log,
         fronts: Fronts::default(),
--- a/components/entry/tests/keep.rs
+++ b/components/entry/tests/keep.rs
@@ -95,6 +95,7 @@
         key: Key::new(KEY).unwrap(),
         view: view.clone(),
         clock: Clock::start(),
+        slow_start: true,
         dialect: None,
         quota: quota::Bounds::default(),
         links: Arc::new(links(&name("entry-1"))),
--- a/components/keeper/src/group.rs
+++ b/components/keeper/src/group.rs
@@ -13,6 +13,7 @@
 use crate::event::{Effect, Event, Front, Lease};
 use crate::flaw::Flaw;
 use crate::health::Health;
+use crate::pace::Starts;
 use crate::place::Lanes;
 use crate::reads::Sampling;
 use crate::request::Request;
@@ -39,6 +40,7 @@
     pub(crate) declared: u32,
     /// Primary named by the control log.
     pub(crate) control_primary: Option<Name>,
+    pub(crate) starts: Starts,
     /// Lease of the entry on the group.
     pub(crate) lease: Lease,
     /// Whether the entry holds its own lease.
@@ -86,6 +88,7 @@
             zone,
             declared: 0,
             control_primary: None,
+            starts: Starts::default(),
             lease: Lease::None,
             leased: false,
             closing: false,
@@ -170,6 +173,7 @@
         self.sample(now, out);
         self.seal(now, out);
         self.release_lease(out);
+        self.report_pace(out);
         self.wake(now, out);
     }
 
@@ -221,12 +225,17 @@
         on.count() as u32
     }
 
-    /// Number of free slots on a server.
-    pub(crate) fn free_slots(&self, server: Key<Server>) -> u32 {
+    /// Number of free slots on a server, without regard to slow start.
+    pub(crate) fn slots_left(&self, server: Key<Server>) -> u32 {
         let slots = self.servers.get(server).map_or(0, |server| server.slots);
         slots.saturating_sub(self.running(server))
     }
 
+    /// Number of free slots on a server, within the window of its slow start.
+    pub(crate) fn free_slots(&self, server: Key<Server>) -> u32 {
+        self.slots_left(server).min(self.window_room(server))
+    }
+
     /// Returns the most recently used idle connection to a server, of any team.
     pub(crate) fn idle(&self, server: Key<Server>) -> Option<Key<Connection>> {
         self.idle_where(server, |_| true)
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -17,6 +17,7 @@
 //! - `cycle`: events of connections.
 //! - `resolve`: acknowledgement by a majority, and requests in doubt.
 //! - `finish`: ends of requests, and retries.
+//! - `pace`: slow start, and servers judged by their answers.
 //! - `health`: symptoms of a failed primary.
 //! - `teams`: connections of teams.
 //! - `setup`: servers, leases and declarations from the control log.
@@ -33,6 +34,7 @@
 mod flaw;
 mod group;
 mod health;
+mod pace;
 mod place;
 mod reads;
 mod request;
@@ -47,8 +49,8 @@
 
 pub use conn::Connection;
 pub use event::{
-    Cause, Count, Effect, Ended, Event, Front, Kind, Lease, Outage, Piece, Reported, Setup, Shed,
-    Unfenced,
+    Cause, Count, Effect, Ended, Event, Front, Kind, Lease, Outage, Pace, Piece, Reported, Setup,
+    Shed, Unfenced,
 };
 #[cfg(feature = "fault")]
 pub use flaw::Flaw;
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -2,12 +2,21 @@
 
 use base::prelude::*;
 use config::model::{Declarations, Limits};
+use pace::Usual;
 use retry::Budget;
 use smallvec::SmallVec;
 
 use crate::estimate::Estimates;
 use crate::server::Server;
 
+/// Kind of a request, by which run times are comparable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Read,
+    Write,
+    Transaction,
+}
+
 /// A service that has sent requests to this group.
 #[derive(Debug)]
 pub(crate) struct Service {
@@ -24,6 +33,8 @@
     pub(crate) estimates: Estimates,
     /// Number of requests that have not ended.
     pub(crate) open_requests: u32,
+    /// Usual run times, by kind of request.
+    usual: [Usual; 3],
     /// Retry budget of the service.
     pub(crate) budget: Budget,
     /// Servers that selectors allow the service to reach.
@@ -42,6 +53,7 @@
             objective: None,
             urgency: 1.0,
             estimates: Estimates::default(),
+            usual: [Usual::default(); 3],
             open_requests: 0,
             budget,
             reach: SmallVec::new(),
@@ -72,6 +84,15 @@
         self.reach = reach.collect();
     }
 
+    /// Usual run time of one kind of request.
+    pub(crate) fn usual(&self, kind: Kind) -> Usual {
+        self.usual[kind as usize]
+    }
+
+    pub(crate) fn usual_mut(&mut self, kind: Kind) -> &mut Usual {
+        &mut self.usual[kind as usize]
+    }
+
     pub(crate) fn reaches(&self, server: Key<Server>) -> bool {
         self.reach.contains(&server)
     }
--- a/components/keeper/tests/unfenced/load.rs
+++ b/components/keeper/tests/unfenced/load.rs
@@ -203,6 +203,7 @@
             lease: Lease::Held,
             declarations: Arc::new(declarations(&self.kinds, teams)),
             unfenced: Some(Unfenced { term: Term(1), index: 10 }),
+            slow_start: false,
         };
         self.feed(Event::Leased(true));
         self.feed(Event::Setup(setup));
--- a/components/local/src/cluster.rs
+++ b/components/local/src/cluster.rs
@@ -203,6 +203,7 @@
             key: self.key.clone(),
             users: None,
             tls: None,
+            slow_start: true,
             dialect: None,
             quota: quota::Bounds::default(),
             log: self.settings.log.clone(),
