Compare the affinity of fronts by team and by place

Cause: the preference for keepers nearby saves bytes between zones, and makes each team need connections at both keepers of its group.

--- a/components/keeper/tests/unfenced/pools.rs
+++ b/components/keeper/tests/unfenced/pools.rs
@@ -350,7 +350,7 @@
 }
 
 /// Guards against requests that starve, or are answered late, while a server accepts fewer
-/// connections than were leased (CONNLIMIT).
+/// connections than were leased.
 #[test]
 fn fewer_connections_are_used_while_a_server_accepts_fewer_and_all_once_it_accepts_more() {
     let mut world = World::new(4, 8);
--- a/components/pool/tests/sharing.rs
+++ b/components/pool/tests/sharing.rs
@@ -70,6 +70,8 @@
     opening: f64,
     /// Part of the requests that were served.
     served: f64,
+    /// Requests that were served.
+    sent: u64,
     /// Hits of the teams other than the one with the raised rate.
     others: f64,
 }
@@ -259,6 +261,17 @@
 
 /// Runs 60 s of `rate` requests per second; one team raises its rate after 30 s.
 fn run(policy: Policy, limit: usize, rate: f64, surge: usize) -> Measured {
+    run_of(policy, limit, rate, surge, |_| true)
+}
+
+/// As [`run`], with the requests of some teams only.
+fn run_of(
+    policy: Policy,
+    limit: usize,
+    rate: f64,
+    surge: usize,
+    includes: impl Fn(usize) -> bool,
+) -> Measured {
     let mut pools = Pools::new(policy, limit, surge);
     let mut rng = ChaCha8Rng::seed_from_u64(11);
     let weights: Vec<_> = (1..=TEAMS).map(|rank| (rank as f64).powf(-1.2)).collect();
@@ -270,7 +283,8 @@
         }
         for (team, weight) in weights.iter().enumerate() {
             let raised = if team == surge && turn >= 30_000 { 7.5 } else { 1.0 };
-            if rng.random::<f64>() < weight / total * raised * rate / 1_000.0 {
+            let arrives = rng.random::<f64>() < weight / total * raised * rate / 1_000.0;
+            if arrives && includes(team) {
                 let primary = rng.random::<f64>() < PRIMARY_ONLY;
                 pools.queue.push_back(Request { team, primary, arrived: pools.now });
             }
@@ -283,6 +297,7 @@
         hits: pools.hits as f64 / pools.sent as f64,
         opening: opening / (opening + running),
         served: pools.sent as f64 / (pools.sent + pools.lost) as f64,
+        sent: pools.sent,
         others: pools.of_others.0 as f64 / pools.of_others.1 as f64,
     }
 }
@@ -314,3 +329,26 @@
     assert!(surge.others > calm.others - 0.03, "{} of {}", surge.others, calm.others);
     assert!(surge.served > 0.99);
 }
+
+/// Guards against an affinity of the fronts that costs more openings than it saves.
+#[test]
+fn a_keeper_for_each_team_needs_fewer_openings_than_keepers_that_serve_all_teams() {
+    let (limit, rate, surge) = (28, 134.0, 10);
+    let keeper = |team: usize| {
+        let rank = |host| rendezvous(&format!("team-{team}"), host);
+        usize::from(rank("host-0") < rank("host-1"))
+    };
+    let keepers: Vec<_> = (0..TEAMS).map(keeper).collect();
+    let by_team: Vec<_> = (0..2)
+        .map(|host| run_of(Policy::Pool, limit, rate, surge, |team| keepers[team] == host))
+        .collect();
+    // each of the two keepers gets half of the requests of each team
+    let by_place = run(Policy::Pool, limit, rate / 2.0, surge);
+    let sent: u64 = by_team.iter().map(|measured| measured.sent).sum();
+    let weighted = |value: fn(&Measured) -> f64| {
+        by_team.iter().map(|one| value(one) * one.sent as f64).sum::<f64>() / sent as f64
+    };
+    let (hits, opening) = (weighted(|one| one.hits), weighted(|one| one.opening));
+    eprintln!("by team: hits {hits:.4} opening {opening:.4}; by place {by_place:.4?}");
+    assert!(hits > by_place.hits && opening < by_place.opening);
+}
