Respect a server's refusal of connections when the first one is opened

Cause: a server whose accepted connections are all in transactions was asked for a new session again as soon as it had refused one: 1,002 refusals in 2 s in the test. A refusal for too many connections causes no backoff, and the opening of the first usable connection used the leased limit.

Change: that opening uses the lowered limit too. Requests of a fenced group count as requests without a team, since its servers learn none; a request with a team would have waited there to its deadline.

--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -262,7 +262,7 @@
         if now < server.connect_at || !(self.is_unfenced() || server.is_responsive(now)) {
             return;
         }
-        let (limit, warm) = (server.connections, server.slots + SPARE_CONNECTIONS);
+        let (limit, warm) = (server.connection_limit(), server.slots + SPARE_CONNECTIONS);
         let probes = self.is_unfenced() && server.outage.is_some();
         let opening = self.conns.iter().filter(|(_, conn)| conn.server == key);
         let mut opening = opening.filter(|(_, conn)| conn.work == Work::Opening).count() as u32;
--- a/components/keeper/src/server.rs
+++ b/components/keeper/src/server.rs
@@ -114,6 +114,12 @@
         report.requested_at = report.requested_at.max(sent);
     }
 
+    /// Number of connections that may be open: the leased one, or less while the server
+    /// refuses sessions because it has too many.
+    pub(crate) fn connection_limit(&self) -> u32 {
+        self.cap.map_or(self.connections, |(cap, _)| cap.min(self.connections))
+    }
+
     pub(crate) fn status(&self) -> Option<&Status> {
         self.report.as_ref().map(|report| &report.status)
     }
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -95,8 +95,10 @@
 }
 
 impl Group {
-    /// Returns the team of a request; `None` if the name is invalid.
+    /// Returns the team of a request; `None` if the name is invalid. Servers of a group that
+    /// is fenced learn no team, so all its requests use the same connections.
     pub(crate) fn team_named(&mut self, name: &str) -> Option<Key<Team>> {
+        let name = if self.is_unfenced() { name } else { "" };
         let key = self.teams.intern(name)?;
         self.teams.last = key;
         Some(key)
@@ -198,7 +200,7 @@
         let Some(known) = self.servers.get(server).filter(|known| now >= known.connect_at) else {
             return;
         };
-        let limit = known.cap.map_or(known.connections, |(cap, _)| cap.min(known.connections));
+        let limit = known.connection_limit();
         let (holding, pinned) = self.holding(server, team);
         let has_none = holding == Holding::default();
         let waiting = if has_none { 1 } else { self.waiting_of(team, stage) };
--- a/components/keeper/tests/group.rs
+++ b/components/keeper/tests/group.rs
@@ -212,6 +212,21 @@
     assert!(end.retry_after_ms > 0);
 }
 
+/// Guards against requests of a team that wait for a connection which is never opened: the
+/// servers of a fenced group learn no team.
+#[test]
+fn requests_of_teams_share_the_connections_of_a_fenced_group() {
+    let mut bench = Bench::ready(3);
+    bench.declared.teams = Some([].into());
+    bench.set_up((0..3).map(member).collect());
+    let request = bench.ask(Run {
+        team: "red".to_owned(),
+        floor: Some(Mark::new(1, 1).into()),
+        ..session_read()
+    });
+    assert_eq!(bench.sent()[0].1, request);
+}
+
 #[test]
 fn a_request_waits_for_a_primary_up_to_its_deadline() {
     let mut bench = Bench::new(3, 100);
