Share one retry budget between fronts and keepers

A front moved a read to another keeper without regard to the budget from which keepers retry, so a slow keeper could double the reads of the other one. A run now says whether an earlier attempt may have run; the keeper takes such a run out of the service's budget if it has to wait. A retry that a slot runs at once stays free, since it delays nothing, and an attempt that was refused as not run cost no slot and is not counted.

--- a/components/entry/src/front/dispatch.rs
+++ b/components/entry/src/front/dispatch.rs
@@ -106,6 +106,7 @@
                     None => return Ok((attempt::with_earlier(last, attempt), Some(link))),
                 }
                 if matches!(attempt, Attempt::Broken { .. }) {
+                    self.run.repeats = true;
                     *self.number = self.front.next_session_number();
                 }
             }
--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -461,6 +461,7 @@
             trace: String::from_utf8_lossy(&work.task.id).into_owned(),
             commits: work.commits || work.ends,
             team: team.map_or_else(String::new, Name::to_string),
+            repeats: false,
         }
     }
 
--- a/components/entry/src/front/run.rs
+++ b/components/entry/src/front/run.rs
@@ -109,6 +109,7 @@
             trace: format!("{}/{}.{}", self.front.name, session.number, session.cycles),
             commits: work.commits,
             team: String::new(),
+            repeats: false,
         }
     }
 
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -246,6 +246,15 @@
         let declared = Service { labels, weight: 1, limits, objectives };
         declarations.services.insert(name(service), declared);
     }
+    let seats = config::Database {
+        group: name("booking"),
+        age_ms: 0,
+        priority: 0,
+        objective_ms: 0,
+        limits: Limits { deadline_ms: 3_000, ..Limits::default() },
+        public: false,
+    };
+    declarations.databases.insert(name("seats"), seats);
     let mut kinds = std::collections::BTreeMap::new();
     kinds.insert(name("seat-map"), kind(Class::Read, &["select seat"]));
     let selector = Selector {
@@ -295,6 +304,17 @@
     lease: Duration,
     shared: Arc<Shared>,
     keepers: &[(&str, SocketAddr)],
+) -> Bench {
+    bench_of(users, None, lease, shared, keepers).await
+}
+
+/// As [`bench_with`], for callers of the given dialect.
+pub async fn bench_of(
+    users: Option<&str>,
+    dialect: Option<Arc<dyn plain::Dialect>>,
+    lease: Duration,
+    shared: Arc<Shared>,
+    keepers: &[(&str, SocketAddr)],
 ) -> Bench {
     let (view, _) = View::new();
     let clock = Clock::start();
@@ -312,7 +332,7 @@
         tls: Some(front::tls::load(&tls()).unwrap()),
         view: view.clone(),
         clock,
-        dialect: None,
+        dialect,
         metrics: Arc::default(),
         log: log(),
     });
--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -180,7 +180,8 @@
     let client = bench.connect().await;
     bench.shared.inject(Fault::Break);
     assert_eq!(rows(&client, "select seat").await.unwrap(), ["select seat"]);
-    assert_eq!(bench.shared.runs().len(), 2);
+    let repeats: Vec<_> = bench.shared.runs().iter().map(|run| run.repeats).collect();
+    assert_eq!(repeats, [false, true], "only the second counts against the retry budget");
 }
 
 #[tokio::test]
--- a/components/keeper/src/admission.rs
+++ b/components/keeper/src/admission.rs
@@ -63,13 +63,15 @@
                 return None;
             }
         };
-        let number = run.request;
+        let (number, repeats) = (run.request, run.repeats && self.is_unfenced());
         let rank = self.rank(service, &run);
         let key = self.requests.insert(Request::new(now, front, service, rank, run));
         self.by_number.insert((front, number), key);
         if let Some(service) = self.services.get_mut(service) {
             service.open_requests += 1;
-            service.budget.deposit();
+            if !repeats {
+                service.budget.deposit();
+            }
         }
         self.enqueue(now, key, pinned);
         if self.has_flaw(Flaw::CountSuspension) {
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -389,6 +389,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Shed {
+    /// An earlier attempt may have run at another keeper, and the service spent its
+    /// retries.
+    RetryBudget,
     /// The service has as many open requests as its limit allows.
     Limit,
     /// The request would have been answered after its objective.
--- a/components/keeper/src/finish.rs
+++ b/components/keeper/src/finish.rs
@@ -109,7 +109,7 @@
         reason: Reason,
     ) -> End {
         let drain_time = match reason {
-            Reason::QueueFull => self.drain_time(now, key),
+            Reason::QueueFull | Reason::RetryBudget => self.drain_time(now, key),
             _ => None,
         };
         let Some(request) = self.requests.get(key) else {
@@ -128,7 +128,7 @@
         let server = attempt.server.and_then(|server| self.servers.get(server));
         let retry_after = match reason {
             Reason::Deadline | Reason::Replaced | Reason::Unavailable => UNAVAILABLE_RETRY_AFTER,
-            Reason::QueueFull => drain_time.unwrap_or(QUEUE_RETRY_AFTER),
+            Reason::QueueFull | Reason::RetryBudget => drain_time.unwrap_or(QUEUE_RETRY_AFTER),
             _ => Duration::ZERO,
         };
         let reason = match reason {
--- a/components/keeper/src/flaw.rs
+++ b/components/keeper/src/flaw.rs
@@ -27,6 +27,8 @@
     NoMinimumShare,
     /// Keeps the waiting requests of callers that have left.
     KeepLeft,
+    /// Admits retries of fronts without regard to the retry budget.
+    UnlimitedRetries,
     /// Asks all refused callers to come back after the same time.
     FixedReturn,
 }
--- a/components/keeper/src/shedding.rs
+++ b/components/keeper/src/shedding.rs
@@ -63,6 +63,9 @@
         if !self.is_unfenced() || self.has_flaw(Flaw::AdmitAll) {
             return;
         }
+        if self.exceeds_retry_budget(key) {
+            return self.refuse(now, key, Shed::RetryBudget, out);
+        }
         if !self.would_be_late(now, key) {
             return self.displace(now, key, out);
         }
@@ -77,7 +80,25 @@
             return;
         };
         out.push(Effect::Count(Count::Shed(cause, request.rank.priority)));
-        self.finish(now, key, Outcome::NotRun, Reason::QueueFull, out);
+        let reason = match cause {
+            Shed::RetryBudget => Reason::RetryBudget,
+            Shed::Limit | Shed::Objective | Shed::Displaced => Reason::QueueFull,
+        };
+        self.finish(now, key, Outcome::NotRun, reason, out);
+    }
+
+    /// Whether a request that an earlier attempt at another keeper may have run has to wait,
+    /// and its service spent its retries. Retries of fronts and of this keeper share the
+    /// budget. A retry that a slot runs at once delays nothing, and is free.
+    fn exceeds_retry_budget(&mut self, key: Key<Request>) -> bool {
+        let Some(request) = self.requests.get(key).filter(|request| request.run.repeats) else {
+            return false;
+        };
+        let waits = matches!(request.stage, Stage::Queued(_) | Stage::Parked);
+        if !waits || self.has_flaw(Flaw::UnlimitedRetries) {
+            return false;
+        }
+        self.services.get_mut(request.service).is_none_or(|service| !service.budget.withdraw())
     }
 
     /// Refuses requests of lower priority, or of flows with more work, that would be
--- a/components/keeper/tests/unfenced/overload.rs
+++ b/components/keeper/tests/unfenced/overload.rs
@@ -1,7 +1,7 @@
 //! Overload, and replicas that can't serve their part of the reads.
 
 use base::prelude::*;
-use keeper::{Connection, Effect};
+use keeper::{Connection, Effect, Flaw};
 use plain::ErrorKind;
 use wire::data::{Class, End, Outcome, Reason, Run};
 
@@ -181,3 +181,30 @@
         assert_eq!(logged(&bench), lines, "after {wait} ms of an objective of 100");
     }
 }
+
+/// Fills all slots, and sends reads that an earlier attempt at another keeper may have run.
+/// Returns how many of them were refused.
+fn refused_repeats(flaw: Option<Flaw>) -> usize {
+    let mut bench = Bench::with_slots(2);
+    if let Some(flaw) = flaw {
+        bench.group.inject_flaw(flaw);
+    }
+    let read = Run { class: Class::Read as i32, age_ms: 2_000, ..Run::default() };
+    for _ in 0..6 {
+        bench.run(Run { repeats: true, ..read.clone() });
+    }
+    assert!(bench.ends().is_empty(), "retries that a slot can run are free");
+    for _ in 0..30 {
+        bench.run(Run { repeats: true, ..read.clone() });
+    }
+    let ends = bench.ends();
+    assert!(ends.iter().all(|end| end.reason() == Reason::RetryBudget));
+    assert!(ends.iter().all(|end| end.outcome() == Outcome::NotRun && end.retry_after_ms > 0));
+    ends.len()
+}
+
+#[test]
+fn retries_of_fronts_that_have_to_wait_are_limited_by_the_budget_of_their_service() {
+    assert_eq!(refused_repeats(None), 30 - retry::MAX_TOKENS as usize);
+    assert_eq!(refused_repeats(Some(Flaw::UnlimitedRetries)), 0);
+}
--- a/components/wire/src/data.rs
+++ b/components/wire/src/data.rs
@@ -61,6 +61,7 @@
 }
 
 /// A request to run.
+#[expect(clippy::struct_excessive_bools, reason = "fields of a message")]
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Run {
     /// Number of the request, unique on the link.
@@ -118,6 +119,10 @@
     /// Name of the caller's team; empty if callers have no team.
     #[prost(string, tag = "17")]
     pub team: String,
+    /// Whether an earlier attempt at a keeper may have run, so that this one counts
+    /// against the retry budget of the service.
+    #[prost(bool, tag = "18")]
+    pub repeats: bool,
 }
 
 /// Flow control: allows the keeper to send more of an answer.
