--- a/components/keeper/src/pace.rs
+++ b/components/keeper/src/pace.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 use wire::data::Class;
 
-use crate::conn::Work;
+use crate::conn::{Connection, Work};
 use crate::event::{Effect, Pace};
 use crate::flaw::Flaw;
 use crate::group::Group;
@@ -48,9 +48,9 @@
 
     /// Number of statements on a server and of connections to it that are being opened.
     fn open_work(&self, key: Key<Server>) -> u32 {
-        let opening =
-            self.conns.iter().filter(|(_, c)| c.server == key && c.work == Work::Opening).count();
-        self.running(key) + opening as u32
+        let counts = |conn: &Connection| conn.uses_slot() || conn.work == Work::Opening;
+        let open = self.conns.iter().filter(|(_, conn)| conn.server == key && counts(conn));
+        open.count() as u32
     }
 
     /// Records that a statement was sent.
@@ -247,6 +247,13 @@
         }
     }
 
+    /// Whether a server is on probation while another server can be trusted.
+    pub(crate) fn is_shunned(&self, server: Key<Server>) -> bool {
+        let trusted = |server: &Server| !server.gauge.is_on_probation();
+        self.servers.get(server).is_some_and(|server| !trusted(server))
+            && self.servers.iter().any(|(_, other)| other.configured && trusted(other))
+    }
+
     /// Sends a failed read to another server, once and within the retry budget. Returns
     /// false if the answer has to be passed on.
     pub(crate) fn try_elsewhere(
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -363,6 +363,7 @@
         let primary = self.control_named_primary().map(|(key, _)| key);
         let name = self.teams.known.get(team).and_then(|team| team.name.as_ref());
         let name = name.map_or("", Name::as_str);
+        let probed = found.iter().any(|found| found.probe);
         let load = |found: &Candidate<Key<Server>>| {
             let server = self.servers.get(found.server)?;
             let full = now < server.full_until || self.opens_late(now, found.server, team);
@@ -374,7 +375,12 @@
                 ready: self.idle_of(found.server, team).is_some(),
             })
         };
-        let loads: SmallVec<[_; 4]> = found.iter().filter_map(load).collect();
+        // a read that is due to show how a suspect server answers goes there; any other read
+        // avoids servers on probation
+        let chosen = found
+            .iter()
+            .filter(|found| if probed { found.probe } else { !self.is_shunned(found.server) });
+        let loads: SmallVec<[_; 4]> = chosen.filter_map(load).collect();
         let preferred = loads.iter().filter(|load| load.ready || Some(load.server) != primary);
         let preferred: SmallVec<[_; 4]> = preferred.copied().collect();
         place(&preferred).or_else(|| place(&loads))
