Test limits over all hosts, return tokens safely, and halve the messages

Change: tokens carry the epoch of their bucket, and an overflow begins a new epoch, after which older tokens are not returned. Lenders report fractions of their balance, keep less of small buckets, and are asked in another order by each host. Loans are answered in order, so messages carry no time and no names, and full buckets lend more at once.

Ruled out: estimating a lender's own use from its answers; it left up to half of a tight limit unused and saved no messages.

--- a/components/entry/src/front/keepers.rs
+++ b/components/entry/src/front/keepers.rs
@@ -11,10 +11,10 @@
 use link::{Peer, Purpose};
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
-use wire::data::{Loan, Shutdown, ask};
+use wire::data::{Shutdown, ask};
 
 use super::choose::Keeper;
-use super::link::{Link, NotSent};
+use super::link::{Lent, Link, NotSent};
 use super::patience::Patience;
 
 /// Delay before a keeper is dialled again after the first failure; the delay doubles
@@ -30,8 +30,8 @@
 /// Length of the queue of received loans.
 const QUEUE_LOANS: usize = 1_024;
 
-/// Loans received from keepers, each with the name of the keeper.
-pub type Loans = mpsc::Receiver<(Name, Loan)>;
+/// Loans received from keepers.
+pub type Loans = mpsc::Receiver<Lent>;
 
 /// The link to one keeper, and the state of dialling it.
 #[derive(Debug, Default)]
@@ -69,7 +69,7 @@
     clock: Clock,
     log: Logger,
     slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
-    loans: mpsc::Sender<(Name, Loan)>,
+    loans: mpsc::Sender<Lent>,
     received: Mutex<Option<Loans>>,
 }
 
--- a/components/entry/src/front/link.rs
+++ b/components/entry/src/front/link.rs
@@ -5,7 +5,7 @@
 //! is stopping, the front answers with a shutdown message and from then on sends
 //! only requests of open transactions. The keeper closes the link after that.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,9 +14,12 @@
 use base::prelude::*;
 use bytes::Bytes;
 use link::{Reader, Writer};
+use quota::Request as TokenRequest;
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
-use wire::data::{Answer, Ask, Cancel, Credit, End, Loan, Part, Ping, Run, Shutdown, answer, ask};
+use wire::data::{
+    Answer, Ask, Borrow, Cancel, Credit, End, Loan, Part, Ping, Run, Shutdown, answer, ask,
+};
 
 /// Bytes of an answer that a keeper may send before it is granted more credit.
 pub const WINDOW_BYTES: u64 = 256 << 10;
@@ -76,6 +79,15 @@
     shutdown: bool,
 }
 
+/// Answer of a keeper to requests for tokens.
+#[derive(Debug)]
+pub struct Lent {
+    /// The requests.
+    pub requests: Vec<TokenRequest>,
+    /// The answer, with an item for each request.
+    pub loan: Loan,
+}
+
 /// A link to a keeper.
 #[derive(Debug)]
 pub struct Link {
@@ -93,8 +105,10 @@
     closing: AtomicBool,
     closing_notify: Notify,
     ended: CancellationToken,
+    /// Requests for tokens that the keeper has not answered, oldest first.
+    borrowed: Mutex<VecDeque<Vec<TokenRequest>>>,
     /// Receives the loans of the keeper.
-    loans: mpsc::Sender<(Name, Loan)>,
+    loans: mpsc::Sender<Lent>,
 }
 
 impl Link {
@@ -105,7 +119,7 @@
         incarnation: u64,
         ends: (Reader, Writer),
         clock: Clock,
-        loans: mpsc::Sender<(Name, Loan)>,
+        loans: mpsc::Sender<Lent>,
     ) -> Arc<Self> {
         let (asks, queue) = mpsc::channel(QUEUE_MESSAGES);
         let link = Arc::new(Self {
@@ -119,6 +133,7 @@
             closing: AtomicBool::new(false),
             closing_notify: Notify::new(),
             ended: CancellationToken::new(),
+            borrowed: Mutex::default(),
             loans,
         });
         let (reader, writer) = ends;
@@ -211,6 +226,24 @@
         drop(self.asks.send(Ask { body: Some(body) }).await);
     }
 
+    /// Asks the keeper for tokens. Errors are ignored.
+    pub async fn borrow(&self, requests: Vec<TokenRequest>) {
+        let Ok(permit) = self.asks.reserve().await else { return };
+        let items = requests.iter().map(Into::into).collect();
+        // answers come in the order of the requests
+        let mut borrowed = self.borrowed.lock().unwrap_or_else(PoisonError::into_inner);
+        borrowed.push_back(requests);
+        permit.send(Ask { body: Some(ask::Body::Borrow(Borrow { items })) });
+    }
+
+    fn on_loan(&self, loan: Loan) {
+        let mut borrowed = self.borrowed.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(requests) = borrowed.pop_front() {
+            // while the queue is full a loan is dropped, and its tokens are lost
+            drop(self.loans.try_send(Lent { requests, loan }));
+        }
+    }
+
     /// Asks the keeper to cancel a request.
     pub async fn cancel(&self, request: u64) {
         self.send(ask::Body::Cancel(Cancel { request })).await;
@@ -289,8 +322,7 @@
         self.touch();
         match body {
             answer::Body::Pong(_) => {}
-            // while the queue is full a loan is dropped, and its tokens are lost
-            answer::Body::Loan(loan) => drop(self.loans.try_send((self.name.clone(), loan))),
+            answer::Body::Loan(loan) => self.on_loan(loan),
             answer::Body::Part(part) => self.on_part(part),
             answer::Body::End(end) => {
                 let pending = self.table().open.remove(&end.request);
--- a/components/entry/src/keep/quota.rs
+++ b/components/entry/src/keep/quota.rs
@@ -11,16 +11,17 @@
 use control::State as Control;
 use control::lease::LEASE_DURATION;
 use keeper::Front;
-use quota::{Bounds, Decision, Ledger, Request, Settings, Token};
+use quota::{Bounds, Decision, Ledger, Request, Settings, Token, digest};
 use slog::info;
 use tokio::sync::Notify;
-use wire::data::{Borrow, BorrowItem, End, Loan, LoanItem, Outcome, Reason, Run, answer, ask};
+use wire::data::{Borrow, BorrowItem, End, Loan, Outcome, Reason, Run, answer};
 
 use super::front::{Link, Open};
 use super::shard::Shard;
 use super::{Host, lock};
 use crate::front::choose::Keeper;
 use crate::front::keepers::{Keepers, Loans};
+use crate::front::link::Lent;
 
 /// Time beyond the duration of a lease after which a change of the control state is in
 /// force at all hosts: a host applies it to its limits only some time after its lease.
@@ -80,6 +81,9 @@
     requests: Vec<Request>,
     /// Teams that were refused operations, with the time of the last refusal.
     limited: BTreeMap<String, Instant>,
+    /// Names of the teams with a limit by digest; `None` if two teams have the same, which
+    /// then can't borrow.
+    names: HashMap<u32, Option<Name>>,
     /// Teams with metrics of their own.
     largest: Vec<Name>,
     /// Index of the control state that the ledger follows.
@@ -96,6 +100,7 @@
             waiting: HashMap::new(),
             requests: Vec::new(),
             limited: BTreeMap::new(),
+            names: HashMap::new(),
             largest: Vec::new(),
             index: None,
             declarations: None,
@@ -175,28 +180,21 @@
             let mut inner = lock(&self.inner);
             inner.follow(now, state);
             let lend = |item: BorrowItem| {
-                let loan = if leased {
-                    inner.ledger.on_borrow(now, &item.team, item.tokens)
-                } else {
-                    quota::Loan::default()
-                };
-                let BorrowItem { team, offset_us, .. } = item;
-                LoanItem { team, tokens: loan.tokens, offset_us, left: loan.left }
+                let team = inner.names.get(&item.team).cloned().flatten().filter(|_| leased)?;
+                Some(inner.ledger.on_borrow(now, team.as_str(), item.more.saturating_add(1)))
             };
-            borrow.items.into_iter().map(lend).collect()
+            borrow.items.into_iter().map(lend).map(|loan| loan.unwrap_or_default().into()).collect()
         });
-        Loan { sent_us: borrow.sent_us, items }
+        Loan { items }
     }
 
-    fn on_loan(&self, host: &Host, lender: &Name, loan: &Loan) {
+    fn on_loan(&self, host: &Host, lent: &Lent) {
         let now = host.clock.now();
         let mut inner = lock(&self.inner);
-        for item in &loan.items {
-            let sent = Instant::from_micros(loan.sent_us.saturating_add(item.offset_us.into()));
-            let lent = quota::Loan { tokens: item.tokens, left: item.left };
-            inner.ledger.on_loan(now, lender.as_str(), &item.team, lent, sent);
-            let team = inner.label(&item.team);
-            host.metrics.borrowed(&team, item.tokens.into());
+        for (request, item) in lent.requests.iter().zip(&lent.loan.items) {
+            inner.ledger.on_loan(now, request, (*item).into());
+            let label = inner.label(request.team.as_str());
+            host.metrics.borrowed(&label, item.tokens.into());
         }
     }
 
@@ -278,7 +276,7 @@
             tokio::spawn(async move {
                 // an unanswered request times out in the ledger
                 if let Ok(link) = links.link(&Keeper { name: lender, address }).await {
-                    link.send(ask::Body::Borrow(message(&requests))).await;
+                    link.borrow(requests).await;
                 }
             });
         }
@@ -300,6 +298,11 @@
         }
         let teams = declarations.teams.iter().flatten();
         self.ledger.set_limits(now, teams.clone().map(|(name, team)| (name, team.quota)));
+        self.names.clear();
+        for (name, _) in teams.clone().filter(|(_, team)| team.quota.is_some()) {
+            let known = self.names.entry(digest(name.as_str()));
+            known.and_modify(|known| *known = None).or_insert_with(|| Some(name.clone()));
+        }
         let mut largest: Vec<_> = teams
             .filter_map(|(name, team)| team.quota.map(|quota| (quota.rate_per_s, name)))
             .collect();
@@ -404,7 +407,7 @@
 
 async fn next_loan(host: &Host, loans: &mut Loans) {
     match loans.recv().await {
-        Some((lender, loan)) => host.quotas.on_loan(host, &lender, &loan),
+        Some(lent) => host.quotas.on_loan(host, &lent),
         // the links are closed
         None => std::future::pending().await,
     }
@@ -435,13 +438,3 @@
     host.metrics.end(&end);
     waiting.link.send(answer::Body::End(end));
 }
-
-fn message(requests: &[Request]) -> Borrow {
-    let first = requests.iter().map(|request| request.sent).min().unwrap_or_default();
-    let item = |request: &Request| BorrowItem {
-        team: request.team.to_string(),
-        tokens: request.tokens,
-        offset_us: request.sent.since(first).as_micros() as u32,
-    };
-    Borrow { sent_us: first.as_micros(), items: requests.iter().map(item).collect() }
-}
--- a/components/quota/src/bucket.rs
+++ b/components/quota/src/bucket.rs
@@ -13,10 +13,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Bucket {
     level: f64,
-    /// Part of the tokens taken by operations that are not known to have run yet, as far
-    /// as the bucket has not been full since: only these may be returned. Without this,
-    /// a burst that waits and is then not run would allow a second burst.
-    returnable: f64,
+    /// Tokens taken in this epoch by operations that are not known to have run.
+    outstanding: f64,
+    /// Number of times that the bucket would have been full without the outstanding
+    /// tokens. Tokens of an earlier epoch are not returned: their place has been refilled,
+    /// so a burst that waits and is then not run would allow a second burst.
+    epoch: u64,
     at: Instant,
     shares: Recent<f64>,
     span: Duration,
@@ -28,7 +30,17 @@
 impl Bucket {
     pub(crate) fn new(now: Instant, shares: Recent<f64>, span: Duration, flaw: Flaw) -> Self {
         let span = if flaw == Flaw::GrowEarly { Duration::ZERO } else { span };
-        Self { level: 0.0, returnable: 0.0, at: now, shares, span, rate: 0.0, pool: 0.0, flaw }
+        Self {
+            level: 0.0,
+            outstanding: 0.0,
+            epoch: 0,
+            at: now,
+            shares,
+            span,
+            rate: 0.0,
+            pool: 0.0,
+            flaw,
+        }
     }
 
     /// Changes the limit and the share of this host. The balance never grows by this.
@@ -39,9 +51,6 @@
         if last.to_bits() != share.to_bits() {
             self.shares.push(now, share);
         }
-        if self.flaw == Flaw::StartFull && last == 0.0 {
-            self.level = self.pool * share;
-        }
         if self.flaw != Flaw::KeepBalance {
             self.clip();
         }
@@ -52,7 +61,11 @@
         self.shares.trim(self.at, self.span);
         while let Some(expiry) = self.shares.expiry(self.span).filter(|&expiry| expiry <= now) {
             self.refill(expiry);
+            let held = self.capacity();
             self.shares.trim(expiry, self.span);
+            if self.flaw == Flaw::StartFull && held == 0.0 {
+                self.level = self.capacity();
+            }
         }
         self.refill(now);
     }
@@ -70,7 +83,10 @@
 
     fn clip(&mut self) {
         self.level = self.level.min(self.capacity());
-        self.returnable = self.returnable.min(self.capacity() - self.level);
+        if self.level + self.outstanding > self.capacity() && self.outstanding > 0.0 {
+            self.outstanding = 0.0;
+            self.epoch += 1;
+        }
     }
 
     /// Tokens per second that this host receives.
@@ -87,14 +103,14 @@
         self.level
     }
 
-    /// Takes a token for an operation.
-    pub(crate) fn take(&mut self) -> bool {
-        let has = self.level >= 1.0;
-        if has {
-            self.level -= 1.0;
-            self.returnable += 1.0;
+    /// Takes a token for an operation; returns its epoch.
+    pub(crate) fn take(&mut self) -> Option<u64> {
+        if self.level < 1.0 {
+            return None;
         }
-        has
+        self.level -= 1.0;
+        self.outstanding += 1.0;
+        Some(self.epoch)
     }
 
     /// Takes tokens for a loan, which are never returned.
@@ -105,18 +121,19 @@
     }
 
     /// Notes that an operation ran, so that its token is not returned.
-    pub(crate) fn settle(&mut self) {
-        self.returnable = (self.returnable - 1.0).max(0.0);
+    pub(crate) fn settle(&mut self, epoch: u64) {
+        if epoch == self.epoch {
+            self.outstanding = (self.outstanding - 1.0).max(0.0);
+        }
     }
 
     /// Returns the token of an operation that did not run.
-    pub(crate) fn refund(&mut self) {
+    pub(crate) fn refund(&mut self, epoch: u64) {
         if self.flaw == Flaw::RefundAlways {
             self.level = (self.level + 1.0).min(self.capacity());
-            return;
+        } else if epoch == self.epoch && self.outstanding >= 1.0 {
+            self.outstanding -= 1.0;
+            self.level += 1.0;
         }
-        let back = self.returnable.min(1.0);
-        self.returnable -= back;
-        self.level += back;
     }
 }
--- a/components/quota/src/ledger.rs
+++ b/components/quota/src/ledger.rs
@@ -37,8 +37,8 @@
 pub enum Token {
     /// The team has no limit.
     Unlimited,
-    /// A token of the host's own bucket.
-    Own,
+    /// A token of the host's own bucket, with its epoch.
+    Own(u64),
     /// A borrowed token, with the time at which it expires.
     Borrowed(Instant),
 }
@@ -67,7 +67,7 @@
     pub team: Name,
     /// Number of tokens.
     pub tokens: u32,
-    /// Time of the request, to be given back with the answer.
+    /// Time of the request.
     pub sent: Instant,
 }
 
@@ -194,9 +194,9 @@
 
     /// Notes that an operation ran or may have run.
     pub fn settle(&mut self, now: Instant, team: &str, token: Token) {
-        if let Some(team) = self.teams.get_mut(team).filter(|_| token == Token::Own) {
+        if let (Some(team), Token::Own(epoch)) = (self.teams.get_mut(team), token) {
             team.bucket.advance(now);
-            team.bucket.settle();
+            team.bucket.settle(epoch);
         }
     }
 
@@ -204,9 +204,9 @@
     pub fn refund(&mut self, now: Instant, team: &str, token: Token) {
         let Some(team) = self.teams.get_mut(team) else { return };
         match token {
-            Token::Own => {
+            Token::Own(epoch) => {
                 team.bucket.advance(now);
-                team.bucket.refund();
+                team.bucket.refund(epoch);
             }
             Token::Borrowed(expires) if now < expires => team.add_borrowed(1.0, expires),
             Token::Unlimited | Token::Borrowed(_) => {}
@@ -219,16 +219,18 @@
         found.map_or_else(Loan::default, |(_, team)| team.lend(now, tokens))
     }
 
-    /// Takes the answer of a lender to the request of the time `sent`.
-    pub fn on_loan(&mut self, now: Instant, lender: &str, team: &str, loan: Loan, sent: Instant) {
-        let Some((_, team)) = limited(&mut self.teams, team) else { return };
+    /// Takes the answer of a lender to a request.
+    pub fn on_loan(&mut self, now: Instant, request: &Request, loan: Loan) {
+        let Some((_, team)) = limited(&mut self.teams, request.team.as_str()) else { return };
+        let sent = request.sent;
         let tokens = f64::from(loan.tokens);
-        if let Some(known) = team.lenders.iter_mut().find(|known| known.name.as_str() == lender) {
-            known.answer(now, sent, tokens, f64::from(loan.left));
+        let life = self.settings.bounds.loan_life();
+        if let Some(known) = team.lenders.iter_mut().find(|known| known.name == request.lender) {
+            known.answer(now, sent, (tokens, loan.left));
         }
         // the lender took the tokens out after `sent`, so that they expire early rather
         // than late
-        let expires = sent + self.settings.bounds.loan_life();
+        let expires = sent + life;
         if loan.tokens > 0 && (now < expires || self.settings.flaw == Flaw::KeepLoans) {
             team.add_borrowed(tokens, expires);
         }
@@ -250,7 +252,7 @@
 ) -> Decision {
     team.bucket.advance(now);
     let borrowed = team.take_borrowed(now, settings.flaw).map(Token::Borrowed);
-    let token = borrowed.or_else(|| team.bucket.take().then_some(Token::Own));
+    let token = borrowed.or_else(|| team.bucket.take().map(Token::Own));
     if token.is_some() {
         team.waiting -= 1;
     }
@@ -267,7 +269,7 @@
         team.waiting += 1;
         return Decision::Granted(token);
     }
-    if team.covers_waiting(now, settings.bounds.loan_life()) {
+    if team.covers_waiting(now, &settings.bounds) {
         return Decision::Pending;
     }
     Decision::Refused { retry_after: Duration::ZERO }
@@ -294,5 +296,7 @@
     let count = settings.bounds.holders(quota, hosts.len());
     let mut lenders = rank(name, hosts, count);
     lenders.retain(|lender| *lender != settings.own);
+    // each host asks the lenders in another order, since full buckets look alike
+    let lenders = rank(&settings.own, &lenders, count);
     team.set_lenders(now, lenders);
 }
--- a/components/quota/src/lender.rs
+++ b/components/quota/src/lender.rs
@@ -4,10 +4,10 @@
 
 /// Shortest pause after a holder lent less than half of what it was asked for; the
 /// pause doubles with each such answer in a row.
-const PAUSE_MIN: Duration = Duration::from_millis(100);
+const PAUSE_MIN: Duration = Duration::from_millis(50);
 
 /// Longest pause, and time after which a holder counts as unknown again.
-const PAUSE_MAX: Duration = Duration::from_secs(4);
+const PAUSE_MAX: Duration = Duration::from_secs(1);
 
 /// Another holder, with an estimate of its balance.
 #[derive(Clone, Debug)]
@@ -37,6 +37,7 @@
     pub(crate) fn is_free(&mut self, now: Instant, life: Duration) -> bool {
         if let Some((_, sent)) = self.asked.filter(|(_, sent)| now.since(*sent) >= life) {
             self.asked = None;
+            (self.balance, self.at) = (0.0, now);
             self.miss(sent + life);
         }
         self.asked.is_none() && now >= self.not_before
@@ -52,13 +53,14 @@
         self.asked = Some((tokens, now));
     }
 
-    /// Notes an answer to the request of the time `sent`.
-    pub(crate) fn answer(&mut self, now: Instant, sent: Instant, lent: f64, remaining: f64) {
+    /// Notes the answer to the request of the time `sent`: the tokens lent, and those that
+    /// the holder could still lend.
+    pub(crate) fn answer(&mut self, now: Instant, sent: Instant, (lent, balance): (f64, f64)) {
         let Some((tokens, _)) = self.asked.filter(|(_, asked)| *asked == sent) else {
             return;
         };
         self.asked = None;
-        (self.balance, self.at) = (remaining, now);
+        (self.balance, self.at) = (balance, now);
         if lent * 2.0 < tokens {
             self.miss(now);
         } else {
@@ -71,9 +73,8 @@
         if now.since(self.not_before) > PAUSE_MAX {
             self.misses = 0;
         }
-        let pause = PAUSE_MIN.saturating_mul(1 << self.misses.min(6)).min(PAUSE_MAX);
+        let pause = PAUSE_MIN.saturating_mul(1 << self.misses.min(7)).min(PAUSE_MAX);
         self.misses += 1;
         self.not_before = now + pause;
-        (self.balance, self.at) = (0.0, now);
     }
 }
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -17,9 +17,11 @@
 mod holders;
 mod ledger;
 mod lender;
+mod message;
 mod team;
 
 pub use bounds::Bounds;
 pub use flaw::Flaw;
 pub use ledger::{Decision, Ledger, Request, Settings, Token};
+pub use message::digest;
 pub use team::Loan;
--- a/components/quota/src/team.rs
+++ b/components/quota/src/team.rs
@@ -10,17 +10,29 @@
 use crate::flaw::Flaw;
 use crate::lender::Lender;
 
-/// Time ahead for which a busy team borrows.
-const LEAD: Duration = Duration::from_millis(150);
+/// Time ahead for which a busy team borrows, as a share of the lifetime of a loan.
+const LEAD: f64 = 0.8;
 
-/// Stock, as time of demand, below which a busy team borrows.
-const LOW: Duration = Duration::from_millis(60);
+/// Stock, as time of demand, below which a busy team borrows: the time that an answer may
+/// take.
+const LOW: Duration = Duration::from_millis(30);
+
+/// Share of a full bucket for which a busy team sends a message.
+const WORTH_SHARE: f64 = 0.5;
 
 /// Time of own demand for which a lender keeps tokens.
-const KEPT: Duration = Duration::from_millis(200);
+const KEPT: Duration = Duration::from_millis(100);
+
+/// Largest share of its bucket, beyond two tokens, that a lender keeps: small buckets
+/// serve the demand of all hosts only together.
+const KEPT_SHARE: f64 = 0.25;
+
+/// Share of its bucket that a lender keeps when it is asked for more than is needed at
+/// once.
+const LEFT_SHARE: f64 = 0.3;
 
 /// Wait in which the refill of the own bucket counts for a waiting request.
-const REFILL_WAIT: Duration = Duration::from_millis(20);
+const REFILL_WAIT: Duration = Duration::from_millis(30);
 
 /// Longest retry-after time, in windows.
 const RETRY_WINDOWS: f64 = 0.4;
@@ -34,7 +46,7 @@
     /// Number of tokens.
     pub tokens: u32,
     /// Tokens that the lender could still lend after this loan.
-    pub left: u32,
+    pub left: f64,
 }
 
 /// Borrowed tokens.
@@ -44,6 +56,24 @@
     expires: Instant,
 }
 
+/// What a loan is judged by.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    /// Time for which borrowed tokens can be used.
+    life: Duration,
+    /// Tokens per second and capacity of the bucket of each holder.
+    rate: f64,
+    capacity: f64,
+    /// Demand per second, as far as the limit allows.
+    demand: f64,
+    /// Demand per second beyond what the own bucket receives.
+    uncovered: f64,
+    /// Tokens that a busy team borrows ahead.
+    lead: f64,
+    /// Tokens for which a holder is worth a message.
+    worth: f64,
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Team {
     pub(crate) quota: Option<Quota>,
@@ -111,11 +141,39 @@
         borrowed.map(|stock| stock.tokens).sum::<f64>() + self.bucket.level()
     }
 
-    /// Whether the waiting requests will get tokens in a short time.
-    pub(crate) fn covers_waiting(&self, now: Instant, life: Duration) -> bool {
-        let expected: f64 = self.lenders.iter().map(|lender| lender.expected(now, life)).sum();
+    /// Whether the waiting requests will probably get tokens in a short time.
+    pub(crate) fn covers_waiting(&mut self, now: Instant, bounds: &Bounds) -> bool {
+        let Some(terms) = self.terms(now, bounds) else { return false };
+        let soon = now + REFILL_WAIT;
         let own = self.usable(now) + self.bucket.rate() * REFILL_WAIT.as_secs_f64();
-        expected + own >= self.waiting as f64
+        let lent = |lender: &mut Lender| {
+            let expected = lender.expected(now, terms.life);
+            let has = lender.is_free(now, terms.life)
+                && lender.estimate(soon, terms.rate, terms.capacity) >= terms.worth;
+            if has { 1.0 } else { expected }
+        };
+        own + self.lenders.iter_mut().map(lent).sum::<f64>() >= self.waiting as f64
+    }
+
+    fn terms(&self, now: Instant, bounds: &Bounds) -> Option<Terms> {
+        let quota = self.quota?;
+        let life = bounds.loan_life();
+        let holders = bounds.holders(quota, self.lenders.len() + 1) as f64;
+        let capacity = bounds.pool(quota) / holders;
+        let demand = self.demand.rate(now).min(quota.rate_per_s);
+        // what the own bucket receives needs no loan
+        let uncovered = (demand - self.bucket.rate()).max(0.0);
+        let lead = (uncovered * life.as_secs_f64() * LEAD).floor();
+        let worth = lead.min(capacity * WORTH_SHARE).max(1.0);
+        Some(Terms {
+            life,
+            rate: quota.rate_per_s / holders,
+            capacity,
+            demand,
+            uncovered,
+            lead,
+            worth,
+        })
     }
 
     /// Chooses lenders, and the tokens to ask each for.
@@ -125,29 +183,24 @@
         bounds: &Bounds,
         mut ask: impl FnMut(&Name, u32),
     ) {
-        let Some(quota) = self.quota else { return };
-        if self.lenders.is_empty() {
+        let Some(terms) = self.terms(now, bounds).filter(|_| !self.lenders.is_empty()) else {
             return;
-        }
-        let life = bounds.loan_life();
-        let demand = self.demand.rate(now).min(quota.rate_per_s);
+        };
+        let life = terms.life;
         let expected: f64 = self.lenders.iter().map(|lender| lender.expected(now, life)).sum();
         let stock = self.usable(now) + expected - self.waiting as f64;
-        // what the own bucket receives needs no loan
-        let uncovered = (demand - self.bucket.rate()).max(0.0);
-        let lead = (uncovered * LEAD.as_secs_f64()).floor();
-        let is_low = stock < uncovered * LOW.as_secs_f64();
-        let mut need = if lead >= 2.0 && is_low { lead - stock } else { -stock };
+        let is_low = terms.lead >= 2.0 && stock < terms.uncovered * LOW.as_secs_f64();
+        let mut need = if is_low { terms.lead - stock } else { -stock };
         if need <= 0.0 {
             return;
         }
-        let holders = bounds.holders(quota, self.lenders.len() + 1) as f64;
-        let (rate, capacity) = (quota.rate_per_s / holders, bounds.pool(quota) / holders);
-        let worth = lead.min(capacity / 2.0).max(1.0);
+        // tokens of a full bucket would be lost, so more are borrowed with one message;
+        // they are used before those of the own bucket
+        let extra = (terms.demand * life.as_secs_f64()).ceil();
         let mut order: SmallVec<[(f64, usize); 8]> = SmallVec::new();
         for (at, lender) in self.lenders.iter_mut().enumerate() {
-            let estimate = lender.estimate(now, rate, capacity);
-            if estimate >= worth && lender.is_free(now, life) {
+            let estimate = lender.estimate(now, terms.rate, terms.capacity);
+            if estimate >= terms.worth && lender.is_free(now, life) {
                 order.push((estimate, at));
             }
         }
@@ -156,7 +209,8 @@
             if need <= 0.0 {
                 return;
             }
-            let tokens = need.min(estimate).floor().max(1.0);
+            let spare = estimate - terms.capacity * LEFT_SHARE;
+            let tokens = need.max(spare.min(extra)).min(estimate).floor().max(1.0);
             need -= tokens;
             self.lenders[at].ask(now, tokens);
             ask(&self.lenders[at].name, tokens as u32);
@@ -168,11 +222,13 @@
     pub(crate) fn lend(&mut self, now: Instant, asked: u32) -> Loan {
         self.bucket.advance(now);
         let demand = self.demand.rate(now).min(self.bucket.rate());
-        let kept = demand * KEPT.as_secs_f64() + self.waiting as f64;
-        let free = (self.bucket.level() - kept).max(0.0).floor();
-        let lent = free.min(f64::from(asked));
+        let kept = demand * KEPT.as_secs_f64();
+        let most = (self.bucket.capacity() - 2.0).max(0.0) * KEPT_SHARE;
+        let kept = kept.min(most) + self.waiting as f64;
+        let free = (self.bucket.level() - kept).max(0.0);
+        let lent = free.floor().min(f64::from(asked));
         self.bucket.lend(lent);
-        Loan { tokens: lent as u32, left: (free - lent) as u32 }
+        Loan { tokens: lent as u32, left: free - lent }
     }
 
     /// Time after which a refused request may get a token: each earlier refused request
--- /dev/null
+++ b/components/quota/tests/limits/main.rs
@@ -0,0 +1,8 @@
+//! Limits over all hosts: their sum under failures, how much of them is served, and the
+//! messages that this takes.
+
+mod change;
+mod messages;
+mod served;
+mod sum;
+mod world;
--- a/components/wire/src/data.rs
+++ b/components/wire/src/data.rs
@@ -306,57 +306,41 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct Closing {}
 
-/// Asks a holder of the limits of teams for tokens out of its buckets.
+/// Asks a holder of the limits of teams for tokens out of its buckets. Each is answered
+/// by a [`Loan`], in the order of the messages on the link.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Borrow {
-    /// Time of the message by the clock of the borrower, in microseconds; given back in
-    /// the [`Loan`].
-    #[prost(uint64, tag = "1")]
-    pub sent_us: u64,
     /// Requested tokens.
-    #[prost(message, repeated, tag = "2")]
+    #[prost(message, repeated, tag = "1")]
     pub items: Vec<BorrowItem>,
 }
 
 /// Tokens of one team that are asked for.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct BorrowItem {
-    /// Name of the team.
-    #[prost(string, tag = "1")]
-    pub team: String,
-    /// Number of tokens.
+    /// Digest of the name of the team, which is shorter than the name.
+    #[prost(fixed32, tag = "1")]
+    pub team: u32,
+    /// Number of tokens beyond the first.
     #[prost(uint32, tag = "2")]
-    pub tokens: u32,
-    /// Time of this request after that of the message, in microseconds; given back in
-    /// the [`LoanItem`].
-    #[prost(uint32, tag = "3")]
-    pub offset_us: u32,
+    pub more: u32,
 }
 
 /// Answer to a [`Borrow`]. The tokens are no longer in the lender's buckets.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Loan {
-    /// Time of the request by the clock of the borrower, in microseconds.
-    #[prost(uint64, tag = "1")]
-    pub sent_us: u64,
-    /// Lent tokens.
-    #[prost(message, repeated, tag = "2")]
+    /// Lent tokens, for each item of the request.
+    #[prost(message, repeated, tag = "1")]
     pub items: Vec<LoanItem>,
 }
 
 /// Tokens of one team that are lent.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
 pub struct LoanItem {
-    /// Name of the team.
-    #[prost(string, tag = "1")]
-    pub team: String,
     /// Number of tokens; zero if the holder has none to lend.
-    #[prost(uint32, tag = "2")]
+    #[prost(uint32, tag = "1")]
     pub tokens: u32,
-    /// Time of the request after that of the message, in microseconds.
-    #[prost(uint32, tag = "3")]
-    pub offset_us: u32,
-    /// Tokens that the holder could still lend.
-    #[prost(uint32, tag = "4")]
-    pub left: u32,
+    /// Tokens that the holder could still lend, in tenths.
+    #[prost(uint32, tag = "2")]
+    pub left_tenths: u32,
 }
