Judge windows and servers more robustly, and test both in virtual time

Cause: trials showed that answers to statements that were sent before slow start began set the idle run time too low, that queueing at a peer ended slow start early, that equal servers were told apart by chance, and that the errors of the last usable replica held it to one statement.

Change: the window ignores answers to statements sent before it began or shrank, measures the idle run time while it is one, and compares with the usual run time unless the peers are cold as well. Servers within a quarter of the fastest count as equal. Probes of slow servers are spaced by their run time. The idle run time as an upward-drifting minimum was ruled out: it follows lasting contention.

Tests: servers in virtual time with two keepers, unit tests of window and gauge, and the flaws MostFree, EjectByRate, FixedRamp, KeepFailed and NoBackoff.

--- a/components/keeper/src/flaw.rs
+++ b/components/keeper/src/flaw.rs
@@ -19,6 +19,11 @@
     MostFree,
     /// Puts a server on probation for any failure, also for those that callers cause.
     EjectByRate,
+    /// Widens the window of slow start by one statement every 250 ms, whatever the
+    /// answers.
+    FixedRamp,
+    /// Passes a failed read on to its caller without trying another server.
+    KeepFailed,
     /// Ignores errors in slow start.
     NoBackoff,
     /// Takes a suspension of the process for a run time, and refuses requests for the
--- a/components/keeper/src/pace.rs
+++ b/components/keeper/src/pace.rs
@@ -18,10 +18,14 @@
 use crate::server::Server;
 use crate::service::Kind;
 
-/// Slowness, compared with the fastest peer, above which a server gets reads as probes
-/// and its run times are not taken for usual ones.
+/// Slowness, compared with the fastest peer, above which the run times of a server are not
+/// taken for usual ones.
 const SLOW_FACTOR: f64 = 1.5;
 
+/// Slowness, compared with the fastest candidate, up to which servers count as equally
+/// fast. Otherwise chance would send all reads of a small load to one server.
+const EQUAL_FACTOR: f64 = 1.25;
+
 /// Parts of the usual run time in which costs are counted.
 const COST_UNITS: f64 = 1_000.0;
 
@@ -40,6 +44,11 @@
         let Some(server) = self.servers.get(key) else {
             return 0;
         };
+        if self.has_flaw(Flaw::FixedRamp) && server.started_at > Instant::ZERO {
+            let age = self.uptime.last_event().since(server.started_at);
+            let limit = 1 + age.as_millis() as u32 / 250;
+            return limit.saturating_sub(self.open_work(key));
+        }
         match server.window.limit(self.uptime.last_event()) {
             u32::MAX => u32::MAX,
             limit => limit.saturating_sub(self.open_work(key)),
@@ -94,11 +103,16 @@
         };
         let slowness = usual.slowness(run);
         let fastest = self.fastest_peer(now, server);
-        let ramping = self.servers.get(server).is_some_and(|server| server.window.is_ramping());
+        let (ramping, started_at) = match self.servers.get(server) {
+            Some(server) => (server.window.is_ramping(), server.started_at),
+            None => return,
+        };
         if !ramping || usual.time().is_none() {
             self.learn(server, service, kind, run, fastest);
         }
-        self.judge(now, server, Some(slowness), fastest, false);
+        if sent_at >= started_at {
+            self.judge(now, server, Some(slowness), false);
+        }
         let Some(server) = self.servers.get_mut(server) else {
             return;
         };
@@ -127,15 +141,8 @@
     }
 
     /// Passes the end of a statement or of an opening to the window of its server.
-    fn judge(
-        &mut self,
-        now: Instant,
-        key: Key<Server>,
-        slowness: Option<f64>,
-        fastest: Option<f64>,
-        error: bool,
-    ) {
-        let peers = fastest.filter(|_| !self.is_control_primary(key));
+    fn judge(&mut self, now: Instant, key: Key<Server>, slowness: Option<f64>, error: bool) {
+        let peers = self.reference(now, key).filter(|_| !self.is_control_primary(key));
         let error = error && !self.has_flaw(Flaw::NoBackoff);
         if let Some(server) = self.servers.get_mut(key) {
             let answer = Answer { slowness, peers, error, full: server.setup.slots };
@@ -145,13 +152,16 @@
 
     /// Records that a server refused a statement or an opening.
     pub(crate) fn note_refused(&mut self, now: Instant, key: Key<Server>) {
-        self.judge(now, key, None, None, true);
+        self.judge(now, key, None, true);
     }
 
     /// Records that a read failed on a server, and puts the server on probation if it
     /// fails more of them than a peer.
     pub(crate) fn note_failed(&mut self, now: Instant, key: Key<Server>) {
-        self.note_refused(now, key);
+        // a statement that ran and failed is no reason to hold the last replica back
+        if self.fastest_peer(now, key).is_some() {
+            self.note_refused(now, key);
+        }
         if let Some(server) = self.servers.get_mut(key) {
             server.gauge.on_failed(now);
         }
@@ -187,21 +197,37 @@
             .filter(move |s| s.is_available(now) && !s.gauge.is_on_probation())
     }
 
-    /// Slowness of the fastest peer of a server.
+    /// Slowness of the fastest replica that can do the work of a server; `None` if there is
+    /// none.
     fn fastest_peer(&self, now: Instant, key: Key<Server>) -> Option<f64> {
-        self.peers(now, key).map(|server| server.gauge.slowness()).reduce(f64::min)
+        self.replicas_beside(now, key).map(|server| server.gauge.slowness()).reduce(f64::min)
+    }
+
+    /// Slowness of the replicas that can do the work of a server in slow start. A peer that is
+    /// not cold counts as fast as usual: if it is slower, statements queue there, which is no
+    /// reason to send more of them to a cold server.
+    fn reference(&self, now: Instant, key: Key<Server>) -> Option<f64> {
+        let slowness = |server: &Server| {
+            if server.window.is_ramping() { server.gauge.slowness() } else { 1.0 }
+        };
+        self.replicas_beside(now, key).map(slowness).reduce(f64::min)
+    }
+
+    /// Usable replicas without a given server.
+    fn replicas_beside(&self, now: Instant, key: Key<Server>) -> impl Iterator<Item = &Server> {
+        let primary = self.control_named_primary().and_then(|(key, _)| self.servers.get(key));
+        let primary = primary.map(|primary| primary.name.clone());
+        self.peers(now, key).filter(move |server| primary.as_ref() != Some(&server.name))
     }
 
     /// Expected time until a read on a server is answered, in thousandths of the usual
     /// run time.
-    pub(crate) fn cost(&self, now: Instant, key: Key<Server>) -> u32 {
-        let Some(server) = self.servers.get(key).filter(|_| self.is_unfenced()) else {
+    fn cost(&self, now: Instant, key: Key<Server>, fastest: f64) -> u32 {
+        let Some(server) = self.servers.get(key) else {
             return 0;
         };
-        if self.has_flaw(Flaw::MostFree) {
-            return 0;
-        }
         let slowness = server.gauge.slowness().max(self.oldest_wait(now, key) / 2.0);
+        let slowness = if slowness <= fastest * EQUAL_FACTOR { fastest } else { slowness };
         let load = f64::from(self.running(key)) / f64::from(server.slots.max(1));
         (slowness * (1.0 + load) * COST_UNITS) as u32
     }
@@ -221,27 +247,25 @@
         open.filter_map(wait).fold(0.0, f64::max)
     }
 
-    /// Limits the candidates that should get single reads only: those on probation,
-    /// unless no other server qualifies, and gives slow ones a read when one is due.
-    pub(crate) fn limit_suspects(
-        &self,
-        now: Instant,
-        found: &mut SmallVec<[Candidate<Key<Server>>; 4]>,
-    ) {
+    /// Rates the candidates by their answers. Those on probation get single reads only,
+    /// unless no other server qualifies, and slow ones get a read when one is due.
+    pub(crate) fn rate(&self, now: Instant, found: &mut SmallVec<[Candidate<Key<Server>>; 4]>) {
         let gauge = |key| self.servers.get(key).map(|server| &server.gauge);
         let trusted = |key| gauge(key).is_some_and(|gauge| !gauge.is_on_probation());
-        if self.has_flaw(Flaw::MostFree) || !found.iter().any(|found| trusted(found.server)) {
+        if self.has_flaw(Flaw::MostFree) {
             return;
         }
+        let alone = !found.iter().any(|found| trusted(found.server));
         let slowness = |key| gauge(key).map_or(1.0, pace::Gauge::slowness);
         let fastest = found.iter().map(|found| slowness(found.server)).fold(f64::MAX, f64::min);
         for candidate in found.iter_mut() {
             let key = candidate.server;
             let due = gauge(key).is_some_and(|gauge| gauge.is_probe_due(now));
             let idle = self.running(key) == 0;
-            let suspect = !trusted(key) || slowness(key) > fastest * SLOW_FACTOR;
-            candidate.probe = suspect && due && idle;
-            if !trusted(key) {
+            let suspect = !trusted(key) || slowness(key) > fastest * EQUAL_FACTOR;
+            candidate.cost = self.cost(now, key, fastest);
+            candidate.probe = suspect && due && idle && !alone;
+            if !trusted(key) && !alone {
                 candidate.free = candidate.free.min(u32::from(candidate.probe));
             }
         }
@@ -260,6 +284,7 @@
         };
         let server = request.attempt.server;
         let tried = request.avoided.is_some() || request.parts > 0 || request.orphan;
+        let tried = tried || self.has_flaw(Flaw::KeepFailed);
         if tried || !request.is_read() || request.is_fresh() || now >= request.deadline {
             return false;
         }
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -272,14 +272,14 @@
             same_zone: server.zone == self.zone && !self.is_unfenced(),
             free: if now < server.full_until { 0 } else { self.ready_slots(key) },
             waiting: server.urgent.len() as u32,
-            cost: self.cost(now, key),
+            cost: 0,
             unused: if self.is_unfenced() { server.gauge.unused(now) } else { Duration::ZERO },
             probe: false,
             mark,
         };
         let mut found: SmallVec<[_; 4]> = self.qualified(now, request).map(candidate).collect();
         if self.is_unfenced() {
-            self.limit_suspects(now, &mut found);
+            self.rate(now, &mut found);
         }
         let avoided = take_avoided(&mut found, request);
         let busy = found.iter().all(|candidate| candidate.free == 0);
--- a/components/keeper/tests/unfenced/bench.rs
+++ b/components/keeper/tests/unfenced/bench.rs
@@ -30,10 +30,13 @@
         public: false,
     };
     let group = config::Group { servers: 15, acknowledges: true, ..config::Group::default() };
+    let scarce =
+        Database { limits: Limits { retry_share: 0.1, ..Limits::default() }, ..database.clone() };
     let busy = Database { objective_ms: 100, ..database.clone() };
     Declarations {
         groups: [(name("group"), group)].into(),
-        databases: [(name("ring"), database), (name("busy"), busy)].into(),
+        databases: [(name("ring"), database), (name("busy"), busy), (name("scarce"), scarce)]
+            .into(),
         ..Declarations::default()
     }
 }
@@ -60,6 +63,7 @@
     pub next: u64,
     pub members: Vec<event::Server>,
     pub conns: Vec<(Key<Connection>, Name)>,
+    pub slow_start: bool,
 }
 
 pub fn setup(members: &[event::Server], primary: Option<&str>, term: u64, index: u64) -> Setup {
@@ -82,7 +86,7 @@
         let now = Instant::from_millis(10_000);
         let members: Vec<_> = (0..3).map(member).collect();
         let (out, conns) = (Vec::new(), Vec::new());
-        let mut bench = Self { group, now, out, next: 0, members, conns };
+        let mut bench = Self { group, now, out, next: 0, members, conns, slow_start: true };
         bench.feed(Event::Leased(true));
         bench.set_up(Some("server-0"), 1, 10);
         bench
@@ -108,7 +112,8 @@
     }
 
     pub fn set_up(&mut self, primary: Option<&str>, term: u64, index: u64) {
-        let setup = setup(&self.members, primary, term, index);
+        let mut setup = setup(&self.members, primary, term, index);
+        setup.slow_start = self.slow_start;
         self.feed(Event::Setup(setup));
     }
 
--- a/components/keeper/tests/unfenced/main.rs
+++ b/components/keeper/tests/unfenced/main.rs
@@ -1,10 +1,13 @@
 //! Unfenced groups: groups whose servers acknowledge commits by themselves.
 
+mod balance;
 mod bench;
 mod leaving;
 mod overload;
+mod pace;
 mod reach;
 mod recovery;
+mod servers;
 mod suspension;
 
 use base::prelude::*;
--- a/components/pace/src/gauge.rs
+++ b/components/pace/src/gauge.rs
@@ -4,8 +4,12 @@
 
 use crate::recent::Recent;
 
-/// Weight of a new run time in the moving average.
-const WEIGHT: f64 = 0.25;
+/// Weight of a new run time in the moving average, where it is above and below the
+/// average. A server that answers as usual again is used soon.
+const WEIGHT: (f64, f64) = (0.25, 0.5);
+
+/// Highest multiple of the last run times that the moving average may have.
+const MAX_EXCESS: f64 = 1.5;
 
 /// Time in which the weight of counted answers halves.
 const HALF_LIFE: Duration = Duration::from_secs(1);
@@ -15,21 +19,26 @@
 
 /// Excess of a server's failure rate over that of its best peer that is tolerated in
 /// addition to twice the standard error of the difference.
-const TOLERANCE: f64 = 0.1;
+const TOLERANCE: f64 = 0.05;
 
 /// Time between two probes of a server on probation, after a success and at most.
 const PROBE_INTERVAL: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(400));
 
-/// Shortest time after which a server that is avoided as slow gets a probe.
-const SLOW_PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest and longest time after which a server that is avoided as slow gets a probe.
+const SLOW_PROBE_INTERVAL: (Duration, Duration) =
+    (Duration::from_millis(50), Duration::from_millis(500));
+
+/// Multiple of the last run time after which a slow server gets a probe, so that probes
+/// keep it busy for a quarter of the time.
+const PROBE_SPACING: u32 = 3;
 
 /// Successful probes in a row that end a first probation. The number doubles with each
 /// further probation, up to [`MAX_GOOD_PROBES`].
 const GOOD_PROBES: u32 = 6;
 
 /// Upper limit of the number of successful probes that end a probation.
-const MAX_GOOD_PROBES: u32 = 48;
+const MAX_GOOD_PROBES: u32 = 24;
 
 /// Time without probation after which earlier ones no longer count.
 const PROBATION_MEMORY: Duration = Duration::from_secs(10);
@@ -105,9 +114,9 @@
         self.recent.push(slowness);
         self.last_run = run;
         let median = self.recent.median().unwrap_or(slowness);
-        self.slowness += (median - self.slowness) * WEIGHT;
-        // a server that answers as usual again is used at once
-        self.slowness = self.slowness.min(median.max(1.0) * 2.0);
+        let weight = if median > self.slowness { WEIGHT.0 } else { WEIGHT.1 };
+        self.slowness += (median - self.slowness) * weight;
+        self.slowness = self.slowness.min(median.max(1.0) * MAX_EXCESS);
     }
 
     /// Records a read that failed, by an error or without an answer.
@@ -149,7 +158,8 @@
     /// Whether a server without open statements is due for a single read: on probation,
     /// or avoided because it was slow.
     pub fn is_probe_due(&self, now: Instant) -> bool {
-        let slow = SLOW_PROBE_INTERVAL.max(self.last_run * 2);
+        let slow = self.last_run * PROBE_SPACING;
+        let slow = slow.clamp(SLOW_PROBE_INTERVAL.0, SLOW_PROBE_INTERVAL.1);
         let interval = self.probation.map_or(slow, |probation| probation.interval);
         now.since(self.last_sent) >= interval
     }
--- a/components/pace/src/window.rs
+++ b/components/pace/src/window.rs
@@ -14,11 +14,23 @@
 /// Multiple of the idle run time above which the window shrinks.
 const CONTENTION_FACTOR: f64 = 2.0;
 
-/// Growth of the window by an answer while the window was not filled.
+/// Growth of the window by an answer while the window was not filled, where a filled
+/// window grows by one.
 const UNFILLED_GROWTH: f64 = 0.25;
 
-/// Good answers at the full window that end slow start, at least.
-const FINAL_ANSWERS: u32 = 4;
+/// Part of the difference by which an answer raises the idle run time while the window is
+/// one statement, so that a few fast answers do not hold the window back for good.
+const REMEASURE: f64 = 0.25;
+
+/// Answers without growth after which the window shrinks, so that the idle run time is
+/// measured again.
+const HELD_ANSWERS: u32 = 16;
+
+/// Weight of a new run time in the moving average.
+const WEIGHT: f64 = 0.3;
+
+/// Rounds of good answers in a row at the full window that end slow start.
+const FINAL_ROUNDS: u32 = 2;
 
 /// Answers after an error during which the window does not grow.
 const HOLD_ANSWERS: u32 = 2;
@@ -47,16 +59,20 @@
 struct Ramp {
     limit: f64,
     recent: Recent,
+    /// Moving average of the medians.
+    average: Option<f64>,
     /// Lowest slowness since the start: that of an idle server.
     idle: f64,
     /// Whether the window was filled since it last changed.
     filled: bool,
     /// Number of answers without growth that are left after an error.
     hold: u32,
-    /// Number of good answers at the full window.
-    good: u32,
-    /// Number of answers since the window last shrank.
-    since_shrink: u32,
+    /// Good answers at the full window, as far as it was filled.
+    good: f64,
+    /// Number of answers in a row that neither widened nor shrank the window.
+    held: u32,
+    /// Number of answers to come to statements that were sent before the window shrank.
+    stale: u32,
 }
 
 impl Window {
@@ -65,11 +81,13 @@
         self.ramp = Some(Ramp {
             limit: 1.0,
             recent: Recent::default(),
+            average: None,
             idle: f64::INFINITY,
             filled: false,
             hold: 0,
-            good: 0,
-            since_shrink: 0,
+            good: 0.0,
+            stale: 0,
+            held: 0,
         });
     }
 
@@ -101,7 +119,6 @@
         let Some(ramp) = &mut self.ramp else {
             return;
         };
-        ramp.since_shrink = ramp.since_shrink.saturating_add(1);
         if answer.error {
             ramp.shrink_to(ramp.limit / 2.0);
             ramp.hold = HOLD_ANSWERS;
@@ -119,26 +136,40 @@
 impl Ramp {
     /// Adjusts the window to a run time. Returns whether slow start has ended.
     fn judge(&mut self, slowness: f64, answer: &Answer) -> bool {
+        if self.stale > 0 {
+            self.stale -= 1;
+            return false;
+        }
         self.recent.push(slowness);
-        let current = self.recent.median().unwrap_or(slowness);
+        let median = self.recent.median().unwrap_or(slowness);
+        let average = self.average.get_or_insert(median);
+        *average += (median - *average) * WEIGHT;
+        // the window follows a rise at once, and a fall once it lasts
+        let current = median.max(*average);
         self.idle = self.idle.min(current);
         let peers = answer.peers.map(|peers| peers.max(1.0));
+        if self.limit < 2.0 {
+            self.idle += (current - self.idle) * REMEASURE;
+        }
         if peers.is_some_and(|peers| current > peers * SLOW_FACTOR) {
             self.shrink_to(1.0);
             return false;
         }
         // a run time that peers have as well is not caused by this server's window
-        let contention = current / self.idle.max(peers.unwrap_or(0.0));
+        let contention = current / self.idle.max(peers.unwrap_or(1.0));
         if contention > CONTENTION_FACTOR {
-            // the answers to statements that were sent before count only once
-            if f64::from(self.since_shrink) >= self.limit {
-                self.shrink_to(self.limit / 2.0);
-            }
+            self.shrink_to(self.limit / 2.0);
             return false;
         }
         if contention > GROWTH_FACTOR {
+            self.good = 0.0;
+            self.held += 1;
+            if self.held >= HELD_ANSWERS {
+                self.shrink_to(self.limit / 2.0);
+            }
             return false;
         }
+        self.held = 0;
         self.grow(answer.full)
     }
 
@@ -147,12 +178,14 @@
             self.hold -= 1;
             return false;
         }
+        let growth = if self.filled { 1.0 } else { UNFILLED_GROWTH };
         if self.limit >= f64::from(full) {
-            self.good += 1;
-            return self.good >= FINAL_ANSWERS.max(full);
+            self.filled = false;
+            self.good += growth;
+            return self.good >= f64::from(full * FINAL_ROUNDS);
         }
         let before = self.limit as u32;
-        self.limit += if self.filled { 1.0 } else { UNFILLED_GROWTH };
+        self.limit += growth;
         if self.limit as u32 > before {
             self.filled = false;
         }
@@ -160,9 +193,16 @@
     }
 
     fn shrink_to(&mut self, limit: f64) {
-        self.limit = limit.max(1.0).min(self.limit);
-        self.good = 0;
-        self.since_shrink = 0;
+        let limit = limit.max(1.0).min(self.limit);
+        if limit as u32 == self.limit as u32 {
+            self.limit = limit;
+            return;
+        }
+        self.stale = self.limit as u32 - 1;
+        self.limit = limit;
+        (self.recent, self.average) = (Recent::default(), None);
+        self.good = 0.0;
+        self.held = 0;
         self.filled = false;
     }
 }
--- a/components/route/tests/choice.rs
+++ b/components/route/tests/choice.rs
@@ -78,3 +78,23 @@
     assert_eq!(best(&[with(1, true, 2, 3), with(2, true, 2, 1)]), Some(2));
     assert_eq!(best(&[with(1, true, 0, 0)]), None);
 }
+
+/// Failure: a replica that is slow, or fails although it looks well, has the most free slots.
+#[test]
+fn the_lowest_cost_goes_before_free_slots_and_a_due_probe_before_all() {
+    let with = |server, cost, free, probe, unused| Candidate {
+        server,
+        same_zone: false,
+        free,
+        waiting: 0,
+        cost,
+        unused: Duration::from_millis(unused),
+        probe,
+        mark: None,
+    };
+    let best = |all: &[Candidate<u8>]| choose(all.iter().copied()).map(|found| found.server);
+    assert_eq!(best(&[with(1, 3_000, 4, false, 0), with(2, 1_500, 1, false, 0)]), Some(2));
+    assert_eq!(best(&[with(1, 3_000, 1, true, 0), with(2, 1_000, 4, false, 0)]), Some(1));
+    assert_eq!(best(&[with(1, 3_000, 0, true, 0), with(2, 1_000, 4, false, 0)]), Some(2));
+    assert_eq!(best(&[with(1, 1_000, 4, false, 9), with(2, 1_000, 4, false, 3)]), Some(1));
+}
