--- a/components/keeper/tests/unfenced/bench.rs
+++ b/components/keeper/tests/unfenced/bench.rs
@@ -30,10 +30,13 @@
         public: false,
     };
     let group = config::Group { servers: 15, acknowledges: true, ..config::Group::default() };
+    let scarce =
+        Database { limits: Limits { retry_share: 0.1, ..Limits::default() }, ..database.clone() };
     let busy = Database { objective_ms: 100, ..database.clone() };
     Declarations {
         groups: [(name("group"), group)].into(),
-        databases: [(name("ring"), database), (name("busy"), busy)].into(),
+        databases: [(name("ring"), database), (name("busy"), busy), (name("scarce"), scarce)]
+            .into(),
         ..Declarations::default()
     }
 }
@@ -61,6 +64,7 @@
     pub members: Vec<event::Server>,
     pub declarations: Declarations,
     pub conns: Vec<(Key<Connection>, Name)>,
+    pub slow_start: bool,
 }
 
 pub fn setup(members: &[event::Server], primary: Option<&str>, term: u64, index: u64) -> Setup {
@@ -87,7 +91,8 @@
         let group = Group::new(name("group"), name("zone"), 1);
         let now = Instant::from_millis(10_000);
         let (out, conns) = (Vec::new(), Vec::new());
-        let mut bench = Self { group, now, out, next: 0, members, declarations, conns };
+        let slow_start = true;
+        let mut bench = Self { group, now, out, next: 0, members, declarations, conns, slow_start };
         bench.feed(Event::Leased(true));
         bench.set_up(Some("server-0"), 1, 10);
         bench
@@ -115,6 +120,7 @@
     pub fn set_up(&mut self, primary: Option<&str>, term: u64, index: u64) {
         let mut setup = setup(&self.members, primary, term, index);
         setup.declarations = Arc::new(self.declarations.clone());
+        setup.slow_start = self.slow_start;
         self.feed(Event::Setup(setup));
     }
 
--- a/components/keeper/tests/unfenced/load.rs
+++ b/components/keeper/tests/unfenced/load.rs
@@ -22,6 +22,9 @@
 /// Slots of each of the three servers.
 pub const SLOTS: u32 = 4;
 
+/// Connections of the keeper to each server: half of the 56 that a server accepts.
+const CONNECTIONS: u32 = 28;
+
 /// Statements that a server queues for each of its slots.
 const QUEUE_PER_SLOT: usize = 8;
 
@@ -192,7 +195,7 @@
 
     fn set_up(&mut self, teams: usize) {
         let servers = (0..3).map(|index| {
-            let (slots, connections) = (SLOTS, SLOTS + 4);
+            let (slots, connections) = (SLOTS, CONNECTIONS);
             keeper::event::Server { slots, share: slots, connections, ..member(index) }
         });
         let teams = Some(teams).filter(|teams| *teams > 0);
--- a/components/keeper/tests/unfenced/main.rs
+++ b/components/keeper/tests/unfenced/main.rs
@@ -1,13 +1,16 @@
 //! Unfenced groups: groups whose servers acknowledge commits by themselves.
 
+mod balance;
 mod bench;
 mod goals;
 mod leaving;
 mod load;
 mod overload;
 mod pools;
+mod pace;
 mod reach;
 mod recovery;
+mod servers;
 mod suspension;
 mod teams;
 
