--- a/components/admit/src/wait.rs
+++ b/components/admit/src/wait.rs
@@ -55,9 +55,10 @@
         let higher = self.work_of_higher(entry.band);
         let (left, share) = self.capacity(now, entry.band, slots);
         // a band is served by what higher ones leave, and at least by its minimum share
-        let by_rank = seconds(higher + within, left)
+        let by_rank = seconds((higher + within).max(Duration::from_micros(1)), left)
             .max(seconds(before.own, self.capacity_of_flow(now, entry, left)));
-        let by_share = seconds(within, share)
+        // the minimum share is granted in arrears
+        let by_share = seconds(within + entry.place.work, share)
             .max(seconds(before.own, self.capacity_of_flow(now, entry, share)));
         Duration::try_from_secs_f64(by_rank.min(by_share)).unwrap_or(Duration::MAX)
     }
@@ -100,7 +101,7 @@
     }
 }
 
-/// Time in seconds that some work takes on a number of slots.
+/// Time in seconds that some work takes on a number of slots; infinite without slots.
 fn seconds(work: Duration, slots: f64) -> f64 {
     if work.is_zero() { 0.0 } else { work.as_secs_f64() / slots }
 }
--- a/components/keeper/src/estimate.rs
+++ b/components/keeper/src/estimate.rs
@@ -15,6 +15,9 @@
 /// Time after which a window is complete however few run times it holds.
 const WINDOW_LIMIT: Duration = Duration::from_secs(2);
 
+/// Number of run times after which the estimate of a filled window is computed again.
+const UPDATE_STEP: u64 = 8;
+
 /// Longest run time that is distinguished, in microseconds.
 const MAX_RUN_MICROS: u64 = 60_000_000;
 
@@ -81,6 +84,9 @@
         self.tried_at = now;
         let micros = u64::try_from(run.as_micros()).unwrap_or(u64::MAX);
         self.current.saturating_record(micros.max(1));
+        if self.current.len() > WINDOW_SAMPLES && !self.current.len().is_multiple_of(UPDATE_STEP) {
+            return;
+        }
         let mut both = self.current.clone();
         if both.add(&self.previous).is_err() {
             // both histograms have the same bounds, so all values fit
