--- a/components/entry/tests/quota.rs
+++ b/components/entry/tests/quota.rs
@@ -123,6 +123,7 @@
             view: view.clone(),
             clock,
             dialect: None,
+            slow_start: true,
             quota: quota::Bounds::default(),
             links: Arc::new(links),
             metrics: telemetry::web::Metrics::default(),
