Send each entry only what concerns it of the control log

Ruled out: filtering commands on the way to the entry. An entry that becomes a keeper needs changes that it was not sent before.

Change: `control::Feed` records at which index each group, entry and version of the declarations changed. An entry asks for updates (`Follow.updates`) and gets, every 10 ms at most: the edit of the declarations (`config::Edit`), the holders of leases without shares, the entries that hold them, and the whole group with its servers only while it keeps the group and for a minute after. An entry that nothing concerns gets no message; its index advances with the next confirmation. Entries that know the same share the message. An entry that the feed doesn't cover gets an image that all share, which takes effect only with the update that completes it, so that a keeper never sees its own lease without shares. The lease still extends only once the state has reached `Confirm.index`. A follower that doesn't ask for updates gets all commands as before.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`key`]: digests of the keys by which callers are identified.
 //! - [`check`]: validation of the declarations as a whole.
 //! - [`text`]: the canonical text of declarations.
+//! - [`edit`]: what turns one configuration into another, for an entry that has the former.
 //! - [`files`]: reading declarations from a directory of TOML files.
 //! - [`mod@diff`]: the differences between two configurations.
 //! - [`patch`]: the declarations that a change sets and removes, as the control log
@@ -13,6 +14,7 @@
 
 pub mod check;
 pub mod diff;
+pub mod edit;
 pub mod files;
 pub mod key;
 pub mod model;
@@ -22,6 +24,7 @@
 
 pub use check::{Allowed, Violation};
 pub use diff::{Change, diff};
+pub use edit::Edit;
 pub use files::{Diagnostic, Problem, Problems};
 pub use key::Digest;
 pub use model::{
--- a/components/config/src/patch.rs
+++ b/components/config/src/patch.rs
@@ -56,14 +56,14 @@
 
 impl<T: Clone + PartialEq> Delta<T> {
     /// The changes that turn the table `from` into `to`.
-    fn between(from: &BTreeMap<Name, T>, to: &BTreeMap<Name, T>) -> Self {
+    pub(crate) fn between(from: &BTreeMap<Name, T>, to: &BTreeMap<Name, T>) -> Self {
         let changed = to.iter().filter(|(name, value)| from.get(*name) != Some(*value));
         let set = changed.map(|(name, value)| (name.clone(), value.clone())).collect();
         let remove = from.keys().filter(|name| !to.contains_key(*name)).cloned().collect();
         Self { set, remove }
     }
 
-    fn apply(self, table: &mut BTreeMap<Name, T>) {
+    pub(crate) fn apply(self, table: &mut BTreeMap<Name, T>) {
         table.extend(self.set);
         for name in &self.remove {
             table.remove(name);
--- a/components/config/tests/patch.rs
+++ b/components/config/tests/patch.rs
@@ -70,3 +70,40 @@
         matches!(violations.as_slice(), [Violation::Value { path, .. }] if path[0] == "selectors")
     );
 }
+
+/// Guards against a table of the declarations that an edit leaves out.
+#[test]
+fn an_edit_turns_any_configuration_into_another_in_all_tables() {
+    let database = |group: &Name, age_ms| config::Database {
+        group: group.clone(),
+        age_ms,
+        priority: 0,
+        objective_ms: 100,
+        limits: config::Limits::default(),
+        public: false,
+    };
+    let extended = |u: &mut Unstructured<'_>| -> Result<Declarations> {
+        let mut declarations = arbitrary(u)?;
+        for (at, group) in declarations.groups.keys().enumerate() {
+            if u.arbitrary()? {
+                let database = database(group, u.int_in_range(0..=2)?);
+                declarations.databases.insert(name(&format!("database-{at}")), database);
+            }
+        }
+        if u.arbitrary()? {
+            let teams = u.int_in_range(0..=3)?;
+            let team = |at| (name(&format!("team-{at}")), config::Team::default());
+            declarations.teams = Some((0..teams).map(team).collect());
+        }
+        Ok(declarations)
+    };
+    arbtest(|u| {
+        let (from, to) = (extended(u)?, extended(u)?);
+        let edit = config::Edit::between(&from, &to);
+        let carried = config::Edit::parse(&edit.text()).expect("the text of an edit is valid");
+        assert_eq!(carried.apply(&from), to);
+        Ok(())
+    })
+    .seed(0x7ef0_0000_0400)
+    .run();
+}
--- a/components/control/src/flaw.rs
+++ b/components/control/src/flaw.rs
@@ -14,4 +14,6 @@
     IgnoreLogTerm,
     /// Chooses a primary once a single server is fenced.
     FenceMinority,
+    /// Sends keepers no update when a server of their group changes.
+    ForgetServers,
 }
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -13,6 +13,7 @@
 
 use crate::changes::{Answer, Changes};
 use crate::state::{Entry, Group, Phase, Retired, Server, State};
+use crate::update::without_shares;
 
 /// Error for bytes that are no valid image.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,33 +77,33 @@
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-struct GroupImage {
+pub(crate) struct GroupImage {
     #[prost(string, tag = "1")]
-    name: String,
+    pub(crate) name: String,
     #[prost(string, repeated, tag = "2")]
-    seats: Vec<String>,
+    pub(crate) seats: Vec<String>,
     #[prost(uint64, tag = "3")]
-    term: u64,
+    pub(crate) term: u64,
     #[prost(bool, tag = "4")]
-    intended: bool,
+    pub(crate) intended: bool,
     #[prost(message, optional, tag = "5")]
-    chosen: Option<log::Choose>,
+    pub(crate) chosen: Option<log::Choose>,
     #[prost(string, optional, tag = "6")]
-    primary: Option<String>,
+    pub(crate) primary: Option<String>,
     #[prost(message, repeated, tag = "7")]
-    history: Vec<wire::mark::Mark>,
+    pub(crate) history: Vec<wire::mark::Mark>,
     #[prost(message, repeated, tag = "8")]
-    leases: Vec<log::Lease>,
+    pub(crate) leases: Vec<log::Lease>,
     #[prost(uint64, tag = "9")]
-    generation: u64,
+    pub(crate) generation: u64,
     #[prost(uint64, tag = "10")]
-    reduced_index: u64,
+    pub(crate) reduced_index: u64,
     #[prost(uint64, tag = "11")]
-    ended_index: u64,
+    pub(crate) ended_index: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
-struct ServerImage {
+pub(crate) struct ServerImage {
     #[prost(message, optional, tag = "1")]
     announce: Option<log::Announce>,
     #[prost(bool, tag = "2")]
@@ -143,6 +144,32 @@
         self.image().encode_to_vec()
     }
 
+    /// Encodes the part of the state that all entries need. An update that is complete for
+    /// one entry adds what that entry needs.
+    pub fn encode_shared(&self) -> Vec<u8> {
+        let kept_groups = self.groups.iter().filter(|(_, group)| !group.leases.is_empty());
+        let holders = |group: &Group| group.leases.iter().map(without_shares).collect();
+        let reduced = |(name, group): (&Name, &Group)| GroupImage {
+            name: name.to_string(),
+            leases: holders(group),
+            ..GroupImage::default()
+        };
+        let leases = self.groups.values().flat_map(|group| &group.leases);
+        let keepers: BTreeSet<&str> = leases.map(|lease| lease.entry.as_str()).collect();
+        let entries = self.entries.iter().filter(|(name, _)| keepers.contains(name.as_str()));
+        let image = Image {
+            index: self.index,
+            version: self.version,
+            edition: self.edition,
+            declarations: pack::pack(self.declarations.canonical().as_bytes()),
+            groups: kept_groups.map(reduced).collect(),
+            entries: entries.map(|(name, entry)| entry.to_join(name)).collect(),
+            drained: self.drained.iter().map(Name::to_string).collect(),
+            ..Image::default()
+        };
+        image.encode_to_vec()
+    }
+
     fn image(&self) -> Image {
         Image {
             index: self.index,
@@ -202,7 +229,7 @@
     }
 }
 
-fn name(text: &str) -> Result<Name, Report<Malformed>> {
+pub(crate) fn name(text: &str) -> Result<Name, Report<Malformed>> {
     Name::new(text).change_context(Malformed)
 }
 
@@ -228,7 +255,7 @@
     Ok((name(&image.server)?, retired))
 }
 
-fn write_group((name, group): (&Name, &Group)) -> GroupImage {
+pub(crate) fn write_group((name, group): (&Name, &Group)) -> GroupImage {
     let chosen = match &group.phase {
         Phase::Chosen { server, start } => Some(log::Choose {
             group: name.to_string(),
@@ -253,7 +280,7 @@
     }
 }
 
-fn read_group(image: &GroupImage) -> Result<(Name, Group), Report<Malformed>> {
+pub(crate) fn read_group(image: &GroupImage) -> Result<(Name, Group), Report<Malformed>> {
     let phase = match &image.chosen {
         Some(chosen) => {
             let start = chosen.start.ok_or(Malformed)?.into();
@@ -281,11 +308,11 @@
     Ok((name(&image.name)?, group))
 }
 
-fn write_server((name, server): (&Name, &Server)) -> ServerImage {
+pub(crate) fn write_server((name, server): (&Name, &Server)) -> ServerImage {
     ServerImage { announce: Some(server.to_announce(name)), expired: server.expired }
 }
 
-fn read_server(image: &ServerImage) -> Result<(Name, Server), Report<Malformed>> {
+pub(crate) fn read_server(image: &ServerImage) -> Result<(Name, Server), Report<Malformed>> {
     let announce = image.announce.as_ref().ok_or(Malformed)?;
     let (name, server) = Server::from_announce(announce).ok_or(Malformed)?;
     Ok((name, Server { expired: image.expired, ..server }))
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`state`]: the replicated state; members and entries hold the same copy.
 //! - [`mod@apply`]: applies one log command to the state.
 //! - [`image`]: the state as bytes.
+//! - [`feed`]: what changed and when; [`update`]: what an entry gets of it.
 //! - [`leader`]: the decisions of the leading member. [`liveness`] and
 //!   [`renewals`] track which entries and backend servers are alive, [`planner`]
 //!   assigns leases, [`failover`] selects the primaries of fenced groups, and
@@ -17,6 +18,7 @@
 pub mod designation;
 pub mod detector;
 pub mod failover;
+pub mod feed;
 pub mod flaw;
 pub mod image;
 pub mod leader;
@@ -29,12 +31,14 @@
 pub mod split;
 pub mod state;
 pub mod trace;
+pub mod update;
 pub mod watch;
 
 pub use apply::{Outcome, Refusal};
 pub use changes::Answer;
 pub use context::Leadership;
 pub use detector::Cause;
+pub use feed::Feed;
 pub use flaw::Flaw;
 pub use leader::{Ask, Effect, Event, Leader, ProbeError};
 pub use overview::Overview;
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -161,8 +161,8 @@
     leave: &mut oneshot::Receiver<()>,
 ) -> Result<(), Report<Failure>> {
     let view = settings.view.clone();
-    let applied = view.read(|state| state.index);
-    let request = Follow { join: Some(settings.join.clone()), applied };
+    let (applied, version) = view.read(|state| (state.index, state.version));
+    let request = Follow { join: Some(settings.join.clone()), applied, updates: true, version };
     send(&mut writer, up::Body::Follow(request)).await?;
     send_seals(&view, &mut writer).await?;
     let mut heartbeats = ticks(HEARTBEAT_INTERVAL);
--- a/components/entry/src/follow/progress.rs
+++ b/components/entry/src/follow/progress.rs
@@ -13,7 +13,7 @@
 use bytes::BytesMut;
 use control::State;
 use smallvec::SmallVec;
-use wire::control::{Confirm, Down, Heartbeat, Image, down};
+use wire::control::{Confirm, Down, Heartbeat, Image, Update, down};
 use wire::log::Join;
 
 use crate::view::View;
@@ -54,6 +54,8 @@
     },
     /// An image is too long, its pieces are out of order, or it cannot be decoded.
     Image,
+    /// An update can't be decoded, or doesn't follow on the state.
+    Update,
 }
 
 impl fmt::Display for Failure {
@@ -68,6 +70,7 @@
                 write!(f, "expected index {due} of the control log, received {found}")
             }
             Self::Image => f.write_str("the image of the control state is invalid"),
+            Self::Update => f.write_str("the update of the control state is invalid"),
         }
     }
 }
@@ -94,6 +97,8 @@
     waiting: SmallVec<[(Confirm, Instant); 4]>,
     /// Image that is being received.
     image: Option<PartialImage>,
+    /// State that lacks what concerns only this entry, until the update that completes it.
+    incomplete: Option<State>,
     /// Last time at which the entry was part of the state, or at which the state had
     /// not caught up enough to tell.
     last_present: Instant,
@@ -115,6 +120,7 @@
             sent: VecDeque::new(),
             waiting: SmallVec::new(),
             image: None,
+            incomplete: None,
             last_present: now,
             confirmed: false,
             acknowledged: 0,
@@ -187,6 +193,7 @@
         match message.body {
             Some(down::Body::Image(image)) => self.receive_image(view, &image)?,
             Some(down::Body::Entries(entries)) => apply(view, entries)?,
+            Some(down::Body::Update(update)) => self.update(view, &update)?,
             Some(down::Body::Confirm(confirm)) => self.confirm(confirm),
             Some(down::Body::Refuse(_)) => return Err(Report::new(Failure::Refused)),
             Some(down::Body::Members(_)) | None => {}
@@ -276,11 +283,37 @@
         if state.index != image.index {
             return Err(Report::new(Failure::Image));
         }
-        if state.index > view.read(|current| current.index) {
+        if image.partial {
+            self.incomplete = Some(state);
+        } else if state.index > view.read(|current| current.index) {
             view.write(|current| *current = state);
         }
         Ok(())
     }
+
+    /// Applies an update to the state, or completes an image with it.
+    fn update(&mut self, view: &View, update: &Update) -> Result<(), Report<Failure>> {
+        if let Some(mut state) = self.incomplete.take() {
+            if update.base != state.index {
+                return Err(Report::new(Failure::Update));
+            }
+            state.update(update).change_context(Failure::Update)?;
+            if state.index > view.read(|current| current.index) {
+                view.write(|current| *current = state);
+            }
+            return Ok(());
+        }
+        let applied = view.read(|state| state.index);
+        if update.index <= applied {
+            return Ok(());
+        }
+        if update.base > applied {
+            return Err(Report::new(Failure::Gap { due: applied + 1, found: update.base + 1 }));
+        }
+        let mut updated = Ok(());
+        view.write(|state| updated = state.update(update));
+        updated.change_context(Failure::Update)
+    }
 }
 
 fn apply(view: &View, entries: wire::control::Entries) -> Result<(), Report<Failure>> {
--- a/components/entry/tests/follow.rs
+++ b/components/entry/tests/follow.rs
@@ -159,6 +159,7 @@
             offset: offset as u64,
             length,
             bytes: bytes::Bytes::copy_from_slice(piece),
+            partial: false,
         };
         send(&mut writer, down::Body::Image(image)).await;
     }
@@ -311,3 +312,37 @@
     assert_eq!(follow.join, Some(join()));
     drop((silent, other));
 }
+
+/// Guards against a keeper that works with the reduced form of its own groups, which has no
+/// shares, before the update that completes the image has arrived.
+#[test]
+fn a_partial_image_takes_effect_only_with_the_update_that_completes_it() {
+    let (view, _symptoms) = View::new();
+    let mut progress = Progress::new(Instant::ZERO, join());
+    let state = control::State { index: 8, ..control::State::default() };
+    let bytes = bytes::Bytes::from(state.encode_shared());
+    let length = bytes.len() as u64;
+    let image = Image { index: 8, offset: 0, length, bytes, partial: true };
+    progress.on(&view, Down { body: Some(down::Body::Image(image)) }).unwrap();
+    assert_eq!(view.read(|state| state.index), 0);
+    let update = messages::Update { base: 8, index: 9, ..messages::Update::default() };
+    progress.on(&view, Down { body: Some(down::Body::Update(update)) }).unwrap();
+    assert_eq!(view.read(|state| state.index), 9);
+}
+
+/// Guards against a lease that is extended although the entry lacks commands.
+#[test]
+fn an_update_beyond_a_gap_is_refused_and_an_old_one_is_ignored() {
+    let (view, _symptoms) = View::new();
+    let mut progress = Progress::new(Instant::ZERO, join());
+    let mut update = |base, index| {
+        let update = messages::Update { base, index, ..messages::Update::default() };
+        let received = progress.on(&view, Down { body: Some(down::Body::Update(update)) });
+        let failure = received.map_err(|report| *report.current_context());
+        (failure, view.read(|state| state.index))
+    };
+    assert_eq!(update(0, 5), (Ok(()), 5));
+    assert_eq!(update(7, 9), (Err(Failure::Gap { due: 6, found: 8 }), 5));
+    assert_eq!(update(3, 6), (Ok(()), 6));
+    assert_eq!(update(0, 4), (Ok(()), 6));
+}
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -16,6 +16,7 @@
 use crate::follower::without_document;
 use crate::input::Completion;
 use crate::status::Steps;
+use crate::updates::Updates;
 
 /// Number of log entries applied since the newest snapshot at which the next snapshot
 /// is taken.
@@ -47,6 +48,8 @@
             self.state.skip_to(index);
             Completion::Changed { index }
         };
+        let now = self.now();
+        self.updates.feed.observe(now, &self.state, command.as_ref());
         self.meter.applied.inc();
         let command = command.map(without_document);
         self.applied.push(wire::control::Entry { index, command });
@@ -82,6 +85,8 @@
             }
         }
         self.applied.clear();
+        let now = self.now();
+        self.updates = Updates::new(now, &self.state);
         self.restore_followers();
         self.answer_reads();
     }
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -18,7 +18,7 @@
 
 use crate::beacon::{Beacon, Beacons};
 use crate::disk::Writes;
-use crate::follower::{Follower, SharedImage};
+use crate::follower::Follower;
 use crate::host::STOP_TIMEOUT;
 use crate::input::Input;
 use crate::meter::Meter;
@@ -27,6 +27,7 @@
 use crate::probe::Probes;
 use crate::roster::Roster;
 use crate::status::Steps;
+use crate::updates::Updates;
 
 /// Largest number of inputs handled between two checks of the timer.
 const BURST_INPUTS: usize = 256;
@@ -71,8 +72,8 @@
     pub(crate) followers: Arena<Follower>,
     /// Log entries applied since the last batch sent to followers.
     pub(crate) applied: Vec<wire::control::Entry>,
-    /// Newest encoded state for entries.
-    pub(crate) image: Option<SharedImage>,
+    /// What entries are sent of the state.
+    pub(crate) updates: Updates,
     /// Proposals without a result, by token.
     pub(crate) proposals: BTreeMap<u64, Pending>,
     /// Reads that the quorum has yet to confirm, by token.
--- a/components/member/src/follower.rs
+++ b/components/member/src/follower.rs
@@ -3,21 +3,16 @@
 use ::link::Frame;
 use base::prelude::*;
 use bytes::Bytes;
-use control::State;
 use tokio::sync::{mpsc, oneshot};
 use wire::Message as _;
-use wire::control::{
-    Condition, Down, Entries, Follow, Image, Members, Refuse, Seal, Symptom, down,
-};
+use wire::control::{Condition, Down, Entries, Follow, Members, Refuse, Seal, Symptom, down};
 use wire::log::command::Body;
 use wire::log::{Command, Join, Leave};
 use wire::quorum::{Heartbeat, Observed, Sealed};
 
 use crate::core::Core;
 use crate::pending::Read;
-
-/// Largest size in bytes of one piece of the encoded state.
-const CHUNK_BYTES: usize = 256 << 10;
+use crate::updates::{Sent, SharedImage};
 
 /// Largest number of commands in one message.
 const BATCH_COMMANDS: usize = 256;
@@ -34,7 +29,7 @@
 const MAX_FIRST_COMMANDS: u64 = 64;
 
 /// Number of commands by which a shared image may be older than the state.
-const MAX_IMAGE_LAG: u64 = 256;
+pub(crate) const MAX_IMAGE_LAG: u64 = 256;
 
 /// Time without a leader after which entries are refused, so that they connect to
 /// other members.
@@ -46,10 +41,12 @@
 /// An entry that follows the log.
 #[derive(Debug)]
 pub(crate) struct Follower {
-    join: Join,
+    pub(crate) join: Join,
     sender: mpsc::Sender<Frame>,
-    /// Index of the next command to send.
+    /// Index of the next command to send, if the entry gets all commands.
     next: u64,
+    /// What the entry was sent, if it gets updates.
+    pub(crate) sent: Option<Sent>,
     /// Current symptoms of backend servers that the entry reported, one per group.
     symptoms: Vec<Symptom>,
     /// Newest seal of each group that the entry reported: the confirmation that the
@@ -73,6 +70,7 @@
             join: join.clone(),
             sender,
             next,
+            sent: follow.updates.then(|| Sent::new(follow.applied, follow.version)),
             symptoms: Vec::new(),
             seals: Vec::new(),
             returned: Vec::new(),
@@ -106,6 +104,10 @@
     fn catch_up(&mut self, key: Key<Follower>) {
         let applied = self.state.index;
         let Some(follower) = self.followers.get(key) else { return };
+        if follower.sent.is_some() {
+            self.send_update(key);
+            return;
+        }
         let known = follower.next - 1;
         if known >= applied {
             return;
@@ -134,7 +136,7 @@
     /// Sends a follower the whole state in pieces: a recent image, and the commands after
     /// it.
     fn send_image(&mut self, key: Key<Follower>) {
-        let recent = self.image.as_ref().map(|image| image.index);
+        let recent = self.updates.image.as_ref().map(SharedImage::index);
         let recent = recent.filter(|index| self.state.index - index <= MAX_IMAGE_LAG);
         if let Some(index) = recent {
             self.enqueue_image(key);
@@ -142,7 +144,8 @@
                 return;
             }
         }
-        self.image = Some(SharedImage::encode(&self.state));
+        let bytes = self.state.encode_for_entries();
+        self.updates.image = Some(SharedImage::new(&self.state, bytes, false));
         self.enqueue_image(key);
         if let Some(follower) = self.followers.get_mut(key) {
             follower.next = self.state.index + 1;
@@ -150,7 +153,7 @@
     }
 
     fn enqueue_image(&mut self, key: Key<Follower>) {
-        let frames = self.image.as_ref().map(|image| image.frames.clone());
+        let frames = self.updates.image.as_ref().map(|image| image.frames.clone());
         self.enqueue_all(key, &frames.unwrap_or_default());
     }
 
@@ -162,14 +165,14 @@
         }
     }
 
-    fn enqueue_all(&mut self, key: Key<Follower>, frames: &[Frame]) {
+    pub(crate) fn enqueue_all(&mut self, key: Key<Follower>, frames: &[Frame]) {
         for frame in frames {
             self.enqueue(key, frame.clone());
         }
     }
 
     /// Queues a message for a follower, and drops the follower if its queue is full.
-    fn enqueue(&mut self, key: Key<Follower>, frame: Frame) {
+    pub(crate) fn enqueue(&mut self, key: Key<Follower>, frame: Frame) {
         let Some(follower) = self.followers.get(key) else { return };
         if follower.sender.try_send(frame).is_err() {
             self.drop_follower(key);
@@ -184,6 +187,7 @@
     /// Sends followers the log entries applied since the last call. Followers that lack
     /// the same entries share the encoded messages.
     pub(crate) fn send_applied(&mut self) {
+        self.send_updates();
         let applied = std::mem::take(&mut self.applied);
         let (Some(first), Some(last)) = (applied.first(), applied.last()) else { return };
         let (first, last) = (first.index, last.index);
@@ -191,6 +195,9 @@
         let mut shared: Option<(u64, Vec<Frame>)> = None;
         for key in keys {
             let Some(follower) = self.followers.get_mut(key) else { continue };
+            if follower.sent.is_some() {
+                continue;
+            }
             let from = follower.next.max(first);
             follower.next = follower.next.max(last + 1);
             let frames = match &shared {
@@ -292,32 +299,6 @@
     }
 }
 
-/// An encoded image of the state, shared by the entries that come for one.
-#[derive(Debug)]
-pub(crate) struct SharedImage {
-    /// Index of the state.
-    index: u64,
-    /// Messages that carry the pieces.
-    frames: Vec<Frame>,
-}
-
-impl SharedImage {
-    fn encode(state: &State) -> Self {
-        let index = state.index;
-        let bytes = Bytes::from(state.encode_for_entries());
-        let length = bytes.len() as u64;
-        let piece = |offset: usize| {
-            let end = (offset + CHUNK_BYTES).min(bytes.len());
-            let bytes = bytes.slice(offset..end);
-            let image = Image { index, offset: offset as u64, length, bytes };
-            Frame::encode(&Down { body: Some(down::Body::Image(image)) })
-        };
-        // pieces are shorter than the limit of a message
-        let frames = (0..bytes.len()).step_by(CHUNK_BYTES).filter_map(|offset| piece(offset).ok());
-        Self { index, frames: frames.collect() }
-    }
-}
-
 /// Encodes log entries as messages of at most [`BATCH_COMMANDS`] commands and, unless one
 /// command is longer, [`BATCH_BYTES`].
 fn encode_entries(entries: impl Iterator<Item = wire::control::Entry>) -> Vec<Frame> {
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -29,6 +29,7 @@
 use crate::peers::Links;
 use crate::probe::Probes;
 use crate::roster::{self, Roster};
+use crate::updates::Updates;
 use crate::{bootstrap, join, link, web};
 
 /// Longest time that a planned stop waits for the transfer of leadership and the
@@ -256,6 +257,7 @@
             own,
             fresh,
             replica,
+            updates: Updates::new(now, &state),
             state,
             leadership: quorum::Leadership::default(),
             leader: None,
@@ -272,7 +274,6 @@
             ),
             followers: Arena::new(),
             applied: Vec::new(),
-            image: None,
             proposals: BTreeMap::new(),
             reads: BTreeMap::new(),
             confirmed: Vec::new(),
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -19,7 +19,8 @@
 //! - `roster`: automatic changes of the membership.
 //! - `effects`, `apply`, `leader`: effects of the quorum, committed log entries, and
 //!   the control leader.
-//! - `entry`, `follower`: the link of an entry, and its state in the core.
+//! - `entry`, `follower`, `updates`: the link of an entry, its state in the core, and
+//!   what it is sent.
 //! - `probe`: requests to backend servers on persistent connections.
 //! - `beacon`: progress of each member, published over nng.
 //! - `web`, `status`, `meter`, `event`: the HTTP interface, its status document,
@@ -49,6 +50,7 @@
 pub mod roster;
 pub mod standby;
 mod status;
+mod updates;
 mod web;
 
 pub use api::{Api, Edition, Replaced, RequestError};
--- a/components/member/src/pending.rs
+++ b/components/member/src/pending.rs
@@ -129,6 +129,7 @@
         self.meter.heartbeats_confirmed.inc();
         let lease_ms = control::lease::LEASE_DURATION.as_millis() as u64;
         let confirm = Confirm { sequence, index, lease_ms };
+        self.await_index(key, index);
         self.send_down(key, down::Body::Confirm(confirm));
     }
 }
--- a/components/member/tests/follow.rs
+++ b/components/member/tests/follow.rs
@@ -26,7 +26,7 @@
         sole: false,
         weight: 0,
     };
-    let follow = Follow { join: Some(join), applied };
+    let follow = Follow { join: Some(join), applied, ..Follow::default() };
     writer.send(&Up { body: Some(up::Body::Follow(follow)) }).await.expect("sent");
     (reader, writer)
 }
@@ -171,3 +171,59 @@
         assert_eq!(status, StatusCode::OK);
     }
 }
+
+/// Guards against an entry that waits for an index of commands that don't concern it and so
+/// are not sent, and against a state without the entry itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_gets_updates_reaches_each_confirmed_index() {
+    let cluster = Cluster::start().await;
+    let leader = cluster.leader().await;
+    let key = cluster::settings("x", cluster.data.path(), None).key;
+    let dialled =
+        link::dial(cluster.peers[leader].link, &Peer::new("own", 1, Purpose::Control), &key).await;
+    let (_, mut reader, mut writer) = dialled.expect("a link");
+    let join = Join {
+        entry: "own".to_owned(),
+        incarnation: 1,
+        address: "127.0.0.1:8".to_owned(),
+        zone: "zone".to_owned(),
+        ..Join::default()
+    };
+    let request = Follow { join: Some(join), updates: true, ..Follow::default() };
+    writer.send(&Up { body: Some(up::Body::Follow(request)) }).await.expect("sent");
+    let mut state = control::State::default();
+    let mut incomplete = None;
+    let mut sent_updates = 0;
+    for round in 0..6 {
+        // the joins of others and rejected changes concern no other entry
+        let (status, _) = cluster.change(leader, &format!("c{round}"), 9, &json!({})).await;
+        assert_eq!(status, StatusCode::CONFLICT);
+        let (other, _writer) = follow(&cluster, leader, 0).await;
+        let heartbeat =
+            Heartbeat { sequence: round + 1, applied: state.index, returned: Vec::new() };
+        writer.send(&Up { body: Some(up::Body::Heartbeat(heartbeat)) }).await.expect("sent");
+        let mut confirmed = None;
+        while confirmed.is_none_or(|confirmed| state.index < confirmed) {
+            match next(&mut reader).await {
+                down::Body::Image(image) => {
+                    assert!(image.partial && image.bytes.len() as u64 == image.length);
+                    incomplete = Some(control::State::decode(&image.bytes).expect("an image"));
+                }
+                down::Body::Update(update) => {
+                    let complete = incomplete.take().unwrap_or(state);
+                    assert!(update.base <= complete.index, "a gap");
+                    state = complete;
+                    state.update(&update).expect("an update");
+                    sent_updates += 1;
+                }
+                down::Body::Entries(_) => panic!("commands were not asked for"),
+                down::Body::Confirm(confirm) => confirmed = Some(confirm.index),
+                _ => {}
+            }
+        }
+        drop(other);
+    }
+    assert!(state.entries.contains_key("own"), "the entry itself");
+    assert!(!state.entries.contains_key("entry"), "an entry that keeps nothing");
+    assert!(sent_updates > 0);
+}
--- a/components/wire/src/control.rs
+++ b/components/wire/src/control.rs
@@ -1,7 +1,8 @@
 //! Messages between an entry and a control member.
 //!
 //! The entry dials any member and names the last index that it has applied; the
-//! member then sends it all commands committed after that. The entry sends
+//! member then sends it what concerns it of the commands committed after that
+//! ([`Update`]), or all commands if it asks for them. The entry sends
 //! heartbeats ([`Heartbeat`]) at a fixed interval. The member confirms a heartbeat only
 //! after a quorum has confirmed the leader, and the confirmation extends the entry's
 //! lease, counted from the time at which the heartbeat was sent.
@@ -50,6 +51,13 @@
     /// Last index that the entry has applied; zero when it has applied none.
     #[prost(uint64, tag = "2")]
     pub applied: u64,
+    /// Whether the member sends updates of what concerns the entry instead of all
+    /// commands.
+    #[prost(bool, tag = "3")]
+    pub updates: bool,
+    /// Version of the declarations that the entry has applied.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
 }
 
 /// A heartbeat that renews an entry's lease.
@@ -130,7 +138,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Down {
     /// Body of the message.
-    #[prost(oneof = "down::Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "down::Body", tags = "1, 2, 3, 4, 5, 6")]
     pub body: Option<down::Body>,
 }
 
@@ -155,6 +163,9 @@
         /// Addresses of all members.
         #[prost(message, tag = "5")]
         Members(super::Members),
+        /// What concerns the entry of the changes between two indexes.
+        #[prost(message, tag = "6")]
+        Update(super::Update),
     }
 }
 
@@ -173,6 +184,29 @@
     /// Content of the piece.
     #[prost(bytes = "bytes", tag = "4")]
     pub bytes: bytes::Bytes,
+    /// Whether the state lacks what concerns only this entry. The next [`Update`]
+    /// completes the state, which must not be used before.
+    #[prost(bool, tag = "5")]
+    pub partial: bool,
+}
+
+/// What concerns an entry of the changes between two indexes of the control log. The
+/// result is the same for an entry whose state is at `base` or at a later index.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Update {
+    /// Index that the entry must have reached.
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    /// Index that the entry has reached with the update.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+    /// The changes, as encoded by `control::update`; empty if none concerns the entry.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub content: bytes::Bytes,
+    /// The changes, compressed by [`crate::pack`], if that is shorter; `content` is empty
+    /// then.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub packed: bytes::Bytes,
 }
 
 /// Committed commands.
--- a/programs/trefoil-slope/src/cli.rs
+++ b/programs/trefoil-slope/src/cli.rs
@@ -18,6 +18,8 @@
     Restart,
     /// Resident memory and encoded size of the state, by component.
     Memory,
+    /// Bytes of control that each of 300 entries receives, by phase of a day.
+    Traffic,
 }
 
 /// Parses the command line.
@@ -39,7 +41,8 @@
     let lead = command(Command::Lead, "lead", "what a leader does at rest, by databases");
     let restart = command(Command::Restart, "restart", "time to start again, by changes");
     let memory = command(Command::Memory, "memory", "memory and image of the state");
-    construct!([change, beat, lead, restart, memory])
+    let traffic = command(Command::Traffic, "traffic", "bytes that entries receive, by phase");
+    construct!([change, beat, lead, restart, memory, traffic])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("measures how the cost of control grows with its size")
--- a/programs/trefoil-slope/src/cmd/lead.rs
+++ b/programs/trefoil-slope/src/cmd/lead.rs
@@ -137,7 +137,7 @@
 }
 
 /// Returns the status of a healthy server; server 0 of each group is the primary.
-fn healthy_status(server: &Name) -> Status {
+pub(crate) fn healthy_status(server: &Name) -> Status {
     let first = server.as_str().ends_with("-0");
     let mut history = History::default();
     history.begin(Term(1), Position(0));
--- a/programs/trefoil-slope/src/cmd/mod.rs
+++ b/programs/trefoil-slope/src/cmd/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod lead;
 pub(crate) mod memory;
 pub(crate) mod restart;
+pub(crate) mod traffic;
--- a/programs/trefoil-slope/src/main.rs
+++ b/programs/trefoil-slope/src/main.rs
@@ -33,6 +33,10 @@
         }
         Command::Restart => cmd::restart::run(),
         Command::Memory => cmd::memory::run(),
+        Command::Traffic => {
+            cmd::traffic::run();
+            Ok(())
+        }
     };
     match measured {
         Ok(()) => ExitCode::SUCCESS,
--- a/programs/trefoil-slope/src/size.rs
+++ b/programs/trefoil-slope/src/size.rs
@@ -72,7 +72,8 @@
     })
 }
 
-fn announce(group: usize, server: usize) -> Body {
+/// Returns the announcement of a server.
+pub(crate) fn announce(group: usize, server: usize) -> Body {
     Body::Announce(Announce {
         server: format!("group-{group}-{server}"),
         incarnation: 1,
