Replicate to learners on standby once per tick

Cause: each round of reads and each commit sent a message to every member at once. With 300 entries heartbeats make rounds back to back, and of 25 other members 21 are learners that no round and no commit waits for. These messages and their answers take the processor of the leader (0.32 cores) and its link.

Ruled out: no entries at all for learners between heartbeats. Their entries would see a change up to 50 ms later.

Change: a learner that can't be promoted at present (all seats are taken, and it replaces no member of the same name) gets entries and the commit index once per tick of 10 ms, and heartbeats at their interval. It is served at once again when a seat is free, so that it catches up and is promoted under load. A membership without a limit of voters behaves as before.

--- a/components/quorum/src/leader.rs
+++ b/components/quorum/src/leader.rs
@@ -32,6 +32,8 @@
     pub(crate) heard_at: Option<Instant>,
     /// Index of the snapshot that is being sent, and the offset of its next piece in bytes.
     pub(crate) snapshot: Option<(u64, u64)>,
+    /// Commit index that was sent last.
+    pub(crate) commit: u64,
 }
 
 /// State of a leader.
@@ -99,6 +101,8 @@
             self.advance_membership(now);
             // after a membership change, the remaining voters may all have answered the round
             self.confirm_reads(now);
+        } else {
+            self.replicate_to_standby();
         }
     }
 
@@ -144,6 +148,14 @@
         self.advance_transfer();
     }
 
+    /// Sends a heartbeat of a new round to the members that the round may need.
+    pub(crate) fn broadcast_round(&mut self) {
+        for peer in self.prompt_peers() {
+            self.replicate(peer, true);
+        }
+        self.advance_transfer();
+    }
+
     /// Adjusts the tracked progress to the current membership.
     pub(crate) fn sync_peers(&mut self) {
         let peers = self.peers();
@@ -157,6 +169,7 @@
                 round: 0,
                 heard_at: None,
                 snapshot: None,
+                commit: 0,
             });
         }
     }
@@ -202,13 +215,15 @@
         let sent = entries.len() as u64;
         if let Some(peer) = self.leader_mut().and_then(|lead| lead.peers.get_mut(&to)) {
             peer.next += sent;
+            peer.commit = commit;
         }
         self.send(to, Body::Append(Append { prev_index, prev_term, commit, round, entries }));
     }
 
-    /// Sends entries to all members that lack some.
+    /// Sends entries to all members that lack some; learners on standby get them with the next
+    /// tick.
     pub(crate) fn replicate_all(&mut self) {
-        for peer in self.peers() {
+        for peer in self.prompt_peers() {
             self.replicate(peer, false);
         }
     }
@@ -250,7 +265,9 @@
             peer.next = (appended.index + 1).clamp(peer.matched + 1, last + 1);
         }
         let behind = peer.next > base && peer.next <= last;
-        if behind || !appended.matched {
+        let far_behind = behind && last - peer.next >= self.settings.batch_entries as u64;
+        let continues = behind && (far_behind || !self.is_standby(from));
+        if continues || !appended.matched {
             self.replicate(from, !appended.matched);
         }
         self.advance_commit(now);
@@ -311,9 +328,9 @@
     }
 
     /// Sends the new commit index to the others at once, because they apply entries only up to
-    /// it.
+    /// it; learners on standby get it with the next tick.
     fn broadcast_commit(&mut self) {
-        for peer in self.peers() {
+        for peer in self.prompt_peers() {
             self.replicate(peer, true);
         }
     }
--- a/components/quorum/src/lib.rs
+++ b/components/quorum/src/lib.rs
@@ -27,6 +27,7 @@
 mod membership;
 mod read;
 mod replica;
+mod standby;
 
 use base::prelude::*;
 
--- a/components/quorum/src/read.rs
+++ b/components/quorum/src/read.rs
@@ -160,7 +160,7 @@
         rounds.round += 1;
         rounds.index = commit;
         rounds.open = std::mem::take(&mut rounds.waiting);
-        self.broadcast_heartbeat(now);
+        self.broadcast_round();
         self.confirm_reads(now);
     }
 
