Bound the memory of a member for followers, log and proposals

Found by reading, not by a profile: (1) a command in the log in memory is a slice of the read buffer that it arrived in, and keeps up to 64 KiB alive; (2) the log is compacted by the number of entries only, and an entry may hold a whole edition with its document; (3) each writer copies a shared image into its own buffer; (4) the read buffer of a link is 64 KiB, all of which comes into use; (5) the queue of a follower and the proposals of clients have no limit in bytes or in number.

Ruled out: closing the link of a slow follower. It would load another member with an image. Updates are made from the state, so a follower whose queue is long gets none until it has read some (32 KiB or half of the messages), and the next covers all that it missed. At 256 KiB or 512 messages the link is closed as before.

Change: `member::outbox` is that queue. Commands are copied into the log. Messages from 8 KiB on are written from shared memory. Read buffers have 8 KiB. At most 256 proposals of clients wait; further ones are dropped as not run. The metric follower_queued_bytes shows the sum of the queues.

The resident memory of a member at 300 hosts was not measured.

--- a/components/link/src/frame.rs
+++ b/components/link/src/frame.rs
@@ -19,8 +19,13 @@
 /// Time limit for one flush of a [`Writer`].
 pub const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Initial capacity of the read buffer, in bytes.
-const READ_BYTES: usize = 64 << 10;
+/// Initial capacity of the read buffer, in bytes. Every link comes to use all of it, since
+/// messages are split off the front, and a host has up to 8,000 links.
+const READ_BYTES: usize = 8 << 10;
+
+/// Length in bytes from which on an encoded message is written from the memory that all its
+/// writers share, and not copied into the buffer of each.
+const SHARED_BYTES: usize = 8 << 10;
 
 /// The read half of a link.
 #[derive(Debug)]
@@ -84,6 +89,16 @@
 pub struct Frame(Bytes);
 
 impl Frame {
+    /// Length in bytes, with its prefix.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether the frame has no bytes; never the case.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Encodes a message.
     ///
     /// # Errors
@@ -130,6 +145,23 @@
         self.buffer.extend_from_slice(&frame.0);
     }
 
+    /// Sends encoded messages after all buffered ones. Long messages aren't copied.
+    ///
+    /// # Errors
+    /// Those of [`Writer::flush`].
+    pub async fn send_frames(&mut self, frames: &[Frame]) -> Result<(), Report<Failure>> {
+        for frame in frames {
+            if frame.0.len() < SHARED_BYTES {
+                self.put_frame(frame);
+                continue;
+            }
+            self.flush().await?;
+            let written = tokio::time::timeout(WRITE_TIMEOUT, self.io.write_all(&frame.0)).await;
+            written.change_context(Failure::Timeout)?.change_context(Failure::Io)?;
+        }
+        self.flush().await
+    }
+
     /// Returns the number of buffered bytes that [`Writer::flush`] would send.
     pub fn pending(&self) -> usize {
         self.buffer.len()
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -22,6 +22,10 @@
 /// is taken.
 const COMPACT_ENTRIES: u64 = 4_096;
 
+/// Length of the log entries since the newest snapshot at which the next snapshot is taken, in
+/// bytes. A stream of whole configurations otherwise grew the log beyond the memory of a host.
+const COMPACT_BYTES: usize = 4 << 20;
+
 /// Decodes the state in a snapshot.
 pub(crate) fn state(snapshot: &Snapshot) -> Result<State, Report<Malformed>> {
     if snapshot.index == 0 || snapshot.data.is_empty() {
@@ -91,10 +95,12 @@
         self.answer_reads();
     }
 
-    /// Takes a snapshot once the log has grown by [`COMPACT_ENTRIES`].
+    /// Takes a snapshot once the log has grown by [`COMPACT_ENTRIES`] or [`COMPACT_BYTES`].
     pub(crate) fn compact(&mut self) {
         let index = self.state.index;
-        if index < self.replica.snapshot_index() + COMPACT_ENTRIES {
+        let grown = index.saturating_sub(self.replica.snapshot_index());
+        let is_long = || self.replica.bytes_after_snapshot() >= COMPACT_BYTES;
+        if grown == 0 || (grown < COMPACT_ENTRIES && !is_long()) {
             return;
         }
         let data = self.state.encode().into();
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -177,7 +177,8 @@
         self.proposals.retain(|_, pending| !pending.is_closed());
         self.entry_indexes.retain(|entry, _| self.state.entries.contains_key(entry.as_str()));
         self.compact();
-        self.meter.set(&self.replica, self.followers.len());
+        let queued = self.followers.iter().map(|(_, follower)| follower.outbox.queued()).sum();
+        self.meter.set(&self.replica, self.followers.len(), queued);
     }
 
     fn on_input(&mut self, input: Input) {
@@ -187,7 +188,7 @@
             Input::Message(message) => self.on_message(message),
             Input::Persisted(token) => self.quorum_events.push_back(Event::Persisted(token)),
             Input::Bootstrap(members) => self.quorum_events.push_back(Event::Bootstrap(members)),
-            Input::Follow { follow, sender, reply } => self.add_follower(follow, sender, reply),
+            Input::Follow { follow, outbox, reply } => self.add_follower(follow, outbox, reply),
             Input::Heartbeat { key, heartbeat } => self.on_heartbeat(key, heartbeat),
             Input::Symptom { key, symptom } => self.report_symptom(key, symptom),
             Input::Seal { key, seal } => self.report_seal(key, seal),
--- a/components/member/src/entry.rs
+++ b/components/member/src/entry.rs
@@ -1,18 +1,15 @@
 //! The link of an entry (a proxy process): received messages go to the core, and
 //! messages of the core go to the entry.
 
-use ::link::{Failure, Frame, Reader, Writer};
+use ::link::{Failure, Reader, Writer};
 use base::prelude::*;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use wire::control::{Down, Up, down, up};
 
 use crate::follower::Follower;
 use crate::input::{Input, Sender};
 use crate::link::Endpoint;
-
-/// Length of an entry's send queue. An entry whose queue is full is disconnected and
-/// reconnects.
-const QUEUE_MESSAGES: usize = 512;
+use crate::outbox::{self, Due};
 
 /// Largest number of messages written per flush.
 const BURST_MESSAGES: usize = 64;
@@ -32,9 +29,9 @@
     let Some(Up { body: Some(up::Body::Follow(follow)) }) = first else {
         return Err(Report::new(Failure::Malformed));
     };
-    let (sender, mut due) = mpsc::channel(QUEUE_MESSAGES);
+    let (outbox, mut due) = outbox::queue();
     let (reply, follower) = oneshot::channel();
-    drop(core.send(Input::Follow { follow, sender, reply }).await);
+    drop(core.send(Input::Follow { follow, outbox, reply }).await);
     let Ok(key) = follower.await else {
         return refuse(&mut writer).await;
     };
@@ -79,19 +76,18 @@
 async fn send(
     writer: &mut Writer,
     endpoint: &Endpoint,
-    due: &mut mpsc::Receiver<Frame>,
+    due: &mut Due,
 ) -> Result<(), Report<Failure>> {
     let mut burst = Vec::with_capacity(BURST_MESSAGES);
-    while due.recv_many(&mut burst, BURST_MESSAGES).await > 0 {
-        for frame in burst.drain(..) {
-            if endpoint.is_isolated() {
-                // the link is closed, since a dropped message would leave a gap in the log
-                // entries, which looks like a faulty member
-                return Err(Report::new(Failure::UnexpectedEof));
-            }
-            writer.put_frame(&frame);
+    while due.receive(&mut burst, BURST_MESSAGES).await > 0 {
+        if endpoint.is_isolated() {
+            // the link is closed, since a dropped message would leave a gap in the log
+            // entries, which looks like a faulty member
+            return Err(Report::new(Failure::UnexpectedEof));
         }
-        writer.flush().await?;
+        writer.send_frames(&burst).await?;
+        due.written(&burst);
+        burst.clear();
     }
     Ok(())
 }
--- a/components/member/src/follower.rs
+++ b/components/member/src/follower.rs
@@ -3,7 +3,7 @@
 use ::link::Frame;
 use base::prelude::*;
 use bytes::Bytes;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use wire::Message as _;
 use wire::control::{Condition, Down, Entries, Follow, Members, Refuse, Seal, Symptom, down};
 use wire::log::command::Body;
@@ -11,6 +11,7 @@
 use wire::quorum::{Heartbeat, Observed, Sealed};
 
 use crate::core::Core;
+use crate::outbox::Outbox;
 use crate::pending::Read;
 use crate::updates::{Sent, SharedImage};
 
@@ -42,7 +43,7 @@
 #[derive(Debug)]
 pub(crate) struct Follower {
     pub(crate) join: Join,
-    sender: mpsc::Sender<Frame>,
+    pub(crate) outbox: Outbox,
     /// Index of the next command to send, if the entry gets all commands.
     next: u64,
     /// What the entry was sent, if it gets updates.
@@ -61,14 +62,14 @@
     pub(crate) fn add_follower(
         &mut self,
         follow: Follow,
-        sender: mpsc::Sender<Frame>,
+        outbox: Outbox,
         reply: oneshot::Sender<Key<Follower>>,
     ) {
         let Some(join) = follow.join.filter(|_| self.stopping_since.is_none()) else { return };
         let next = follow.applied + 1;
         let follower = Follower {
             join: join.clone(),
-            sender,
+            outbox,
             next,
             sent: follow.updates.then(|| Sent::new(follow.applied, follow.version)),
             symptoms: Vec::new(),
@@ -174,7 +175,7 @@
     /// Queues a message for a follower, and drops the follower if its queue is full.
     pub(crate) fn enqueue(&mut self, key: Key<Follower>, frame: Frame) {
         let Some(follower) = self.followers.get(key) else { return };
-        if follower.sender.try_send(frame).is_err() {
+        if follower.outbox.send(frame).is_err() {
             self.drop_follower(key);
         }
     }
--- a/components/member/src/input.rs
+++ b/components/member/src/input.rs
@@ -1,6 +1,5 @@
 //! Inputs of the core.
 
-use ::link::Frame;
 use base::prelude::*;
 use tokio::sync::{mpsc, oneshot};
 use wire::control::{Follow, Heartbeat, Seal, Symptom};
@@ -9,6 +8,7 @@
 
 use crate::beacon::Beacon;
 use crate::follower::Follower;
+use crate::outbox::Outbox;
 use crate::status::{Config, Status};
 
 /// Length of the core's input queue.
@@ -33,7 +33,7 @@
     /// The first membership, determined by this member.
     Bootstrap(Members),
     /// An entry asks to follow the log; the reply is dropped if the entry is refused.
-    Follow { follow: Follow, sender: mpsc::Sender<Frame>, reply: oneshot::Sender<Key<Follower>> },
+    Follow { follow: Follow, outbox: Outbox, reply: oneshot::Sender<Key<Follower>> },
     /// A heartbeat of an entry.
     Heartbeat { key: Key<Follower>, heartbeat: Heartbeat },
     /// A keeper reported a symptom of a backend server.
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -19,8 +19,8 @@
 //! - `roster`: automatic changes of the membership.
 //! - `effects`, `apply`, `leader`: effects of the quorum, committed log entries, and
 //!   the control leader.
-//! - `entry`, `follower`, `updates`: the link of an entry, its state in the core, and
-//!   what it is sent.
+//! - `entry`, `follower`, `updates`, [`outbox`]: the link of an entry, its state in the
+//!   core, what it is sent, and its send queue.
 //! - `probe`: requests to backend servers on persistent connections.
 //! - `beacon`: progress of each member, published over nng.
 //! - `web`, `status`, `meter`, `event`: the HTTP interface, its status document,
@@ -43,6 +43,7 @@
 mod leader;
 mod link;
 mod meter;
+pub mod outbox;
 mod peers;
 mod pending;
 pub mod permit;
--- a/components/member/src/meter.rs
+++ b/components/member/src/meter.rs
@@ -20,6 +20,7 @@
     commit: Gauge<u64, AtomicU64>,
     leads: Gauge<u64, AtomicU64>,
     followers: Gauge<u64, AtomicU64>,
+    queued_bytes: Gauge<u64, AtomicU64>,
 }
 
 impl Meter {
@@ -49,15 +50,21 @@
         gauge("commit", "Last committed index", &meter.commit);
         gauge("leads", "Whether this member leads", &meter.leads);
         gauge("followers", "Entries that follow through this member", &meter.followers);
+        gauge(
+            "follower_queued_bytes",
+            "Bytes that wait to be sent to entries; a shared image counts for each",
+            &meter.queued_bytes,
+        );
         (meter, Arc::new(Mutex::new(registry)))
     }
 
     /// Updates the gauges.
-    pub(crate) fn set(&self, replica: &Replica, followers: usize) {
+    pub(crate) fn set(&self, replica: &Replica, followers: usize, queued_bytes: usize) {
         let leadership = replica.leadership();
         self.term.set(leadership.term);
         self.commit.set(replica.commit());
         self.leads.set(u64::from(leadership.leads));
         self.followers.set(followers as u64);
+        self.queued_bytes.set(queued_bytes as u64);
     }
 }
--- a/components/member/src/pending.rs
+++ b/components/member/src/pending.rs
@@ -17,6 +17,10 @@
 use crate::input::{Completion, NoLeader};
 use crate::status::Config;
 
+/// Largest number of proposals of clients that wait for a result. A further one is dropped
+/// as not run, and the client tries again.
+const MAX_PROPOSALS: usize = 256;
+
 /// Reply channel of a proposal.
 #[derive(Debug)]
 pub(crate) struct Pending(oneshot::Sender<Completion>);
@@ -56,6 +60,10 @@
 impl Core {
     /// Proposes a command and keeps the reply channel until the command completes.
     pub(crate) fn propose(&mut self, command: &Command, reply: oneshot::Sender<Completion>) {
+        if self.proposals.len() >= MAX_PROPOSALS {
+            drop(reply.send(Completion::Dropped { not_run: true }));
+            return;
+        }
         let token = self.next_token();
         self.proposals.insert(token, Pending(reply));
         let command = command.encode_to_vec().into();
--- a/components/member/src/updates.rs
+++ b/components/member/src/updates.rs
@@ -33,11 +33,19 @@
     shared_image: Option<SharedImage>,
     /// Index of the state when entries were last sent updates, and the time.
     sent: (u64, Instant),
+    /// Whether an entry lacks updates because its queue was long.
+    has_paused: bool,
 }
 
 impl Updates {
     pub(crate) fn new(now: Instant, state: &State) -> Self {
-        Self { feed: Feed::new(now, state), image: None, shared_image: None, sent: (0, now) }
+        Self {
+            feed: Feed::new(now, state),
+            image: None,
+            shared_image: None,
+            sent: (0, now),
+            has_paused: false,
+        }
     }
 }
 
@@ -73,9 +81,11 @@
     pub(crate) fn send_updates(&mut self) {
         let now = self.now();
         let (index, sent_at) = self.updates.sent;
-        if self.state.index <= index || now.since(sent_at) < UPDATE_INTERVAL {
+        let is_due = self.state.index > index || self.updates.has_paused;
+        if !is_due || now.since(sent_at) < UPDATE_INTERVAL {
             return;
         }
+        self.updates.has_paused = false;
         self.updates.sent = (self.state.index, now);
         let keys: Vec<_> = self.followers.iter().map(|(key, _)| key).collect();
         let mut shared = Shared::default();
@@ -128,6 +138,10 @@
         if known.index >= self.state.index {
             return;
         }
+        if follower.outbox.is_paused() {
+            self.updates.has_paused = true;
+            return;
+        }
         if known.index == 0 || !self.updates.feed.covers(known.index) {
             self.send_shared_image(key);
             return;
--- a/components/quorum/src/lib.rs
+++ b/components/quorum/src/lib.rs
@@ -80,3 +80,7 @@
 /// Default number of entries kept before the index of a snapshot, for members that
 /// lag slightly.
 pub const KEPT_ENTRIES: u64 = 1_024;
+
+/// Maximum length of the entries kept before the index of a snapshot, in bytes. Entries may
+/// contain whole configurations.
+pub const KEPT_BYTES: usize = 2 << 20;
--- a/components/quorum/src/log.rs
+++ b/components/quorum/src/log.rs
@@ -8,7 +8,7 @@
 use wire::quorum::entry::Body;
 use wire::quorum::{Entry, Members};
 
-use crate::BATCH_BYTES;
+use crate::{BATCH_BYTES, KEPT_BYTES};
 
 /// Snapshot of the application state at an index.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -91,7 +91,12 @@
         batch
     }
 
-    pub(crate) fn push(&mut self, entry: Entry) {
+    /// Appends an entry. Its command is copied: as received it is part of a read buffer, which
+    /// it would keep in memory as a whole.
+    pub(crate) fn push(&mut self, mut entry: Entry) {
+        if let Some(Body::Command(command)) = &mut entry.body {
+            *command = Bytes::copy_from_slice(command);
+        }
         debug_assert_eq!(entry.index, self.last_index() + 1, "the log has no gaps");
         if let Some(Body::Members(members)) = &entry.body {
             self.memberships.push((entry.index, members.clone()));
@@ -114,7 +119,7 @@
         }
         let members = self.members_at(index);
         self.snapshot = Snapshot { index, term, members, data };
-        let base = index.saturating_sub(keep).max(self.base.0);
+        let base = index.saturating_sub(keep).max(self.base.0).max(self.within_bytes(index));
         let base_term = self.term(base)?;
         self.entries.drain(..(base - self.base.0) as usize);
         self.base = (base, base_term);
@@ -123,6 +128,23 @@
         Some(&self.snapshot)
     }
 
+    /// Index before the entries up to `index` that have [`KEPT_BYTES`] together.
+    fn within_bytes(&self, index: u64) -> u64 {
+        let before = (self.base.0 + 1..=index).rev().filter_map(|at| self.get(at));
+        let mut bytes = 0;
+        let kept = before.take_while(|entry| {
+            bytes += entry.encoded_len();
+            bytes <= KEPT_BYTES
+        });
+        index - kept.count() as u64
+    }
+
+    /// Encoded length of the entries after the snapshot, in bytes.
+    pub(crate) fn bytes_after_snapshot(&self) -> usize {
+        let first = (self.snapshot.index - self.base.0) as usize;
+        self.entries.range(first..).map(Entry::encoded_len).sum()
+    }
+
     /// Replaces the whole log by a snapshot.
     pub(crate) fn restore(&mut self, snapshot: Snapshot) {
         self.base = (snapshot.index, snapshot.term);
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -151,6 +151,11 @@
         self.log.snapshot().index
     }
 
+    /// Encoded length of the log entries after the newest snapshot, in bytes.
+    pub fn bytes_after_snapshot(&self) -> usize {
+        self.log.bytes_after_snapshot()
+    }
+
     /// Committed entries after an index; none if the log has dropped some of them.
     pub fn entries_after(&self, index: u64) -> Option<impl Iterator<Item = &Entry>> {
         if index < self.log.base() {
