--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -18,7 +18,7 @@
 
 use crate::beacon::{Beacon, Beacons};
 use crate::disk::Writes;
-use crate::follower::{Follower, SharedImage};
+use crate::follower::Follower;
 use crate::host::STOP_TIMEOUT;
 use crate::input::Input;
 use crate::meter::Meter;
@@ -27,6 +27,7 @@
 use crate::probe::Probes;
 use crate::roster::Roster;
 use crate::status::Steps;
+use crate::updates::Updates;
 
 /// Largest number of inputs handled between two checks of the timer.
 const BURST_INPUTS: usize = 256;
@@ -71,8 +72,8 @@
     pub(crate) followers: Arena<Follower>,
     /// Log entries applied since the last batch sent to followers.
     pub(crate) applied: Vec<wire::control::Entry>,
-    /// Newest encoded state for entries.
-    pub(crate) image: Option<SharedImage>,
+    /// What entries are sent of the state.
+    pub(crate) updates: Updates,
     /// Proposals without a result, by token.
     pub(crate) proposals: BTreeMap<u64, Pending>,
     /// Reads that the quorum has yet to confirm, by token.
@@ -176,7 +177,8 @@
         self.proposals.retain(|_, pending| !pending.is_closed());
         self.entry_indexes.retain(|entry, _| self.state.entries.contains_key(entry.as_str()));
         self.compact();
-        self.meter.set(&self.replica, self.followers.len());
+        let queued = self.followers.iter().map(|(_, follower)| follower.outbox.queued()).sum();
+        self.meter.set(&self.replica, self.followers.len(), queued);
     }
 
     fn on_input(&mut self, input: Input) {
@@ -186,7 +188,7 @@
             Input::Message(message) => self.on_message(message),
             Input::Persisted(token) => self.quorum_events.push_back(Event::Persisted(token)),
             Input::Bootstrap(members) => self.quorum_events.push_back(Event::Bootstrap(members)),
-            Input::Follow { follow, sender, reply } => self.add_follower(follow, sender, reply),
+            Input::Follow { follow, outbox, reply } => self.add_follower(follow, outbox, reply),
             Input::Heartbeat { key, heartbeat } => self.on_heartbeat(key, heartbeat),
             Input::Symptom { key, symptom } => self.report_symptom(key, symptom),
             Input::Seal { key, seal } => self.report_seal(key, seal),
