Protect probes of run time estimates, and let every refused kind probe

A kind that had been slow stayed refused for good while a higher priority took all slots: its probe was refused in favour of the next request of that priority, and no probe was admitted if the estimate was below the objective. A test with a kind that recovers shows both.

--- a/components/keeper/src/estimate.rs
+++ b/components/keeper/src/estimate.rs
@@ -53,8 +53,6 @@
     previous: Histogram<u16>,
     /// Start of the current window.
     since: Instant,
-    /// When the last run time was recorded, or the last probe was admitted.
-    tried_at: Instant,
     mean: Duration,
     usual: Duration,
 }
@@ -65,7 +63,6 @@
             current: histogram(),
             previous: histogram(),
             since: now,
-            tried_at: now,
             mean: Duration::ZERO,
             usual: Duration::ZERO,
         }
@@ -81,7 +78,6 @@
             }
             self.since = now;
         }
-        self.tried_at = now;
         let micros = u64::try_from(run.as_micros()).unwrap_or(u64::MAX);
         self.current.saturating_record(micros.max(1));
         if self.current.len() > WINDOW_SAMPLES && !self.current.len().is_multiple_of(UPDATE_STEP) {
@@ -114,11 +110,14 @@
 #[derive(Debug, Default)]
 pub(crate) struct Estimates {
     kinds: [Option<Box<Estimate>>; Kind::COUNT],
+    /// When the last run time was recorded, or the last probe was admitted.
+    tried_at: [Instant; Kind::COUNT],
 }
 
 impl Estimates {
     /// Records the run time of a request.
     pub(crate) fn record(&mut self, now: Instant, kind: Kind, run: Duration) {
+        self.tried_at[kind as usize] = now;
         let estimate = &mut self.kinds[kind as usize];
         estimate.get_or_insert_with(|| Box::new(Estimate::new(now))).record(now, run);
     }
@@ -136,15 +135,13 @@
         Some(Expected { mean: estimate.mean, usual: estimate.usual })
     }
 
-    /// Whether a request may run as a probe of an estimate by which it would be refused:
-    /// one at a time, if none of its kind ran for the given time.
+    /// Whether a request that would be refused may run as a probe of its estimate: one at a
+    /// time, if none of its kind ran for the given time.
     pub(crate) fn admits_probe(&mut self, now: Instant, kind: Kind, rest: Duration) -> bool {
-        let Some(estimate) = &mut self.kinds[kind as usize] else {
-            return true;
-        };
-        let due = now.since(estimate.tried_at) > rest;
+        let tried_at = &mut self.tried_at[kind as usize];
+        let due = now.since(*tried_at) > rest;
         if due {
-            estimate.tried_at = now;
+            *tried_at = now;
         }
         due
     }
--- a/components/keeper/src/flaw.rs
+++ b/components/keeper/src/flaw.rs
@@ -23,6 +23,8 @@
     ArrivalOrder,
     /// Refuses no request for load.
     AdmitAll,
+    /// Runs no probe of an estimate by which a request would be refused.
+    NoProbes,
     /// Gives lower priorities no minimum share.
     NoMinimumShare,
     /// Keeps the waiting requests of callers that have left.
--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -96,6 +96,9 @@
     pub(crate) may_have_run: bool,
     /// Whether the caller or its front has disconnected.
     pub(crate) orphan: bool,
+    /// Whether the request was admitted as a probe of the estimate of its run time, and is
+    /// not refused in favour of others.
+    pub(crate) probes: bool,
     /// Number of bytes of the answer that the caller still accepts.
     pub(crate) window: u64,
     /// Number of parts of the answer already sent.
@@ -174,6 +177,7 @@
             tries: 0,
             may_have_run: false,
             orphan: false,
+            probes: false,
             window: run.window,
             parts: 0,
             attempt: Attempt { status: IDLE, ..Attempt::default() },
--- a/components/keeper/src/shedding.rs
+++ b/components/keeper/src/shedding.rs
@@ -69,7 +69,8 @@
         if !self.would_be_late(now, key) {
             return self.displace(now, key, out);
         }
-        let admitted = self.may_run_now(now, key) || self.admits_probe(now, key);
+        let probes = !self.has_flaw(Flaw::NoProbes);
+        let admitted = self.may_run_now(now, key) || (probes && self.admits_probe(now, key));
         if !admitted || self.has_flaw(Flaw::CountSuspension) {
             self.refuse(now, key, Shed::Objective, out);
         }
@@ -126,7 +127,7 @@
     /// Whether a waiting request may be refused in favour of another one: not if it has
     /// waited for long, or an attempt was made already.
     fn may_displace(&self, now: Instant, key: Key<Request>) -> bool {
-        let Some(request) = self.requests.get(key).filter(|request| request.tries == 0) else {
+        let Some(request) = self.requests.get(key).filter(|r| r.tries == 0 && !r.probes) else {
             return false;
         };
         let objective = self.services.get(request.service).and_then(|service| service.objective);
@@ -207,8 +208,8 @@
         first && self.servers_for(now, request, lane).any(|server| self.free_slots(server) > 0)
     }
 
-    /// Whether a request that its own expected run time alone makes late may run as a
-    /// probe of that estimate.
+    /// Whether a request that would be late may run as a probe of its estimate, because
+    /// none of its kind ran for the time of an objective.
     fn admits_probe(&mut self, now: Instant, key: Key<Request>) -> bool {
         let Some(request) = self.requests.get(key) else {
             return false;
@@ -216,13 +217,16 @@
         let Some(lane) = self.lane_of(now, request) else {
             return false;
         };
-        let run = self.expected(request, lane);
         let kind = Kind::new(request.class == Class::Read, lane != Lane::Replica);
         let Some(service) = self.services.get_mut(request.service) else {
             return false;
         };
         let objective = service.objective.unwrap_or(Duration::MAX);
-        run.usual > objective && service.estimates.admits_probe(now, kind, objective)
+        let admits = service.estimates.admits_probe(now, kind, objective);
+        if let Some(request) = self.requests.get_mut(key) {
+            request.probes = admits;
+        }
+        admits
     }
 
     /// Number of slots that serve a lane at present: this keeper's share, or more where
--- a/components/keeper/tests/unfenced/goals.rs
+++ b/components/keeper/tests/unfenced/goals.rs
@@ -109,6 +109,29 @@
     assert!(least.into_iter().any(|share| share < 0.01), "without a share: {least:?}");
 }
 
+#[test]
+fn a_kind_that_was_slow_is_admitted_again_although_others_take_all_slots() {
+    let run = |flaw| {
+        let mut kinds = with_rate(0, 6.0);
+        let usual = kinds[2].run;
+        kinds[2].run = kinds[2].objective * 2;
+        let mut load = Load::new(&kinds, &[], flaw, 1);
+        // alone, so that its run time is known
+        load.kinds[0].rate = 0.0;
+        load.run(SETTLING * 2, 1.0);
+        load.kinds[0].rate = kinds[0].rate;
+        load.kinds[2].run = usual;
+        load.run(SECOND * 6, 1.0);
+        load.reset();
+        load.run(MEASURED, 1.0);
+        part(&load.kind("lookups"))
+    };
+    let found = run(None);
+    assert!(found > 0.02, "{found}");
+    let broken = run(Some(Flaw::NoProbes));
+    assert!(broken < 0.01, "without probes: {broken}");
+}
+
 /// What each team got in time, as a share of what it would get if the slots were divided
 /// evenly among the teams as far as they ask for them.
 fn shares_of_fair(load: &Load) -> Vec<f64> {
