--- a/components/entry/src/front/link.rs
+++ b/components/entry/src/front/link.rs
@@ -82,6 +82,8 @@
 /// Answer of a keeper to requests for tokens.
 #[derive(Debug)]
 pub struct Lent {
+    /// Name of the keeper's entry.
+    pub lender: Name,
     /// The requests.
     pub requests: Vec<TokenRequest>,
     /// The answer, with an item for each request.
@@ -226,21 +228,24 @@
         drop(self.asks.send(Ask { body: Some(body) }).await);
     }
 
-    /// Asks the keeper for tokens. Errors are ignored.
-    pub async fn borrow(&self, requests: Vec<TokenRequest>) {
+    /// Asks the keeper for tokens, or announces a change of shares to it. Errors are
+    /// ignored.
+    pub async fn borrow(&self, requests: Vec<TokenRequest>, (entry, applied): (String, u64)) {
         let Ok(permit) = self.asks.reserve().await else { return };
         let items = requests.iter().map(Into::into).collect();
+        let borrow = Borrow { items, entry, applied };
         // answers come in the order of the requests
         let mut borrowed = self.borrowed.lock().unwrap_or_else(PoisonError::into_inner);
         borrowed.push_back(requests);
-        permit.send(Ask { body: Some(ask::Body::Borrow(Borrow { items })) });
+        permit.send(Ask { body: Some(ask::Body::Borrow(borrow)) });
     }
 
     fn on_loan(&self, loan: Loan) {
         let mut borrowed = self.borrowed.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(requests) = borrowed.pop_front() {
             // while the queue is full a loan is dropped, and its tokens are lost
-            drop(self.loans.try_send(Lent { requests, loan }));
+            let lender = self.name.clone();
+            drop(self.loans.try_send(Lent { lender, requests, loan }));
         }
     }
 
--- a/components/entry/src/keep/quota.rs
+++ b/components/entry/src/keep/quota.rs
@@ -2,16 +2,18 @@
 //!
 //! One ledger serves all groups of the entry. An operation that waits for a loan is
 //! kept here and is not known to a shard, so it takes no slot and no connection.
+//!
+//! - `queue`: the ledger and the operations that wait.
+
+mod queue;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 
 use base::prelude::*;
-use config::Declarations;
-use control::State as Control;
 use control::lease::LEASE_DURATION;
 use keeper::Front;
-use quota::{Bounds, Decision, Ledger, Request, Settings, Token, digest};
+use quota::{Bounds, Ledger, Request, Settings, Token};
 use slog::info;
 use tokio::sync::Notify;
 use wire::data::{Borrow, BorrowItem, End, Loan, Outcome, Reason, Run, answer};
@@ -22,6 +24,7 @@
 use crate::front::choose::Keeper;
 use crate::front::keepers::{Keepers, Loans};
 use crate::front::link::Lent;
+use queue::{Inner, Verdict, Waiting};
 
 /// Time beyond the duration of a lease after which a change of the control state is in
 /// force at all hosts: a host applies it to its limits only some time after its lease.
@@ -43,28 +46,6 @@
 /// Time between two checks for teams that are no longer limited.
 const LIMITED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of teams that have metrics of their own.
-const LARGEST_TEAMS: usize = 10;
-
-/// An operation that waits for a loan.
-#[derive(Debug)]
-struct Waiting {
-    front: Front,
-    link: Arc<Link>,
-    shard: Arc<Shard>,
-    run: Run,
-    since: Instant,
-    until: Instant,
-}
-
-/// What happens to an operation once the lock is released.
-#[derive(Debug)]
-enum Verdict {
-    Run(Waiting, Token),
-    Refuse(Waiting, Duration),
-    Cancel(Waiting),
-}
-
 /// Limits of all teams at one entry.
 #[derive(Debug)]
 pub(super) struct Quotas {
@@ -74,37 +55,11 @@
     window: Duration,
 }
 
-#[derive(Debug)]
-struct Inner {
-    ledger: Ledger,
-    waiting: HashMap<String, VecDeque<Waiting>>,
-    requests: Vec<Request>,
-    /// Teams that were refused operations, with the time of the last refusal.
-    limited: BTreeMap<String, Instant>,
-    /// Names of the teams with a limit by digest; `None` if two teams have the same, which
-    /// then can't borrow.
-    names: HashMap<u32, Option<Name>>,
-    /// Teams with metrics of their own.
-    largest: Vec<Name>,
-    /// Index of the control state that the ledger follows.
-    index: Option<u64>,
-    declarations: Option<Arc<Declarations>>,
-}
-
 impl Quotas {
     pub(super) fn new(now: Instant, own: Name, bounds: Bounds, seed: u64) -> Self {
         let lease = LEASE_DURATION + APPLY_MARGIN;
         let settings = Settings { own, bounds, lease, seed, flaw: quota::Flaw::None };
-        let inner = Inner {
-            ledger: Ledger::new(now, settings),
-            waiting: HashMap::new(),
-            requests: Vec::new(),
-            limited: BTreeMap::new(),
-            names: HashMap::new(),
-            largest: Vec::new(),
-            index: None,
-            declarations: None,
-        };
+        let inner = Inner::new(Ledger::new(now, settings));
         Self { inner: Mutex::new(inner), changed: Notify::new(), window: bounds.window }
     }
 
@@ -112,6 +67,7 @@
     pub(super) fn refresh(&self, host: &Host) {
         let now = host.clock.now();
         host.view.read(|state| lock(&self.inner).follow(now, state));
+        self.wake();
     }
 
     /// Counts an operation, and runs or refuses it now or later.
@@ -176,21 +132,31 @@
     pub(super) fn lend(&self, host: &Host, borrow: Borrow) -> Loan {
         let now = host.clock.now();
         let leased = host.view.has_lease(now);
-        let items = host.view.read(|state| {
+        let loan = host.view.read(|state| {
             let mut inner = lock(&self.inner);
             inner.follow(now, state);
+            if let Ok(entry) = Name::new(&borrow.entry) {
+                inner.ledger.on_applied(now, &entry, borrow.applied);
+            }
+            let applied = if borrow.entry.is_empty() { 0 } else { state.index };
             let lend = |item: BorrowItem| {
                 let team = inner.names.get(&item.team).cloned().flatten().filter(|_| leased)?;
                 Some(inner.ledger.on_borrow(now, team.as_str(), item.more.saturating_add(1)))
             };
-            borrow.items.into_iter().map(lend).map(|loan| loan.unwrap_or_default().into()).collect()
+            let items = borrow.items.into_iter().map(lend);
+            let items = items.map(|loan| loan.unwrap_or_default().into()).collect();
+            Loan { items, applied }
         });
-        Loan { items }
+        self.wake();
+        loan
     }
 
     fn on_loan(&self, host: &Host, lent: &Lent) {
         let now = host.clock.now();
         let mut inner = lock(&self.inner);
+        if lent.loan.applied > 0 {
+            inner.ledger.on_applied(now, &lent.lender, lent.loan.applied);
+        }
         for (request, item) in lent.requests.iter().zip(&lent.loan.items) {
             inner.ledger.on_loan(now, request, (*item).into());
             let label = inner.label(request.team.as_str());
@@ -210,7 +176,7 @@
 
     fn wake(&self) {
         let inner = lock(&self.inner);
-        if !inner.requests.is_empty() || !inner.waiting.is_empty() {
+        if inner.has_messages() || !inner.waiting.is_empty() {
             self.changed.notify_one();
         }
     }
@@ -263,8 +229,15 @@
     }
 
     fn flush(&self, host: &Arc<Host>, links: &Arc<Keepers>) {
-        let requests = std::mem::take(&mut lock(&self.inner).requests);
+        let (requests, announced, index) = {
+            let mut inner = lock(&self.inner);
+            let requests = std::mem::take(&mut inner.requests);
+            (requests, std::mem::take(&mut inner.announced), inner.index.unwrap_or_default())
+        };
         let mut messages: BTreeMap<Name, Vec<Request>> = BTreeMap::new();
+        for entry in &announced {
+            messages.insert(entry.clone(), Vec::new());
+        }
         for request in requests {
             messages.entry(request.lender.clone()).or_default().push(request);
         }
@@ -273,115 +246,18 @@
                 host.view.read(|state| state.entries.get(&lender).map(|entry| entry.address));
             let Some(address) = address else { continue };
             let links = Arc::clone(links);
+            let own = if announced.contains(&lender) { host.name.as_str() } else { "" };
+            let applied = (own.to_owned(), if own.is_empty() { 0 } else { index });
             tokio::spawn(async move {
                 // an unanswered request times out in the ledger
                 if let Ok(link) = links.link(&Keeper { name: lender, address }).await {
-                    link.borrow(requests).await;
+                    link.borrow(requests, applied).await;
                 }
             });
         }
     }
 }
 
-impl Inner {
-    fn follow(&mut self, now: Instant, state: &Control) {
-        if self.index == Some(state.index) {
-            return;
-        }
-        self.index = Some(state.index);
-        let leases = state.groups.values().flat_map(|group| &group.leases);
-        let holders = leases.filter_map(|lease| Name::new(&lease.entry).ok());
-        self.ledger.set_holders(now, holders.collect());
-        let declarations = &state.declarations;
-        if self.declarations.as_ref().is_some_and(|known| Arc::ptr_eq(known, declarations)) {
-            return;
-        }
-        let teams = declarations.teams.iter().flatten();
-        self.ledger.set_limits(now, teams.clone().map(|(name, team)| (name, team.quota)));
-        self.names.clear();
-        for (name, _) in teams.clone().filter(|(_, team)| team.quota.is_some()) {
-            let known = self.names.entry(digest(name.as_str()));
-            known.and_modify(|known| *known = None).or_insert_with(|| Some(name.clone()));
-        }
-        let mut largest: Vec<_> = teams
-            .filter_map(|(name, team)| team.quota.map(|quota| (quota.rate_per_s, name)))
-            .collect();
-        largest.sort_by(|one, other| other.0.total_cmp(&one.0));
-        self.largest =
-            largest.into_iter().take(LARGEST_TEAMS).map(|(_, name)| name.clone()).collect();
-        self.declarations = Some(Arc::clone(declarations));
-    }
-
-    /// Label of a team in metrics; empty for all teams but the largest.
-    fn label(&self, team: &str) -> String {
-        let known = self.largest.iter().any(|name| name.as_str() == team);
-        if known { team.to_owned() } else { String::new() }
-    }
-
-    fn take(&mut self, now: Instant, waiting: Waiting) -> Option<Verdict> {
-        let team = waiting.run.team.clone();
-        match self.ledger.take(now, &team, &mut self.requests) {
-            Decision::Granted(token) => {
-                let Some(queue) = self.waiting.get_mut(&team) else {
-                    return Some(Verdict::Run(waiting, token));
-                };
-                // operations that waited before go first
-                queue.push_back(waiting);
-                queue.pop_front().map(|first| Verdict::Run(first, token))
-            }
-            Decision::Pending => {
-                self.waiting.entry(team).or_default().push_back(waiting);
-                None
-            }
-            Decision::Refused { retry_after } => Some(Verdict::Refuse(waiting, retry_after)),
-        }
-    }
-
-    fn pump(&mut self, now: Instant) -> Vec<Verdict> {
-        let mut verdicts = Vec::new();
-        let Self { ledger, waiting, requests, .. } = self;
-        for (team, queue) in waiting.iter_mut() {
-            while let Some(first) = queue.pop_front() {
-                let decision = ledger.resume(now, team, requests);
-                let decision = if decision == Decision::Pending && first.until <= now {
-                    ledger.expire(now, team)
-                } else {
-                    decision
-                };
-                match decision {
-                    Decision::Granted(token) => verdicts.push(Verdict::Run(first, token)),
-                    Decision::Refused { retry_after } => {
-                        verdicts.push(Verdict::Refuse(first, retry_after));
-                    }
-                    Decision::Pending => {
-                        queue.push_front(first);
-                        break;
-                    }
-                }
-            }
-        }
-        waiting.retain(|_, queue| !queue.is_empty());
-        verdicts
-    }
-
-    /// Removes waiting operations.
-    fn remove(&mut self, matches: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
-        let mut removed = Vec::new();
-        for (team, queue) in &mut self.waiting {
-            for waiting in std::mem::take(queue) {
-                if matches(&waiting) {
-                    self.ledger.leave(team);
-                    removed.push(waiting);
-                } else {
-                    queue.push_back(waiting);
-                }
-            }
-        }
-        self.waiting.retain(|_, queue| !queue.is_empty());
-        removed
-    }
-}
-
 /// Sends requests for tokens, takes loans and serves waiting operations until the task
 /// is aborted.
 pub(super) async fn run(host: Arc<Host>, links: Arc<Keepers>) {
@@ -398,7 +274,7 @@
                 host.quotas.check_limited(&host);
             }
         }
-        if !lock(&host.quotas.inner).requests.is_empty() {
+        if lock(&host.quotas.inner).has_messages() {
             tokio::time::sleep(BATCH_DELAY).await;
             host.quotas.flush(&host, &links);
         }
--- a/components/entry/tests/quota.rs
+++ b/components/entry/tests/quota.rs
@@ -7,7 +7,9 @@
 use base::clock::Clock;
 use base::prelude::*;
 use bytes::Bytes;
+use config::model::Class;
 use config::{Declarations, Quota, Team};
+use entry::front::attempt::{self, Attempt};
 use entry::front::keepers::Keepers;
 use entry::{View, keep};
 use link::{Key, Peer, Purpose, Reader, Writer};
@@ -257,7 +259,7 @@
     let mut lent = Vec::new();
     for team in [TEAM, "team-2", TEAM] {
         let items = vec![BorrowItem { team: quota::digest(team), more: 99 }];
-        borrower.send(ask::Body::Borrow(Borrow { items })).await;
+        borrower.send(ask::Body::Borrow(Borrow { items, ..Borrow::default() })).await;
         let answer::Body::Loan(loan) = borrower.next().await else { panic!("expected a loan") };
         lent.push(loan.items.iter().map(|item| item.tokens).sum::<u32>());
     }
@@ -265,3 +267,13 @@
     assert_eq!(lent[1..], [0, 0]);
     bench.stop();
 }
+
+/// Guards against a second attempt, at the other keeper, of an operation that was refused
+/// because of a limit over all keepers.
+#[test]
+fn a_refusal_because_of_a_limit_is_final() {
+    let refused = Attempt::ended(attempt::not_run(Reason::Quota));
+    for class in [Class::Read, Class::Idempotent, Class::Write] {
+        assert_eq!(attempt::retryable_end(&refused, class), None);
+    }
+}
--- a/components/quota/src/bucket.rs
+++ b/components/quota/src/bucket.rs
@@ -7,9 +7,10 @@
 
 /// A token bucket whose rate and capacity are a share of a limit.
 ///
-/// The share in use is the least of those in force within the time `span`, after which
-/// every other host that may run operations has applied the same change: a share
-/// shrinks at once, and grows only when no other host still uses a part of it.
+/// The share in use is the least of those in force until every other host that may run
+/// operations has applied the same change: until all have confirmed it, or for the time
+/// `span`. A share shrinks at once, and grows only when no other host still uses a part of
+/// it.
 #[derive(Clone, Debug)]
 pub(crate) struct Bucket {
     level: f64,
@@ -43,17 +44,39 @@
         }
     }
 
-    /// Changes the limit and the share of this host. The balance never grows by this.
-    pub(crate) fn set(&mut self, now: Instant, limit: (f64, f64), share: f64) {
+    /// Changes the limit and the share of this host, at an index of the control log. The
+    /// balance never grows by this. Returns whether the share changed.
+    pub(crate) fn set(
+        &mut self,
+        (now, index): (Instant, u64),
+        limit: (f64, f64),
+        share: f64,
+    ) -> bool {
         self.advance(now);
         (self.rate, self.pool) = limit;
         let last = *self.shares.last();
-        if last.to_bits() != share.to_bits() {
-            self.shares.push(now, share);
+        let is_changed = last.to_bits() != share.to_bits();
+        if is_changed {
+            self.shares.push((now, index), share);
         }
         if self.flaw != Flaw::KeepBalance {
             self.clip();
         }
+        is_changed
+    }
+
+    /// Notes that all other hosts have applied the control log up to an index.
+    pub(crate) fn confirm(&mut self, now: Instant, index: u64) {
+        self.advance(now);
+        self.drop_replaced(|shares, _| shares.confirm(index));
+    }
+
+    fn drop_replaced(&mut self, drop: impl FnOnce(&mut Recent<f64>, Duration)) {
+        let held = self.capacity();
+        drop(&mut self.shares, self.span);
+        if self.flaw == Flaw::StartFull && held == 0.0 {
+            self.level = self.capacity();
+        }
     }
 
     /// Refills the bucket up to the time `now`.
@@ -61,11 +84,7 @@
         self.shares.trim(self.at, self.span);
         while let Some(expiry) = self.shares.expiry(self.span).filter(|&expiry| expiry <= now) {
             self.refill(expiry);
-            let held = self.capacity();
-            self.shares.trim(expiry, self.span);
-            if self.flaw == Flaw::StartFull && held == 0.0 {
-                self.level = self.capacity();
-            }
+            self.drop_replaced(|shares, span| shares.trim(expiry, span));
         }
         self.refill(now);
     }
--- a/components/quota/src/holders.rs
+++ b/components/quota/src/holders.rs
@@ -21,6 +21,8 @@
 struct Since<T> {
     value: T,
     at: Instant,
+    /// Index of the control log at which the value came into force.
+    index: u64,
 }
 
 /// Values in force over the last time, oldest first.
@@ -29,11 +31,11 @@
 
 impl<T: Clone> Recent<T> {
     pub(crate) fn new(at: Instant, value: T) -> Self {
-        Self(VecDeque::from([Since { value, at }]))
+        Self(VecDeque::from([Since { value, at, index: 0 }]))
     }
 
-    pub(crate) fn push(&mut self, at: Instant, value: T) {
-        self.0.push_back(Since { value, at });
+    pub(crate) fn push(&mut self, (at, index): (Instant, u64), value: T) {
+        self.0.push_back(Since { value, at, index });
     }
 
     pub(crate) fn last(&self) -> &T {
@@ -41,7 +43,11 @@
     }
 
     pub(crate) fn map<U>(&self, convert: impl Fn(&T) -> U) -> Recent<U> {
-        let convert = |since: &Since<T>| Since { value: convert(&since.value), at: since.at };
+        let convert = |since: &Since<T>| Since {
+            value: convert(&since.value),
+            at: since.at,
+            index: since.index,
+        };
         Recent(self.0.iter().map(convert).collect())
     }
 
@@ -52,6 +58,17 @@
         }
     }
 
+    /// Drops values that were replaced up to an index of the control log.
+    pub(crate) fn confirm(&mut self, index: u64) {
+        while self.0.get(1).is_some_and(|next| next.index <= index) {
+            self.0.pop_front();
+        }
+    }
+
+    pub(crate) fn values(&self) -> impl Iterator<Item = &T> {
+        self.0.iter().map(|since| &since.value)
+    }
+
     /// Time at which the oldest value was replaced `span` ago; `None` if there is only
     /// one value.
     pub(crate) fn expiry(&self, span: Duration) -> Option<Instant> {
--- a/components/quota/src/ledger.rs
+++ b/components/quota/src/ledger.rs
@@ -78,6 +78,10 @@
     teams: HashMap<Name, Team>,
     /// Hosts that hold shares, in force over the duration of a lease.
     hosts: Recent<Vec<Name>>,
+    /// Index of the control log up to which each other host has changed its shares.
+    applied: HashMap<Name, u64>,
+    /// Whether a share has changed since the last announcement.
+    changed: bool,
     rng: ChaCha8Rng,
 }
 
@@ -86,27 +90,78 @@
     pub fn new(now: Instant, settings: Settings) -> Self {
         let hosts = Recent::new(now, Vec::new());
         let rng = ChaCha8Rng::seed_from_u64(settings.seed);
-        Self { settings, teams: HashMap::new(), hosts, rng }
+        let (teams, applied) = (HashMap::new(), HashMap::new());
+        Self { settings, teams, hosts, applied, changed: false, rng }
     }
 
-    /// Sets the hosts that hold shares, in any order.
-    pub fn set_holders(&mut self, now: Instant, mut hosts: Vec<Name>) {
+    /// Sets the hosts that hold shares, in any order, at an index of the control log.
+    pub fn set_holders(&mut self, now: Instant, index: u64, mut hosts: Vec<Name>) {
         hosts.sort_unstable();
         hosts.dedup();
         if *self.hosts.last() == hosts {
             return;
         }
         self.hosts.trim(now, self.settings.lease);
-        self.hosts.push(now, hosts);
-        for (name, team) in &mut self.teams {
-            divide(&self.settings, &self.hosts, now, name, team);
+        // this host may have skipped a state between the two, in which hosts had joined
+        // already and others had not left yet, and which another host still uses
+        let mut both = self.hosts.last().clone();
+        both.extend(hosts.iter().cloned());
+        both.sort_unstable();
+        both.dedup();
+        for hosts in [both, hosts] {
+            if *self.hosts.last() == hosts {
+                continue;
+            }
+            self.hosts.push((now, index), hosts);
+            for (name, team) in &mut self.teams {
+                divide(&self.settings, &self.hosts, (now, index), name, team);
+            }
+        }
+        self.changed = true;
+        self.confirm(now);
+    }
+
+    /// Hosts to which the index of the control log is to be announced, since shares have
+    /// changed; `None` if they have not since the last call.
+    pub fn announce(&mut self) -> Option<Vec<Name>> {
+        // without limits there are no shares, and no messages are sent
+        let has_limits = self.teams.values().any(|team| team.quota.is_some());
+        (has_limits && std::mem::take(&mut self.changed)).then(|| self.others())
+    }
+
+    /// Notes that another host has changed its shares up to an index of the control log.
+    pub fn on_applied(&mut self, now: Instant, host: &Name, index: u64) {
+        let known = self.applied.entry(host.clone()).or_default();
+        *known = index.max(*known);
+        self.confirm(now);
+    }
+
+    /// All other hosts that may hold a share now.
+    fn others(&self) -> Vec<Name> {
+        let mut others: Vec<_> = self.hosts.values().flatten().cloned().collect();
+        others.sort_unstable();
+        others.dedup();
+        others.retain(|host| *host != self.settings.own);
+        others
+    }
+
+    fn confirm(&mut self, now: Instant) {
+        let others = self.others();
+        self.applied.retain(|host, _| others.contains(host));
+        let applied = |host| self.applied.get(host).copied().unwrap_or_default();
+        let index = others.iter().map(applied).min().unwrap_or(u64::MAX);
+        self.hosts.confirm(index);
+        for team in self.teams.values_mut() {
+            team.bucket.confirm(now, index);
         }
     }
 
-    /// Sets the limits of all teams. A team that is not named has no limit.
+    /// Sets the limits of all teams, at an index of the control log. A team that is not
+    /// named has no limit.
     pub fn set_limits<'a>(
         &mut self,
         now: Instant,
+        index: u64,
         limits: impl Iterator<Item = (&'a Name, Option<Quota>)>,
     ) {
         let limits: HashMap<&Name, Quota> =
@@ -121,7 +176,8 @@
             if let Some(team) = self.teams.get_mut(name) {
                 if team.quota != Some(quota) {
                     team.quota = Some(quota);
-                    divide(&self.settings, &self.hosts, now, name, team);
+                    let at = (now, index);
+                    self.changed |= divide(&self.settings, &self.hosts, at, name, team);
                 }
                 continue;
             }
@@ -129,9 +185,10 @@
             let bucket = Bucket::new(now, shares, self.settings.lease, self.settings.flaw);
             let mut team = Team::new(now, bucket);
             team.quota = Some(quota);
-            divide(&self.settings, &self.hosts, now, name, &mut team);
+            divide(&self.settings, &self.hosts, (now, index), name, &mut team);
             self.teams.insert(name.clone(), team);
         }
+        self.confirm(now);
     }
 
     /// Whether a team has a limit.
@@ -281,22 +338,24 @@
     if holders.contains(&settings.own) { 1.0 / holders.len() as f64 } else { 0.0 }
 }
 
-/// Sets the share of this host, and the other holders.
+/// Sets the share of this host, and the other holders. Returns whether the share changed.
 fn divide(
     settings: &Settings,
     hosts: &Recent<Vec<Name>>,
-    now: Instant,
+    (now, index): (Instant, u64),
     name: &Name,
     team: &mut Team,
-) {
-    let Some(quota) = team.quota else { return };
+) -> bool {
+    let Some(quota) = team.quota else { return false };
     let hosts = hosts.last();
     let share = share(settings, hosts, name, quota);
-    team.bucket.set(now, (quota.rate_per_s, settings.bounds.pool(quota)), share);
+    let limit = (quota.rate_per_s, settings.bounds.pool(quota));
+    let is_changed = team.bucket.set((now, index), limit, share);
     let count = settings.bounds.holders(quota, hosts.len());
     let mut lenders = rank(name, hosts, count);
     lenders.retain(|lender| *lender != settings.own);
     // each host asks the lenders in another order, since full buckets look alike
     let lenders = rank(&settings.own, &lenders, count);
     team.set_lenders(now, lenders);
+    is_changed
 }
--- a/components/quota/src/team.rs
+++ b/components/quota/src/team.rs
@@ -11,7 +11,7 @@
 use crate::lender::Lender;
 
 /// Time ahead for which a busy team borrows, as a share of the lifetime of a loan.
-const LEAD: f64 = 0.8;
+const LEAD: f64 = 0.6;
 
 /// Stock, as time of demand, below which a busy team borrows: the time that an answer may
 /// take.
--- a/components/quota/tests/limits/change.rs
+++ b/components/quota/tests/limits/change.rs
@@ -39,6 +39,20 @@
     assert!(catch_unwind(|| join_beside_a_slow_holder(Flaw::GrowEarly)).is_err());
 }
 
+/// Guards against a limit of which nothing is served for the duration of a lease after all
+/// hosts have restarted.
+#[test]
+fn a_limit_is_served_at_once_after_all_hosts_have_restarted() {
+    let mut world = World::new(HOSTS, 3, Flaw::None);
+    let quota = Quota { rate_per_s: 100.0, burst: 50.0 };
+    world.commit(Some((0..HOSTS).collect()), Some(&[(TEAM, quota)]));
+    let end = Instant::from_millis(1_000);
+    world.load(end, &name(TEAM), 750.0, |rng, _| rng.random_range(0..HOSTS));
+    world.run(end);
+    let (_, granted) = world.counts(&name(TEAM), Instant::ZERO, end);
+    assert!(granted >= 80, "{granted}");
+}
+
 /// Half of the holders leave and return again and again, under overload.
 fn flap(flaw: Flaw) {
     let mut world = World::new(HOSTS, 3, flaw);
@@ -75,9 +89,9 @@
     let (own, bounds) = (host_name(0), Bounds::default());
     let settings = Settings { own, bounds, lease: LEASE, seed: 1, flaw };
     let mut ledger = Ledger::new(Instant::ZERO, settings);
-    ledger.set_holders(Instant::ZERO, vec![host_name(0), host_name(1)]);
+    ledger.set_holders(Instant::ZERO, 1, vec![host_name(0), host_name(1)]);
     let quota = Quota { rate_per_s: 0.1, burst: 100.0 };
-    ledger.set_limits(Instant::ZERO, [(&name(TEAM), Some(quota))].into_iter());
+    ledger.set_limits(Instant::ZERO, 1, [(&name(TEAM), Some(quota))].into_iter());
     let sent = Instant::from_millis(2_000);
     let answered = sent + answered_after;
     let request = Request { lender: host_name(1), team: name(TEAM), tokens: 10, sent };
@@ -103,3 +117,18 @@
     let (short, long) = (Duration::from_millis(5), Duration::from_millis(301));
     assert_eq!(granted_after(long, short, Flaw::KeepLoans), 10);
 }
+
+/// Guards against messages between hosts in a deployment without limits.
+#[test]
+fn nothing_is_announced_without_limits() {
+    let (own, bounds) = (host_name(0), Bounds::default());
+    let settings = Settings { own, bounds, lease: LEASE, seed: 1, flaw: Flaw::None };
+    let mut ledger = Ledger::new(Instant::ZERO, settings);
+    ledger.set_holders(Instant::ZERO, 1, vec![host_name(0), host_name(1)]);
+    ledger.set_limits(Instant::ZERO, 1, [(&name(TEAM), None)].into_iter());
+    assert_eq!(ledger.announce(), None);
+    let quota = Quota { rate_per_s: 1.0, burst: 10.0 };
+    ledger.set_limits(Instant::ZERO, 2, [(&name(TEAM), Some(quota))].into_iter());
+    assert_eq!(ledger.announce(), Some(vec![host_name(1)]));
+    assert_eq!(ledger.announce(), None);
+}
--- a/components/quota/tests/limits/main.rs
+++ b/components/quota/tests/limits/main.rs
@@ -3,6 +3,7 @@
 
 mod change;
 mod messages;
+mod record;
 mod served;
 mod sum;
 mod world;
--- a/components/quota/tests/limits/world.rs
+++ b/components/quota/tests/limits/world.rs
@@ -36,12 +36,17 @@
     name(format!("host-{host}.10.0.0.{host}"))
 }
 
+fn host_index(name: &Name) -> usize {
+    let number = name.as_str().rsplit('.').next();
+    number.and_then(|number| number.parse().ok()).expect("the name of a host ends in its number")
+}
+
 /// A committed control state.
 #[derive(Clone, Debug)]
-struct Commit {
-    at: Instant,
-    hosts: Vec<Name>,
-    limits: BTreeMap<Name, Quota>,
+pub struct Commit {
+    pub at: Instant,
+    pub hosts: Vec<Name>,
+    pub limits: BTreeMap<Name, Quota>,
 }
 
 #[derive(Debug)]
@@ -67,6 +72,7 @@
     Arrive { team: Name, op: usize },
     Borrow { from: usize, requests: Vec<Request>, incarnation: u64 },
     Loan { requests: Vec<Request>, loan: data::Loan, incarnation: u64 },
+    Applied { from: Name, index: u64, is_answer: bool },
     Poll,
     Flush,
     End { team: Name, op: usize, token: Token, ran: bool },
@@ -107,7 +113,7 @@
     pub run_time: Duration,
     hosts: Vec<Host>,
     cut: Vec<(usize, usize)>,
-    commits: Vec<Commit>,
+    pub commits: Vec<Commit>,
     /// Names of teams by digest.
     names: BTreeMap<u32, Name>,
     events: BinaryHeap<Reverse<(Instant, u64, usize)>>,
@@ -179,6 +185,11 @@
         for team in limits.keys() {
             self.names.insert(digest(team.as_str()), team.clone());
         }
+        for host in 0..self.hosts.len() {
+            // hosts apply the state also while no operations arrive
+            let lag = self.hosts[host].lag.unwrap_or_default();
+            self.schedule(self.now + lag, host, What::Poll);
+        }
         self.commits.push(Commit { at: self.now, hosts, limits });
     }
 
@@ -250,9 +261,20 @@
         let Some(lag) = known.lag else { return };
         while let Some(commit) = self.commits.get(known.applied).filter(|c| c.at + lag <= now) {
             known.applied += 1;
-            known.ledger.set_holders(now, commit.hosts.clone());
+            // some hosts receive several states at once and see only the last
+            let next = self.commits.get(known.applied);
+            if host % 2 == 1 && next.is_some_and(|next| next.at + lag <= now) {
+                continue;
+            }
+            let index = known.applied as u64;
+            known.ledger.set_holders(now, index, commit.hosts.clone());
             let limits = commit.limits.iter().map(|(team, quota)| (team, Some(*quota)));
-            known.ledger.set_limits(now, limits);
+            known.ledger.set_limits(now, index, limits);
+        }
+        let (index, peers) = (known.applied as u64, known.ledger.announce());
+        for peer in peers.into_iter().flatten() {
+            let what = What::Applied { from: host_name(host), index, is_answer: false };
+            self.send(host, host_index(&peer), what);
         }
     }
 
@@ -305,6 +327,14 @@
                     self.on_loan(host, &requests, &loan);
                 }
             }
+            What::Applied { from, index, is_answer } => {
+                self.hosts[host].ledger.on_applied(self.now, &from, index);
+                let index = self.hosts[host].applied as u64;
+                if !is_answer {
+                    let what = What::Applied { from: host_name(host), index, is_answer: true };
+                    self.send(host, host_index(&from), what);
+                }
+            }
             What::Poll => {
                 self.hosts[host].polls = false;
                 self.pump(host);
@@ -402,7 +432,7 @@
             let loan = leased.then(|| ledger.on_borrow(now, team, item.more + 1));
             loan.unwrap_or_default().into()
         };
-        let loan = data::Loan { items: requests.iter().map(lend).collect() };
+        let loan = data::Loan { items: requests.iter().map(lend).collect(), applied: 0 };
         let answer = Answer { body: Some(answer::Body::Loan(loan.clone())) };
         self.bytes[host] += answer.encoded_len() + FRAME_BYTES;
         self.send(host, from, What::Loan { requests, loan, incarnation });
@@ -422,9 +452,11 @@
         }
         for (lender, requests) in batches {
             let items = requests.iter().map(Into::into).collect();
-            let ask = Ask { body: Some(ask::Body::Borrow(data::Borrow { items })) };
+            let ask = Ask {
+                body: Some(ask::Body::Borrow(data::Borrow { items, ..data::Borrow::default() })),
+            };
             self.bytes[host] += ask.encoded_len() + FRAME_BYTES;
-            let to = (0..self.hosts.len()).find(|&host| host_name(host) == lender).unwrap();
+            let to = host_index(&lender);
             let incarnation = self.hosts[host].incarnation;
             self.send(host, to, What::Borrow { from: host, requests, incarnation });
         }
@@ -458,56 +490,4 @@
             self.arrive(at, host, team);
         }
     }
-
-    /// Operations of a team that were granted, by time.
-    pub fn granted(&self, team: &Name) -> Vec<Instant> {
-        let granted = |operation: &Operation| match operation.fate {
-            Fate::Granted(at) if operation.team == *team => Some(at),
-            _ => None,
-        };
-        let mut granted: Vec<_> = self.operations.iter().filter_map(granted).collect();
-        granted.sort_unstable();
-        granted
-    }
-
-    /// Number of operations of a team that arrived and that were granted from `from` to
-    /// `until`.
-    pub fn counts(&self, team: &Name, from: Instant, until: Instant) -> (usize, usize) {
-        let within = |at: Instant| (from..until).contains(&at);
-        let arrived = self.operations.iter().filter(|op| op.team == *team && within(op.at));
-        let granted = self.granted(team).into_iter().filter(|&at| within(at));
-        (arrived.count(), granted.count())
-    }
-
-    /// Panics if more operations ran in a window than the limits allow. A window that
-    /// begins less than a window after a lower limit is in force may use the higher one.
-    pub fn check_windows(&self, team: &Name) {
-        let granted = self.granted(team);
-        let window = self.bounds.window;
-        let mut first = 0;
-        for (last, &until) in granted.iter().enumerate() {
-            while until.since(granted[first]) >= window {
-                first += 1;
-            }
-            let (count, from) = (last + 1 - first, granted[first]);
-            let allowed = self.highest(team, from - window - LEASE, until);
-            assert!(
-                count as f64 <= allowed,
-                "{count} operations of {team} ran from {from} to {until}; {allowed} are allowed"
-            );
-        }
-    }
-
-    fn highest(&self, team: &Name, from: Instant, until: Instant) -> f64 {
-        let ends = |at: usize| self.commits.get(at + 1).map_or(until, |next| next.at);
-        let within = self
-            .commits
-            .iter()
-            .enumerate()
-            .filter(|(at, commit)| commit.at <= until && ends(*at) >= from);
-        let allowed = |commit: &Commit| {
-            commit.limits.get(team).map_or(f64::INFINITY, |quota| self.bounds.allowed(*quota))
-        };
-        within.map(|(_, commit)| allowed(commit)).fold(0.0, f64::max)
-    }
 }
--- a/components/wire/src/data.rs
+++ b/components/wire/src/data.rs
@@ -313,6 +313,12 @@
     /// Requested tokens.
     #[prost(message, repeated, tag = "1")]
     pub items: Vec<BorrowItem>,
+    /// Name of the entry that sends the message; empty unless it has changed its shares.
+    #[prost(string, tag = "2")]
+    pub entry: String,
+    /// Index of the control log up to which that entry has changed its shares.
+    #[prost(uint64, tag = "3")]
+    pub applied: u64,
 }
 
 /// Tokens of one team that are asked for.
@@ -332,6 +338,10 @@
     /// Lent tokens, for each item of the request.
     #[prost(message, repeated, tag = "1")]
     pub items: Vec<LoanItem>,
+    /// Index of the control log up to which the lender has changed its shares; zero unless
+    /// the request names an entry.
+    #[prost(uint64, tag = "2")]
+    pub applied: u64,
 }
 
 /// Tokens of one team that are lent.
