Test that operations that are not run use up no tokens at a keeper

Cause: only the ledger's tests covered returned tokens, not the driver. Change: a test over loopback sockets; the bench fills the buckets in one place.

--- a/components/entry/tests/quota.rs
+++ b/components/entry/tests/quota.rs
@@ -139,6 +139,16 @@
 }
 
 impl Bench {
+    /// Fills the buckets, and lowers the rate so far that only the burst counts.
+    async fn fill(&self) {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for view in &self.views {
+            let slow = Quota { rate_per_s: 0.01, burst: BURST };
+            view.write(|state| install(state, &self.group, &self.addresses, slow));
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
     fn stop(self) {
         for keeper in self.keepers {
             keeper.kill();
@@ -210,21 +220,9 @@
 /// the limit of both.
 #[tokio::test]
 async fn one_entry_serves_the_burst_of_both_and_refuses_the_rest() {
-    // so slow that nothing counts but the burst
-    let rate_per_s = 0.01;
-    let bench = bench(Quota { rate_per_s, burst: BURST }).await;
+    let bench = bench(Quota { rate_per_s: 1_000.0, burst: BURST }).await;
     let bounds = quota::Bounds::default();
-    // the buckets are empty at first: the limit is raised, and lowered again
-    let fast = Quota { rate_per_s: 1_000.0, burst: BURST };
-    for view in &bench.views {
-        view.write(|state| install(state, &bench.group, &bench.addresses, fast));
-    }
-    tokio::time::sleep(Duration::from_secs(1)).await;
-    for view in &bench.views {
-        let slow = Quota { rate_per_s, burst: BURST };
-        view.write(|state| install(state, &bench.group, &bench.addresses, slow));
-    }
-    tokio::time::sleep(Duration::from_millis(100)).await;
+    bench.fill().await;
     let mut front = Front::dial(bench.addresses[0]).await;
     let (mut done, mut refused) = (0, 0);
     for _ in 0..120 {
@@ -247,6 +245,24 @@
     bench.stop();
 }
 
+/// Guards against a limit that is used up by operations that don't run.
+#[tokio::test]
+async fn operations_that_are_not_run_use_up_no_tokens() {
+    let bench = bench(Quota { rate_per_s: 1_000.0, burst: BURST }).await;
+    bench.fill().await;
+    let mut front = Front::dial(bench.addresses[0]).await;
+    for _ in 0..120 {
+        let unknown = Run { service: "unknown".into(), ..run(TEAM, "SELECT 1") };
+        let end = front.run(unknown).await;
+        assert_eq!(end.outcome(), Outcome::NotRun);
+        assert_ne!(end.reason(), Reason::Quota);
+    }
+    for _ in 0..20 {
+        assert_eq!(front.sql(TEAM, "SELECT 1").await.outcome(), Outcome::Done);
+    }
+    bench.stop();
+}
+
 /// Guards against a lender that lends without a lease, more than it has, or the tokens of
 /// a team that it doesn't know.
 #[tokio::test]
