--- a/components/quota/src/flaw.rs
+++ b/components/quota/src/flaw.rs
@@ -8,6 +8,8 @@
     None,
     /// A share that grows is used at once, while other hosts may still use theirs.
     GrowEarly,
+    /// A host that receives several states at once forgets those that it skips.
+    ForgetSkipped,
     /// A lender sends tokens without taking them out of its bucket.
     LendFree,
     /// Borrowed tokens never expire.
--- a/components/quota/src/ledger.rs
+++ b/components/quota/src/ledger.rs
@@ -108,6 +108,9 @@
         both.extend(hosts.iter().cloned());
         both.sort_unstable();
         both.dedup();
+        if self.settings.flaw == Flaw::ForgetSkipped {
+            both.clone_from(&hosts);
+        }
         for hosts in [both, hosts] {
             if *self.hosts.last() == hosts {
                 continue;
--- a/components/quota/tests/limits/change.rs
+++ b/components/quota/tests/limits/change.rs
@@ -39,6 +39,39 @@
     assert!(catch_unwind(|| join_beside_a_slow_holder(Flaw::GrowEarly)).is_err());
 }
 
+/// Host 2 joins and host 0 leaves. Host 1 sees only the last state, while host 0 still uses
+/// the one between.
+fn skip_a_state(flaw: Flaw) {
+    let bounds = Bounds { window: Duration::from_secs(1), overage: 0.02, slack: 1.0 };
+    let mut world = World::with_bounds(3, 3, flaw, bounds);
+    let quota = Quota { rate_per_s: 400.0, burst: 8.0 };
+    world.commit(Some(vec![0, 1]), Some(&[(TEAM, quota)]));
+    let end = Instant::from_millis(8_000);
+    world.load(end, &name(TEAM), 3_000.0, |rng, _| rng.random_range(0..3));
+    world.run(Instant::from_millis(4_000));
+    world.set_lag(1, None);
+    world.commit(Some(vec![0, 1, 2]), None);
+    world.run(Instant::from_millis(4_100));
+    world.set_lag(0, Some(Duration::from_millis(1_500)));
+    world.commit(Some(vec![1, 2]), None);
+    world.run(Instant::from_millis(4_200));
+    world.set_lag(1, Some(Duration::from_millis(20)));
+    world.run(end);
+    world.check_windows(&name(TEAM));
+}
+
+/// Guards against a share that exceeds the host's share in a state that it has skipped and
+/// another host still uses.
+#[test]
+fn a_host_that_skips_a_state_keeps_to_its_share_in_it() {
+    skip_a_state(Flaw::None);
+}
+
+#[test]
+fn a_skipped_state_that_is_forgotten_is_detected() {
+    assert!(catch_unwind(|| skip_a_state(Flaw::ForgetSkipped)).is_err());
+}
+
 /// Guards against a limit of which nothing is served for the duration of a lease after all
 /// hosts have restarted.
 #[test]
