--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -284,7 +284,7 @@
         }
         if read || !request.attempt.primary {
             request.may_have_run = true;
-            request.avoided = request.attempt.server;
+            request.avoided = request.attempt.server.filter(|_| self.unfenced.is_some());
             if !self.retry(now, key, out) {
                 self.finish(now, key, Outcome::Unknown, Reason::Broken, out);
             }
