--- a/components/keeper/src/request.rs
+++ b/components/keeper/src/request.rs
@@ -79,6 +79,7 @@
 
 /// Request of a caller, from its arrival to its end.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "the properties are independent")]
 pub(crate) struct Request {
     pub(crate) front: Front,
     pub(crate) service: Key<Service>,
