Forward a heartbeat without what the leader knows

Cause: a member forwards each heartbeat of its entries to the leader with the entry's whole join and all seals that it ever reported: with 300 entries 750 a second.

Change: the join has only name and incarnation once the member knows that the entry has joined; a leader that lacks the entry ignores it, and gets the whole join when that member has applied the removal. Seals are repeated only while a change of primary is not known to have ended. `trefoil-slope beat` reports the length.

--- a/components/member/src/follower.rs
+++ b/components/member/src/follower.rs
@@ -3,6 +3,7 @@
 use ::link::Frame;
 use base::prelude::*;
 use bytes::Bytes;
+use control::{Phase, State};
 use tokio::sync::oneshot;
 use wire::Message as _;
 use wire::control::{Condition, Down, Entries, Follow, Members, Refuse, Seal, Symptom, down};
@@ -229,11 +230,11 @@
         let Some(follower) = self.followers.get_mut(key) else { return };
         let returned = std::mem::take(&mut follower.returned);
         let heartbeat = Heartbeat {
-            join: Some(follower.join.clone()),
+            join: Some(brief_join(&self.state, &follower.join)),
             applied: received.applied,
             returned: received.returned,
             symptoms: follower.symptoms.clone(),
-            seals: follower.seals.clone(),
+            seals: open_seals(&self.state, &follower.seals),
         };
         self.entry_indexes.insert(follower.join.entry.clone(), received.applied);
         for heartbeat in returned {
@@ -344,3 +345,27 @@
     }
     command
 }
+
+/// The join of an entry for a heartbeat: only its name and incarnation if this member knows
+/// that it has joined. A leader that lacks the entry ignores such a join, and gets the whole one
+/// once this member has applied the removal.
+fn brief_join(state: &State, join: &Join) -> Join {
+    let known = state.entries.get(join.entry.as_str());
+    if known.is_none_or(|known| known.incarnation != join.incarnation) {
+        return join.clone();
+    }
+    let (entry, incarnation) = (join.entry.clone(), join.incarnation);
+    Join { entry, incarnation, ..Join::default() }
+}
+
+/// The seals that a leader may still wait for: those of changes of a primary that are not known
+/// to have ended.
+fn open_seals(state: &State, seals: &[Seal]) -> Vec<Seal> {
+    let has_ended = |seal: &Seal| {
+        state
+            .groups
+            .get(seal.group.as_str())
+            .is_some_and(|group| group.phase == Phase::Settled && group.term >= Term(seal.term))
+    };
+    seals.iter().filter(|seal| !has_ended(seal)).cloned().collect()
+}
--- a/programs/trefoil-slope/src/cmd/beat.rs
+++ b/programs/trefoil-slope/src/cmd/beat.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use wire::Message;
 use wire::control::{Confirm, Down, Heartbeat, Up, down, up};
+use wire::log::{Join, command::Body};
 
 use crate::size::{self, ENTRIES, Size};
 use crate::timer::median;
@@ -19,6 +20,10 @@
     entries: usize,
     beat_bytes: usize,
     confirm_bytes: usize,
+    /// Bytes that a member sends to the leader for a heartbeat of an entry that has joined, and
+    /// of one that has not.
+    note_bytes: usize,
+    first_note_bytes: usize,
     round_micros: f64,
     leader_round_micros: f64,
 }
@@ -59,8 +64,17 @@
         leader.on(now, &state, Event::Tick, &mut out);
         out.clear();
     });
+    let Body::Join(join) = size::join(entries - 1) else { unreachable!("a join") };
+    let brief = Join { entry: join.entry.clone(), incarnation: 1, ..Join::default() };
+    let note = |join| wire::quorum::Heartbeat {
+        join: Some(join),
+        applied: 100_000,
+        ..wire::quorum::Heartbeat::default()
+    };
     Row {
         measure: "beat",
+        note_bytes: note(brief).encoded_len(),
+        first_note_bytes: note(join).encoded_len(),
         entries,
         beat_bytes: heartbeat.len(),
         confirm_bytes: confirm.encoded_len(),
