Edit the declarations of an entry in place

Cause: an entry copied all declarations to apply an edit, and before updates it parsed or patched and validated all of them for each change: with an edition every 60 ms and thousands of databases more than a host of 0.12 cores can do.

Change: `config::Edit` is applied in place, and copies the declarations only while a request or a keeper uses the former ones.

--- a/components/config/src/edit.rs
+++ b/components/config/src/edit.rs
@@ -56,17 +56,16 @@
     }
 
     /// Applies the edit to the declarations that it was made from.
-    pub fn apply(self, declarations: &Declarations) -> Declarations {
-        let mut edited = declarations.clone();
-        self.groups.apply(&mut edited.groups);
-        self.services.apply(&mut edited.services);
-        self.selectors.apply(&mut edited.selectors);
-        self.databases.apply(&mut edited.databases);
-        edited.teams = self.teams.map(|delta| {
-            let mut teams = edited.teams.take().unwrap_or_default();
+    pub fn apply(self, declarations: &mut Declarations) {
+        self.groups.apply(&mut declarations.groups);
+        self.services.apply(&mut declarations.services);
+        self.selectors.apply(&mut declarations.selectors);
+        self.databases.apply(&mut declarations.databases);
+        let former_teams = declarations.teams.take();
+        declarations.teams = self.teams.map(|delta| {
+            let mut teams = former_teams.unwrap_or_default();
             delta.apply(&mut teams);
             teams
         });
-        edited
     }
 }
--- a/components/config/tests/patch.rs
+++ b/components/config/tests/patch.rs
@@ -101,7 +101,9 @@
         let (from, to) = (extended(u)?, extended(u)?);
         let edit = config::Edit::between(&from, &to);
         let carried = config::Edit::parse(&edit.text()).expect("the text of an edit is valid");
-        assert_eq!(carried.apply(&from), to);
+        let mut edited = from;
+        carried.apply(&mut edited);
+        assert_eq!(edited, to);
         Ok(())
     })
     .seed(0x7ef0_0000_0400)
--- a/components/control/src/update.rs
+++ b/components/control/src/update.rs
@@ -129,7 +129,11 @@
         self.index = update.index;
         if let Some((version, edition, declarations)) = declared {
             (self.version, self.edition) = (version, edition);
-            self.declarations = Arc::new(declarations);
+            match declarations {
+                New::Whole(declarations) => self.declarations = Arc::new(declarations),
+                // copies the declarations only while a request or a keeper uses them
+                New::Edit(edit) => edit.apply(Arc::make_mut(&mut self.declarations)),
+            }
         }
         for ((group, known), servers) in kept {
             self.servers.retain(|_, server| server.group != group);
@@ -146,19 +150,25 @@
         Ok(())
     }
 
-    fn read(&self, declared: &Declared) -> Result<(u64, u64, Declarations), Report<Malformed>> {
+    fn read(&self, declared: &Declared) -> Result<(u64, u64, New), Report<Malformed>> {
         let declarations = if declared.whole.is_empty() {
             ensure!(declared.from == self.version, Malformed);
             let text = pack::unpack_text(&declared.edit).change_context(Malformed)?;
-            Edit::parse(&text).change_context(Malformed)?.apply(&self.declarations)
+            New::Edit(Edit::parse(&text).change_context(Malformed)?)
         } else {
             let text = pack::unpack_text(&declared.whole).change_context(Malformed)?;
-            serde_json::from_str(&text).change_context(Malformed)?
+            New::Whole(serde_json::from_str(&text).change_context(Malformed)?)
         };
         Ok((declared.version, declared.edition, declarations))
     }
 }
 
+/// New declarations that were read but not applied yet.
+enum New {
+    Whole(Declarations),
+    Edit(Edit),
+}
+
 fn decode(update: &Update) -> Result<Content, Report<Malformed>> {
     if update.packed.is_empty() {
         return Content::decode(update.content.clone()).change_context(Malformed);
