Refuse requests early at an entry that is probably cut off

An entry that was partitioned from control and from the keepers kept accepting requests until its lease expired, 1.6 s, and each waited for its deadline at a silent keeper, although other entries could serve the caller. Waiting for the link to break was ruled out: a partition drops packets silently.

An entry whose heartbeats were not confirmed for 900 ms is not ready, and refuses a request at once if the links to all keepers of the group are silent too.

--- a/components/entry/src/front/dispatch.rs
+++ b/components/entry/src/front/dispatch.rs
@@ -96,6 +96,10 @@
             if keepers.is_empty() {
                 last = attempt::combine(last, attempt::not_run(Reason::WrongKeeper));
             }
+            if self.is_cut_off(&keepers, now) {
+                let refused = attempt::not_run(Reason::Unavailable);
+                return Ok((Attempt::ended(attempt::combine(last, refused)), None));
+            }
             for keeper in keepers {
                 let Ok(link) = self.front.keepers.link(&keeper).await else {
                     continue;
@@ -137,6 +141,16 @@
         keepers
     }
 
+    /// Whether this entry is probably cut off from control and from all keepers of the
+    /// group. The caller is then refused at once, since other entries can serve it.
+    fn is_cut_off(&self, keepers: &[Keeper], now: Instant) -> bool {
+        let front = self.front;
+        let silent = |keeper: &Keeper| {
+            keeper.name != front.name && front.keepers.is_silent(keeper, self.patience, now)
+        };
+        !front.view.is_confirmed(now) && !keepers.is_empty() && keepers.iter().all(silent)
+    }
+
     /// Sends the request to one keeper and feeds its answer to the sink.
     pub(super) async fn attempt(
         &mut self,
--- a/components/entry/src/front/keepers.rs
+++ b/components/entry/src/front/keepers.rs
@@ -127,6 +127,14 @@
         slot.and_then(|slot| slot.live()).is_some_and(|link| link.is_closing())
     }
 
+    /// Whether the link to a keeper is open and was silent for longer than a request's
+    /// patience.
+    pub fn is_silent(&self, keeper: &Keeper, patience: Patience, now: Instant) -> bool {
+        let slot = self.slots().get(&keeper.address).cloned();
+        let live = slot.and_then(|slot| slot.live());
+        live.is_some_and(|link| patience.is_exceeded(link.silence(now)))
+    }
+
     /// Whether a keeper was silent for longer than a request's patience, or could not be
     /// dialled.
     pub fn is_unresponsive(&self, keeper: &Keeper, patience: Patience, now: Instant) -> bool {
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -265,15 +265,16 @@
     }
 }
 
-/// Updates readiness: an entry is ready while it holds its lease and is not
-/// draining.
+/// Updates readiness: an entry is ready while it holds its lease, control confirms its
+/// heartbeats, and it is not draining.
 async fn update_readiness(settings: Settings, view: View, health: Health) {
     let mut check = tokio::time::interval(READY_CHECK_INTERVAL);
     loop {
         check.tick().await;
         let draining = view
             .read(|state| state.entries.get(&settings.name).is_some_and(|entry| entry.draining));
-        let ready = view.has_lease(settings.clock.now()) && !draining;
+        let now = settings.clock.now();
+        let ready = view.has_lease(now) && view.is_confirmed(now) && !draining;
         if health.set_ready(ready) != ready {
             info!(settings.log, "readiness changed"; "ready" => ready);
         }
--- a/components/entry/src/view.rs
+++ b/components/entry/src/view.rs
@@ -7,6 +7,7 @@
 
 use base::prelude::*;
 use control::State;
+use control::lease::LEASE_DURATION;
 use tokio::sync::{Notify, mpsc, watch};
 use wire::control::{Seal, Symptom};
 
@@ -14,6 +15,10 @@
 /// new symptoms are dropped; a keeper reports a symptom again while it persists.
 const QUEUE_SYMPTOMS: usize = 256;
 
+/// Time after the last confirmed heartbeat from which an entry counts as probably cut off:
+/// two heartbeats, and the time in which a confirmation usually arrives.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// Shared handle to the control state as this entry has applied it.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -93,6 +98,13 @@
         Instant::from_micros(self.shared.lease_until.load(Ordering::Acquire))
     }
 
+    /// Whether control has confirmed a heartbeat of the entry lately. An entry whose
+    /// heartbeats stay without confirmation is probably cut off, long before its lease
+    /// expires.
+    pub fn is_confirmed(&self, now: Instant) -> bool {
+        self.lease_until() + CONFIRM_TIMEOUT > now + LEASE_DURATION
+    }
+
     /// Extends the lease until `until`; has no effect if the lease already lasts
     /// longer.
     pub fn extend_lease(&self, until: Instant) {
