--- a/components/entry/tests/front.rs
+++ b/components/entry/tests/front.rs
@@ -496,6 +496,35 @@
     assert_eq!(rows(&client, "select 1").await.unwrap(), ["select 1"]);
 }
 
+/// Guards against callers that wait for their deadline at an entry that is cut off from
+/// control and from the keepers, although its lease has not expired yet.
+#[tokio::test]
+async fn an_entry_that_is_probably_cut_off_refuses_at_once() {
+    let shared = std::sync::Arc::default();
+    let keeper = fake::keeper("one", std::sync::Arc::clone(&shared)).await;
+    // control confirmed no heartbeat lately: most of the lease has passed
+    let lease = Duration::from_millis(650);
+    let bench = fake::bench_with(None, lease, shared, &[("one", keeper)]).await;
+    let view = bench.view.clone();
+    let keep_lease = async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            view.extend_lease(view.lease_until() + Duration::from_millis(100));
+        }
+    };
+    let keep_lease = tokio::spawn(keep_lease);
+    let (first, second) = (bench.connect().await, bench.connect().await);
+    bench.shared.inject(Fault::Freeze);
+    let waiting = tokio::spawn(async move { first.simple_query("update t").await });
+    // the link counts as silent after this time
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let limit = Duration::from_millis(1_500);
+    let refused = tokio::time::timeout(limit, second.simple_query("update t")).await;
+    assert_eq!(code(refused.expect("before the deadline of 3 s")), "TF001");
+    keep_lease.abort();
+    waiting.abort();
+}
+
 #[tokio::test]
 async fn a_group_without_a_keeper_runs_nothing() {
     let bench = bench(None).await;
