Answer requests that cross a planned stop

Two states of a caller could do this: a session that was accepted after the stop began and closed at once, and a request on its way to an idle session that was being closed, which the close then read and discarded.

A front that stops refuses new sessions, and an idle caller may still send a request for 100 ms. Both have a test.

--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -68,6 +68,10 @@
 /// is cut off from control can't serve them, and other entries can.
 const UNLEASED_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which an idle caller may still send a request after the front has begun to
+/// stop or lost its lease: a request that is on its way is answered, not cut off.
+const IDLE_GRACE: Duration = Duration::from_millis(100);
+
 /// Time between two checks of the lease.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -313,8 +317,7 @@
     input: impl Future<Output = Result<(), Report<conn::Disconnect>>>,
 ) -> Result<bool, Report<conn::Disconnect>> {
     if *phase.borrow_and_update() != Phase::Open {
-        // a request that arrived before the phase change was noticed is still run
-        return match tokio::time::timeout(Duration::ZERO, input).await {
+        return match tokio::time::timeout(IDLE_GRACE, input).await {
             Ok(filled) => filled.map(|()| true),
             Err(_elapsed) => Ok(false),
         };
--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -21,9 +21,9 @@
 use slog::debug;
 use tokio::net::TcpStream;
 
-use super::Front;
 use super::conn::Disconnect;
 use super::dispatch::expects_lease;
+use super::{Front, Phase};
 use caller::Caller;
 use conn::Conn;
 use login::Login;
@@ -58,6 +58,11 @@
         return Ok(None);
     };
     let found = front.view.read(|state| Login::new(&state.declarations, &database, &key));
+    if *front.phase.borrow() == Phase::Closing {
+        // the session would be closed at once; another entry can serve the caller
+        conn.put(&Answer::Problem(Problem::Busy));
+        return Ok(None);
+    }
     if !front.view.has_lease(front.clock.now()) {
         // without a lease nothing can be run, and the database or the key may be declared
         // in a newer state that this entry has not received
--- a/components/entry/tests/plain.rs
+++ b/components/entry/tests/plain.rs
@@ -1,4 +1,5 @@
-//! Callers of plain statements that leave while their statement waits at a keeper.
+//! Callers of plain statements that leave while their statement waits at a keeper, or
+//! whose request crosses the stop of the front.
 
 #[path = "../../pg/tests/server/mod.rs"]
 mod server;
@@ -10,13 +11,13 @@
 use base::prelude::*;
 use bytes::{Buf, Bytes, BytesMut};
 use fake::{Bench, Fault, Shared};
-use plain::{Answer, Dialect, Malformed, Order, Query, Reply, Request, Statement};
+use plain::{Answer, Dialect, Malformed, Order, Problem, Query, Reply, Request, Statement};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use wire::data::ask;
 
 /// Dialect of one byte for each message: `S` starts a session, `R` reads, and every answer
-/// is a dot.
+/// is a dot, or `!` if the front is busy.
 #[derive(Debug)]
 struct Dots;
 
@@ -35,8 +36,9 @@
         }))
     }
 
-    fn encode_answer(&self, _answer: &Answer, out: &mut BytesMut) {
-        out.extend_from_slice(b".");
+    fn encode_answer(&self, answer: &Answer, out: &mut BytesMut) {
+        let is_busy = matches!(answer, Answer::Problem(Problem::Busy));
+        out.extend_from_slice(if is_busy { b"!" } else { b"." });
     }
 
     fn encode_order(&self, _order: &Order, _out: &mut BytesMut) {}
@@ -105,3 +107,44 @@
     let left = tokio::time::timeout(limit, wait_for(&bench, leave)).await;
     assert!(left.is_err(), "the keeper was told that the caller left");
 }
+
+/// Guards against a planned stop that cuts off a request which was on its way when the
+/// front closed the idle session.
+#[tokio::test]
+async fn a_request_that_crosses_a_stop_is_answered() {
+    let shared = Arc::new(Shared::default());
+    let keeper = fake::keeper("one", Arc::clone(&shared)).await;
+    let (lease, keepers) = (Duration::from_mins(10), [("one", keeper)]);
+    let bench = fake::bench_of(None, Some(Arc::new(Dots)), lease, shared, &keepers).await;
+    let mut caller = connect(&bench).await;
+    let crossing = async {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        caller.write_all(b"R").await.unwrap();
+        let mut answers = Vec::new();
+        caller.read_to_end(&mut answers).await.unwrap();
+        answers
+    };
+    let (answers, _) = tokio::join!(crossing, bench.front.close(Duration::from_secs(10)));
+    assert!(!answers.is_empty(), "the connection was closed without an answer");
+}
+
+/// Guards against a session that is accepted by a front which closes it at once.
+#[tokio::test]
+async fn a_session_that_starts_during_a_stop_is_refused() {
+    let bench = bench().await;
+    let mut waiting = connect(&bench).await;
+    waiting.write_all(b"R").await.unwrap();
+    wait_for(&bench, run).await;
+    let mut caller = TcpStream::connect(bench.address).await.unwrap();
+    // the front accepts the connection before it stops
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        caller.write_all(b"S").await.unwrap();
+        let mut answers = Vec::new();
+        caller.read_to_end(&mut answers).await.unwrap();
+        answers
+    };
+    let (answers, _) = tokio::join!(late, bench.front.close(Duration::from_secs(1)));
+    assert_eq!(answers, b"!");
+}
