--- a/components/admit/src/schedule.rs
+++ b/components/admit/src/schedule.rs
@@ -42,7 +42,7 @@
     pub work: Duration,
 }
 
-/// Items that are served in one order of flows; the lowest value goes first.
+/// Class of items that share one fair queue; the lowest value goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Band {
     /// Items that can meet their objectives, or have none.
@@ -58,6 +58,7 @@
     }
 }
 
+/// The waiting items of a band.
 #[derive(Clone, Debug)]
 pub(crate) struct Line<K, T> {
     pub(crate) queue: Queue<K, T>,
@@ -90,6 +91,7 @@
     pub(crate) entries: BTreeMap<T, Entry<K>>,
     /// Items that can meet their objectives, by their latest start.
     due: BTreeSet<(Instant, T)>,
+    /// Whether lower bands get no minimum share.
     without_share: bool,
 }
 
--- a/components/admit/src/wait.rs
+++ b/components/admit/src/wait.rs
@@ -19,7 +19,8 @@
 }
 
 impl<K: Copy + Ord, T: Copy + Ord> Schedule<K, T> {
-    /// Whether a queued item is the first one in order.
+    /// Whether no work goes before a queued item: none of its flow or of higher bands, and no
+    /// other flow of its band waits.
     pub fn is_first(&self, item: T) -> bool {
         let Some(entry) = self.entries.get(&item) else {
             return false;
--- a/components/keeper/src/conn.rs
+++ b/components/keeper/src/conn.rs
@@ -37,8 +37,8 @@
     /// When the connection was requested.
     pub(crate) opened_at: Instant,
     pub(crate) session: Session,
-    /// Team for whose connection this one is being closed.
-    pub(crate) room_for: Option<Key<Team>>,
+    /// Team for whose new connection this one is being closed.
+    pub(crate) evicted_for: Option<Key<Team>>,
     pub(crate) work: Work,
     /// Status byte of the last ReadyForQuery.
     pub(crate) status: u8,
@@ -103,7 +103,7 @@
             opening_uses_slot,
             opened_at: now,
             session: Session::New,
-            room_for: None,
+            evicted_for: None,
             work: Work::Opening,
             status: IDLE,
             owner: None,
--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -326,8 +326,9 @@
     }
 
     /// Charges the run time of a request to its flow in the queues, and updates the
-    /// estimates. A time that includes a suspension of the process is no run time. `ran` is
-    /// whether the server ran the request, and did not refuse it.
+    /// typical run time. A time that includes a suspension of the process is no run time.
+    /// `ran` adds the time to the estimates of the service: false for a request that the
+    /// server refused, and in fenced groups, which use no estimates.
     pub(crate) fn charge(&mut self, now: Instant, key: Key<Request>, ran: bool) {
         let Some(request) = self.requests.get(key) else {
             return;
--- a/components/keeper/src/estimate.rs
+++ b/components/keeper/src/estimate.rs
@@ -1,4 +1,5 @@
-//! Estimates of run times, one for each kind of request.
+//! Estimates of run times for each kind of request, by which waiting requests are ordered
+//! and refused.
 
 use base::prelude::*;
 use hdrhistogram::Histogram;
@@ -136,10 +137,10 @@
     }
 
     /// Whether a request that would be refused may run as a probe of its estimate: one at a
-    /// time, if none of its kind ran for the given time.
-    pub(crate) fn admits_probe(&mut self, now: Instant, kind: Kind, rest: Duration) -> bool {
+    /// time, if none of its kind ran within `interval`.
+    pub(crate) fn admits_probe(&mut self, now: Instant, kind: Kind, interval: Duration) -> bool {
         let tried_at = &mut self.tried_at[kind as usize];
-        let due = now.since(*tried_at) > rest;
+        let due = now.since(*tried_at) > interval;
         if due {
             *tried_at = now;
         }
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -17,10 +17,11 @@
 //! - `cycle`: events of connections.
 //! - `resolve`: acknowledgement by a majority, and requests in doubt.
 //! - `finish`: ends of requests, and retries.
-//! - `pace`: slow start, and servers judged by their answers.
+//! - `pace`: slow start, probation and the cost of a read on a server.
 //! - `health`: symptoms of a failed primary.
 //! - `teams`: connections of teams.
 //! - `setup`: servers, leases and declarations from the control log.
+//! - `request`, `conn`, `server` and `service`: state of one of each.
 //! - `uptime`: suspensions of the process.
 //! - `unfenced`: groups whose servers acknowledge by themselves.
 
--- a/components/keeper/src/pace.rs
+++ b/components/keeper/src/pace.rs
@@ -1,7 +1,7 @@
-//! What the answers of a server say about it: slow start, run times and failures
-//! compared with those of its peers, and the resulting cost of a read there.
+//! Slow start of servers, probation, and the cost of a read: decisions by the run times and
+//! failures that this keeper observed, compared with those of the server's peers.
 //!
-//! Applies to unfenced groups only. Each keeper judges by its own answers.
+//! Applies to unfenced groups only.
 
 use base::prelude::*;
 use pace::Answer;
@@ -11,12 +11,12 @@
 use wire::data::Class;
 
 use crate::conn::{Connection, Work};
-use crate::event::{Effect, Pace};
+use crate::event::{Count, Effect, Pace};
 use crate::flaw::Flaw;
 use crate::group::Group;
 use crate::request::Request;
 use crate::server::Server;
-use crate::service::Kind;
+use crate::service::{Kind, Service};
 
 /// Slowness, compared with the fastest peer, above which the run times of a server are not
 /// taken for usual ones.
@@ -29,6 +29,10 @@
 /// Parts of the usual run time in which costs are counted.
 const COST_UNITS: f64 = 1_000.0;
 
+/// Time without an answer from which on the end of an outage begins slow start. A server
+/// that refuses some connections and answers on others meanwhile is not cold.
+const MIN_OUTAGE: Duration = Duration::from_millis(100);
+
 /// What decides whether a server begins with slow start.
 #[derive(Debug, Default)]
 pub(crate) struct Starts {
@@ -123,10 +127,12 @@
         }
     }
 
+    /// Adds a run time to the usual ones of its kind, unless the server is slower than its
+    /// fastest peer.
     fn learn(
         &mut self,
         server: Key<Server>,
-        service: Key<crate::service::Service>,
+        service: Key<Service>,
         kind: Kind,
         run: Duration,
         fastest: Option<f64>,
@@ -140,7 +146,8 @@
         }
     }
 
-    /// Passes the end of a statement or of an opening to the window of its server.
+    /// Passes the end of a statement or of an opening to the slow start window of its server.
+    /// `slowness` is the run time as a multiple of the usual one.
     fn judge(&mut self, now: Instant, key: Key<Server>, slowness: Option<f64>, error: bool) {
         let peers = self.reference(now, key).filter(|_| !self.is_control_primary(key));
         let error = error && !self.has_flaw(Flaw::NoBackoff);
@@ -247,9 +254,14 @@
         open.filter_map(wait).fold(0.0, f64::max)
     }
 
-    /// Rates the candidates by their answers. Those on probation get single reads only,
-    /// unless no other server qualifies, and slow ones get a read when one is due.
-    pub(crate) fn rate(&self, now: Instant, found: &mut SmallVec<[Candidate<Key<Server>>; 4]>) {
+    /// Sets the costs of the candidates, and which of them get a probe: a server on probation
+    /// or a slow one, when a probe is due. Those on probation get no other reads, unless no
+    /// other server qualifies.
+    pub(crate) fn rate_candidates(
+        &self,
+        now: Instant,
+        found: &mut SmallVec<[Candidate<Key<Server>>; 4]>,
+    ) {
         let gauge = |key| self.servers.get(key).map(|server| &server.gauge);
         let trusted = |key| gauge(key).is_some_and(|gauge| !gauge.is_on_probation());
         if self.has_flaw(Flaw::MostFree) {
@@ -271,8 +283,8 @@
         }
     }
 
-    /// Whether a server is on probation while another server can be trusted.
-    pub(crate) fn is_shunned(&self, server: Key<Server>) -> bool {
+    /// Whether a server is on probation while another configured server is not.
+    pub(crate) fn is_ejected(&self, server: Key<Server>) -> bool {
         let trusted = |server: &Server| !server.gauge.is_on_probation();
         self.servers.get(server).is_some_and(|server| !trusted(server))
             && self.servers.iter().any(|(_, other)| other.configured && trusted(other))
@@ -304,7 +316,7 @@
             request.avoided = server;
         }
         self.resend(now, key, Duration::ZERO);
-        out.push(Effect::Count(crate::event::Count::Retry));
+        out.push(Effect::Count(Count::Retry));
         true
     }
 
@@ -346,14 +358,10 @@
 
     /// Records that the server has answered or was reached.
     pub(crate) fn recover(&mut self, now: Instant) {
-        let silent = now.since(self.last_heard) >= SHORT_OUTAGE;
+        let silent = now.since(self.last_heard) >= MIN_OUTAGE;
         if self.outage.take().is_some() && silent && self.unfenced {
             self.begin_slow_start(now);
         }
         self.last_heard = now;
     }
 }
-
-/// Time without an answer below which the end of an outage starts no slow start: a
-/// server that refuses some connections and answers on others is not cold.
-const SHORT_OUTAGE: Duration = Duration::from_millis(100);
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -262,7 +262,8 @@
 
     /// The qualified replicas with the properties that the choice between them
     /// depends on, including replicas without a free slot. In an unfenced group
-    /// the primary is added if all of them are busy.
+    /// the primary is added if all of them are busy, and a server on which the
+    /// request has failed is included only if there is no other.
     pub(crate) fn candidates(
         &self,
         now: Instant,
@@ -280,7 +281,7 @@
         };
         let mut found: SmallVec<[_; 4]> = self.qualified(now, request).map(candidate).collect();
         if self.is_unfenced() {
-            self.rate(now, &mut found);
+            self.rate_candidates(now, &mut found);
         }
         let avoided = take_avoided(&mut found, request);
         let busy = found.iter().all(|candidate| candidate.free == 0);
@@ -337,7 +338,7 @@
     }
 }
 
-/// Removes the server on which a read has failed from its candidates.
+/// Removes the server on which a read has failed from its candidates, and returns it.
 fn take_avoided(
     found: &mut SmallVec<[Candidate<Key<Server>>; 4]>,
     request: &Request,
--- a/components/keeper/src/service.rs
+++ b/components/keeper/src/service.rs
@@ -9,7 +9,8 @@
 use crate::estimate::Estimates;
 use crate::server::Server;
 
-/// Kind of a request, by which run times are comparable.
+/// Kind of a request, by which run times on different servers are compared. Unlike
+/// [`estimate::Kind`](crate::estimate::Kind), it doesn't depend on the role of the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Kind {
     Read,
@@ -29,11 +30,12 @@
     pub(crate) objective: Option<Duration>,
     /// Weight of a request that has to wait for a new connection.
     pub(crate) urgency: f64,
-    /// Run times of its requests in an unfenced group.
+    /// Estimates of the run times of its requests in an unfenced group, by which requests
+    /// are ordered and refused.
     pub(crate) estimates: Estimates,
     /// Number of requests that have not ended.
     pub(crate) open_requests: u32,
-    /// Usual run times, by kind of request.
+    /// Usual run times by kind of request, with which the answers of servers are compared.
     usual: [Usual; 3],
     /// Retry budget of the service.
     pub(crate) budget: Budget,
--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -15,15 +15,15 @@
 /// was lost or has to be returned, or the shutdown began.
 const TRANSACTION_GRACE: Duration = Duration::from_secs(10);
 
-/// Time after the begin of slow start in which a new incarnation is the one that was
-/// noticed already by the end of its outage.
+/// Time after the beginning of slow start within which a new incarnation does not begin it
+/// again: the end of the outage, seen before the incarnation, has begun it.
 const KNOWN_START: Duration = Duration::from_secs(2);
 
 impl Group {
     pub(crate) fn set_up(&mut self, now: Instant, setup: Setup, out: &mut Vec<Effect>) {
         self.follow_control(now, &setup);
         self.declared = setup.declared;
-        let promoted = setup.primary.clone().filter(|name| self.is_promoted(name));
+        let promoted = setup.primary.clone().filter(|name| self.replaces_primary(name));
         self.control_primary = setup.primary;
         self.declarations = setup.declarations;
         self.set_slow_start(setup.slow_start);
@@ -106,8 +106,8 @@
         }
     }
 
-    /// Whether a server that control names as primary has not been the primary before.
-    fn is_promoted(&mut self, name: &Name) -> bool {
+    /// Records the primary that control names. Returns whether it replaces another one.
+    fn replaces_primary(&mut self, name: &Name) -> bool {
         let known = self.starts.last_primary.replace(name.clone());
         known.is_some_and(|known| known != *name)
     }
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -28,9 +28,10 @@
 /// Time assumed for opening a connection before the first one was opened.
 const INITIAL_OPENING_TIME: Duration = Duration::from_millis(10);
 
-/// Multiple of the average time of an opening after which an opening is late, and the
-/// shortest time that counts as late, two ticks of a group.
-const LATE_OPENING: u32 = 4;
+/// Multiple of the average time of an opening after which an opening is late.
+const LATE_OPENING_FACTOR: u32 = 4;
+
+/// Shortest time after which an opening is late: two ticks of a group.
 const MIN_LATE_OPENING: Duration = Duration::from_millis(20);
 
 /// Time after which the full number of connections is tried again with a server that
@@ -57,7 +58,7 @@
     usage: HashMap<(Key<Server>, Key<Team>), Usage>,
     /// Moving average of the time that an opening takes.
     opening_time: Duration,
-    /// Team of the last request.
+    /// Team of the last request, for which connections are opened while none waits.
     pub(crate) last: Key<Team>,
 }
 
@@ -82,7 +83,8 @@
         self.opening_time = (self.opening_time * 7 + time) / 8;
     }
 
-    /// Returns the key of the team with the given name; `None` if the name is invalid.
+    /// Returns the key of the team with the given name, which is added if it is new; `None`
+    /// if the name is invalid.
     fn intern(&mut self, name: &str, priority: u32) -> Option<Key<Team>> {
         if name.is_empty() {
             return Some(self.unnamed);
@@ -109,8 +111,9 @@
 }
 
 impl Group {
-    /// Returns the team of a request; `None` if the name is invalid. Servers of a group that
-    /// is fenced learn no team, so all its requests use the same connections.
+    /// Returns the team of a request, which becomes the last one; `None` if the name is
+    /// invalid. Servers of a fenced group learn no team, so all its requests use the same
+    /// connections.
     pub(crate) fn team_named(&mut self, name: &str) -> Option<Key<Team>> {
         let name = if self.is_unfenced() { name } else { "" };
         let key = self.teams.intern(name, declared_priority(&self.declarations, name))?;
@@ -137,8 +140,10 @@
         self.is_unfenced() && self.declarations.teams.is_some()
     }
 
-    /// Closes connections of teams that were idle for long, except the last one of each
-    /// team. Closes all idle connections of teams if teams are no longer declared.
+    /// Closes connections of teams that were idle for longer than [`IDLE_LIMIT`], except the
+    /// last one of each team to each server. Closes all idle connections of named teams if
+    /// teams are no longer declared. Also removes connection caps that have expired, and the
+    /// usage of removed servers.
     pub(crate) fn close_surplus_of_teams(&mut self, now: Instant, out: &mut Vec<Effect>) {
         for (_, server) in self.servers.iter_mut() {
             server.cap = server.cap.filter(|(_, until)| now < *until);
@@ -233,9 +238,9 @@
         if self.connection_count(server) < limit {
             return self.open(now, server, team, out);
         }
-        let rooms = self.conns.iter().filter(|(_, conn)| conn.server == server);
-        let rooms = rooms.filter(|(_, conn)| conn.room_for.is_some()).count() as u32;
-        if rooms >= free {
+        let evicted = self.conns.iter().filter(|(_, conn)| conn.server == server);
+        let evicted = evicted.filter(|(_, conn)| conn.evicted_for.is_some()).count() as u32;
+        if evicted >= free {
             return;
         }
         let held = holding.busy + holding.opening + pinned;
@@ -257,7 +262,7 @@
             return;
         };
         if let Some(conn) = self.conns.get_mut(victim) {
-            conn.room_for = Some(team);
+            conn.evicted_for = Some(team);
         }
         self.close_conn(victim, out);
         out.push(Effect::Count(Count::Evicted));
@@ -302,7 +307,7 @@
         for (_, conn) in self.conns.iter().filter(|(_, conn)| conn.server == server) {
             let is_own = conn.team == team;
             match conn.work {
-                Work::Closing { .. } if conn.room_for == Some(team) => holding.opening += 1,
+                Work::Closing { .. } if conn.evicted_for == Some(team) => holding.opening += 1,
                 Work::Opening if is_own => holding.opening += 1,
                 Work::Pinned(_) if is_own => pinned += 1,
                 Work::Closing { .. } => {}
@@ -313,7 +318,7 @@
         (holding, pinned)
     }
 
-    /// Number of requests of a team that wait in the same lane.
+    /// Number of requests of a team in the given stage.
     fn waiting_of(&self, team: Key<Team>, stage: Stage) -> u32 {
         let waits = |request: &Request| request.team == team && request.stage == stage;
         self.requests.iter().filter(|(_, request)| waits(request)).count() as u32
@@ -375,11 +380,11 @@
                 ready: self.idle_of(found.server, team).is_some(),
             })
         };
-        // a read that is due to show how a suspect server answers goes there; any other read
-        // avoids servers on probation
+        // a due probe of a slow server or of one on probation goes there; any other read avoids
+        // servers on probation
         let chosen = found
             .iter()
-            .filter(|found| if probed { found.probe } else { !self.is_shunned(found.server) });
+            .filter(|found| if probed { found.probe } else { !self.is_ejected(found.server) });
         let loads: SmallVec<[_; 4]> = chosen.filter_map(load).collect();
         let preferred = loads.iter().filter(|load| load.ready || Some(load.server) != primary);
         let preferred: SmallVec<[_; 4]> = preferred.copied().collect();
@@ -389,7 +394,7 @@
     /// Whether an opening of the team takes much longer than usual, so that a read of the
     /// team uses another server.
     fn opens_late(&self, now: Instant, server: Key<Server>, team: Key<Team>) -> bool {
-        let limit = (self.teams.opening_time * LATE_OPENING).max(MIN_LATE_OPENING);
+        let limit = (self.teams.opening_time * LATE_OPENING_FACTOR).max(MIN_LATE_OPENING);
         let late = |conn: &Connection| {
             let opens = conn.work == Work::Opening && now.since(conn.opened_at) > limit;
             conn.server == server && conn.team == team && opens
@@ -421,7 +426,12 @@
 
     /// Handles the refusal of a session. Where the server has too many connections, fewer
     /// are used until one closes, or for [`CAP_DURATION`] if none does.
-    pub(crate) fn refused(&mut self, now: Instant, conn: Key<Connection>, error_kind: ErrorKind) {
+    pub(crate) fn session_refused(
+        &mut self,
+        now: Instant,
+        conn: Key<Connection>,
+        error_kind: ErrorKind,
+    ) {
         let Some((server, team)) = self.conns.get(conn).map(|conn| (conn.server, conn.team)) else {
             return;
         };
--- a/components/pace/src/gauge.rs
+++ b/components/pace/src/gauge.rs
@@ -1,14 +1,14 @@
-//! Run times and failures of the reads of one server.
+//! Run times of the statements of one server, and failures of its reads.
 
 use base::prelude::*;
 
 use crate::recent::Recent;
 
-/// Weight of a new run time in the moving average, where it is above and below the
-/// average. A server that answers as usual again is used soon.
+/// Weights of a new median in the moving average: above the average, and below it. The
+/// second is higher, so that a server that answers as usual again is soon used again.
 const WEIGHT: (f64, f64) = (0.25, 0.5);
 
-/// Highest multiple of the last run times that the moving average may have.
+/// Upper limit of the moving average, as a multiple of the last median.
 const MAX_EXCESS: f64 = 1.5;
 
 /// Time in which the weight of counted answers halves.
@@ -43,25 +43,31 @@
 /// Time without probation after which earlier ones no longer count.
 const PROBATION_MEMORY: Duration = Duration::from_secs(10);
 
-/// Observed run times and failures of the reads of one server.
+/// Observed run times of the statements of one server, and failures of its reads.
 #[derive(Clone, Debug)]
 pub struct Gauge {
     recent: Recent,
+    /// Moving average of the medians of `recent`.
     slowness: f64,
     last_run: Duration,
+    /// Answers to reads including failures, weighted by age as of `counted_at`.
     answers: f64,
+    /// Failures of reads, weighted likewise.
     failures: f64,
     counted_at: Instant,
     last_sent: Instant,
     probation: Option<Probation>,
     /// Number of recent probations.
     repeats: u32,
+    /// When the last probation ended.
     ended_at: Instant,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Probation {
+    /// Time between two probes.
     interval: Duration,
+    /// Number of successful probes in a row.
     good: u32,
 }
 
@@ -83,7 +89,7 @@
 }
 
 impl Gauge {
-    /// Records that a read was sent.
+    /// Records that a statement was sent.
     pub fn on_sent(&mut self, now: Instant) {
         self.last_sent = now;
     }
--- a/components/pace/src/lib.rs
+++ b/components/pace/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! - [`Window`]: the number of concurrent statements of a server that has just started,
 //!   recovered or been promoted. It grows from one while the server answers as before.
-//! - [`Gauge`]: run times and failures of a server's reads, compared with those of its
-//!   peers. A server that fails more of them than its peers is on probation and gets
+//! - [`Gauge`]: run times of a server's statements and failures of its reads, compared with
+//!   those of its peers. A server that fails more of them than its peers is on probation and gets
 //!   single requests only.
 //! - [`Usual`]: the usual run time of one kind of request, which makes the run times of
 //!   different kinds comparable.
--- a/components/pool/src/evict.rs
+++ b/components/pool/src/evict.rs
@@ -18,7 +18,7 @@
     pub since: Instant,
     /// What the connection saves, see [`Usage::value`](crate::Usage::value).
     pub value: f64,
-    /// Whether a request of the team waits that has no other connection.
+    /// Whether a request of the team waits and the team has no other connection.
     pub awaited: bool,
 }
 
