--- a/components/keeper/src/pace.rs
+++ b/components/keeper/src/pace.rs
@@ -283,11 +283,10 @@
         }
     }
 
-    /// Whether a server is on probation while another configured server is not.
-    pub(crate) fn is_ejected(&self, server: Key<Server>) -> bool {
-        let trusted = |server: &Server| !server.gauge.is_on_probation();
-        self.servers.get(server).is_some_and(|server| !trusted(server))
-            && self.servers.iter().any(|(_, other)| other.configured && trusted(other))
+    /// Whether a candidate is on probation while another candidate is not.
+    pub(crate) fn is_ejected(&self, server: Key<Server>, found: &[Candidate<Key<Server>>]) -> bool {
+        let trusted = |key| self.servers.get(key).is_some_and(|s| !s.gauge.is_on_probation());
+        !trusted(server) && found.iter().any(|other| trusted(other.server))
     }
 
     /// Sends a failed read to another server, once and within the retry budget. Returns
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -384,7 +384,7 @@
         // servers on probation
         let chosen = found
             .iter()
-            .filter(|found| if probed { found.probe } else { !self.is_ejected(found.server) });
+            .filter(|one| if probed { one.probe } else { !self.is_ejected(one.server, found) });
         let loads: SmallVec<[_; 4]> = chosen.filter_map(load).collect();
         let preferred = loads.iter().filter(|load| load.ready || Some(load.server) != primary);
         let preferred: SmallVec<[_; 4]> = preferred.copied().collect();
--- a/components/keeper/tests/unfenced/balance.rs
+++ b/components/keeper/tests/unfenced/balance.rs
@@ -120,6 +120,24 @@
     assert!(failures <= 0.16, "{failures}");
 }
 
+/// Load or failure: the same for callers of a team, whose reads choose among the connections
+/// of the team. Reads must not wait for a server that is unreachable.
+#[test]
+fn the_last_usable_replica_is_not_taken_out_of_use_for_a_team() {
+    let mut world = World::new(7, true, None);
+    world.declare_team("red");
+    world.servers[2].failing = Some((When::Share(0.4), How::Error));
+    world.run(5_000);
+    let start = world.now;
+    world.servers[1].refuses_until = start + ms(5_000);
+    world.break_connections(1);
+    world.run(5_000);
+    let served = world.answered(true, start + ms(500), world.now);
+    let by_replica = served.iter().filter(|read| read.server == 2).count();
+    assert!(by_replica * 3 > served.len(), "{by_replica} of {}", served.len());
+    assert!(world.pending() < 20, "{} pending", world.pending());
+}
+
 /// Load or failure: a replica becomes 4 times slower without a restart.
 #[test]
 fn a_slow_replica_gets_fewer_reads_and_its_share_again_once_it_is_fast() {
--- a/components/keeper/tests/unfenced/servers.rs
+++ b/components/keeper/tests/unfenced/servers.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use config::Team;
 use keeper::{Connection, Effect, Event, Flaw, Kind, Outage, Pace, Piece};
 use plain::ErrorKind;
 use rand::{RngExt, SeedableRng};
@@ -139,6 +140,8 @@
     pub writes: f64,
     /// Service whose requests arrive.
     pub service: &'static str,
+    /// Team of the callers; empty if they have none.
+    pub team: &'static str,
     pub answered: Vec<Answered>,
     /// Probations and windows as the keepers reported them, with the server.
     pub paces: Vec<(Instant, usize, Pace, Pace)>,
@@ -167,6 +170,7 @@
             reads: 200.0,
             writes: 60.0,
             service: "ring",
+            team: "",
             answered: Vec::new(),
             paces: Vec::new(),
             arrived: vec![BTreeMap::new(); 2],
@@ -177,6 +181,16 @@
         world
     }
 
+    /// Declares a team to which all callers belong from now on.
+    pub fn declare_team(&mut self, team: &'static str) {
+        self.team = team;
+        for keeper in &mut self.keepers {
+            let teams = [(name(team), Team::default())].into();
+            keeper.declarations.teams = Some(teams);
+            keeper.set_up(Some("server-0"), 1, 12);
+        }
+    }
+
     /// Runs for a time in milliseconds.
     pub fn run(&mut self, millis: u64) {
         for _ in 0..millis {
@@ -230,8 +244,8 @@
             let share = 1.0 / (1_000.0 * self.keepers.len() as f64);
             for (rate, read) in [(self.reads, true), (self.writes, false)] {
                 if self.rng.random_bool((rate * share).min(1.0)) {
-                    let service = self.service.to_owned();
-                    let run = Run { deadline_ms: 2_000, service, ..Run::default() };
+                    let (service, team) = (self.service.to_owned(), self.team.to_owned());
+                    let run = Run { deadline_ms: 2_000, service, team, ..Run::default() };
                     let run = if read {
                         Run { class: Class::Read as i32, age_ms: 2_000, ..run }
                     } else {
