--- a/components/config/tests/teams.rs
+++ b/components/config/tests/teams.rs
@@ -32,7 +32,7 @@
 fn two_teams_with_one_key_are_invalid() {
     let declarations = declare(&[("shop", &["a"]), ("yard", &["a", "b"])]);
     let violations = declarations.violations();
-    assert!(matches!(&violations[..],
+    assert!(matches!(violations.as_slice(),
         [Violation::Value { path, allowed: Allowed::UniqueKeys }] if path[1] == "yard"));
 }
 
--- a/components/control/src/feed.rs
+++ b/components/control/src/feed.rs
@@ -1,10 +1,10 @@
 //! What changed in the state and when, so that each entry that follows the log gets an
 //! update of what concerns it.
 //!
-//! The log in full took 38 to 50 kB/s on each of 300 entries, of which most have a link
-//! of 2 Mbit/s and keep no group. A feed records when objects changed, instead of
-//! passing commands on: several changes of an object between two updates are sent as
-//! one, and a command that changes nothing is not sent.
+//! Most entries keep no group and have a link of low bandwidth, which the log in full would
+//! occupy. A feed records when objects changed, instead of passing commands on: several
+//! changes of an object between two updates are sent as one, and a command that changes
+//! nothing is not sent.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/components/control/src/update.rs
+++ b/components/control/src/update.rs
@@ -109,7 +109,7 @@
 type Decoded = ((Name, Group), Vec<(Name, Server)>);
 
 impl State {
-    /// Applies an update to an entry's state. An update that the state has reached already
+    /// Applies an update to an entry's state. An update to an earlier index than the state's
     /// has no effect.
     ///
     /// # Errors
--- a/components/entry/src/keep/metrics.rs
+++ b/components/entry/src/keep/metrics.rs
@@ -1,5 +1,5 @@
-//! Counters of a keeper. Labels name servers of the groups that the keeper serves and the
-//! largest teams, but no service and no caller, so the number of series stays bounded.
+//! Counters and gauges of a keeper. Labels name servers of the groups that the keeper serves
+//! and the largest teams, but no service and no caller, so the number of series stays bounded.
 
 use base::prelude::*;
 use keeper::{Cause, Count, Pace};
@@ -40,7 +40,7 @@
     server: String,
 }
 
-/// Counters of a keeper.
+/// Counters and gauges of a keeper.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Metrics {
     ended: Family<EndLabels, Counter>,
--- a/components/entry/src/keep/quota.rs
+++ b/components/entry/src/keep/quota.rs
@@ -1,4 +1,4 @@
-//! Limits of teams: counts operations before they reach a shard.
+//! Limits of teams: counts operations before they are passed to a shard.
 //!
 //! One ledger serves all groups of the entry. An operation that waits for a loan is
 //! kept here and is not known to a shard, so it takes no slot and no connection.
@@ -27,7 +27,7 @@
 use queue::{Inner, Verdict, Waiting};
 
 /// Time beyond the duration of a lease after which a change of the control state is in
-/// force at all hosts: a host applies it to its limits only some time after its lease.
+/// force at all hosts: a host updates its limits somewhat later than its state.
 const APPLY_MARGIN: Duration = Duration::from_millis(100);
 
 /// Longest wait of an operation for a loan.
@@ -37,14 +37,14 @@
 /// counts as late.
 const WAIT_SHARE: f64 = 0.2;
 
-/// Time between two looks at waiting operations.
+/// Time between two checks of waiting operations.
 const WAIT_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Time for which requests for tokens are collected into one message.
 const BATCH_DELAY: Duration = Duration::from_millis(2);
 
-/// Time between two checks for teams that are no longer limited.
-const LIMITED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two checks for teams that are within their limits again.
+const LIMIT_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Limits of all teams at one entry.
 #[derive(Debug)]
@@ -115,7 +115,8 @@
         drop(lock(&self.inner).remove(|waiting| waiting.front == front));
     }
 
-    /// Notes the end of an operation that has a token.
+    /// Settles the token of an operation that has ended, or returns it if nothing was sent to
+    /// a server. Without an `end`, the operation may have run.
     pub(super) fn end(&self, host: &Host, open: &Open, end: Option<&End>) {
         let Some((team, token)) = &open.token else { return };
         let unsent = |end: &&End| end.outcome() == Outcome::NotRun && end.server.is_empty();
@@ -211,20 +212,20 @@
     fn note_refusal(&self, host: &Host, now: Instant, team: &str) {
         let mut inner = lock(&self.inner);
         host.metrics.refused(&inner.label(team));
-        if inner.limited.insert(team.to_owned(), now).is_none() {
+        if inner.exceeded.insert(team.to_owned(), now).is_none() {
             info!(host.log, "team exceeds its limit; operations are refused"; "team" => team);
         }
     }
 
-    /// Logs teams that were refused nothing for the length of a window.
-    fn check_limited(&self, host: &Host) {
+    /// Logs and forgets teams without a refusal for the length of a window.
+    fn check_exceeded(&self, host: &Host) {
         let now = host.clock.now();
-        lock(&self.inner).limited.retain(|team, last| {
-            let limited = now.since(*last) < self.window;
-            if !limited {
+        lock(&self.inner).exceeded.retain(|team, last| {
+            let exceeded = now.since(*last) < self.window;
+            if !exceeded {
                 info!(host.log, "team is within its limit again"; "team" => team);
             }
-            limited
+            exceeded
         });
     }
 
@@ -262,16 +263,16 @@
 /// is aborted.
 pub(super) async fn run(host: Arc<Host>, links: Arc<Keepers>) {
     let Some(mut loans) = links.take_loans() else { return };
-    let mut limited = tokio::time::interval(LIMITED_CHECK_INTERVAL);
+    let mut limit_checks = tokio::time::interval(LIMIT_CHECK_INTERVAL);
     loop {
         let waits = !lock(&host.quotas.inner).waiting.is_empty();
         tokio::select! {
             () = next_loan(&host, &mut loans) => host.quotas.pump(&host),
             () = host.quotas.changed.notified() => {}
             () = tokio::time::sleep(WAIT_CHECK_INTERVAL), if waits => host.quotas.pump(&host),
-            _ = limited.tick() => {
+            _ = limit_checks.tick() => {
                 host.quotas.refresh(&host);
-                host.quotas.check_limited(&host);
+                host.quotas.check_exceeded(&host);
             }
         }
         if lock(&host.quotas.inner).has_messages() {
--- a/components/entry/src/keep/quota/queue.rs
+++ b/components/entry/src/keep/quota/queue.rs
@@ -27,7 +27,7 @@
     pub(super) until: Instant,
 }
 
-/// What happens to an operation once the lock is released.
+/// What is to be done with an operation once the lock is released.
 #[derive(Debug)]
 pub(super) enum Verdict {
     Run(Waiting, Token),
@@ -44,9 +44,9 @@
     /// Entries to which a change of shares is to be announced.
     pub(super) announced: Vec<Name>,
     /// Teams that were refused operations, with the time of the last refusal.
-    pub(super) limited: BTreeMap<String, Instant>,
-    /// Names of the teams with a limit by digest; `None` if two teams have the same, which
-    /// then can't borrow.
+    pub(super) exceeded: BTreeMap<String, Instant>,
+    /// Names of the teams with a limit, by digest. `None` if two teams have the same digest;
+    /// nothing is lent to them then.
     pub(super) names: HashMap<u32, Option<Name>>,
     /// Teams with metrics of their own.
     pub(super) largest: Vec<Name>,
@@ -62,7 +62,7 @@
             waiting: HashMap::new(),
             requests: Vec::new(),
             announced: Vec::new(),
-            limited: BTreeMap::new(),
+            exceeded: BTreeMap::new(),
             names: HashMap::new(),
             largest: Vec::new(),
             index: None,
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -23,7 +23,7 @@
 const COMPACT_ENTRIES: u64 = 4_096;
 
 /// Length of the log entries since the newest snapshot at which the next snapshot is taken, in
-/// bytes. A stream of whole configurations otherwise grew the log beyond the memory of a host.
+/// bytes. Otherwise a stream of whole configurations would exceed the memory of a host.
 const COMPACT_BYTES: usize = 4 << 20;
 
 /// Decodes the state in a snapshot.
--- a/components/member/src/follower.rs
+++ b/components/member/src/follower.rs
@@ -138,7 +138,7 @@
     /// Sends a follower the whole state in pieces: a recent image, and the commands after
     /// it.
     fn send_image(&mut self, key: Key<Follower>) {
-        let recent = self.updates.image.as_ref().map(SharedImage::index);
+        let recent = self.updates.full_image.as_ref().map(SharedImage::index);
         let recent = recent.filter(|index| self.state.index - index <= MAX_IMAGE_LAG);
         if let Some(index) = recent {
             self.enqueue_image(key);
@@ -147,7 +147,7 @@
             }
         }
         let bytes = self.state.encode_for_entries();
-        self.updates.image = Some(SharedImage::new(&self.state, bytes, false));
+        self.updates.full_image = Some(SharedImage::new(&self.state, bytes, false));
         self.enqueue_image(key);
         if let Some(follower) = self.followers.get_mut(key) {
             follower.next = self.state.index + 1;
@@ -155,7 +155,7 @@
     }
 
     fn enqueue_image(&mut self, key: Key<Follower>) {
-        let frames = self.updates.image.as_ref().map(|image| image.frames.clone());
+        let frames = self.updates.full_image.as_ref().map(|image| image.frames.clone());
         self.enqueue_all(key, &frames.unwrap_or_default());
     }
 
--- a/components/member/src/updates.rs
+++ b/components/member/src/updates.rs
@@ -1,4 +1,4 @@
-//! Updates for entries: what concerns each entry of the applied commands.
+//! Updates for entries: the part of the applied commands that concerns each entry.
 //!
 //! Most commands concern only the keepers of one group. An entry that a change doesn't
 //! concern gets no message for it; its index advances with the next confirmation of a
@@ -28,12 +28,12 @@
     /// What changed in the state and when.
     pub(crate) feed: Feed,
     /// Newest encoded state for entries that get all commands.
-    pub(crate) image: Option<SharedImage>,
-    /// Newest encoded state for entries that get updates.
-    shared_image: Option<SharedImage>,
+    pub(crate) full_image: Option<SharedImage>,
+    /// Newest encoded state for entries that get updates, which complete it.
+    partial_image: Option<SharedImage>,
     /// Index of the state when entries were last sent updates, and the time.
     sent: (u64, Instant),
-    /// Whether an entry lacks updates because its queue was long.
+    /// Whether an entry was sent no update because its queue was too long.
     has_paused: bool,
 }
 
@@ -41,8 +41,8 @@
     pub(crate) fn new(now: Instant, state: &State) -> Self {
         Self {
             feed: Feed::new(now, state),
-            image: None,
-            shared_image: None,
+            full_image: None,
+            partial_image: None,
             sent: (0, now),
             has_paused: false,
         }
@@ -54,19 +54,19 @@
 pub(crate) struct Sent {
     /// State up to which the entry has all that concerns it.
     known: Known,
-    /// Index that the entry was told that it has reached; not above that of `known`.
-    told: u64,
+    /// Index that the entry was told it has reached; not above that of `known`.
+    announced: u64,
     /// Highest index of a confirmation, for which the entry waits to extend its lease.
     awaited: u64,
 }
 
 impl Sent {
     pub(crate) fn new(index: u64, version: u64) -> Self {
-        Self { known: Known { index, version }, told: index, awaited: 0 }
+        Self { known: Known { index, version }, announced: index, awaited: 0 }
     }
 }
 
-/// Encoded updates of one moment, which entries that know the same share.
+/// Encoded updates of one pass, shared by the entries that know the same.
 #[derive(Debug, Default)]
 struct Shared {
     /// Entries that need their own update, by the index that they know.
@@ -99,33 +99,33 @@
         self.update_follower(key, &mut Shared::default());
     }
 
-    /// Confirms a heartbeat up to an index, after the entry was told how far it is.
+    /// Notes that a confirmation with an index was sent: the entry waits until it has reached
+    /// that index, so it is told how far it has got.
     pub(crate) fn await_index(&mut self, key: Key<Follower>, index: u64) {
         let Some(sent) = self.followers.get_mut(key).and_then(|follower| follower.sent.as_mut())
         else {
             return;
         };
         sent.awaited = sent.awaited.max(index);
-        self.advance(key);
+        self.announce_awaited(key);
     }
 
-    /// Tells an entry that nothing up to the index that it knows concerns it, if it waits for
-    /// a confirmed index.
-    fn advance(&mut self, key: Key<Follower>) {
+    /// Tells an entry the index that it has reached, if it waits for a confirmed index.
+    fn announce_awaited(&mut self, key: Key<Follower>) {
         let sent = self.followers.get(key).and_then(|follower| follower.sent);
-        if sent.is_some_and(|sent| sent.told < sent.awaited) {
-            self.tell(key);
+        if sent.is_some_and(|sent| sent.announced < sent.awaited) {
+            self.announce_index(key);
         }
     }
 
-    /// Tells an entry the index that it knows.
-    fn tell(&mut self, key: Key<Follower>) {
+    /// Tells an entry the index up to which it has all that concerns it.
+    fn announce_index(&mut self, key: Key<Follower>) {
         let Some(sent) = self.followers.get_mut(key).and_then(|follower| follower.sent.as_mut())
         else {
             return;
         };
-        let (base, index) = (sent.told, sent.known.index);
-        sent.told = index;
+        let (base, index) = (sent.announced, sent.known.index);
+        sent.announced = index;
         if base < index {
             let empty = Update { base, index, ..Update::default() };
             self.send_down(key, down::Body::Update(empty));
@@ -143,7 +143,7 @@
             return;
         }
         if known.index == 0 || !self.updates.feed.covers(known.index) {
-            self.send_shared_image(key);
+            self.send_partial_image(key);
             return;
         }
         let entry = follower.join.entry.clone();
@@ -161,41 +161,41 @@
             frame
         };
         if let Some(frame) = frame {
-            self.tell(key);
+            self.announce_index(key);
             self.enqueue(key, frame);
             self.set_known(key, true);
         } else {
             self.set_known(key, false);
-            self.advance(key);
+            self.announce_awaited(key);
         }
     }
 
-    /// Records that an entry has all that concerns it of the current state; `told` if it was
-    /// also sent the index.
-    fn set_known(&mut self, key: Key<Follower>, told: bool) {
+    /// Records that an entry has all that concerns it of the current state; `announced` if it
+    /// was also sent the index.
+    fn set_known(&mut self, key: Key<Follower>, announced: bool) {
         let known = Known { index: self.state.index, version: self.state.version };
         if let Some(sent) = self.followers.get_mut(key).and_then(|follower| follower.sent.as_mut())
         {
             sent.known = known;
-            if told {
-                sent.told = known.index;
+            if announced {
+                sent.announced = known.index;
             }
         }
     }
 
-    /// Sends an entry the shared image, if a recent one exists, and the update that completes
-    /// it.
-    fn send_shared_image(&mut self, key: Key<Follower>) {
+    /// Sends an entry the newest partial image, or a new one if that is too old, and the update
+    /// that completes it.
+    fn send_partial_image(&mut self, key: Key<Follower>) {
         let is_recent = |image: &SharedImage| {
             self.state.index - image.known.index <= MAX_IMAGE_LAG
                 && self.updates.feed.covers(image.known.index)
                 && self.updates.feed.has_version(image.known.version)
         };
-        if !self.updates.shared_image.as_ref().is_some_and(is_recent) {
+        if !self.updates.partial_image.as_ref().is_some_and(is_recent) {
             let bytes = self.state.encode_shared();
-            self.updates.shared_image = Some(SharedImage::new(&self.state, bytes, true));
+            self.updates.partial_image = Some(SharedImage::new(&self.state, bytes, true));
         }
-        let Some(image) = &self.updates.shared_image else { return };
+        let Some(image) = &self.updates.partial_image else { return };
         let (known, frames) = (image.known, image.frames.clone());
         let Some(entry) = self.followers.get(key).map(|follower| follower.join.entry.clone())
         else {
--- a/components/quota/src/bounds.rs
+++ b/components/quota/src/bounds.rs
@@ -6,7 +6,8 @@
 /// Share of the slack that the buckets may hold in addition to the burst.
 const POOLED_SLACK: f64 = 0.75;
 
-/// Share of the overage of the rate that borrowed tokens may use by their lifetime.
+/// Lifetime of a borrowed token, as a share of the overage of the window: its operation may
+/// run that much later than its place in the bucket was refilled.
 const LOAN_OVERAGE: f64 = 0.6;
 
 /// Longest lifetime of a borrowed token.
@@ -54,7 +55,7 @@
         if serves && quota.rate_per_s > 0.0 { pool.max(1.0) } else { pool }
     }
 
-    /// Number of hosts that hold a share of a limit, of `hosts` that could.
+    /// Number of hosts that hold a share of a limit, out of `hosts` that keep groups.
     pub(crate) fn holders(&self, quota: Quota, hosts: usize) -> usize {
         let most = (self.pool(quota) / TOKENS_PER_HOLDER) as usize;
         most.max(1).min(hosts)
--- a/components/quota/src/bucket.rs
+++ b/components/quota/src/bucket.rs
@@ -7,10 +7,10 @@
 
 /// A token bucket whose rate and capacity are a share of a limit.
 ///
-/// The share in use is the least of those in force until every other host that may run
-/// operations has applied the same change: until all have confirmed it, or for the time
-/// `span`. A share shrinks at once, and grows only when no other host still uses a part of
-/// it.
+/// The share in use is the least of the newest one and of the earlier ones that another
+/// host may still count on. An earlier one is dropped once all other hosts have confirmed
+/// its replacement, or after the time `span`. A share therefore shrinks at once, and grows
+/// only when no other host still uses a part of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Bucket {
     level: f64,
@@ -20,10 +20,14 @@
     /// tokens. Tokens of an earlier epoch are not returned: their place has been refilled,
     /// so a burst that waits and is then not run would allow a second burst.
     epoch: u64,
+    /// Time up to which the bucket has been refilled.
     at: Instant,
     shares: Recent<f64>,
+    /// Time after which every host has applied a change or runs nothing.
     span: Duration,
+    /// Tokens per second of all holders together.
     rate: f64,
+    /// Capacity of the buckets of all holders together.
     pool: f64,
     flaw: Flaw,
 }
--- a/components/quota/src/demand.rs
+++ b/components/quota/src/demand.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 
 /// Time constant over which the rate is averaged.
-const AVERAGED: Duration = Duration::from_millis(500);
+const AVERAGING_TIME: Duration = Duration::from_millis(500);
 
 /// Exponentially weighted rate of events per second.
 #[derive(Clone, Copy, Debug, Default)]
@@ -14,11 +14,11 @@
 
 impl Demand {
     pub(crate) fn record(&mut self, now: Instant) {
-        self.rate = self.rate(now) + 1.0 / AVERAGED.as_secs_f64();
+        self.rate = self.rate(now) + 1.0 / AVERAGING_TIME.as_secs_f64();
         self.at = now;
     }
 
     pub(crate) fn rate(&self, now: Instant) -> f64 {
-        self.rate * (-now.since(self.at).div_duration_f64(AVERAGED)).exp()
+        self.rate * (-now.since(self.at).div_duration_f64(AVERAGING_TIME)).exp()
     }
 }
--- a/components/quota/src/holders.rs
+++ b/components/quota/src/holders.rs
@@ -16,7 +16,7 @@
     ranked
 }
 
-/// A value that is in force from a time on until the next.
+/// A value that is in force from a time on, until the next value replaces it.
 #[derive(Clone, Debug)]
 struct Since<T> {
     value: T,
@@ -25,7 +25,7 @@
     index: u64,
 }
 
-/// Values in force over the last time, oldest first.
+/// The value in force and those that it replaced recently, oldest first.
 #[derive(Clone, Debug)]
 pub(crate) struct Recent<T>(VecDeque<Since<T>>);
 
--- a/components/quota/src/ledger.rs
+++ b/components/quota/src/ledger.rs
@@ -76,7 +76,7 @@
 pub struct Ledger {
     settings: Settings,
     teams: HashMap<Name, Team>,
-    /// Hosts that hold shares, in force over the duration of a lease.
+    /// Hosts among which limits are divided, now and within the last duration of a lease.
     hosts: Recent<Vec<Name>>,
     /// Index of the control log up to which each other host has changed its shares.
     applied: HashMap<Name, u64>,
@@ -94,7 +94,8 @@
         Self { settings, teams, hosts, applied, changed: false, rng }
     }
 
-    /// Sets the hosts that hold shares, in any order, at an index of the control log.
+    /// Sets the hosts among which limits are divided, in any order, at an index of the
+    /// control log.
     pub fn set_holders(&mut self, now: Instant, index: u64, mut hosts: Vec<Name>) {
         hosts.sort_unstable();
         hosts.dedup();
@@ -102,8 +103,8 @@
             return;
         }
         self.hosts.trim(now, self.settings.lease);
-        // this host may have skipped a state between the two, in which hosts had joined
-        // already and others had not left yet, and which another host still uses
+        // this host may have skipped a state in which new hosts had joined and others had not
+        // left yet, and which another host may still use
         let mut both = self.hosts.last().clone();
         both.extend(hosts.iter().cloned());
         both.sort_unstable();
@@ -124,8 +125,8 @@
         self.confirm(now);
     }
 
-    /// Hosts to which the index of the control log is to be announced, since shares have
-    /// changed; `None` if they have not since the last call.
+    /// Hosts to which the index of the control log is to be announced, if shares have
+    /// changed since the last call; otherwise `None`.
     pub fn announce(&mut self) -> Option<Vec<Name>> {
         // without limits there are no shares, and no messages are sent
         let has_limits = self.teams.values().any(|team| team.quota.is_some());
@@ -139,7 +140,7 @@
         self.confirm(now);
     }
 
-    /// All other hosts that may hold a share now.
+    /// All other hosts that may still use a share.
     fn others(&self) -> Vec<Name> {
         let mut others: Vec<_> = self.hosts.values().flatten().cloned().collect();
         others.sort_unstable();
@@ -288,8 +289,7 @@
         if let Some(known) = team.lenders.iter_mut().find(|known| known.name == request.lender) {
             known.answer(now, sent, (tokens, loan.left));
         }
-        // the lender took the tokens out after `sent`, so that they expire early rather
-        // than late
+        // the lender took the tokens out after `sent`, so they don't expire too late
         let expires = sent + life;
         if loan.tokens > 0 && (now < expires || self.settings.flaw == Flaw::KeepLoans) {
             team.add_borrowed(tokens, expires);
--- a/components/quota/src/lender.rs
+++ b/components/quota/src/lender.rs
@@ -1,4 +1,4 @@
-//! What a borrower knows of another holder.
+//! What a borrower knows of another holder of the limit.
 
 use base::prelude::*;
 
@@ -13,11 +13,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Lender {
     pub(crate) name: Name,
+    /// Balance at the time `at`.
     balance: f64,
     at: Instant,
     /// Tokens that were asked for, and when, while the answer is outstanding.
     asked: Option<(f64, Instant)>,
+    /// Time from which on the holder may be asked again.
     not_before: Instant,
+    /// Number of answers in a row that brought less than half, or that were lost.
     misses: u32,
 }
 
--- a/components/quota/src/message.rs
+++ b/components/quota/src/message.rs
@@ -6,7 +6,7 @@
 use crate::ledger::Request;
 use crate::team::Loan;
 
-/// Number of units of a token in which a balance is sent.
+/// Units per token in which a balance is sent.
 const TENTHS: f64 = 10.0;
 
 /// Digest of the name of a team.
--- a/components/quota/src/team.rs
+++ b/components/quota/src/team.rs
@@ -11,27 +11,27 @@
 use crate::lender::Lender;
 
 /// Time ahead for which a busy team borrows, as a share of the lifetime of a loan.
-const LEAD: f64 = 0.6;
+const AHEAD_SHARE: f64 = 0.6;
 
-/// Stock, as time of demand, below which a busy team borrows: the time that an answer may
-/// take.
-const LOW: Duration = Duration::from_millis(30);
+/// A busy team borrows when its tokens cover less than this time of its demand: the time
+/// that an answer may take.
+const LOW_STOCK: Duration = Duration::from_millis(30);
 
-/// Share of a full bucket for which a busy team sends a message.
-const WORTH_SHARE: f64 = 0.5;
+/// Share of its capacity that a lender is expected to hold before a busy team asks it.
+const MIN_BALANCE_SHARE: f64 = 0.5;
 
-/// Time of own demand for which a lender keeps tokens.
-const KEPT: Duration = Duration::from_millis(100);
+/// Time of its own demand for which a lender keeps tokens.
+const KEPT_TIME: Duration = Duration::from_millis(100);
 
 /// Largest share of its bucket, beyond two tokens, that a lender keeps: small buckets
 /// serve the demand of all hosts only together.
 const KEPT_SHARE: f64 = 0.25;
 
-/// Share of its bucket that a lender keeps when it is asked for more than is needed at
-/// once.
+/// Share of its capacity that a lender is left with when it is asked for more tokens than
+/// are needed at once.
 const LEFT_SHARE: f64 = 0.3;
 
-/// Wait in which the refill of the own bucket counts for a waiting request.
+/// Time ahead over which the refill of the own bucket counts for waiting requests.
 const REFILL_WAIT: Duration = Duration::from_millis(30);
 
 /// Longest retry-after time, in windows.
@@ -56,7 +56,7 @@
     expires: Instant,
 }
 
-/// What a loan is judged by.
+/// Parameters by which lenders are chosen.
 #[derive(Clone, Copy, Debug)]
 struct Terms {
     /// Time for which borrowed tokens can be used.
@@ -69,11 +69,12 @@
     /// Demand per second beyond what the own bucket receives.
     uncovered: f64,
     /// Tokens that a busy team borrows ahead.
-    lead: f64,
-    /// Tokens for which a holder is worth a message.
-    worth: f64,
+    ahead: f64,
+    /// Expected balance from which on a holder is asked.
+    min_balance: f64,
 }
 
+/// The limit of one team, its bucket at this host, and what it borrowed.
 #[derive(Clone, Debug)]
 pub(crate) struct Team {
     pub(crate) quota: Option<Quota>,
@@ -83,7 +84,7 @@
     demand: Demand,
     /// Requests that wait for a loan.
     pub(crate) waiting: usize,
-    /// Refused requests that come back later, as tokens that they will need.
+    /// Number of refused requests that will be tried again, one token each, at `debt_at`.
     debt: f64,
     debt_at: Instant,
 }
@@ -102,7 +103,7 @@
         }
     }
 
-    /// Notes a request.
+    /// Counts a request in the demand.
     pub(crate) fn record(&mut self, now: Instant) {
         self.demand.record(now);
     }
@@ -149,7 +150,7 @@
         let lent = |lender: &mut Lender| {
             let expected = lender.expected(now, terms.life);
             let has = lender.is_free(now, terms.life)
-                && lender.estimate(soon, terms.rate, terms.capacity) >= terms.worth;
+                && lender.estimate(soon, terms.rate, terms.capacity) >= terms.min_balance;
             if has { 1.0 } else { expected }
         };
         own + self.lenders.iter_mut().map(lent).sum::<f64>() >= self.waiting as f64
@@ -163,16 +164,16 @@
         let demand = self.demand.rate(now).min(quota.rate_per_s);
         // what the own bucket receives needs no loan
         let uncovered = (demand - self.bucket.rate()).max(0.0);
-        let lead = (uncovered * life.as_secs_f64() * LEAD).floor();
-        let worth = lead.min(capacity * WORTH_SHARE).max(1.0);
+        let ahead = (uncovered * life.as_secs_f64() * AHEAD_SHARE).floor();
+        let min_balance = ahead.min(capacity * MIN_BALANCE_SHARE).max(1.0);
         Some(Terms {
             life,
             rate: quota.rate_per_s / holders,
             capacity,
             demand,
             uncovered,
-            lead,
-            worth,
+            ahead,
+            min_balance,
         })
     }
 
@@ -189,8 +190,8 @@
         let life = terms.life;
         let expected: f64 = self.lenders.iter().map(|lender| lender.expected(now, life)).sum();
         let stock = self.usable(now) + expected - self.waiting as f64;
-        let is_low = terms.lead >= 2.0 && stock < terms.uncovered * LOW.as_secs_f64();
-        let mut need = if is_low { terms.lead - stock } else { -stock };
+        let is_low = terms.ahead >= 2.0 && stock < terms.uncovered * LOW_STOCK.as_secs_f64();
+        let mut need = if is_low { terms.ahead - stock } else { -stock };
         if need <= 0.0 {
             return;
         }
@@ -200,7 +201,7 @@
         let mut order: SmallVec<[(f64, usize); 8]> = SmallVec::new();
         for (at, lender) in self.lenders.iter_mut().enumerate() {
             let estimate = lender.estimate(now, terms.rate, terms.capacity);
-            if estimate >= terms.worth && lender.is_free(now, life) {
+            if estimate >= terms.min_balance && lender.is_free(now, life) {
                 order.push((estimate, at));
             }
         }
@@ -222,7 +223,7 @@
     pub(crate) fn lend(&mut self, now: Instant, asked: u32) -> Loan {
         self.bucket.advance(now);
         let demand = self.demand.rate(now).min(self.bucket.rate());
-        let kept = demand * KEPT.as_secs_f64();
+        let kept = demand * KEPT_TIME.as_secs_f64();
         let most = (self.bucket.capacity() - 2.0).max(0.0) * KEPT_SHARE;
         let kept = kept.min(most) + self.waiting as f64;
         let free = (self.bucket.level() - kept).max(0.0);
@@ -231,8 +232,8 @@
         Loan { tokens: lent as u32, left: free - lent }
     }
 
-    /// Time after which a refused request may get a token: each earlier refused request
-    /// comes back before it.
+    /// Time after which a refused request may get a token, if each request that was refused
+    /// earlier is tried again before it.
     pub(crate) fn retry_after(&mut self, now: Instant, bounds: &Bounds) -> Duration {
         let rate = self.quota.map_or(0.0, |quota| quota.rate_per_s).max(self.bucket.rate());
         let longest = bounds.window.mul_f64(RETRY_WINDOWS).max(RETRY_MIN);
--- a/components/quota/tests/limits/record.rs
+++ b/components/quota/tests/limits/record.rs
@@ -2,13 +2,13 @@
 
 use base::prelude::*;
 
-use crate::world::{Commit, Fate, LEASE, Operation, World};
+use crate::world::{Commit, LEASE, Operation, Outcome, World};
 
 impl World {
     /// Operations of a team that were granted, by time.
     pub fn granted(&self, team: &Name) -> Vec<Instant> {
-        let granted = |operation: &Operation| match operation.fate {
-            Fate::Granted(at) if operation.team == *team => Some(at),
+        let granted = |operation: &Operation| match operation.outcome {
+            Outcome::Granted(at) if operation.team == *team => Some(at),
             _ => None,
         };
         let mut granted: Vec<_> = self.operations.iter().filter_map(granted).collect();
--- a/components/quota/tests/limits/world.rs
+++ b/components/quota/tests/limits/world.rs
@@ -21,8 +21,10 @@
 /// Longest wait for a loan.
 const WAIT: Duration = Duration::from_millis(30);
 
+/// Time between two checks of waiting operations.
 const POLL: Duration = Duration::from_millis(5);
 
+/// Time for which requests for tokens are collected into one message.
 const BATCH: Duration = Duration::from_millis(2);
 
 /// Length of the prefix of a frame on a link.
@@ -60,7 +62,7 @@
     running: bool,
     frozen: bool,
     /// Events that arrived during a freeze.
-    held: VecDeque<What>,
+    held: VecDeque<Event>,
     waiting: BTreeMap<Name, VecDeque<(usize, Instant)>>,
     outbox: Vec<Request>,
     polls: bool,
@@ -68,7 +70,7 @@
 }
 
 #[derive(Clone, Debug)]
-enum What {
+enum Event {
     Arrive { team: Name, op: usize },
     Borrow { from: usize, requests: Vec<Request>, incarnation: u64 },
     Loan { requests: Vec<Request>, loan: data::Loan, incarnation: u64 },
@@ -78,9 +80,9 @@
     End { team: Name, op: usize, token: Token, ran: bool },
 }
 
-/// What became of an operation.
+/// Event became of an operation.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Fate {
+pub enum Outcome {
     Waits,
     Granted(Instant),
     Refused(Duration),
@@ -92,7 +94,7 @@
 pub struct Operation {
     pub team: Name,
     pub at: Instant,
-    pub fate: Fate,
+    pub outcome: Outcome,
 }
 
 #[derive(Debug)]
@@ -117,7 +119,7 @@
     /// Names of teams by digest.
     names: BTreeMap<u32, Name>,
     events: BinaryHeap<Reverse<(Instant, u64, usize)>>,
-    payloads: BTreeMap<u64, What>,
+    payloads: BTreeMap<u64, Event>,
     next: u64,
     flaw: Flaw,
 }
@@ -188,7 +190,7 @@
         for host in 0..self.hosts.len() {
             // hosts apply the state also while no operations arrive
             let lag = self.hosts[host].lag.unwrap_or_default();
-            self.schedule(self.now + lag, host, What::Poll);
+            self.schedule(self.now + lag, host, Event::Poll);
         }
         self.commits.push(Commit { at: self.now, hosts, limits });
     }
@@ -222,7 +224,7 @@
         self.hosts[host].held.clear();
         for (_, queue) in std::mem::take(&mut self.hosts[host].waiting) {
             for (op, _) in queue {
-                self.operations[op].fate = Fate::Lost;
+                self.operations[op].outcome = Outcome::Lost;
             }
         }
     }
@@ -273,12 +275,12 @@
         }
         let (index, peers) = (known.applied as u64, known.ledger.announce());
         for peer in peers.into_iter().flatten() {
-            let what = What::Applied { from: host_name(host), index, is_answer: false };
+            let what = Event::Applied { from: host_name(host), index, is_answer: false };
             self.send(host, host_index(&peer), what);
         }
     }
 
-    fn schedule(&mut self, at: Instant, host: usize, what: What) {
+    fn schedule(&mut self, at: Instant, host: usize, what: Event) {
         self.next += 1;
         self.payloads.insert(self.next, what);
         self.events.push(Reverse((at, self.next, host)));
@@ -287,8 +289,8 @@
     /// Lets an operation of a team arrive at a host.
     pub fn arrive(&mut self, at: Instant, host: usize, team: &Name) {
         let op = self.operations.len();
-        self.operations.push(Operation { team: team.clone(), at, fate: Fate::Waits });
-        self.schedule(at, host, What::Arrive { team: team.clone(), op });
+        self.operations.push(Operation { team: team.clone(), at, outcome: Outcome::Waits });
+        self.schedule(at, host, Event::Arrive { team: team.clone(), op });
     }
 
     /// Runs until the time `until`.
@@ -305,10 +307,10 @@
         self.now = until;
     }
 
-    fn handle(&mut self, host: usize, what: What) {
+    fn handle(&mut self, host: usize, what: Event) {
         if !self.hosts[host].running {
-            if let What::Arrive { op, .. } = what {
-                self.operations[op].fate = Fate::Lost;
+            if let Event::Arrive { op, .. } = what {
+                self.operations[op].outcome = Outcome::Lost;
             }
             return;
         }
@@ -318,56 +320,56 @@
         }
         self.apply(host);
         match what {
-            What::Arrive { team, op } => self.on_arrival(host, &team, op),
-            What::Borrow { from, requests, incarnation } => {
+            Event::Arrive { team, op } => self.on_arrival(host, &team, op),
+            Event::Borrow { from, requests, incarnation } => {
                 self.on_borrow(host, from, requests, incarnation);
             }
-            What::Loan { requests, loan, incarnation } => {
+            Event::Loan { requests, loan, incarnation } => {
                 if self.hosts[host].incarnation == incarnation {
                     self.on_loan(host, &requests, &loan);
                 }
             }
-            What::Applied { from, index, is_answer } => {
+            Event::Applied { from, index, is_answer } => {
                 self.hosts[host].ledger.on_applied(self.now, &from, index);
                 let index = self.hosts[host].applied as u64;
                 if !is_answer {
-                    let what = What::Applied { from: host_name(host), index, is_answer: true };
+                    let what = Event::Applied { from: host_name(host), index, is_answer: true };
                     self.send(host, host_index(&from), what);
                 }
             }
-            What::Poll => {
+            Event::Poll => {
                 self.hosts[host].polls = false;
                 self.pump(host);
             }
-            What::Flush => self.flush(host),
-            What::End { team, op, token, ran } => {
+            Event::Flush => self.flush(host),
+            Event::End { team, op, token, ran } => {
                 let (now, ledger) = (self.now, &mut self.hosts[host].ledger);
                 if ran {
                     ledger.settle(now, team.as_str(), token);
                 } else {
                     ledger.refund(now, team.as_str(), token);
-                    self.operations[op].fate = Fate::NotRun;
+                    self.operations[op].outcome = Outcome::NotRun;
                 }
             }
         }
         self.plan(host);
     }
 
-    /// Schedules the next look at waiting operations and the next messages.
+    /// Schedules the next check of waiting operations and the next messages.
     fn plan(&mut self, host: usize) {
         let now = self.now;
         if !self.hosts[host].polls && !self.hosts[host].waiting.is_empty() {
             self.hosts[host].polls = true;
-            self.schedule(now + POLL, host, What::Poll);
+            self.schedule(now + POLL, host, Event::Poll);
         }
         if !self.hosts[host].outbox.is_empty() {
-            self.schedule(now + BATCH, host, What::Flush);
+            self.schedule(now + BATCH, host, Event::Flush);
         }
     }
 
     fn on_arrival(&mut self, host: usize, team: &Name, op: usize) {
         if !self.has_lease(host) {
-            self.operations[op].fate = Fate::Lost;
+            self.operations[op].outcome = Outcome::Lost;
             return;
         }
         let now = self.now;
@@ -378,16 +380,16 @@
                 waiting.entry(team.clone()).or_default().push_back((op, now + WAIT));
             }
             Decision::Refused { retry_after } => {
-                self.operations[op].fate = Fate::Refused(retry_after);
+                self.operations[op].outcome = Outcome::Refused(retry_after);
             }
         }
     }
 
     fn grant(&mut self, host: usize, team: &Name, op: usize, token: Token) {
-        self.operations[op].fate = Fate::Granted(self.now);
+        self.operations[op].outcome = Outcome::Granted(self.now);
         let ran = !self.rng.random_bool(self.unrun);
         let end = self.now + self.run_time;
-        self.schedule(end, host, What::End { team: team.clone(), op, token, ran });
+        self.schedule(end, host, Event::End { team: team.clone(), op, token, ran });
     }
 
     fn pump(&mut self, host: usize) {
@@ -405,7 +407,7 @@
                     Decision::Granted(token) => granted.push((team.clone(), op, token)),
                     Decision::Pending => break,
                     Decision::Refused { retry_after } => {
-                        self.operations[op].fate = Fate::Refused(retry_after);
+                        self.operations[op].outcome = Outcome::Refused(retry_after);
                     }
                 }
                 queue.pop_front();
@@ -417,7 +419,7 @@
                 self.grant(host, &team, op, token);
             } else {
                 self.hosts[host].ledger.refund(now, team.as_str(), token);
-                self.operations[op].fate = Fate::Lost;
+                self.operations[op].outcome = Outcome::Lost;
             }
         }
     }
@@ -435,7 +437,7 @@
         let loan = data::Loan { items: requests.iter().map(lend).collect(), applied: 0 };
         let answer = Answer { body: Some(answer::Body::Loan(loan.clone())) };
         self.bytes[host] += answer.encoded_len() + FRAME_BYTES;
-        self.send(host, from, What::Loan { requests, loan, incarnation });
+        self.send(host, from, Event::Loan { requests, loan, incarnation });
     }
 
     fn on_loan(&mut self, host: usize, requests: &[Request], loan: &data::Loan) {
@@ -458,11 +460,11 @@
             self.bytes[host] += ask.encoded_len() + FRAME_BYTES;
             let to = host_index(&lender);
             let incarnation = self.hosts[host].incarnation;
-            self.send(host, to, What::Borrow { from: host, requests, incarnation });
+            self.send(host, to, Event::Borrow { from: host, requests, incarnation });
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, what: What) {
+    fn send(&mut self, from: usize, to: usize, what: Event) {
         let is_cut = self.cut.contains(&(from.min(to), from.max(to)));
         if is_cut || self.rng.random_bool(self.loss) {
             return;
--- a/programs/trefoil-slope/src/cmd/traffic.rs
+++ b/programs/trefoil-slope/src/cmd/traffic.rs
@@ -21,7 +21,7 @@
 const SIZE: Size = Size { entries: 300, groups: 80, services: 0 };
 
 /// Number of hosts that may keep groups.
-const STRONG_HOSTS: usize = 26;
+const KEEPER_HOSTS: usize = 26;
 
 /// Databases and teams of the editions.
 const DATABASES: usize = 160;
@@ -133,7 +133,7 @@
 
     fn join(&self, host: usize) -> Join {
         let Body::Join(join) = size::join(host) else { unreachable!("a join") };
-        let weight = if host < STRONG_HOSTS { 4 } else { 1 };
+        let weight = if host < KEEPER_HOSTS { 4 } else { 1 };
         Join { incarnation: self.hosts[host].incarnation, sole: true, weight, ..join }
     }
 
@@ -214,7 +214,7 @@
                 let lease = group.lease(entry.as_str());
                 lease.is_some_and(|l| l.returning && l.incarnation == host.incarnation)
             };
-            let groups = self.state.groups.iter().filter(|_| at < STRONG_HOSTS);
+            let groups = self.state.groups.iter().filter(|_| at < KEEPER_HOSTS);
             let returned: Vec<Name> = groups
                 .filter(|(_, group)| returning(group))
                 .map(|(name, _)| name.clone())
@@ -277,7 +277,7 @@
             } else {
                 *shared.entry(known).or_insert_with(|| frame(feed.shared_update(state, known)))
             };
-            update_bytes[usize::from(at < STRONG_HOSTS)] += bytes;
+            update_bytes[usize::from(at < KEEPER_HOSTS)] += bytes;
         }
     }
 
@@ -291,8 +291,8 @@
             commands: std::mem::take(&mut self.commands),
             log_bytes_total: log_bytes.values().sum(),
             log_bytes,
-            update_bytes_weak: weak / (SIZE.entries - STRONG_HOSTS),
-            update_bytes_strong: strong / STRONG_HOSTS,
+            update_bytes_weak: weak / (SIZE.entries - KEEPER_HOSTS),
+            update_bytes_strong: strong / KEEPER_HOSTS,
             image_bytes: std::mem::take(&mut self.image_bytes) / SIZE.entries,
         };
         self.since = self.now;
