--- a/components/member/tests/outbox.rs
+++ b/components/member/tests/outbox.rs
@@ -106,3 +106,13 @@
     assert!(accepted * frame.len() <= MAX_BYTES + frame.len(), "{accepted} messages");
     assert!(outbox.is_paused());
 }
+
+/// Guards against an entry that can never get an image larger than the limit of the queue.
+#[test]
+fn an_image_larger_than_the_limit_is_queued_whole() {
+    let (outbox, _due) = queue();
+    let content = vec![0; MAX_BYTES].into();
+    let piece = frame(Update { content, ..Update::default() });
+    assert_eq!(outbox.send_all(&vec![piece.clone(); 12]), Ok(()));
+    assert!(outbox.send(piece).is_err());
+}
