--- a/components/member/src/outbox.rs
+++ b/components/member/src/outbox.rs
@@ -58,8 +58,8 @@
     ///
     /// # Errors
     /// [`Full`].
-    pub fn send(&self, frame: Frame) -> Result<(), Full> {
-        self.send_all(std::slice::from_ref(&frame))
+    pub fn send(&self, frame: &Frame) -> Result<(), Full> {
+        self.send_all(std::slice::from_ref(frame))
     }
 
     /// Queues messages that belong together, such as the pieces of an image. The limit in
--- a/components/member/tests/outbox.rs
+++ b/components/member/tests/outbox.rs
@@ -84,7 +84,7 @@
             }
             let update = feed.shared_update(&state, follower.known);
             follower.state.update(&update).expect("an update");
-            assert_eq!(follower.outbox.send(frame(update)), Ok(()));
+            assert_eq!(follower.outbox.send(&frame(update)), Ok(()));
             follower.known = Known { index: state.index, version: state.version };
         }
         let queued: usize = followers.iter().map(|follower| follower.outbox.queued()).sum();
@@ -102,7 +102,7 @@
     let (outbox, _due) = queue();
     let content = vec![0; PAUSE_BYTES / 2].into();
     let frame = frame(Update { content, ..Update::default() });
-    let accepted = (0..100).take_while(|_| outbox.send(frame.clone()).is_ok()).count();
+    let accepted = (0..100).take_while(|_| outbox.send(&frame).is_ok()).count();
     assert!(accepted * frame.len() <= MAX_BYTES + frame.len(), "{accepted} messages");
     assert!(outbox.is_paused());
 }
@@ -114,5 +114,5 @@
     let content = vec![0; MAX_BYTES].into();
     let piece = frame(Update { content, ..Update::default() });
     assert_eq!(outbox.send_all(&vec![piece.clone(); 12]), Ok(()));
-    assert!(outbox.send(piece).is_err());
+    assert!(outbox.send(&piece).is_err());
 }
