--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -7,11 +7,13 @@
 //! - `conn`: the connection of a caller.
 //! - `caller`: the session of a caller, statement by statement.
 //! - `buffer`: buffers an answer until it is complete.
+//! - `finish`: the answer to a statement, and its effect on the session.
 //! - `login`: the database and the team of a caller.
 
 mod buffer;
 mod caller;
 mod conn;
+mod finish;
 mod login;
 
 use std::sync::Arc;
--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -12,11 +12,12 @@
 use telemetry::event::Answered;
 use tokio::sync::watch;
 use wire::Message as _;
-use wire::data::{End, Leave, Outcome, Reason, Run, ask};
-use wire::plain::{Begin, Execute, Reply, Task, Value};
+use wire::data::{End, Leave, Outcome, Run, ask};
+use wire::plain::{Begin, Execute, Task, Value};
 
 use super::buffer::Buffer;
 use super::conn::Conn;
+use super::finish::problem;
 use super::login::Login;
 use crate::front::attempt::Attempt;
 use crate::front::conn::Disconnect;
@@ -31,7 +32,7 @@
 
 /// State of a caller's transaction.
 #[derive(Debug)]
-enum Transaction {
+pub(super) enum Transaction {
     /// No transaction is open.
     None,
     /// The transaction was begun, and no statement of it was sent to a keeper yet.
@@ -44,31 +45,31 @@
 
 /// A caller with its connection and session.
 pub(super) struct Caller {
-    front: Arc<Front>,
-    conn: Conn,
-    phase: watch::Receiver<Phase>,
+    pub(super) front: Arc<Front>,
+    pub(super) conn: Conn,
+    pub(super) phase: watch::Receiver<Phase>,
     /// Version of the declarations that the front has applied.
-    version: watch::Receiver<u64>,
-    login: Login,
+    pub(super) version: watch::Receiver<u64>,
+    pub(super) login: Login,
     /// Number of the session at keepers.
-    number: u64,
+    pub(super) number: u64,
     /// Mark of the newest write of the session; reads of the session must not show
     /// older data.
-    floor: Option<Mark>,
+    pub(super) floor: Option<Mark>,
     /// Session variables: values by name.
-    values: BTreeMap<Bytes, Bytes>,
-    prepared: BTreeMap<Bytes, (Access, Bytes)>,
-    transaction: Transaction,
+    pub(super) values: BTreeMap<Bytes, Bytes>,
+    pub(super) prepared: BTreeMap<Bytes, (Access, Bytes)>,
+    pub(super) transaction: Transaction,
 }
 
 /// A statement to run at a server.
-struct Work {
-    task: Task,
-    access: Access,
+pub(super) struct Work {
+    pub(super) task: Task,
+    pub(super) access: Access,
     /// Whether the statement may commit: a commit, or a write outside a transaction.
-    commits: bool,
+    pub(super) commits: bool,
     /// Whether the statement ends the transaction.
-    ends: bool,
+    pub(super) ends: bool,
 }
 
 impl Caller {
@@ -229,7 +230,7 @@
     }
 
     /// Access mode of the open transaction.
-    fn access(&self) -> Access {
+    pub(super) fn access(&self) -> Access {
         match &self.transaction {
             Transaction::Begun(access) | Transaction::Open { access, .. } => *access,
             Transaction::None | Transaction::Failed => Access::Write,
@@ -279,7 +280,7 @@
         self.write_ready();
     }
 
-    fn write_ready(&mut self) {
+    pub(super) fn write_ready(&mut self) {
         let status = match self.transaction {
             Transaction::None => Status::Idle,
             Transaction::Begun(_) | Transaction::Open { .. } => Status::Open,
@@ -308,7 +309,7 @@
 
     /// Tells the keeper to roll back the transaction and forget the session, if a
     /// transaction is open there. The session continues under a new number.
-    async fn release_session(&mut self) {
+    pub(super) async fn release_session(&mut self) {
         let Transaction::Open { link, .. } = &self.transaction else { return };
         let caller = self.number;
         link.send(ask::Body::Leave(Leave { caller })).await;
@@ -317,7 +318,7 @@
 
     /// Tells a keeper that the caller has left while its statement waited or ran there: a
     /// statement that waits is dropped, and one that runs ends without an answer.
-    async fn leave(&mut self, link: Option<Arc<Link>>) {
+    pub(super) async fn leave(&mut self, link: Option<Arc<Link>>) {
         let caller = self.number;
         if let Some(link) = link {
             link.send(ask::Body::Leave(Leave { caller })).await;
@@ -464,110 +465,4 @@
             repeats: false,
         }
     }
-
-    /// Writes the answer for the result of an attempt, and updates the session.
-    async fn finish(
-        &mut self,
-        work: &Work,
-        attempt: &Attempt,
-        reply: Option<Reply>,
-        link: Option<Arc<Link>>,
-        group: Name,
-    ) -> Result<(), Report<Disconnect>> {
-        let done = match attempt {
-            Attempt::Ended { end, .. } if end.outcome() == Outcome::Done => Some(end),
-            _ => None,
-        };
-        let (Some(end), Some(reply)) = (done, reply) else {
-            return self.fail_request(work, attempt, link, group).await;
-        };
-        for row in reply.rows {
-            self.conn.put(&Answer::Row(row));
-        }
-        let failed = reply.error.is_some();
-        match (reply.complete, reply.error) {
-            (Some(complete), _) => self.conn.put(&Answer::Complete(Some(complete))),
-            (None, Some(error)) => self.conn.put(&Answer::Error(error)),
-            (None, None) => return self.fail_request(work, attempt, link, group).await,
-        }
-        if work.commits && !failed {
-            self.floor = self.floor.max(end.mark.map(Mark::from));
-        }
-        self.update_transaction(work, end, failed, link, group).await;
-        self.write_ready();
-        self.conn.flush().await
-    }
-
-    /// Updates the transaction after a statement that ran.
-    async fn update_transaction(
-        &mut self,
-        work: &Work,
-        end: &End,
-        failed: bool,
-        link: Option<Arc<Link>>,
-        group: Name,
-    ) {
-        let is_autocommit = matches!(self.transaction, Transaction::None);
-        if is_autocommit {
-            return;
-        }
-        let access = self.access();
-        if let (b'T', Some(link)) = (end.status as u8, link.clone()) {
-            self.transaction = Transaction::Open { link, access, group };
-            return;
-        }
-        if let (b'E', Some(link)) = (end.status as u8, link) {
-            self.transaction = Transaction::Open { link, access, group };
-            self.release_session().await;
-        }
-        let over = work.ends && !failed;
-        self.transaction = if over { Transaction::None } else { Transaction::Failed };
-    }
-
-    /// Writes the error of a statement whose outcome is not `Done` or that has no valid
-    /// reply, and has the keeper roll back the statement's transaction.
-    ///
-    /// A transaction that the statement does not end stays failed until the caller ends
-    /// it.
-    async fn fail_request(
-        &mut self,
-        work: &Work,
-        attempt: &Attempt,
-        link: Option<Arc<Link>>,
-        group: Name,
-    ) -> Result<(), Report<Disconnect>> {
-        let problem = problem(work, attempt);
-        self.conn.put(&Answer::Problem(problem));
-        let is_autocommit = matches!(self.transaction, Transaction::None);
-        if let (Some(link), false) = (link, is_autocommit) {
-            let access = self.access();
-            self.transaction = Transaction::Open { link, access, group };
-            self.release_session().await;
-        } else if matches!(attempt, Attempt::Broken { .. }) {
-            self.number = self.front.next_session_number();
-        }
-        self.transaction =
-            if is_autocommit || work.ends { Transaction::None } else { Transaction::Failed };
-        self.write_ready();
-        self.conn.flush().await
-    }
-}
-
-/// Returns the error for a statement whose outcome is not `Done` or that has no valid
-/// reply.
-///
-/// Writes that only a later commit would have committed are certainly rolled back.
-fn problem(work: &Work, attempt: &Attempt) -> Problem {
-    let is_late = |end: &End| end.reason() == Reason::Deadline;
-    // a request that was not sent has not committed anything
-    let may_have_committed = work.commits && *attempt != Attempt::NotSent;
-    match attempt {
-        Attempt::Ended { end, .. } if end.outcome() == Outcome::NotRun => match end.reason() {
-            Reason::TransactionGone => Problem::Aborted,
-            _ => Problem::Busy,
-        },
-        Attempt::Ended { end, .. } if may_have_committed && is_late(end) => Problem::Timeout,
-        _ if may_have_committed => Problem::Unknown,
-        _ => Problem::Aborted,
-    }
 }
