--- a/components/config/src/diff.rs
+++ b/components/config/src/diff.rs
@@ -71,7 +71,7 @@
 }
 
 /// All differences between the groups, services and selectors, ordered by table and
-/// name. Databases are not compared.
+/// name. Databases and teams are not compared.
 pub fn diff(from: &Declarations, to: &Declarations) -> Vec<Change> {
     let mut changes = Vec::new();
     for table in [Table::Groups, Table::Services, Table::Selectors] {
--- a/components/config/src/files.rs
+++ b/components/config/src/files.rs
@@ -2,8 +2,8 @@
 //!
 //! Each file may hold `[groups.NAME]`, `[services.NAME]` and
 //! `[selectors.NAME]`. The keys are those of [`crate::model`]; times are whole
-//! milliseconds under keys that end in `_ms`. Databases can't be declared in files:
-//! `[databases.NAME]` is parsed but left out. The files are read in the order of
+//! milliseconds under keys that end in `_ms`. Databases and teams can't be declared in
+//! files: `[databases.NAME]` and `[teams.NAME]` are parsed but left out. The files are read in the order of
 //! their names and merged; each group, service or selector may be declared in one
 //! file only. A problem in any file makes the whole directory invalid. Each problem
 //! is reported with its file, line and key as far as they are known; the rules of
--- a/components/config/src/patch.rs
+++ b/components/config/src/patch.rs
@@ -14,7 +14,7 @@
 use crate::model::{Declarations, Group, Selector, Service};
 
 /// Groups, services and selectors to set and to remove. A patch never changes
-/// databases.
+/// databases or teams.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Patch {
--- a/components/config/src/text.rs
+++ b/components/config/src/text.rs
@@ -1,7 +1,8 @@
 //! The canonical text of declarations, as the control log carries it: JSON whose
 //! declarations are sorted by name, and whose fields are in the order in which the
 //! types of [`crate::model`] define them. Fields with a default value are written
-//! out, except for `databases`, and `acknowledges` and `connections` of a group.
+//! out, except for `databases` and `teams`, `acknowledges` and `connections` of a group,
+//! `public` of a database and `quota` of a team.
 
 use crate::check::Violation;
 use crate::model::Declarations;
