Accept callers at once when a lease is regained

The test of an entry that is cut off failed once on a busy machine: its last caller was disconnected. The front left the phase without a lease only at its next check, up to 200 ms after the lease was extended, and disconnected callers that it had accepted meanwhile. The phase follows the extension now.

--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -332,9 +332,10 @@
 /// Sets the phase when the lease has been missing for [`UNLEASED_TIMEOUT`], and
 /// when a lease is held again.
 async fn watch_lease(front: Arc<Front>) {
-    let mut check = tokio::time::interval(LEASE_CHECK_INTERVAL);
     loop {
-        check.tick().await;
+        // returns at once when the lease is extended, since callers that are accepted from
+        // then on must not be disconnected because of the old phase
+        front.view.wait_for_extension(LEASE_CHECK_INTERVAL).await;
         let missing = front.clock.now().since(front.view.lease_until());
         let next = if missing > UNLEASED_TIMEOUT { Phase::Unleased } else { Phase::Open };
         let changed = front.phase.send_if_modified(|phase| {
