Follow the control state for quotas only where teams are declared

Read once more: the ledger divided hosts at each change of the state also without teams; surplus idle connections of a group with teams but only public callers were never closed by age; a constant had a figure of one deployment as its reason. The answer of a caller's statement is logged where it is written, so the session's module is shorter.

--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -9,15 +9,13 @@
 use config::Database;
 use config::model::Class;
 use slog::debug;
-use telemetry::event::Answered;
 use tokio::sync::watch;
 use wire::Message as _;
-use wire::data::{End, Leave, Outcome, Run, ask};
+use wire::data::{Leave, Run, ask};
 use wire::plain::{Begin, Execute, Task, Value};
 
 use super::buffer::Buffer;
 use super::conn::Conn;
-use super::finish::problem;
 use super::login::Login;
 use crate::front::attempt::Attempt;
 use crate::front::conn::Disconnect;
@@ -396,41 +394,6 @@
         self.finish(&work, &attempt, reply, link, group).await
     }
 
-    /// Records the latency of a statement, and logs the statement if its outcome is not
-    /// `Done` or if it exceeded the objective.
-    fn record(
-        &self,
-        work: &Work,
-        attempt: &Attempt,
-        started: Instant,
-        group: &Name,
-        objective: Duration,
-        version: u64,
-    ) {
-        let now = self.front.clock.now();
-        let took = now.since(started);
-        let is_done = |end: &End| end.outcome() == Outcome::Done;
-        let done = matches!(attempt, Attempt::Ended { end, .. } if is_done(end));
-        self.front.metrics.record_statement(took, work.access == Access::Write, done);
-        if done && (objective.is_zero() || took <= objective) {
-            return;
-        }
-        let answered = Answered {
-            request: &String::from_utf8_lossy(&work.task.id),
-            database: &self.login.database,
-            group,
-            access: &work.access.to_string(),
-            done,
-            reason: &attempt.reason().to_string(),
-            took,
-            objective,
-            version,
-            lease: self.front.view.lease_until().since(now),
-            answer: &if done { String::new() } else { problem(work, attempt).to_string() },
-        };
-        answered.log(&self.front.log);
-    }
-
     fn build_request(
         &self,
         work: &Work,
--- a/components/entry/src/front/plain/finish.rs
+++ b/components/entry/src/front/plain/finish.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use ::plain::{Answer, Problem};
+use ::plain::{Access, Answer, Problem};
 use base::prelude::*;
+use telemetry::event::Answered;
 use wire::data::{End, Outcome, Reason};
 use wire::plain::Reply;
 
@@ -13,6 +14,41 @@
 use crate::front::link::Link;
 
 impl Caller {
+    /// Records the latency of a statement, and logs the statement if its outcome is not
+    /// `Done` or if it exceeded the objective.
+    pub(super) fn record(
+        &self,
+        work: &Work,
+        attempt: &Attempt,
+        started: Instant,
+        group: &Name,
+        objective: Duration,
+        version: u64,
+    ) {
+        let now = self.front.clock.now();
+        let took = now.since(started);
+        let is_done = |end: &End| end.outcome() == Outcome::Done;
+        let done = matches!(attempt, Attempt::Ended { end, .. } if is_done(end));
+        self.front.metrics.record_statement(took, work.access == Access::Write, done);
+        if done && (objective.is_zero() || took <= objective) {
+            return;
+        }
+        let answered = Answered {
+            request: &String::from_utf8_lossy(&work.task.id),
+            database: &self.login.database,
+            group,
+            access: &work.access.to_string(),
+            done,
+            reason: &attempt.reason().to_string(),
+            took,
+            objective,
+            version,
+            lease: self.front.view.lease_until().since(now),
+            answer: &if done { String::new() } else { problem(work, attempt).to_string() },
+        };
+        answered.log(&self.front.log);
+    }
+
     /// Writes the answer for the result of an attempt, and updates the session.
     pub(super) async fn finish(
         &mut self,
@@ -105,7 +141,7 @@
 /// reply.
 ///
 /// Writes that only a later commit would have committed are certainly rolled back.
-pub(super) fn problem(work: &Work, attempt: &Attempt) -> Problem {
+fn problem(work: &Work, attempt: &Attempt) -> Problem {
     let is_late = |end: &End| end.reason() == Reason::Deadline;
     // a request that was not sent has not committed anything
     let may_have_committed = work.commits && *attempt != Attempt::NotSent;
--- a/components/entry/src/keep/quota/queue.rs
+++ b/components/entry/src/keep/quota/queue.rs
@@ -70,8 +70,11 @@
         }
     }
 
+    /// Follows the control state. Without teams, before and now, there is nothing to follow.
     pub(super) fn follow(&mut self, now: Instant, state: &Control) {
-        if self.index == Some(state.index) {
+        let had_teams = self.declarations.as_ref().is_some_and(|known| known.teams.is_some());
+        let is_needed = had_teams || state.declarations.teams.is_some();
+        if self.index == Some(state.index) || !is_needed {
             return;
         }
         self.index = Some(state.index);
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -149,7 +149,7 @@
             server.cap = server.cap.filter(|(_, until)| now < *until);
         }
         let (has_teams, unnamed) = (self.has_teams(), self.teams.unnamed);
-        if self.teams.by_name.is_empty() {
+        if !has_teams && self.teams.by_name.is_empty() {
             return;
         }
         let idle = self.conns.iter().filter_map(|(key, conn)| match conn.work {
--- a/components/member/src/outbox.rs
+++ b/components/member/src/outbox.rs
@@ -10,8 +10,9 @@
 const QUEUE_MESSAGES: usize = 512;
 
 /// Length of the queue in bytes from which on an entry gets no updates until it has read
-/// some; changes that concern it are then sent as one update. The length corresponds to an
-/// eighth of a second on a link of 2 Mbit/s. Half of [`QUEUE_MESSAGES`] has the same effect.
+/// some; changes that concern it are then sent as one update. Short, so that also an entry on
+/// a slow link gets the newest state within a heartbeat. Half of [`QUEUE_MESSAGES`] has the
+/// same effect.
 pub const PAUSE_BYTES: usize = 32 << 10;
 
 /// Length of the queue in bytes beyond which no message is queued. An image, whose memory
