Keep one rendezvous hash and one moving rate for all crates

Two crates had the same rendezvous hash, and three their own moving average of an amount per second. Both stand in base now; the values they give are unchanged. The hash by which control chooses keepers stays, since a change would move every group.

--- a/components/admit/src/fair.rs
+++ b/components/admit/src/fair.rs
@@ -3,9 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
+use base::rate::Rate;
 
 use crate::Verdict;
-use crate::rate::Rate;
 use crate::wait::Before;
 
 /// Cost that is charged for an item when it leaves the queue, before its run time is known.
@@ -17,6 +17,11 @@
 /// Number of idle flows above which those are removed whose start tag has passed.
 const IDLE_FLOW_LIMIT: usize = 1_024;
 
+/// Time constant over which the run time served per second is averaged: long enough to hold
+/// some tens of requests of a busy group, and shorter than the bursts that admission must
+/// follow.
+const SERVED_WINDOW: Duration = Duration::from_millis(500);
+
 /// End of the objective of an item in a [`Queue`], and a number in the order of arrival.
 pub(crate) type Order = (Instant, u64);
 
@@ -60,7 +65,7 @@
             len: 0,
             count: 0,
             work: Duration::ZERO,
-            served: Rate::default(),
+            served: Rate::new(SERVED_WINDOW),
         }
     }
 }
@@ -107,7 +112,7 @@
             weight: 1,
             start_tag: time,
             work: Duration::ZERO,
-            served: Rate::default(),
+            served: Rate::new(SERVED_WINDOW),
         });
         flow.weight = u64::from(weight.max(1));
         if flow.items.is_empty() {
@@ -164,9 +169,9 @@
 
     /// Records the expected run time of an item that was taken.
     pub(crate) fn record_served(&mut self, now: Instant, key: K, work: Duration) {
-        self.served.add(now, work);
+        self.served.add(now, work.as_secs_f64());
         if let Some(flow) = self.flows.get_mut(&key) {
-            flow.served.add(now, work);
+            flow.served.add(now, work.as_secs_f64());
         }
     }
 
--- a/components/admit/src/lib.rs
+++ b/components/admit/src/lib.rs
@@ -9,7 +9,6 @@
 //! earns no credit.
 
 mod fair;
-mod rate;
 mod schedule;
 mod wait;
 
--- a/components/base/src/lib.rs
+++ b/components/base/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod mark;
 pub mod name;
 pub mod prelude;
+pub mod rate;
+pub mod rendezvous;
 pub mod status;
--- a/components/entry/src/front/choose.rs
+++ b/components/entry/src/front/choose.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use base::rendezvous;
 use control::State;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -79,7 +80,7 @@
     /// Rank of a keeper for the caller; the lowest comes first.
     fn rank(&self, keeper: &Name, other_host: bool, other_zone: bool) -> (bool, bool, u64) {
         let affinity = if self.team.is_empty() { Affinity::Location } else { self.affinity };
-        let by_team = u64::MAX - pool::rendezvous(self.team, keeper.as_str());
+        let by_team = u64::MAX - rendezvous::score(self.team, keeper.as_str());
         match affinity {
             Affinity::Location => {
                 let spread = xxh3_64_with_seed(keeper.as_str().as_bytes(), self.number);
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -9,11 +9,10 @@
 
 use admit::Verdict;
 use base::prelude::*;
+use base::rendezvous;
 use config::Declarations;
 use plain::ErrorKind;
-use pool::{
-    Choice, Gain, Holding, Idle, Load, Usage, choose_victim, place, rendezvous, should_open,
-};
+use pool::{Choice, Gain, Holding, Idle, Load, Usage, choose_victim, place, should_open};
 use route::Candidate;
 use smallvec::SmallVec;
 
@@ -374,7 +373,7 @@
             let full = now < server.full_until || self.opens_late(now, found.server, team);
             Some(Load {
                 server: found.server,
-                rank: rendezvous(name, server.name.as_str()),
+                rank: rendezvous::score(name, server.name.as_str()),
                 used: self.running(found.server),
                 free: if full { 0 } else { self.free_slots(found.server) },
                 ready: self.idle_of(found.server, team).is_some(),
--- a/components/pool/src/lib.rs
+++ b/components/pool/src/lib.rs
@@ -19,5 +19,5 @@
 
 pub use evict::{Gain, Idle, choose_victim};
 pub use open::{Holding, should_open};
-pub use place::{Choice, Load, place, rendezvous};
+pub use place::{Choice, Load, place};
 pub use usage::{Usage, urgency};
--- a/components/pool/src/place.rs
+++ b/components/pool/src/place.rs
@@ -2,8 +2,6 @@
 
 use std::cmp::Reverse;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 /// Multiple of the mean load up to which a server is used before the next one in the order
 /// of the team, as a fraction. With few slots, a lower bound moves reads for differences
 /// of one statement.
@@ -14,7 +12,7 @@
 pub struct Load<S> {
     /// Server.
     pub server: S,
-    /// Rank of the server for the team, see [`rendezvous`]. The highest comes first.
+    /// Score of the server for the team, see [`base::rendezvous`]. The highest comes first.
     pub rank: u64,
     /// Slots in use.
     pub used: u32,
@@ -33,12 +31,6 @@
     Open(S),
 }
 
-/// Rank of a server or a keeper for a team in a rendezvous hash. The loss of one moves only
-/// the teams that it ranks highest for.
-pub fn rendezvous(team: &str, target: &str) -> u64 {
-    xxh3_64_with_seed(target.as_bytes(), xxh3_64_with_seed(team.as_bytes(), 0))
-}
-
 /// Chooses among the servers with an idle connection of the team, or else among all with a
 /// free slot: the first by rank whose load is within the bound (consistent hashing with
 /// bounded load), or else the one with the least load. Returns `None` if no slot is free.
--- a/components/pool/src/usage.rs
+++ b/components/pool/src/usage.rs
@@ -1,6 +1,7 @@
 //! The request rate of a team, and what its connections are worth.
 
 use base::prelude::*;
+use base::rate::Rate;
 
 /// Time over which the rate of a team is averaged. Equal to the time for which an idle
 /// connection is kept beyond the last one of its team.
@@ -21,28 +22,29 @@
 }
 
 /// Requests of a team to a server, averaged over [`MEMORY`] with exponential decay.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Usage {
-    /// Requests per second.
-    rate: f64,
-    /// Sum of the urgencies of the requests of one second.
-    worth: f64,
-    updated_at: Instant,
+    requests: Rate,
+    /// Urgencies of the requests.
+    urgencies: Rate,
+}
+
+impl Default for Usage {
+    fn default() -> Self {
+        Self { requests: Rate::new(MEMORY), urgencies: Rate::new(MEMORY) }
+    }
 }
 
 impl Usage {
     /// Records a request with the given [`urgency`].
     pub fn record(&mut self, now: Instant, urgency: f64) {
-        let kept = self.kept(now);
-        let added = 1.0 / MEMORY.as_secs_f64();
-        self.rate = self.rate * kept + added;
-        self.worth = self.worth * kept + added * urgency;
-        self.updated_at = now;
+        self.requests.add(now, 1.0);
+        self.urgencies.add(now, urgency);
     }
 
     /// Requests per second.
     pub fn rate(&self, now: Instant) -> f64 {
-        self.rate * self.kept(now)
+        self.requests.per_second(now)
     }
 
     /// What the last of `held` connections saves: the requests of one second, weighted by
@@ -54,11 +56,7 @@
     pub fn value(&self, now: Instant, held: u32, run: Duration) -> f64 {
         let Some(others) = held.checked_sub(1) else { return 0.0 };
         let load = self.rate(now) * run.as_secs_f64();
-        self.worth * self.kept(now) * (blocked(others, load) - blocked(held, load))
-    }
-
-    fn kept(&self, now: Instant) -> f64 {
-        (-now.since(self.updated_at).as_secs_f64() / MEMORY.as_secs_f64()).exp()
+        self.urgencies.per_second(now) * (blocked(others, load) - blocked(held, load))
     }
 }
 
--- a/components/pool/tests/decisions.rs
+++ b/components/pool/tests/decisions.rs
@@ -4,10 +4,8 @@
 
 use arbtest::arbtest;
 use base::prelude::Instant;
-use pool::{
-    Choice, Gain, Holding, Idle, Load, Usage, choose_victim, place, rendezvous, should_open,
-    urgency,
-};
+use base::rendezvous;
+use pool::{Choice, Gain, Holding, Idle, Load, Usage, choose_victim, place, should_open, urgency};
 
 const RUN: Duration = Duration::from_millis(14);
 const OPENING: Duration = Duration::from_millis(12);
@@ -111,7 +109,9 @@
     let first = |team: &str, servers: &[u32]| {
         let loads: Vec<_> = servers
             .iter()
-            .map(|server| load(*server, rendezvous(team, &format!("server-{server}")), 0, false))
+            .map(|server| {
+                load(*server, rendezvous::score(team, &format!("server-{server}")), 0, false)
+            })
             .collect();
         place(&loads)
     };
--- a/components/pool/tests/sharing.rs
+++ b/components/pool/tests/sharing.rs
@@ -5,10 +5,8 @@
 use std::time::Duration;
 
 use base::prelude::Instant;
-use pool::{
-    Choice, Gain, Holding, Idle, Load, Usage, choose_victim, place, rendezvous, should_open,
-    urgency,
-};
+use base::rendezvous;
+use pool::{Choice, Gain, Holding, Idle, Load, Usage, choose_victim, place, should_open, urgency};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -256,7 +254,9 @@
 }
 
 fn ranks(team: usize) -> [u64; SERVERS] {
-    std::array::from_fn(|server| rendezvous(&format!("team-{team}"), &format!("server-{server}")))
+    std::array::from_fn(|server| {
+        rendezvous::score(&format!("team-{team}"), &format!("server-{server}"))
+    })
 }
 
 /// Runs 60 s of `rate` requests per second; one team raises its rate after 30 s.
@@ -335,7 +335,7 @@
 fn a_keeper_for_each_team_needs_fewer_openings_than_keepers_that_serve_all_teams() {
     let (limit, rate, surge) = (28, 134.0, 10);
     let keeper = |team: usize| {
-        let rank = |host| rendezvous(&format!("team-{team}"), host);
+        let rank = |host| rendezvous::score(&format!("team-{team}"), host);
         usize::from(rank("host-0") < rank("host-1"))
     };
     let keepers: Vec<_> = (0..TEAMS).map(keeper).collect();
--- a/components/quota/src/holders.rs
+++ b/components/quota/src/holders.rs
@@ -3,13 +3,12 @@
 use std::collections::VecDeque;
 
 use base::prelude::*;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use base::rendezvous;
 
 /// The first `count` of the hosts in a rendezvous hash of the team, so that a host that
 /// joins or leaves moves only its own shares.
 pub(crate) fn rank(team: &Name, hosts: &[Name], count: usize) -> Vec<Name> {
-    let seed = xxh3_64(team.as_str().as_bytes());
-    let score = |host: &Name| xxh3_64_with_seed(host.as_str().as_bytes(), seed);
+    let score = |host: &Name| rendezvous::score(team.as_str(), host.as_str());
     let mut ranked = hosts.to_vec();
     ranked.sort_by_cached_key(|host| std::cmp::Reverse(score(host)));
     ranked.truncate(count);
--- a/components/quota/src/lib.rs
+++ b/components/quota/src/lib.rs
@@ -12,7 +12,6 @@
 
 mod bounds;
 mod bucket;
-mod demand;
 mod flaw;
 mod holders;
 mod ledger;
--- a/components/quota/src/team.rs
+++ b/components/quota/src/team.rs
@@ -1,15 +1,18 @@
 //! The state of one team at one host.
 
 use base::prelude::*;
+use base::rate::Rate;
 use config::Quota;
 use smallvec::SmallVec;
 
 use crate::bounds::Bounds;
 use crate::bucket::Bucket;
-use crate::demand::Demand;
 use crate::flaw::Flaw;
 use crate::lender::Lender;
 
+/// Time constant over which the demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_millis(500);
+
 /// Time ahead for which a busy team borrows, as a share of the lifetime of a loan.
 const AHEAD_SHARE: f64 = 0.6;
 
@@ -81,7 +84,8 @@
     pub(crate) bucket: Bucket,
     pub(crate) lenders: Vec<Lender>,
     stock: SmallVec<[Stock; 4]>,
-    demand: Demand,
+    /// Requests for tokens.
+    demand: Rate,
     /// Requests that wait for a loan.
     pub(crate) waiting: usize,
     /// Number of refused requests that will be tried again, one token each, at `debt_at`.
@@ -96,7 +100,7 @@
             bucket,
             lenders: Vec::new(),
             stock: SmallVec::new(),
-            demand: Demand::default(),
+            demand: Rate::new(DEMAND_WINDOW),
             waiting: 0,
             debt: 0.0,
             debt_at: now,
@@ -105,7 +109,7 @@
 
     /// Counts a request in the demand.
     pub(crate) fn record(&mut self, now: Instant) {
-        self.demand.record(now);
+        self.demand.add(now, 1.0);
     }
 
     /// Sets the other holders, and keeps what is known of those that stay.
@@ -161,7 +165,7 @@
         let life = bounds.loan_life();
         let holders = bounds.holders(quota, self.lenders.len() + 1) as f64;
         let capacity = bounds.pool(quota) / holders;
-        let demand = self.demand.rate(now).min(quota.rate_per_s);
+        let demand = self.demand.per_second(now).min(quota.rate_per_s);
         // what the own bucket receives needs no loan
         let uncovered = (demand - self.bucket.rate()).max(0.0);
         let ahead = (uncovered * life.as_secs_f64() * AHEAD_SHARE).floor();
@@ -222,7 +226,7 @@
     /// this host need soon.
     pub(crate) fn lend(&mut self, now: Instant, asked: u32) -> Loan {
         self.bucket.advance(now);
-        let demand = self.demand.rate(now).min(self.bucket.rate());
+        let demand = self.demand.per_second(now).min(self.bucket.rate());
         let kept = demand * KEPT_TIME.as_secs_f64();
         let most = (self.bucket.capacity() - 2.0).max(0.0) * KEPT_SHARE;
         let kept = kept.min(most) + self.waiting as f64;
