Judge servers by their answers only where an objective is declared

Read once more: slow start, probation and the choice by run times applied to each unfenced group, also to one whose configuration says nothing of run times. They apply where a database of the group declares an objective.

After a back-off the window ignored a number of answers, which only later answers could use up: errors and answers across a suspension left it too high, so valid answers were dropped. It ignores what was sent before the back-off now. A read that was lost while the process was suspended counts against no server. The metrics of a server without slow start or probation have no series, so those of servers that left end.

--- a/components/entry/src/keep/metrics.rs
+++ b/components/entry/src/keep/metrics.rs
@@ -104,23 +104,31 @@
         registry.register("shed", "Requests refused for load", metrics.shed.clone());
         registry.register(
             "slow_start_window",
-            "Concurrent statements of a server in slow start; 0 without slow start",
+            "Concurrent statements of a server in slow start; missing without slow start",
             metrics.windows.clone(),
         );
         registry.register(
             "probation",
-            "1 for a server that fails more reads than its peers and gets single ones",
+            "1 for a server that fails more reads than its peers; missing for others",
             metrics.probations.clone(),
         );
         metrics
     }
 
-    /// Shows the slow start and the probation of a server.
+    /// Shows the slow start and the probation of a server. A server without either has no
+    /// series, so that those of servers that have left end.
     pub(super) fn pace(&self, group: &Name, server: &Name, pace: Pace) {
         let labels = ServerLabels { group: group.to_string(), server: server.to_string() };
-        let window = i64::from(pace.window.unwrap_or(0));
-        self.windows.get_or_create(&labels).set(window);
-        self.probations.get_or_create(&labels).set(i64::from(pace.probation));
+        if let Some(window) = pace.window {
+            self.windows.get_or_create(&labels).set(window.into());
+        } else {
+            self.windows.remove(&labels);
+        }
+        if pace.probation {
+            self.probations.get_or_create(&labels).set(1);
+        } else {
+            self.probations.remove(&labels);
+        }
     }
 
     /// Counts an operation that got a token. An empty `team` stands for all but the
--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -55,7 +55,7 @@
             }
         }
         if conn.work == Work::Opening {
-            self.note_refused(now, conn.server);
+            self.note_refused(now, conn.server, conn.opened_at);
         }
         if let Work::Busy(request) = conn.work {
             self.note_lost(now, request);
@@ -291,7 +291,7 @@
         }
         if read || !request.attempt.primary {
             request.may_have_run = true;
-            request.avoided = request.attempt.server.filter(|_| self.unfenced.is_some());
+            request.avoided = request.attempt.server.filter(|_| self.starts.judges);
             if !self.retry(now, key, out) {
                 self.finish(now, key, Outcome::Unknown, Reason::Broken, out);
             }
--- a/components/keeper/src/dispatch.rs
+++ b/components/keeper/src/dispatch.rs
@@ -191,7 +191,7 @@
         }
         connection.work = Work::Busy(key);
         request.attempt = attempt;
-        request.may_move = self.unfenced.is_some() && request.is_read() && !request.is_fresh();
+        request.may_move = self.starts.judges && request.is_read() && !request.is_fresh();
         request.stage = Stage::Running(conn);
         let wait = mark.filter(|_| self.unfenced.is_some() && !request.attempt.primary);
         out.push(Effect::Send { conn, bytes: request.run.payload.clone(), wait });
--- a/components/keeper/src/pace.rs
+++ b/components/keeper/src/pace.rs
@@ -1,7 +1,7 @@
 //! Slow start of servers, probation, and the cost of a read: decisions by the run times and
 //! failures that this keeper observed, compared with those of the server's peers.
 //!
-//! Applies to unfenced groups only.
+//! Applies only to unfenced groups with a database that declares an objective.
 
 use base::prelude::*;
 use pace::Answer;
@@ -33,9 +33,11 @@
 /// that refuses some connections and answers on others meanwhile is not cold.
 const MIN_OUTAGE: Duration = Duration::from_millis(100);
 
-/// What decides whether a server begins with slow start.
+/// What decides whether servers are judged by their answers, and begin with slow start.
 #[derive(Debug, Default)]
 pub(crate) struct Starts {
+    /// Whether servers are judged by their answers.
+    pub(crate) judges: bool,
     /// Whether slow start is turned on.
     pub(crate) slow: bool,
     /// Last server that control named as primary.
@@ -53,7 +55,7 @@
             let limit = 1 + age.as_millis() as u32 / 250;
             return limit.saturating_sub(self.open_work(key));
         }
-        match server.window.limit(self.uptime.last_event()) {
+        match server.window.limit() {
             u32::MAX => u32::MAX,
             limit => limit.saturating_sub(self.open_work(key)),
         }
@@ -70,7 +72,7 @@
     pub(crate) fn note_sent(&mut self, now: Instant, key: Key<Server>) {
         let open = self.open_work(key);
         if let Some(server) = self.servers.get_mut(key) {
-            server.window.on_sent(now, open);
+            server.window.on_sent(open);
             server.gauge.on_sent(now);
         }
     }
@@ -92,9 +94,9 @@
         };
         match error_kind {
             Some(ErrorKind::Failed | ErrorKind::Busy) if read => {
-                return self.note_failed(now, server);
+                return self.note_failed(now, server, sent_at);
             }
-            Some(ErrorKind::Busy) => return self.note_refused(now, server),
+            Some(ErrorKind::Busy) => return self.note_refused(now, server, sent_at),
             Some(_) => return,
             None => {}
         }
@@ -107,16 +109,14 @@
         };
         let slowness = usual.slowness(run);
         let fastest = self.fastest_peer(now, server);
-        let (ramping, started_at) = match self.servers.get(server) {
-            Some(server) => (server.window.is_ramping(), server.started_at),
-            None => return,
+        let Some(ramping) = self.servers.get(server).map(|server| server.window.is_ramping())
+        else {
+            return;
         };
         if !ramping || usual.time().is_none() {
             self.learn(server, service, kind, run, fastest);
         }
-        if sent_at >= started_at {
-            self.judge(now, server, Some(slowness), false);
-        }
+        self.judge(now, server, sent_at, Some(slowness));
         let Some(server) = self.servers.get_mut(server) else {
             return;
         };
@@ -146,28 +146,29 @@
         }
     }
 
-    /// Passes the end of a statement or of an opening to the slow start window of its server.
-    /// `slowness` is the run time as a multiple of the usual one.
-    fn judge(&mut self, now: Instant, key: Key<Server>, slowness: Option<f64>, error: bool) {
+    /// Passes the end of a statement or of an opening, sent at `sent`, to the slow start window
+    /// of its server. `slowness` is the run time as a multiple of the usual one; without one,
+    /// the server failed or refused the work.
+    fn judge(&mut self, now: Instant, key: Key<Server>, sent: Instant, slowness: Option<f64>) {
         let peers = self.reference(now, key).filter(|_| !self.is_control_primary(key));
-        let error = error && !self.has_flaw(Flaw::NoBackoff);
+        let error = slowness.is_none() && !self.has_flaw(Flaw::NoBackoff);
         if let Some(server) = self.servers.get_mut(key) {
-            let answer = Answer { slowness, peers, error, full: server.setup.slots };
+            let answer = Answer { sent, slowness, peers, error, full: server.setup.slots };
             server.window.on_answered(now, &answer);
         }
     }
 
     /// Records that a server refused a statement or an opening.
-    pub(crate) fn note_refused(&mut self, now: Instant, key: Key<Server>) {
-        self.judge(now, key, None, true);
+    pub(crate) fn note_refused(&mut self, now: Instant, key: Key<Server>, sent: Instant) {
+        self.judge(now, key, sent, None);
     }
 
     /// Records that a read failed on a server, and puts the server on probation if it
     /// fails more of them than a peer.
-    pub(crate) fn note_failed(&mut self, now: Instant, key: Key<Server>) {
+    pub(crate) fn note_failed(&mut self, now: Instant, key: Key<Server>, sent: Instant) {
         // a statement that ran and failed is no reason to hold the last replica back
         if self.fastest_peer(now, key).is_some() {
-            self.note_refused(now, key);
+            self.note_refused(now, key, sent);
         }
         if let Some(server) = self.servers.get_mut(key) {
             server.gauge.on_failed(now);
@@ -181,18 +182,23 @@
         drop(peers);
         if (worse || self.has_flaw(Flaw::EjectByRate))
             && !gauge.is_on_probation()
-            && self.is_unfenced()
+            && self.starts.judges
             && let Some(server) = self.servers.get_mut(key)
         {
             server.gauge.eject(now);
         }
     }
 
-    /// Records that a read was lost with its connection or was given up.
+    /// Records that a read was lost with its connection or was given up. While the process
+    /// was suspended, connections are lost that the server did not fail.
     pub(crate) fn note_lost(&mut self, now: Instant, key: Key<Request>) {
         let request = self.requests.get(key).filter(|request| request.is_read());
-        if let Some(server) = request.and_then(|request| request.attempt.server) {
-            self.note_failed(now, server);
+        let attempt = request.map(|request| (request.attempt.server, request.attempt.sent_at));
+        let Some((Some(server), sent)) = attempt else {
+            return;
+        };
+        if !self.uptime.was_suspended_since(sent) {
+            self.note_failed(now, server, sent);
         }
     }
 
@@ -264,7 +270,7 @@
     ) {
         let gauge = |key| self.servers.get(key).map(|server| &server.gauge);
         let trusted = |key| gauge(key).is_some_and(|gauge| !gauge.is_on_probation());
-        if self.has_flaw(Flaw::MostFree) {
+        if self.has_flaw(Flaw::MostFree) || !self.starts.judges {
             return;
         }
         let alone = !found.iter().any(|found| trusted(found.server));
@@ -302,7 +308,7 @@
         };
         let server = request.attempt.server;
         let tried = request.avoided.is_some() || request.parts > 0 || request.orphan;
-        let tried = tried || self.has_flaw(Flaw::KeepFailed);
+        let tried = tried || self.has_flaw(Flaw::KeepFailed) || !self.starts.judges;
         if tried || !request.is_read() || request.is_fresh() || now >= request.deadline {
             return false;
         }
@@ -321,11 +327,10 @@
 
     /// Reports changes of the windows and probations.
     pub(crate) fn report_pace(&mut self, out: &mut Vec<Effect>) {
-        let now = self.uptime.last_event();
         for (_, server) in self.servers.iter_mut() {
             let ramping = server.window.is_ramping();
             let pace = Pace {
-                window: ramping.then(|| server.window.limit(now)),
+                window: ramping.then(|| server.window.limit()),
                 probation: server.gauge.is_on_probation(),
             };
             if pace != server.reported_pace {
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -275,7 +275,7 @@
             free: if now < server.full_until { 0 } else { self.ready_slots(key, request.team) },
             waiting: server.urgent.len() as u32,
             cost: 0,
-            unused: if self.is_unfenced() { server.gauge.unused(now) } else { Duration::ZERO },
+            unused: if self.starts.judges { server.gauge.unused(now) } else { Duration::ZERO },
             probe: false,
             mark,
         };
--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -5,7 +5,7 @@
 use wire::data::{Outcome, Reason};
 
 use crate::conn::{Connection, Work};
-use crate::event::{Effect, Lease, Setup};
+use crate::event::{Effect, Lease, Pace, Setup};
 use crate::group::Group;
 use crate::request::Stage;
 use crate::server::Server;
@@ -27,7 +27,7 @@
         self.control_primary = setup.primary;
         self.declarations = setup.declarations;
         self.set_slow_start(setup.slow_start);
-        self.update_servers(now, setup.servers);
+        self.update_servers(now, setup.servers, out);
         self.update_teams();
         if let Some(server) = promoted.and_then(|name| self.server_named(&name)) {
             self.begin_slow_start(now, server);
@@ -78,7 +78,12 @@
         self.refuse_waiting(now, Reason::WrongKeeper, out);
     }
 
-    fn update_servers(&mut self, now: Instant, setups: Vec<crate::event::Server>) {
+    fn update_servers(
+        &mut self,
+        now: Instant,
+        setups: Vec<crate::event::Server>,
+        out: &mut Vec<Effect>,
+    ) {
         for (_, server) in self.servers.iter_mut() {
             server.configured = setups.iter().any(|setup| setup.name == server.name);
         }
@@ -101,8 +106,11 @@
             (!server.configured && !used).then_some(key)
         };
         let gone: Vec<_> = self.servers.iter().filter_map(gone).collect();
-        for key in gone {
-            self.servers.remove(key);
+        for server in gone.into_iter().filter_map(|key| self.servers.remove(key)) {
+            if server.reported_pace != Pace::default() {
+                let (before, now) = (server.reported_pace, Pace::default());
+                out.push(Effect::Pace { server: server.setup.name, before, now });
+            }
         }
     }
 
@@ -112,9 +120,13 @@
         known.is_some_and(|known| known != *name)
     }
 
-    /// Turns slow start on or off.
+    /// Turns slow start on or off. Without an objective, nothing says which run times are bad
+    /// for callers, so servers are not judged by their answers.
     fn set_slow_start(&mut self, on: bool) {
-        self.starts.slow = on && self.is_unfenced();
+        let databases = self.declarations.databases.values();
+        let mut own = databases.filter(|database| database.group == self.name);
+        self.starts.judges = self.is_unfenced() && own.any(|database| database.objective_ms > 0);
+        self.starts.slow = on && self.starts.judges;
         for (_, server) in self.servers.iter_mut() {
             server.slow_start = self.starts.slow;
             if !self.starts.slow {
--- a/components/pace/src/window.rs
+++ b/components/pace/src/window.rs
@@ -38,6 +38,8 @@
 /// End of a statement or of the opening of a connection, as the window judges it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Answer {
+    /// When the statement was sent or the opening begun.
+    pub sent: Instant,
     /// Run time as a multiple of the usual one; `None` if it says nothing, as for the
     /// opening of a connection.
     pub slowness: Option<f64>,
@@ -71,13 +73,14 @@
     good: f64,
     /// Number of answers in a row that neither widened nor shrank the window.
     held: u32,
-    /// Number of answers to come to statements that were sent before the window shrank.
-    stale: u32,
+    /// When slow start began or the window last shrank. What was sent before says nothing
+    /// about the present window.
+    shrunk_at: Instant,
 }
 
 impl Window {
     /// Begins slow start: the server has started, recovered or been promoted.
-    pub fn on_started(&mut self, _now: Instant) {
+    pub fn on_started(&mut self, now: Instant) {
         self.ramp = Some(Ramp {
             limit: 1.0,
             recent: Recent::default(),
@@ -86,7 +89,7 @@
             filled: false,
             hold: 0,
             good: 0.0,
-            stale: 0,
+            shrunk_at: now,
             held: 0,
         });
     }
@@ -103,31 +106,31 @@
 
     /// Number of statements and openings that may be under way: at least one, so that
     /// the last usable server is never shut out, and unlimited without slow start.
-    pub fn limit(&self, _now: Instant) -> u32 {
+    pub fn limit(&self) -> u32 {
         self.ramp.as_ref().map_or(u32::MAX, |ramp| ramp.limit as u32)
     }
 
     /// Records that a statement was sent or an opening begun; `open` includes it.
-    pub fn on_sent(&mut self, _now: Instant, open: u32) {
+    pub fn on_sent(&mut self, open: u32) {
         if let Some(ramp) = &mut self.ramp {
             ramp.filled |= open >= ramp.limit as u32;
         }
     }
 
     /// Records the end of a statement or of an opening.
-    pub fn on_answered(&mut self, _now: Instant, answer: &Answer) {
-        let Some(ramp) = &mut self.ramp else {
+    pub fn on_answered(&mut self, now: Instant, answer: &Answer) {
+        let Some(ramp) = self.ramp.as_mut().filter(|ramp| answer.sent >= ramp.shrunk_at) else {
             return;
         };
         if answer.error {
-            ramp.shrink_to(ramp.limit / 2.0);
+            ramp.shrink_to(now, ramp.limit / 2.0);
             ramp.hold = HOLD_ANSWERS;
             return;
         }
         let Some(slowness) = answer.slowness else {
             return;
         };
-        if ramp.judge(slowness, answer) {
+        if ramp.judge(now, slowness, answer) {
             self.ramp = None;
         }
     }
@@ -135,11 +138,7 @@
 
 impl Ramp {
     /// Adjusts the window to a run time. Returns whether slow start has ended.
-    fn judge(&mut self, slowness: f64, answer: &Answer) -> bool {
-        if self.stale > 0 {
-            self.stale -= 1;
-            return false;
-        }
+    fn judge(&mut self, now: Instant, slowness: f64, answer: &Answer) -> bool {
         self.recent.push(slowness);
         let median = self.recent.median().unwrap_or(slowness);
         let average = self.average.get_or_insert(median);
@@ -152,20 +151,20 @@
             self.idle += (current - self.idle) * REMEASURE;
         }
         if peers.is_some_and(|peers| current > peers * SLOW_FACTOR) {
-            self.shrink_to(1.0);
+            self.shrink_to(now, 1.0);
             return false;
         }
         // a run time that peers have as well is not caused by this server's window
         let contention = current / self.idle.max(peers.unwrap_or(1.0));
         if contention > CONTENTION_FACTOR {
-            self.shrink_to(self.limit / 2.0);
+            self.shrink_to(now, self.limit / 2.0);
             return false;
         }
         if contention > GROWTH_FACTOR {
             self.good = 0.0;
             self.held += 1;
             if self.held >= HELD_ANSWERS {
-                self.shrink_to(self.limit / 2.0);
+                self.shrink_to(now, self.limit / 2.0);
             }
             return false;
         }
@@ -192,13 +191,13 @@
         false
     }
 
-    fn shrink_to(&mut self, limit: f64) {
+    fn shrink_to(&mut self, now: Instant, limit: f64) {
         let limit = limit.max(1.0).min(self.limit);
         if limit as u32 == self.limit as u32 {
             self.limit = limit;
             return;
         }
-        self.stale = self.limit as u32 - 1;
+        self.shrunk_at = now;
         self.limit = limit;
         (self.recent, self.average) = (Recent::default(), None);
         self.good = 0.0;
