Return the token of an operation whose front has disconnected

The verdict on a waiting operation is carried out without the lock of the ledger. A front that disconnects in between left an operation that ran for nobody, and a token that was never settled.

--- a/components/entry/src/keep/front.rs
+++ b/components/entry/src/keep/front.rs
@@ -100,6 +100,11 @@
         lock(&self.links).get(&front).map(Arc::clone)
     }
 
+    /// Whether the link to a front is open.
+    pub(super) fn is_open(&self, front: Front) -> bool {
+        self.get(front).is_some()
+    }
+
     /// Sends an answer to a front if its link is still open.
     pub(super) fn send(&self, host: &Host, front: Front, body: answer::Body) {
         let Some(link) = self.get(front) else {
--- a/components/entry/src/keep/quota.rs
+++ b/components/entry/src/keep/quota.rs
@@ -192,6 +192,10 @@
                 if limited {
                     host.metrics.granted(&lock(&self.inner).label(&run.team));
                 }
+                if !host.fronts.is_open(front) {
+                    // the front disconnected after the verdict
+                    return lock(&self.inner).ledger.refund(now, &run.team, token);
+                }
                 let token = limited.then(|| (run.team.clone(), token));
                 link.open(run.request, Open { shard: Arc::clone(&shard), token });
                 shard.feed(keeper::Event::Run { front, run });
