Encrypt the operators' documents that members keep

Removing the keys from it was ruled out, since it has to be returned whole.

The member that receives a document encrypts it with a key derived from the shared key, and authenticates it with the number of its edition. Documents stored before stay readable.

--- a/components/member/src/api.rs
+++ b/components/member/src/api.rs
@@ -1,5 +1,6 @@
 //! The interface of a running member for the program that hosts it.
 
+use ::link::Key;
 use base::prelude::*;
 use bytes::Bytes;
 use control::{Outcome, Refusal};
@@ -8,6 +9,7 @@
 use wire::pack::{self, Malformed};
 
 use crate::input::{Completion, Input, NoLeader, Sender};
+use crate::seal::Seal;
 
 /// Longest wait for an answer of the core.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -54,11 +56,12 @@
 #[derive(Clone, Debug)]
 pub struct Api {
     core: Sender,
+    seal: Seal,
 }
 
 impl Api {
-    pub(crate) fn new(core: Sender) -> Self {
-        Self { core }
+    pub(crate) fn new(core: Sender, key: &Key) -> Self {
+        Self { core, seal: Seal::new(key) }
     }
 
     /// Sends an input to the core and waits for its answer.
@@ -98,7 +101,8 @@
     ///
     /// # Errors
     /// [`RequestError`] if no leader accepted the request or its outcome is unknown.
-    pub async fn replace(&self, replace: Replace) -> Result<Replaced, RequestError> {
+    pub async fn replace(&self, mut replace: Replace) -> Result<Replaced, RequestError> {
+        replace.document = self.seal.seal(replace.edition, &replace.document);
         match self.propose(command::Body::Replace(replace)).await? {
             Completion::Applied { outcome: Outcome::Applied, .. } => Ok(Replaced::Taken),
             Completion::Applied { outcome: Outcome::Unchanged, .. } => Ok(Replaced::Passed),
@@ -114,7 +118,13 @@
     /// # Errors
     /// [`RequestError`] if no leader accepted the request or its outcome is unknown.
     pub async fn edition(&self) -> Result<Edition, RequestError> {
-        Ok(self.ask(|reply| Input::Config { reply }).await??.edition)
+        let mut edition = self.ask(|reply| Input::Config { reply }).await??.edition;
+        // earlier releases stored documents without encryption; any other bytes that don't open
+        // can't be decompressed either
+        if let Ok(packed) = self.seal.open(edition.number, &edition.packed) {
+            edition.packed = packed;
+        }
+        Ok(edition)
     }
 }
 
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -182,7 +182,7 @@
 
     /// Handle for requests to the member once it runs.
     pub fn api(&self) -> Api {
-        Api::new(self.core.clone())
+        Api::new(self.core.clone(), &self.settings.key)
     }
 
     /// Starts the member. A membership in the data folder takes precedence over
@@ -245,7 +245,7 @@
         }
         scope.spawn(link::serve(listener, endpoint.clone(), core.clone(), scope.clone()));
         find_members(origin, replica.is_fresh(), &endpoint, &core, &scope);
-        let routes = web::routes(Api::new(core.clone()), endpoint.clone())
+        let routes = web::routes(Api::new(core.clone(), &settings.key), endpoint.clone())
             .merge(telemetry::web::routes(health.clone(), metrics))
             .merge(extra);
         let stopped = scope.token.clone().cancelled_owned();
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -21,6 +21,7 @@
 //!   the control leader.
 //! - `entry`, `follower`, `updates`, [`outbox`]: the link of an entry, its state in the
 //!   core, what it is sent, and its send queue.
+//! - [`seal`]: encryption of the operators' documents.
 //! - `probe`: requests to backend servers on persistent connections.
 //! - `beacon`: progress of each member, published over nng.
 //! - `web`, `status`, `meter`, `event`: the HTTP interface, its status document,
@@ -49,6 +50,7 @@
 pub mod permit;
 mod probe;
 pub mod roster;
+pub mod seal;
 pub mod standby;
 mod status;
 mod updates;
--- a/components/member/tests/seeds.rs
+++ b/components/member/tests/seeds.rs
@@ -185,3 +185,34 @@
     let held = member.api.edition().await.unwrap();
     assert_eq!((held.number, &*held.document().unwrap()), (5, b"document 5".as_slice()));
 }
+
+/// Guards against keys of teams in the files of a member: the document is stored as sent, but
+/// encrypted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_data_folder_holds_no_document_in_plain() {
+    let data = tempfile::tempdir().unwrap();
+    let bound = bind("a", data.path()).await;
+    let seeds = [bound.addresses().link];
+    let member = start(bound, &seeds, true);
+    replace(&member.api, 3).await;
+    let held = member.api.edition().await.unwrap();
+    assert_eq!(&*held.document().unwrap(), b"document 3".as_slice());
+    member.handle.stop().await;
+    let packed = edition(3).document;
+    let mut folders = vec![data.path().to_owned()];
+    let mut files = 0;
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            let bytes = std::fs::read(&path).unwrap();
+            let found = bytes.windows(packed.len()).any(|part| *part == *packed);
+            assert!(!found, "{} holds the document", path.display());
+            files += 1;
+        }
+    }
+    assert!(files > 0);
+}
