Run the random cases of queues and pools over many seeds

With a seed, arbtest runs one case, and takes its size in bytes from the low 32 bits of the seed: 7 and 11 bytes here, so the budget of 300 ms had no effect and the two tests of queues checked almost nothing. The test of pools had no seed, so its cases changed with each run.

--- a/components/admit/tests/fairness.rs
+++ b/components/admit/tests/fairness.rs
@@ -7,6 +7,13 @@
 
 const ROUNDS: u32 = 200_000;
 
+/// Number of seeds to run.
+const SEEDS: u64 = 300;
+
+/// Size in bytes of the random input of one seed; `arbtest` takes it from the low 32 bits
+/// of its seed.
+const BYTES: u64 = 4_096;
+
 fn shares(weights: &[u32], cost_micros: &[u64]) -> Vec<f64> {
     let mut queue = Queue::new();
     for (key, weight) in weights.iter().enumerate() {
@@ -80,40 +87,42 @@
 
 #[test]
 fn items_of_a_flow_keep_their_order_and_none_is_lost() {
-    arbtest(|u| {
-        let mut queue = Queue::new();
-        let mut oracle: BTreeMap<u8, Vec<u32>> = BTreeMap::new();
-        let mut count = 0;
-        for step in 0..u.int_in_range(0..=200_u32)? {
-            let key = u.int_in_range(0..=5_u8)?;
-            if u.ratio(2, 3)? {
-                queue.push(key, u.int_in_range(1..=1_000)?, (key, step));
-                oracle.entry(key).or_default().push(step);
-                count += 1;
-            } else if u.arbitrary()? {
-                let skip = u.int_in_range(0..=5_u8)?;
-                let mut most = u.int_in_range(0..=4)?;
-                queue.offer(|(key, step)| {
-                    if key == skip {
-                        return Verdict::Skip;
-                    }
-                    if most == 0 {
-                        return Verdict::Stop;
-                    }
-                    most -= 1;
+    for seed in 0..SEEDS {
+        arbtest(|u| {
+            let mut queue = Queue::new();
+            let mut oracle: BTreeMap<u8, Vec<u32>> = BTreeMap::new();
+            let mut count = 0;
+            for step in 0..u.int_in_range(0..=200_u32)? {
+                let key = u.int_in_range(0..=5_u8)?;
+                if u.ratio(2, 3)? {
+                    queue.push(key, u.int_in_range(1..=1_000)?, (key, step));
+                    oracle.entry(key).or_default().push(step);
+                    count += 1;
+                } else if u.arbitrary()? {
+                    let skip = u.int_in_range(0..=5_u8)?;
+                    let mut most = u.int_in_range(0..=4)?;
+                    queue.offer(|(key, step)| {
+                        if key == skip {
+                            return Verdict::Skip;
+                        }
+                        if most == 0 {
+                            return Verdict::Stop;
+                        }
+                        most -= 1;
+                        count -= 1;
+                        assert_eq!(oracle.get_mut(&key).map(|items| items.remove(0)), Some(step));
+                        Verdict::Take
+                    });
+                } else if let Some(items) = oracle.get_mut(&key).filter(|items| !items.is_empty()) {
+                    let step = items.remove(u.choose_index(items.len())?);
+                    assert!(queue.remove(key, (key, step)));
                     count -= 1;
-                    assert_eq!(oracle.get_mut(&key).map(|items| items.remove(0)), Some(step));
-                    Verdict::Take
-                });
-            } else if let Some(items) = oracle.get_mut(&key).filter(|items| !items.is_empty()) {
-                let step = items.remove(u.choose_index(items.len())?);
-                assert!(queue.remove(key, (key, step)));
-                count -= 1;
+                }
+                assert_eq!(queue.len(), count);
             }
-            assert_eq!(queue.len(), count);
-        }
-        Ok(())
-    })
-    .seed(7)
-    .budget_ms(300);
+            Ok(())
+        })
+        .seed((seed << 32) | BYTES)
+        .run();
+    }
 }
--- a/components/admit/tests/schedule.rs
+++ b/components/admit/tests/schedule.rs
@@ -8,6 +8,13 @@
 
 const RUN: Duration = Duration::from_millis(10);
 
+/// Number of seeds to run.
+const SEEDS: u64 = 300;
+
+/// Size in bytes of the random input of one seed; `arbtest` takes it from the low 32 bits
+/// of its seed.
+const BYTES: u64 = 4_096;
+
 fn rank(priority: u32) -> Rank {
     Rank { priority, team: 0 }
 }
@@ -130,43 +137,45 @@
 /// All items of equal rank without objectives must be served exactly as by a fair queue.
 #[test]
 fn items_of_one_rank_without_objectives_are_served_as_by_a_fair_queue() {
-    arbtest(|u| {
-        let (mut schedule, mut queue) = (Schedule::new(), Queue::new());
-        for item in 0..u.int_in_range(0..=150_u32)? {
-            let flow = u.int_in_range(0..=4_u32)?;
-            let weight = flow * 3 + 1;
-            match u.int_in_range(0..=3)? {
-                0 | 1 => {
-                    schedule.push(Place { weight, ..place(0, flow) }, (flow, item));
-                    queue.push(flow, weight, (flow, item));
-                }
-                2 => {
-                    let run = Duration::from_micros(u.int_in_range(0..=30_000)?);
-                    schedule.charge(rank(0), flow, run);
-                    queue.charge(flow, run);
-                }
-                _ => {
-                    let most = u.int_in_range(0..=5_usize)?;
-                    let decide = |taken: &mut Vec<_>, (other, item): (u32, u32)| {
-                        if other == flow {
-                            return Verdict::Skip;
-                        }
-                        if taken.len() == most {
-                            return Verdict::Stop;
-                        }
-                        taken.push((other, item));
-                        Verdict::Take
-                    };
-                    let (mut first, mut second) = (Vec::new(), Vec::new());
-                    schedule.offer(Instant::ZERO, |item| decide(&mut first, item));
-                    queue.offer(|item| decide(&mut second, item));
-                    assert_eq!(first, second);
+    for seed in 0..SEEDS {
+        arbtest(|u| {
+            let (mut schedule, mut queue) = (Schedule::new(), Queue::new());
+            for item in 0..u.int_in_range(0..=150_u32)? {
+                let flow = u.int_in_range(0..=4_u32)?;
+                let weight = flow * 3 + 1;
+                match u.int_in_range(0..=3)? {
+                    0 | 1 => {
+                        schedule.push(Place { weight, ..place(0, flow) }, (flow, item));
+                        queue.push(flow, weight, (flow, item));
+                    }
+                    2 => {
+                        let run = Duration::from_micros(u.int_in_range(0..=30_000)?);
+                        schedule.charge(rank(0), flow, run);
+                        queue.charge(flow, run);
+                    }
+                    _ => {
+                        let most = u.int_in_range(0..=5_usize)?;
+                        let decide = |taken: &mut Vec<_>, (other, item): (u32, u32)| {
+                            if other == flow {
+                                return Verdict::Skip;
+                            }
+                            if taken.len() == most {
+                                return Verdict::Stop;
+                            }
+                            taken.push((other, item));
+                            Verdict::Take
+                        };
+                        let (mut first, mut second) = (Vec::new(), Vec::new());
+                        schedule.offer(Instant::ZERO, |item| decide(&mut first, item));
+                        queue.offer(|item| decide(&mut second, item));
+                        assert_eq!(first, second);
+                    }
                 }
+                assert_eq!(schedule.len(), queue.len());
             }
-            assert_eq!(schedule.len(), queue.len());
-        }
-        Ok(())
-    })
-    .seed(11)
-    .budget_ms(300);
+            Ok(())
+        })
+        .seed((seed << 32) | BYTES)
+        .run();
+    }
 }
--- a/components/pool/tests/decisions.rs
+++ b/components/pool/tests/decisions.rs
@@ -10,6 +10,13 @@
 const RUN: Duration = Duration::from_millis(14);
 const OPENING: Duration = Duration::from_millis(12);
 
+/// Number of seeds to run.
+const SEEDS: u64 = 300;
+
+/// Size in bytes of the random input of one seed; `arbtest` takes it from the low 32 bits
+/// of its seed.
+const BYTES: u64 = 256;
+
 fn idle(conn: u32, team: u32, value: f64) -> Idle<u32, u32> {
     Idle { conn, team, since: Instant::from_millis(u64::from(conn)), value, awaited: false }
 }
@@ -128,23 +135,26 @@
 /// Guards against a choice without a free slot, or an opening although a connection is idle.
 #[test]
 fn a_choice_has_a_free_slot_and_uses_an_idle_connection_if_there_is_one() {
-    arbtest(|u| {
-        let mut loads = Vec::new();
-        for server in 0..u.int_in_range(0..=5)? {
-            loads.push(load(server, u.arbitrary()?, u.int_in_range(0..=4)?, u.arbitrary()?));
-        }
-        let is_ready = |load: &&Load<u32>| load.free > 0 && load.ready;
-        match place(&loads) {
-            Some(Choice::Use(server)) => {
-                assert!(loads.iter().filter(is_ready).any(|load| load.server == server));
+    for seed in 0..SEEDS {
+        arbtest(|u| {
+            let mut loads = Vec::new();
+            for server in 0..u.int_in_range(0..=5)? {
+                loads.push(load(server, u.arbitrary()?, u.int_in_range(0..=4)?, u.arbitrary()?));
             }
-            Some(Choice::Open(server)) => {
-                assert!(!loads.iter().any(|load| is_ready(&load)));
-                assert!(loads.iter().any(|load| load.server == server && load.free > 0));
+            let is_ready = |load: &&Load<u32>| load.free > 0 && load.ready;
+            match place(&loads) {
+                Some(Choice::Use(server)) => {
+                    assert!(loads.iter().filter(is_ready).any(|load| load.server == server));
+                }
+                Some(Choice::Open(server)) => {
+                    assert!(!loads.iter().any(|load| is_ready(&load)));
+                    assert!(loads.iter().any(|load| load.server == server && load.free > 0));
+                }
+                None => assert!(loads.iter().all(|load| load.free == 0)),
             }
-            None => assert!(loads.iter().all(|load| load.free == 0)),
-        }
-        Ok(())
-    })
-    .budget_ms(200);
+            Ok(())
+        })
+        .seed((seed << 32) | BYTES)
+        .run();
+    }
 }
