End probations when the last objective is withdrawn

Where teams are declared, the choice of the server kept avoiding one on probation after the group's last objective was withdrawn: only answered probes end a probation, and probes are no longer sent then. The observations of servers are reset now. A test withdraws the objective during a probation; without the reset the replica gets no more reads while another can take them. A second test checks that servers of a group without an objective are not judged at all, which had none.

--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -132,6 +132,9 @@
             if !self.starts.slow {
                 server.window.end();
             }
+            if !self.starts.judges {
+                server.gauge.reset();
+            }
         }
     }
 
--- a/components/keeper/tests/unfenced/balance.rs
+++ b/components/keeper/tests/unfenced/balance.rs
@@ -155,3 +155,36 @@
     assert!(share >= 0.4, "{share}");
     assert_eq!(world.probations(start), 0, "a slow server is not a failing one");
 }
+
+/// Guards against a group that is judged by run times although no database declares an
+/// objective: neither probation nor slow start begins.
+#[test]
+fn servers_of_a_group_without_an_objective_are_not_judged() {
+    let mut world = World::new(8, true, None);
+    world.declare_objective(0);
+    let start = world.now;
+    world.servers[2].failing = Some((When::Share(0.4), How::Error));
+    world.run(5_000);
+    world.restart(1);
+    world.run(2_000);
+    assert_eq!(world.probations(start), 0);
+    assert!(!world.has_ramped(1, start));
+}
+
+/// Guards against a probation that nothing ends: the last objective is withdrawn while a
+/// replica is on probation.
+#[test]
+fn a_probation_ends_with_the_last_objective() {
+    let mut world = World::new(9, true, None);
+    world.declare_team("red");
+    let start = world.now;
+    world.servers[2].failing = Some((When::Share(0.4), How::Error));
+    world.run(5_000);
+    assert!(world.probations(start) > 0);
+    world.declare_objective(0);
+    world.servers[2].failing = None;
+    let since = world.now;
+    world.run(4_000);
+    let share = world.share(2, since, world.now);
+    assert!(share >= 0.3, "{share}");
+}
--- a/components/keeper/tests/unfenced/servers.rs
+++ b/components/keeper/tests/unfenced/servers.rs
@@ -191,6 +191,16 @@
         }
     }
 
+    /// Changes the objective, in milliseconds, of the only database with one; zero for none.
+    pub fn declare_objective(&mut self, objective_ms: u64) {
+        for keeper in &mut self.keepers {
+            let busy =
+                keeper.declarations.databases.get_mut("busy").expect("declared by the bench");
+            busy.objective_ms = objective_ms;
+            keeper.set_up(Some("server-0"), 1, 12);
+        }
+    }
+
     /// Runs for a time in milliseconds.
     pub fn run(&mut self, millis: u64) {
         for _ in 0..millis {
