Forget the time of openings, and none counts across a suspension

Read once more: the average time of an opening is only corrected by openings, and a team gets a further connection only if the average is short. One opening across a suspension of seconds, or one at a slow server, kept teams with connections from getting further ones until other teams had opened some thirty. An opening during which the process was suspended isn't counted now, and the average counts for 10 s after the last opening. Two tests; each fails without its part.

--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -23,8 +23,9 @@
             return;
         };
         conn.work = Work::Idle(now);
-        if conn.opening_uses_slot {
-            self.teams.record_opening(now.since(conn.opened_at));
+        // an opening across a suspension says nothing about the server
+        if conn.opening_uses_slot && !self.uptime.was_suspended_since(conn.opened_at) {
+            self.teams.record_opening(now, now.since(conn.opened_at));
         }
         if let Some(server) = self.servers.get_mut(conn.server) {
             server.failures = 0;
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -24,9 +24,13 @@
 use crate::request::{Request, Stage};
 use crate::server::Server;
 
-/// Time assumed for opening a connection before the first one was opened.
+/// Time assumed for opening a connection if none was opened lately.
 const INITIAL_OPENING_TIME: Duration = Duration::from_millis(10);
 
+/// Time after the last opening for which the average time of openings is taken as known. An
+/// average that is too long would prevent the openings that correct it.
+const OPENING_TIME_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Multiple of the average time of an opening after which an opening is late.
 const LATE_OPENING_FACTOR: u32 = 4;
 
@@ -55,8 +59,8 @@
     unnamed: Key<Team>,
     /// Requests of each team to each server.
     usage: HashMap<(Key<Server>, Key<Team>), Usage>,
-    /// Moving average of the time that an opening takes.
-    opening_time: Duration,
+    /// Moving average of the time that an opening takes, and when it was last updated.
+    opening: Option<(Duration, Instant)>,
     /// Team of the last request, for which connections are opened while none waits.
     pub(crate) last: Key<Team>,
 }
@@ -70,7 +74,7 @@
             by_name: HashMap::new(),
             unnamed,
             usage: HashMap::new(),
-            opening_time: INITIAL_OPENING_TIME,
+            opening: None,
             last: unnamed,
         }
     }
@@ -78,8 +82,19 @@
 
 impl Teams {
     /// Records the time that an opening took.
-    pub(crate) fn record_opening(&mut self, time: Duration) {
-        self.opening_time = (self.opening_time * 7 + time) / 8;
+    pub(crate) fn record_opening(&mut self, now: Instant, time: Duration) {
+        let average = self.known_opening_time(now).map_or(time, |known| (known * 7 + time) / 8);
+        self.opening = Some((average, now));
+    }
+
+    fn known_opening_time(&self, now: Instant) -> Option<Duration> {
+        let known = self.opening.filter(|(_, at)| now.since(*at) <= OPENING_TIME_LIFETIME);
+        known.map(|(average, _)| average)
+    }
+
+    /// Expected time of an opening.
+    fn opening_time(&self, now: Instant) -> Duration {
+        self.known_opening_time(now).unwrap_or(INITIAL_OPENING_TIME)
     }
 
     /// Returns the key of the team with the given name, which is added if it is new; `None`
@@ -231,7 +246,7 @@
         let (holding, pinned) = self.holding(server, team);
         let has_none = holding == Holding::default();
         let waiting = if has_none { 1 } else { self.waiting_of(team, stage) };
-        if !should_open(holding, waiting, self.typical_run_time, self.teams.opening_time) {
+        if !should_open(holding, waiting, self.typical_run_time, self.teams.opening_time(now)) {
             return;
         }
         if self.connection_count(server) < limit {
@@ -393,9 +408,11 @@
     /// Whether an opening of the team takes much longer than usual, so that a read of the
     /// team uses another server.
     fn opens_late(&self, now: Instant, server: Key<Server>, team: Key<Team>) -> bool {
-        let limit = (self.teams.opening_time * LATE_OPENING_FACTOR).max(MIN_LATE_OPENING);
+        let limit = self.teams.opening_time(now) * LATE_OPENING_FACTOR;
+        let limit = limit.max(MIN_LATE_OPENING);
         let late = |conn: &Connection| {
-            let opens = conn.work == Work::Opening && now.since(conn.opened_at) > limit;
+            let age = self.uptime.awake_since(now, conn.opened_at);
+            let opens = conn.work == Work::Opening && age > limit;
             conn.server == server && conn.team == team && opens
         };
         self.conns.iter().any(|(_, conn)| late(conn))
--- a/components/keeper/tests/unfenced/teams.rs
+++ b/components/keeper/tests/unfenced/teams.rs
@@ -220,6 +220,51 @@
     assert_eq!(bench.sent()[0].0, second[0].0);
 }
 
+/// Opens a connection of the team "slow" within a time, and returns the number of further
+/// connections that a team with many waiting writes gets after `idle_millis`.
+fn further_after_slow_opening(open: impl Fn(&mut Bench), idle_millis: u64) -> usize {
+    let mut bench = bench_with(4, 12);
+    for _ in 0..20 {
+        bench.run(write_of("red"));
+        answer_opened(&mut bench);
+        let (conn, ..) = bench.sent()[0].clone();
+        bench.now += Duration::from_millis(14);
+        bench.answer(conn, b'I', Mark::new(1, 101));
+        bench.out.clear();
+    }
+    bench.run(write_of("slow"));
+    open(&mut bench);
+    answer_opened(&mut bench);
+    let (conn, ..) = bench.sent()[0].clone();
+    bench.answer(conn, b'I', Mark::new(1, 102));
+    bench.pass(idle_millis);
+    bench.out.clear();
+    for _ in 0..8 {
+        bench.run(write_of("red"));
+    }
+    opened(&mut bench).len()
+}
+
+/// Guards against a suspension that is taken for the time of an opening, after which no team
+/// gets a further connection.
+#[test]
+fn an_opening_across_a_suspension_prevents_no_further_connections() {
+    let suspend = |bench: &mut Bench| {
+        bench.now += Duration::from_secs(1);
+        bench.feed(Event::Tick);
+    };
+    assert!(further_after_slow_opening(suspend, 100) > 0);
+}
+
+/// Guards against a slow opening after which no team ever gets a further connection: only
+/// openings correct the estimate of their time.
+#[test]
+fn the_time_of_a_slow_opening_is_forgotten() {
+    let slowly = |bench: &mut Bench| bench.pass(1_000);
+    assert_eq!(further_after_slow_opening(slowly, 100), 0);
+    assert!(further_after_slow_opening(slowly, 11_000) > 0);
+}
+
 /// Guards against a withdrawn `teams` section after which the connections of teams fill
 /// the limit.
 #[test]
