--- a/components/entry/tests/entry.rs
+++ b/components/entry/tests/entry.rs
@@ -1,6 +1,7 @@
 //! Complete entries, from a caller to a simulated database group.
 
-use std::collections::BTreeMap;
+mod seats;
+
 use std::sync::Arc;
 
 use base::clock::Clock;
@@ -8,7 +9,9 @@
 use entry::{Handle, Stop};
 use link::Key;
 use tokio_postgres::{Client, NoTls};
-use wire::log::{Lease, Share};
+use wire::log::Lease;
+
+use seats::Size;
 
 const GROUP: &str = "booking-1";
 const KEEPERS: [&str; 2] = ["entry-1", "entry-2"];
@@ -57,25 +60,8 @@
     }));
     let mut state = control::State { index: 1, version: 1, ..control::State::default() };
     state.declarations = Arc::new(declarations.unwrap());
-    let mut control_group = control::Group::default();
-    let mut shares = Vec::new();
-    for (status, address) in group.statuses().into_iter().zip(group.servers()) {
-        let server = control::Server {
-            incarnation: 1,
-            group: name(GROUP),
-            address,
-            zone: name("lansing"),
-            labels: BTreeMap::new(),
-            connections: 16,
-            slots: 2,
-            leaving: false,
-            expired: false,
-            primary: false,
-        };
-        shares.push(Share { server: status.server.to_string(), connections: 6, slots: 1 });
-        control_group.seats.push(status.server.clone());
-        state.servers.insert(status.server, server);
-    }
+    let size = Size { slots: 2, granted: (6, 1) };
+    let (mut control_group, shares) = seats::add(&mut state, &name(GROUP), group, size);
     for (entry_name, (addresses, _)) in ["entry-1", "entry-2", "entry-3"].iter().zip(entries) {
         let entry = control::state::Entry {
             sole: false,
--- a/components/entry/tests/keep.rs
+++ b/components/entry/tests/keep.rs
@@ -1,6 +1,7 @@
 //! The keeper against a simulated database group.
 
-use std::collections::BTreeMap;
+mod seats;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -16,7 +17,9 @@
 use standin::{Fault, Group, Settings};
 use tokio::net::TcpListener;
 use wire::data::{Answer, Ask, Class, End, Leave, Outcome, Reason, Run, answer, ask};
-use wire::log::{Lease, Share};
+use wire::log::Lease;
+
+use seats::Size;
 
 const GROUP: &str = "entries-1";
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -47,26 +50,8 @@
 fn install(state: &mut control::State, group: &Group) {
     state.index += 1;
     state.declarations = Arc::new(declarations());
-    let seats = group.statuses().into_iter().map(|status| status.server);
-    let mut shares = Vec::new();
-    let mut control_group = control::Group::default();
-    for (seat, address) in seats.zip(group.servers()) {
-        let server = control::Server {
-            incarnation: 1,
-            group: name(GROUP),
-            address,
-            zone: name("lansing"),
-            labels: BTreeMap::new(),
-            connections: 16,
-            slots: 2,
-            leaving: false,
-            expired: false,
-            primary: false,
-        };
-        shares.push(Share { server: seat.to_string(), connections: 8, slots: 2 });
-        state.servers.insert(seat.clone(), server);
-        control_group.seats.push(seat);
-    }
+    let size = Size { slots: 2, granted: (8, 2) };
+    let (mut control_group, shares) = seats::add(state, &name(GROUP), group, size);
     let lease = Lease { entry: "entry-1".into(), incarnation: 1, shares, returning: false };
     control_group.leases.push(lease);
     state.groups.insert(name(GROUP), control_group);
--- a/components/entry/tests/quota.rs
+++ b/components/entry/tests/quota.rs
@@ -1,5 +1,7 @@
 //! Limits of teams at a keeper, and loans between two entries on loopback.
 
+mod seats;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +18,9 @@
 use standin::Group;
 use tokio::net::TcpListener;
 use wire::data::{Answer, Ask, Borrow, BorrowItem, End, Outcome, Reason, Run, answer, ask};
-use wire::log::{Lease, Share};
+use wire::log::Lease;
+
+use seats::Size;
 
 const GROUP: &str = "entries-1";
 const TEAM: &str = "team-1";
@@ -72,26 +76,8 @@
 fn install(state: &mut control::State, group: &Group, addresses: &[SocketAddr], quota: Quota) {
     state.index += 1;
     state.declarations = Arc::new(declarations(Some(quota)));
-    let mut control_group = control::Group::default();
-    let mut shares = Vec::new();
-    let seats = group.statuses().into_iter().map(|status| status.server);
-    for (seat, address) in seats.zip(group.servers()) {
-        let server = control::Server {
-            incarnation: 1,
-            group: name(GROUP),
-            address,
-            zone: name("lansing"),
-            labels: BTreeMap::new(),
-            connections: 16,
-            slots: 4,
-            leaving: false,
-            expired: false,
-            primary: false,
-        };
-        shares.push(Share { server: seat.to_string(), connections: 4, slots: 2 });
-        state.servers.insert(seat.clone(), server);
-        control_group.seats.push(seat);
-    }
+    let size = Size { slots: 4, granted: (4, 2) };
+    let (mut control_group, shares) = seats::add(state, &name(GROUP), group, size);
     for (at, address) in addresses.iter().enumerate() {
         let name = name(&format!("entry-{at}"));
         state.entries.insert(name.clone(), entry(*address));
