--- a/components/keeper/src/cycle.rs
+++ b/components/keeper/src/cycle.rs
@@ -25,7 +25,7 @@
         conn.work = Work::Idle(now);
         // an opening across a suspension says nothing about the server
         if conn.opening_uses_slot && !self.uptime.was_suspended_since(conn.opened_at) {
-            self.teams.record_opening(now, now.since(conn.opened_at));
+            self.teams.opening_time.record(now, now.since(conn.opened_at));
         }
         if let Some(server) = self.servers.get_mut(conn.server) {
             server.failures = 0;
--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -20,6 +20,7 @@
 //! - `pace`: slow start, probation and the cost of a read on a server.
 //! - `health`: symptoms of a failed primary.
 //! - `teams`: connections of teams.
+//! - `opening`: the time that opening a connection takes.
 //! - `setup`: servers, leases and declarations from the control log.
 //! - `request`, `conn`, `server` and `service`: state of one of each.
 //! - `uptime`: suspensions of the process.
@@ -35,6 +36,7 @@
 mod flaw;
 mod group;
 mod health;
+mod opening;
 mod pace;
 mod place;
 mod reads;
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -21,22 +21,10 @@
 use crate::event::{Count, Effect};
 use crate::flaw::Flaw;
 use crate::group::Group;
+use crate::opening::OpeningTime;
 use crate::request::{Request, Stage};
 use crate::server::Server;
 
-/// Time assumed for opening a connection if none was opened lately.
-const INITIAL_OPENING_TIME: Duration = Duration::from_millis(10);
-
-/// Time after the last opening for which the average time of openings is taken as known. An
-/// average that is too long would prevent the openings that correct it.
-const OPENING_TIME_LIFETIME: Duration = Duration::from_secs(10);
-
-/// Multiple of the average time of an opening after which an opening is late.
-const LATE_OPENING_FACTOR: u32 = 4;
-
-/// Shortest time after which an opening is late: two ticks of a group.
-const MIN_LATE_OPENING: Duration = Duration::from_millis(20);
-
 /// Time after which the full number of connections is tried again with a server that
 /// refused a session because it has too many, if no connection closes before.
 const CAP_DURATION: Duration = Duration::from_secs(1);
@@ -59,8 +47,8 @@
     unnamed: Key<Team>,
     /// Requests of each team to each server.
     usage: HashMap<(Key<Server>, Key<Team>), Usage>,
-    /// Moving average of the time that an opening takes, and when it was last updated.
-    opening: Option<(Duration, Instant)>,
+    /// Time that opening a connection takes.
+    pub(crate) opening_time: OpeningTime,
     /// Team of the last request, for which connections are opened while none waits.
     pub(crate) last: Key<Team>,
 }
@@ -74,29 +62,13 @@
             by_name: HashMap::new(),
             unnamed,
             usage: HashMap::new(),
-            opening: None,
+            opening_time: OpeningTime::default(),
             last: unnamed,
         }
     }
 }
 
 impl Teams {
-    /// Records the time that an opening took.
-    pub(crate) fn record_opening(&mut self, now: Instant, time: Duration) {
-        let average = self.known_opening_time(now).map_or(time, |known| (known * 7 + time) / 8);
-        self.opening = Some((average, now));
-    }
-
-    fn known_opening_time(&self, now: Instant) -> Option<Duration> {
-        let known = self.opening.filter(|(_, at)| now.since(*at) <= OPENING_TIME_LIFETIME);
-        known.map(|(average, _)| average)
-    }
-
-    /// Expected time of an opening.
-    fn opening_time(&self, now: Instant) -> Duration {
-        self.known_opening_time(now).unwrap_or(INITIAL_OPENING_TIME)
-    }
-
     /// Returns the key of the team with the given name, which is added if it is new; `None`
     /// if the name is invalid.
     fn intern(&mut self, name: &str, priority: u32) -> Option<Key<Team>> {
@@ -246,7 +218,8 @@
         let (holding, pinned) = self.holding(server, team);
         let has_none = holding == Holding::default();
         let waiting = if has_none { 1 } else { self.waiting_of(team, stage) };
-        if !should_open(holding, waiting, self.typical_run_time, self.teams.opening_time(now)) {
+        let opening = self.teams.opening_time.expected(now);
+        if !should_open(holding, waiting, self.typical_run_time, opening) {
             return;
         }
         if self.connection_count(server) < limit {
@@ -408,8 +381,7 @@
     /// Whether an opening of the team takes much longer than usual, so that a read of the
     /// team uses another server.
     fn opens_late(&self, now: Instant, server: Key<Server>, team: Key<Team>) -> bool {
-        let limit = self.teams.opening_time(now) * LATE_OPENING_FACTOR;
-        let limit = limit.max(MIN_LATE_OPENING);
+        let limit = self.teams.opening_time.late_after(now);
         let late = |conn: &Connection| {
             let age = self.uptime.awake_since(now, conn.opened_at);
             let opens = conn.work == Work::Opening && age > limit;
