--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -16,22 +16,25 @@
 //!
 //! A leader that finds an unfinished change continues at the phase in the log.
 
+pub mod successor;
+pub mod wait;
+
 use std::collections::BTreeMap;
 
 use base::prelude::*;
+use smallvec::SmallVec;
 use wire::control::{Condition, Seal, Symptom};
 use wire::log::{Choose, Establish, Intend, command};
 
+use self::successor::{Position, Survey};
+use self::wait::{Pending, Wait};
 use crate::context::Context;
 use crate::detector::{Cause, Symptoms, Watches};
 use crate::leader::{Ask, Effect, PROPOSAL_TIMEOUT, ProbeError};
 use crate::lease::LEASE_DURATION;
-use crate::state::{Group, Phase};
+use crate::state::Phase;
 use crate::trace::Trace;
 
-/// Time for which a choice waits for the positions of all servers but the old primary.
-const POSITIONS_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Time between two designations of a server.
 const DESIGNATE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -73,15 +76,6 @@
 /// Time after a primary was established during which it is not considered cut off.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// Last reported log position and role of a server.
-#[derive(Clone, Copy, Debug)]
-struct Position {
-    mark: Mark,
-    role: Role,
-    /// When the probe that returned this report was sent.
-    sent: Instant,
-}
-
 /// The last proposal, and the state of the group that it was based on. While the group
 /// is in that state, the proposal may still be applied.
 #[derive(Debug)]
@@ -134,6 +128,8 @@
     /// Rejected designations in a row.
     rejections: u32,
     trace: Option<Trace>,
+    /// What the change in progress waits for.
+    pending: Option<Pending>,
 }
 
 impl Designation {
@@ -147,6 +143,11 @@
         self.trace.as_ref().is_some_and(|trace| trace.established.is_none())
     }
 
+    /// What the change of primary in progress waits for.
+    pub fn pending(&self) -> Option<&Pending> {
+        self.pending.as_ref()
+    }
+
     /// Probe results of the group's servers.
     pub fn watches(&self) -> &Watches {
         &self.watches
@@ -200,12 +201,22 @@
             self.inherited_at = Some(context.now);
         }
         self.probe_seats(context, out);
-        match (&context.group.phase, &context.group.primary) {
-            (Phase::Settled, Some(primary)) => self.settled(context, primary, out),
-            (Phase::Settled, None) => self.bootstrap(context, out),
-            (Phase::Intended, _) => self.choose(context, out),
-            (Phase::Chosen { server, .. }, _) => self.designate(context, server, out),
-        }
+        let wait = match (&context.group.phase, &context.group.primary) {
+            (Phase::Settled, Some(primary)) => {
+                self.settled(context, primary, out);
+                None
+            }
+            (Phase::Settled, None) => {
+                self.bootstrap(context, out);
+                None
+            }
+            (Phase::Intended, _) => self.choose(context, out).err(),
+            (Phase::Chosen { server, .. }, _) => {
+                self.designate(context, server, out);
+                Some(Wait::Promotion(server.clone()))
+            }
+        };
+        Pending::update(&mut self.pending, context.now, wait);
     }
 
     /// Sends status probes: to all servers while a change is in progress or may
@@ -355,11 +366,12 @@
         out.push(Effect::propose(body));
     }
 
-    fn choose(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
+    /// Proposes the next primary, or returns what the choice waits for.
+    fn choose(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) -> Result<(), Wait> {
         let (now, term) = (context.now, context.group.term);
-        if !self.is_sealed(context) {
+        if let Err(wait) = self.check_sealed(context) {
             self.sealed_since = None;
-            return;
+            return Err(wait);
         }
         let since = match self.sealed_since {
             Some((known, since)) if known == term => since,
@@ -369,18 +381,20 @@
         if let Some(trace) = &mut self.trace {
             trace.fenced.get_or_insert(since);
         }
-        let Some((server, start)) = self.successor(context, since) else { return };
+        let survey = Survey { since, positions: &self.positions, seals: &self.seals };
+        let chosen = survey.successor(context)?;
         let choose = Choose {
             group: context.name.to_string(),
             term: term.0,
-            server: server.to_string(),
-            start: Some(start.into()),
+            server: chosen.server.to_string(),
+            start: Some(chosen.start.into()),
         };
         self.propose(context, command::Body::Choose(choose), out);
+        Ok(())
     }
 
-    /// Whether no keeper can pass on answers of an earlier primary any more.
-    fn is_sealed(&self, context: &Context<'_>) -> bool {
+    /// Checks that no keeper can pass on answers of an earlier primary any more.
+    fn check_sealed(&self, context: &Context<'_>) -> Result<(), Wait> {
         let group = context.group;
         let is_sealed = |lease: &wire::log::Lease| {
             Name::new(&lease.entry).is_ok_and(|entry| {
@@ -388,47 +402,14 @@
                 seal.is_some_and(|seal| seal.term >= group.term.0)
             })
         };
-        group.leases.iter().all(is_sealed)
-            && (group.generation == 0 || context.liveness.removed_leases_expired(context.now))
-    }
-
-    /// The next primary and its last record, if a server certainly holds all
-    /// acknowledged records. Only positions requested after `since` count.
-    fn successor(&self, context: &Context<'_>, since: Instant) -> Option<(Name, Mark)> {
-        let group = context.group;
-        let old = group.primary.as_ref();
-        let position = |server: &Name| {
-            self.positions.get(server).filter(|position| position.sent >= since).copied()
-        };
-        let known = |seat: &&Name| context.state.servers.contains_key(*seat);
-        let others = || group.seats.iter().filter(known).filter(|seat| Some(*seat) != old);
-        let all = others().count() >= 2 && others().all(|seat| position(seat).is_some());
-        let old_reported = old.is_some_and(|old| position(old).is_some());
-        if !all && context.now.since(since) < POSITIONS_TIMEOUT {
-            return None;
-        }
-        let seals = || self.seals.iter().filter(|(holder, _)| holds(group, holder));
-        let needed = seals().filter_map(|(_, seal)| seal.mark.map(Mark::from)).max();
-        // the holder of an ended lease may not have sealed, but a mark acknowledged
-        // after the last lease had ended covers all that this holder acknowledged
-        let current = |seal: &Seal| seal.mark.is_some() && seal.index >= group.ended_index;
-        let precise = group.ended_index == 0 || seals().any(|(_, seal)| current(seal));
-        let stays = |seat: &Name| context.state.servers.get(seat).is_some_and(|s| !s.leaving);
-        let able = |seat: &&Name| stays(seat) && position(seat).is_some();
-        let best = others().filter(able).max_by_key(|seat| position(seat).map(|p| p.mark));
-        let enough = |seat: &Name| {
-            let mark = position(seat).map(|position| position.mark);
-            (precise || all || old_reported) && mark >= needed
-        };
-        if let Some(best) = best.filter(|best| enough(best)) {
-            return Some((best.clone(), position(best)?.mark));
+        let open = group.leases.iter().filter(|lease| !is_sealed(lease));
+        let open: SmallVec<[Name; 2]> =
+            open.filter_map(|lease| Name::new(&lease.entry).ok()).collect();
+        if !open.is_empty() {
+            return Err(Wait::Seals(open));
         }
-        // an old primary that came back holds all that it acknowledged
-        let back = old.filter(|old| {
-            stays(old) && position(old).is_some_and(|position| position.role == Role::Primary)
-        })?;
-        let late = context.now.since(since) >= CONFIRMATION_TIME;
-        late.then(|| Some((back.clone(), position(back)?.mark)))?
+        let over = group.generation == 0 || context.liveness.removed_leases_expired(context.now);
+        if over { Ok(()) } else { Err(Wait::Leases) }
     }
 
     fn designate(&mut self, context: &Context<'_>, server: &Name, out: &mut Vec<Effect>) {
@@ -487,10 +468,6 @@
     }
 }
 
-fn holds(group: &Group, (entry, incarnation): &(Name, u64)) -> bool {
-    group.lease(entry.as_str()).is_some_and(|lease| lease.incarnation == *incarnation)
-}
-
 fn probe(context: &Context<'_>, server: &Name, address: std::net::SocketAddr, ask: Ask) -> Effect {
     let (group, server) = (context.name.clone(), server.clone());
     Effect::Probe { group, server, address, ask }
--- /dev/null
+++ b/components/control/src/designation/wait.rs
@@ -0,0 +1,76 @@
+//! What a change of primary in an unfenced group waits for, so that logs and the status
+//! report can name it.
+
+use base::prelude::*;
+use smallvec::SmallVec;
+
+/// A condition that a change of primary waits for.
+#[derive(Clone, Debug, PartialEq, Eq, strum::AsRefStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Wait {
+    /// Keepers hold a lease on the group and have not sealed.
+    Seals(SmallVec<[Name; 2]>),
+    /// Leases of removed entries may still be in force.
+    Leases,
+    /// Servers have not reported their positions since the last lease ended.
+    Positions(SmallVec<[Name; 2]>),
+    /// No server that has reported its position is known to hold all acknowledged records.
+    Records {
+        /// Servers that have not reported.
+        silent: SmallVec<[Name; 2]>,
+        /// Highest mark that the holders of leases have acknowledged.
+        needed: Option<Mark>,
+        /// Highest position that was reported.
+        best: Option<Mark>,
+        /// Whether `needed` covers the records acknowledged by holders that have vanished.
+        precise: bool,
+    },
+    /// The chosen server does not lead yet.
+    Promotion(Name),
+}
+
+impl Wait {
+    /// Text for logs and the status report.
+    pub fn describe(&self) -> String {
+        let names = |names: &[Name]| names.iter().map(Name::as_str).collect::<Vec<_>>().join(", ");
+        let mark = |mark: &Option<Mark>| mark.map_or("none".to_owned(), |mark| mark.to_string());
+        match self {
+            Self::Seals(entries) => format!("seals of {}", names(entries)),
+            Self::Leases => "leases of removed entries".to_owned(),
+            Self::Positions(servers) => format!("positions of {}", names(servers)),
+            Self::Records { silent, needed, best, precise } => {
+                let bound = if *precise { "needed" } else { "needed at least" };
+                format!(
+                    "a server with all acknowledged records: {bound} {}, best {}, silent: {}",
+                    mark(needed),
+                    mark(best),
+                    names(silent)
+                )
+            }
+            Self::Promotion(server) => format!("{server} to lead"),
+        }
+    }
+}
+
+/// A wait with its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pending {
+    /// The condition.
+    pub wait: Wait,
+    /// Time since which the change waits for this kind of condition.
+    pub since: Instant,
+}
+
+impl Pending {
+    /// Stores the present wait. The start is kept while its kind stays the same.
+    pub(super) fn update(pending: &mut Option<Self>, now: Instant, wait: Option<Wait>) {
+        let Some(wait) = wait else {
+            *pending = None;
+            return;
+        };
+        let same =
+            |known: &Self| std::mem::discriminant(&known.wait) == std::mem::discriminant(&wait);
+        let since = pending.as_ref().filter(|known| same(known)).map_or(now, |known| known.since);
+        *pending = Some(Self { wait, since });
+    }
+}
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -15,6 +15,7 @@
 
 use crate::context::{Context, Leadership};
 use crate::designation::Designation;
+use crate::designation::wait::Pending;
 use crate::failover::Failover;
 use crate::flaw::Flaw;
 use crate::liveness::Liveness;
@@ -251,6 +252,12 @@
         self.traces.iter().chain(all.filter(|trace| trace.established.is_none()))
     }
 
+    /// What the changes of primaries in progress wait for, by group.
+    pub fn pending(&self) -> impl Iterator<Item = (&Name, &Pending)> {
+        let designations = self.designations.iter();
+        designations.filter_map(|(group, designation)| Some((group, designation.pending()?)))
+    }
+
     /// Handles an event. `state` is the state that the member has applied.
     pub fn on(&mut self, now: Instant, state: &State, event: Event, out: &mut Vec<Effect>) {
         match event {
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -28,6 +28,7 @@
 use crate::roster::Roster;
 use crate::status::Steps;
 use crate::updates::Updates;
+use crate::waits::Waits;
 
 /// Largest number of inputs handled between two checks of the timer.
 const BURST_INPUTS: usize = 256;
@@ -106,6 +107,8 @@
     pub(crate) control_leadership: control::Leadership,
     /// Policy for membership changes, applied while this member leads.
     pub(crate) roster: Roster,
+    /// What changes of primaries wait for, as far as it is logged.
+    pub(crate) waits: Waits,
     /// Whether this member asks to join a membership: set at the start if it has no
     /// log, and later whenever it has had no leader for too long.
     pub(crate) wants_to_join: Arc<AtomicBool>,
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -30,6 +30,7 @@
 use crate::probe::Probes;
 use crate::roster::{self, Roster};
 use crate::updates::Updates;
+use crate::waits::Waits;
 use crate::{bootstrap, join, link, web};
 
 /// Longest time that a planned stop waits for the transfer of leadership and the
@@ -290,6 +291,7 @@
             leaderless_since: Some(now),
             control_leadership: control::Leadership { token: 0, last_chosen: Some(now) },
             roster: Roster::new(tolerance),
+            waits: Waits::default(),
             wants_to_join,
         };
         let ended = scope.token.clone();
--- a/components/member/src/leader.rs
+++ b/components/member/src/leader.rs
@@ -63,6 +63,10 @@
             self.notify_leader(event);
         }
         self.notify_leader(Event::Tick);
+        let now = self.now();
+        if let Some(leader) = &self.leader {
+            self.waits.log(now, leader, &self.log);
+        }
     }
 
     /// Queues the announcement of a backend server for the leader.
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod standby;
 mod status;
 mod updates;
+mod waits;
 mod web;
 
 pub use api::{Api, Edition, Replaced, RequestError};
