--- a/components/member/src/peers.rs
+++ b/components/member/src/peers.rs
@@ -4,11 +4,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use ::link::{Failure, Purpose, Reader, Writer};
 use base::prelude::*;
 use slog::debug;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{Instant, sleep_until};
 use wire::quorum::{Hello, Member, Members, Message};
 
@@ -36,6 +37,8 @@
 struct Link {
     address: SocketAddr,
     queue: mpsc::Sender<Message>,
+    /// Notified when the member has dialled this one, and so is up.
+    dialled: Arc<Notify>,
 }
 
 /// Links to the other members.
@@ -81,10 +84,11 @@
         }
     }
 
-    /// Opens a link to a member that dialled, even if it is outside the membership.
+    /// Opens a link to a member that dialled, even if it is outside the membership. A link
+    /// that waits to be dialled again is dialled at once.
     pub(crate) fn admit(&mut self, member: &Member) {
-        if self.by_id.contains_key(&member.id) {
-            return;
+        if let Some(link) = self.by_id.get(&member.id) {
+            return link.dialled.notify_one();
         }
         self.add_nonmember(member.id);
         self.open_link(member);
@@ -108,8 +112,10 @@
             return;
         }
         let (queue, due) = mpsc::channel(QUEUE_MESSAGES);
-        self.scope.spawn(run(address, member.id, self.endpoint.clone(), due));
-        self.by_id.insert(member.id, Link { address, queue });
+        let dialled = Arc::new(Notify::new());
+        let known = (address, member.id);
+        self.scope.spawn(run(known, self.endpoint.clone(), due, Arc::clone(&dialled)));
+        self.by_id.insert(member.id, Link { address, queue, dialled });
     }
 }
 
@@ -130,7 +136,12 @@
 }
 
 /// Keeps a link to a member until the send queue is closed.
-async fn run(address: SocketAddr, id: u64, endpoint: Endpoint, mut due: mpsc::Receiver<Message>) {
+async fn run(
+    (address, id): (SocketAddr, u64),
+    endpoint: Endpoint,
+    mut due: mpsc::Receiver<Message>,
+    dialled: Arc<Notify>,
+) {
     while !due.is_closed() {
         if let Err(report) = run_link(address, id, &endpoint, &mut due).await {
             debug!(endpoint.log, "link to a member failed"; "address" => address,
@@ -138,7 +149,7 @@
         }
         // queued messages are outdated by the time of the next attempt
         while due.try_recv().is_ok() {}
-        tokio::time::sleep(REDIAL_DELAY).await;
+        drop(tokio::time::timeout(REDIAL_DELAY, dialled.notified()).await);
     }
 }
 
--- a/components/quorum/src/election.rs
+++ b/components/quorum/src/election.rs
@@ -169,9 +169,10 @@
         }
     }
 
-    /// Shortens the wait for the next election after a rejection: a split vote must not
-    /// delay the election by a whole timeout, and a premature pre-vote does no harm.
-    fn retry_soon(&mut self, now: Instant) {
+    /// Shortens the wait for the next election, after a rejection or at the start: neither
+    /// a split vote nor a restart of all members must delay the election by a whole
+    /// timeout, and a premature pre-vote does no harm.
+    pub(crate) fn retry_soon(&mut self, now: Instant) {
         let (min, max) =
             (ELECTION_RETRY_MIN.as_micros() as u64, ELECTION_RETRY_MAX.as_micros() as u64);
         let soon = now + Duration::from_micros(self.rng.random_range(min..=max));
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -93,7 +93,9 @@
             reported_members: Members::default(),
             reported_leadership: Leadership::default(),
         };
+        // a member that starts knows of no leader; the pre-vote tells whether there is one
         replica.reset_deadline(now);
+        replica.retry_soon(now);
         replica
     }
 
