--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -42,6 +42,8 @@
     returned: BTreeMap<(Name, Name), u64>,
     /// When each group without leases first had entries that could hold one.
     empty: BTreeMap<Name, Instant>,
+    /// Entries that held the last leases of each group.
+    holders: BTreeMap<Name, SmallVec<[String; KEEPERS_PER_GROUP]>>,
     /// Generation on which the last proposal for a group was based, and its time.
     proposed: BTreeMap<Name, (u64, Instant)>,
     /// Index of the state at the last planning pass, and its time.
@@ -74,6 +76,7 @@
         Self {
             returned: BTreeMap::new(),
             empty: BTreeMap::new(),
+            holders: BTreeMap::new(),
             proposed: BTreeMap::new(),
             planned: None,
             candidates: Vec::new(),
@@ -157,6 +160,7 @@
             self.targets.clear();
         }
         self.targets.retain(|name, _| state.groups.contains_key(name));
+        self.holders.retain(|name, _| state.groups.contains_key(name));
         for name in state.groups.keys() {
             let find = || keepers(name, live.clone()).into_iter().cloned().collect();
             self.targets.entry(name.clone()).or_insert_with(find);
@@ -164,16 +168,31 @@
     }
 
     /// Whether the leases of a group may be planned: the group has leases, no entry is
-    /// alive, or the group has waited for [`JOIN_WAIT`].
+    /// alive, all its last keepers have joined again, or it has waited for [`JOIN_WAIT`].
     fn is_ready(&mut self, now: Instant, state: &State, name: &Name, group: &Group) -> bool {
         if !group.leases.is_empty() || state.entries.is_empty() {
+            let holders = group.leases.iter().map(|lease| lease.entry.clone()).collect();
+            self.holders.insert(name.clone(), holders);
             self.empty.remove(name);
             return true;
         }
+        if self.has_last_keepers(name) {
+            return true;
+        }
         let since = *self.empty.entry(name.clone()).or_insert(now);
         now.since(since) >= JOIN_WAIT
     }
 
+    /// Whether the keepers that a group should have are those that it had last.
+    fn has_last_keepers(&self, name: &Name) -> bool {
+        let (Some(targets), Some(holders)) = (self.targets.get(name), self.holders.get(name))
+        else {
+            return false;
+        };
+        let is_held = |target: &Name| holders.iter().any(|holder| holder == target.as_str());
+        !targets.is_empty() && targets.len() == holders.len() && targets.iter().all(is_held)
+    }
+
     fn plan(
         &self,
         state: &State,
