--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -171,8 +171,7 @@
     /// alive, all its last keepers have joined again, or it has waited for [`JOIN_WAIT`].
     fn is_ready(&mut self, now: Instant, state: &State, name: &Name, group: &Group) -> bool {
         if !group.leases.is_empty() || state.entries.is_empty() {
-            let holders = group.leases.iter().map(|lease| lease.entry.clone()).collect();
-            self.holders.insert(name.clone(), holders);
+            self.record_holders(name, group);
             self.empty.remove(name);
             return true;
         }
@@ -183,6 +182,15 @@
         now.since(since) >= JOIN_WAIT
     }
 
+    /// Records the holders of a group's leases. Those that have left are kept while no other
+    /// entry takes their place.
+    fn record_holders(&mut self, name: &Name, group: &Group) {
+        let holders = self.holders.entry(name.clone()).or_default();
+        if group.leases.iter().any(|lease| !holders.contains(&lease.entry)) {
+            *holders = group.leases.iter().map(|lease| lease.entry.clone()).collect();
+        }
+    }
+
     /// Whether the keepers that a group should have are those that it had last.
     fn has_last_keepers(&self, name: &Name) -> bool {
         let (Some(targets), Some(holders)) = (self.targets.get(name), self.holders.get(name))
