--- a/components/base/src/lib.rs
+++ b/components/base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod arena;
 pub mod clock;
 pub mod mark;
+pub mod mechanism;
 pub mod name;
 pub mod prelude;
 pub mod rate;
--- a/components/control/src/context.rs
+++ b/components/control/src/context.rs
@@ -1,5 +1,6 @@
 //! Input of one step of a group's failover.
 
+use base::mechanism::Without;
 use base::prelude::*;
 
 use crate::flaw::Flaw;
@@ -15,6 +16,8 @@
     /// When the member last applied a choice of a primary, or may have skipped one
     /// in a snapshot.
     pub last_chosen: Option<Instant>,
+    /// Mechanisms that are turned off.
+    pub without: Without,
 }
 
 /// Input of one step of a group's failover.
--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -21,6 +21,7 @@
 
 use std::collections::BTreeMap;
 
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use smallvec::SmallVec;
 use wire::control::{Condition, Seal, Symptom};
@@ -230,7 +231,9 @@
                 .is_ok_and(|entry| context.liveness.is_suspected(now, &entry, lease.incarnation))
         };
         let healthy = self.is_healthy(context);
-        let skips = healthy && !context.group.leases.iter().any(is_suspected);
+        let suspects = !context.leadership.without.has(Mechanism::SuspectProbes)
+            && context.group.leases.iter().any(is_suspected);
+        let skips = healthy && !suspects;
         let settled = context.group.phase == Phase::Settled;
         let began = self.trace.as_ref().map(|trace| trace.noticed);
         let is_fast = !settled && began.is_some_and(|began| now.since(began) < FAST_PROBE_TIME);
--- a/components/control/src/leader.rs
+++ b/components/control/src/leader.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
+use base::mechanism::Without;
 use base::prelude::*;
 use smallvec::SmallVec;
 use wire::control::{Seal, Symptom};
@@ -204,7 +205,8 @@
 
     /// Creates the leader of a new term with the facts that it is given at its election.
     pub fn with_leadership(now: Instant, leadership: Leadership) -> Self {
-        Self { leadership, ..Self::new(now) }
+        let planner = Planner::new(leadership.without, Flaw::None);
+        Self { planner, leadership, ..Self::new(now) }
     }
 
     /// Creates a leader that breaks a rule, for a test that must detect it.
@@ -216,7 +218,7 @@
             renewals_checked: None,
             liveness: Liveness::new(now, flaw),
             renewals: Renewals::new(),
-            planner: Planner::new(flaw),
+            planner: Planner::new(Without::default(), flaw),
             joining: BTreeMap::new(),
             failovers: BTreeMap::new(),
             designations: BTreeMap::new(),
--- a/components/control/src/planner.rs
+++ b/components/control/src/planner.rs
@@ -16,6 +16,7 @@
 
 use std::collections::BTreeMap;
 
+use base::mechanism::{Mechanism, Without};
 use base::prelude::*;
 use smallvec::SmallVec;
 use wire::log::{Assign, Lease, Share, command};
@@ -52,6 +53,7 @@
     candidates: Vec<Candidate>,
     /// Entries that should keep each group, chosen among the candidates.
     targets: BTreeMap<Name, SmallVec<[Name; KEEPERS_PER_GROUP]>>,
+    without: Without,
     flaw: Flaw,
 }
 
@@ -72,8 +74,9 @@
 
 impl Planner {
     /// Creates a planner that knows no released leases yet.
-    pub fn new(flaw: Flaw) -> Self {
+    pub fn new(without: Without, flaw: Flaw) -> Self {
         Self {
+            without,
             returned: BTreeMap::new(),
             empty: BTreeMap::new(),
             holders: BTreeMap::new(),
@@ -193,6 +196,9 @@
 
     /// Whether the keepers that a group should have are those that it had last.
     fn has_last_keepers(&self, name: &Name) -> bool {
+        if self.without.has(Mechanism::LastKeepers) {
+            return false;
+        }
         let (Some(targets), Some(holders)) = (self.targets.get(name), self.holders.get(name))
         else {
             return false;
--- a/components/entry/src/front/dispatch.rs
+++ b/components/entry/src/front/dispatch.rs
@@ -5,6 +5,7 @@
 
 use std::sync::{Arc, PoisonError};
 
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use bytes::Bytes;
 use config::model::Class;
@@ -143,6 +144,9 @@
     /// group. The caller is then refused at once, since other entries can serve it.
     fn is_cut_off(&self, keepers: &[Keeper], now: Instant) -> bool {
         let front = self.front;
+        if front.without.has(Mechanism::CutOffRefusal) {
+            return false;
+        }
         let silent = |keeper: &Keeper| {
             keeper.name != front.name && front.keepers.is_silent(keeper, self.patience, now)
         };
@@ -230,14 +234,19 @@
     /// Whether the request leaves a keeper because of its silence.
     fn leaves(&self, link: &Link, now: Instant) -> bool {
         let mut early = self.front.early.lock().unwrap_or_else(PoisonError::into_inner);
-        self.patience.leaves(link.silence(now), &mut early)
+        let patience = if self.front.without.has(Mechanism::EarlyMove) {
+            Patience::new(Duration::ZERO)
+        } else {
+            self.patience
+        };
+        patience.leaves(link.silence(now), &mut early)
     }
 }
 
 /// Whether a missing lease is expected soon, so that a request should wait instead of being
 /// refused.
 pub(super) fn expects_lease(front: &Front, now: Instant) -> bool {
-    Outlook::new(front.view.lease_until()).is_expected(now)
+    Outlook::new(front.view.lease_until(), front.without).is_expected(now)
 }
 
 /// Converts a duration to whole milliseconds, as messages carry it.
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -51,6 +51,7 @@
 use ::plain::Dialect;
 use ::session::Keys;
 use base::clock::Clock;
+use base::mechanism::{Mechanism, Without};
 use base::prelude::*;
 use pg::scram::{SALT_BYTES, Users};
 use slog::{Logger, debug, info, warn};
@@ -96,6 +97,8 @@
     pub view: View,
     /// Clock of the process; the lease in the view is measured on it too.
     pub clock: Clock,
+    /// Mechanisms that are turned off.
+    pub without: Without,
     /// Registry for the metrics of the front.
     pub metrics: Registry,
     /// Logger of the front.
@@ -126,6 +129,8 @@
     incarnation: u64,
     view: View,
     clock: Clock,
+    /// Mechanisms that are turned off.
+    without: Without,
     keys: Keys,
     key: ::link::Key,
     users: Option<Users>,
@@ -200,6 +205,7 @@
         incarnation,
         view,
         clock,
+        without: settings.without,
         keys: Keys::new(key.bytes()),
         key,
         users,
@@ -336,7 +342,9 @@
         // then on must not be disconnected because of the old phase
         front.view.wait_for_extension(LEASE_CHECK_INTERVAL).await;
         let (now, until) = (front.clock.now(), front.view.lease_until());
-        let next = if Outlook::new(until).is_lost(now) { Phase::Unleased } else { Phase::Open };
+        let lost = Outlook::new(until, front.without).is_lost(now)
+            && !front.without.has(Mechanism::IdleDisconnect);
+        let next = if lost { Phase::Unleased } else { Phase::Open };
         let changed = front.phase.send_if_modified(|phase| {
             let changes = *phase != Phase::Closing && *phase != next;
             if changes {
--- a/components/entry/src/front/outlook.rs
+++ b/components/entry/src/front/outlook.rs
@@ -5,6 +5,7 @@
 //! had no lease yet gets its first one as soon as control can be reached. After a loss of power
 //! everywhere, control starts at the same time, and no other entry is better off.
 
+use base::mechanism::{Mechanism, Without};
 use base::prelude::*;
 
 /// Time after the expiry of the lease in which it is still expected to be renewed.
@@ -23,12 +24,14 @@
 pub struct Outlook {
     /// End of the last lease; the start of the process if there was none.
     lease_until: Instant,
+    /// Whether callers wait for the first lease.
+    waits_first: bool,
 }
 
 impl Outlook {
     /// Outlook of an entry whose last lease ends, or ended, at the given time.
-    pub fn new(lease_until: Instant) -> Self {
-        Self { lease_until }
+    pub fn new(lease_until: Instant, without: Without) -> Self {
+        Self { lease_until, waits_first: !without.has(Mechanism::FirstLeaseWait) }
     }
 
     /// Whether a missing lease is expected soon, so that a caller should wait.
@@ -42,6 +45,7 @@
     }
 
     fn grace(self) -> Duration {
-        if self.lease_until == Instant::ZERO { FIRST_LEASE_GRACE } else { RENEWAL_GRACE }
+        let first = self.lease_until == Instant::ZERO && self.waits_first;
+        if first { FIRST_LEASE_GRACE } else { RENEWAL_GRACE }
     }
 }
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -8,6 +8,7 @@
 use axum::Router;
 use axum::routing::get;
 use base::clock::Clock;
+use base::mechanism::{Mechanism, Without};
 use base::prelude::*;
 use link::Key;
 use pg::scram::Users;
@@ -61,9 +62,8 @@
     pub dialect: Option<Arc<dyn Dialect>>,
     /// How far the limits of teams may be exceeded.
     pub quota: quota::Bounds,
-    /// Whether servers of unfenced groups that have started, recovered or been promoted
-    /// get work through a growing window.
-    pub slow_start: bool,
+    /// Mechanisms that are turned off.
+    pub without: Without,
     /// Logger for events of the entry.
     pub log: Logger,
     /// Clock of the process.
@@ -199,6 +199,7 @@
             dialect: self.settings.dialect.clone(),
             view: view.clone(),
             clock: self.settings.clock,
+            without: self.settings.without,
             metrics: Arc::clone(&metrics),
             log: self.settings.log.clone(),
         });
@@ -220,7 +221,7 @@
                 dialect: self.settings.dialect.clone(),
                 quota: self.settings.quota,
                 links,
-                slow_start: self.settings.slow_start,
+                without: self.settings.without,
                 metrics,
                 log: self.settings.log.clone(),
             }),
@@ -274,7 +275,8 @@
         let draining = view
             .read(|state| state.entries.get(&settings.name).is_some_and(|entry| entry.draining));
         let now = settings.clock.now();
-        let ready = view.has_lease(now) && view.is_confirmed(now) && !draining;
+        let confirmed = view.is_confirmed(now) || settings.without.has(Mechanism::EarlyUnready);
+        let ready = view.has_lease(now) && confirmed && !draining;
         if health.set_ready(ready) != ready {
             info!(settings.log, "readiness changed"; "ready" => ready);
         }
--- a/components/entry/src/keep/follow.rs
+++ b/components/entry/src/keep/follow.rs
@@ -96,7 +96,7 @@
             Some(_) => Lease::Held,
         },
         declarations: Arc::clone(&state.declarations),
-        slow_start: host.slow_start,
+        without: host.without,
     }
 }
 
--- a/components/entry/src/keep/mod.rs
+++ b/components/entry/src/keep/mod.rs
@@ -27,6 +27,7 @@
 
 use ::plain::Dialect;
 use base::clock::Clock;
+use base::mechanism::Without;
 use base::prelude::*;
 use keeper::Event;
 use slog::{Logger, info};
@@ -67,8 +68,8 @@
     pub quota: ::quota::Bounds,
     /// Links to the keepers of other entries, on which tokens are borrowed.
     pub links: Arc<Keepers>,
-    /// Whether servers of unfenced groups begin with slow start.
-    pub slow_start: bool,
+    /// Mechanisms that are turned off.
+    pub without: Without,
     /// Registry for the metrics of the keeper.
     pub metrics: telemetry::web::Metrics,
     /// Logger for events.
@@ -85,7 +86,7 @@
     view: View,
     clock: Clock,
     dialect: Option<Arc<dyn Dialect>>,
-    slow_start: bool,
+    without: Without,
     metrics: Metrics,
     log: Logger,
     fronts: Fronts,
@@ -113,7 +114,7 @@
         view: settings.view,
         clock: settings.clock,
         dialect: settings.dialect,
-        slow_start: settings.slow_start,
+        without: settings.without,
         metrics: Metrics::register(&settings.metrics),
         log: settings.log,
         fronts: Fronts::default(),
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex};
 
 use base::clock::Clock;
+use base::mechanism::Without;
 use base::prelude::*;
 use config::model::{Class, Group, Kind, Limits, Selector, Service};
 use control::State;
@@ -332,6 +333,7 @@
         tls: Some(front::tls::load(&tls()).unwrap()),
         view: view.clone(),
         clock,
+        without: Without::default(),
         dialect,
         metrics: Arc::default(),
         log: log(),
--- a/components/keeper/src/event.rs
+++ b/components/keeper/src/event.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use base::mechanism::Without;
 use base::prelude::*;
 use bytes::Bytes;
 use config::{Declarations, Labels};
@@ -192,9 +193,8 @@
     /// Set if the servers acknowledge commits by themselves and can't be
     /// fenced. `primary` is then `None` during a change of primary.
     pub unfenced: Option<Unfenced>,
-    /// Whether servers of an unfenced group that have started, recovered or been
-    /// promoted get work through a growing window.
-    pub slow_start: bool,
+    /// Mechanisms that are turned off.
+    pub without: Without,
 }
 
 /// State of an unfenced group in the control log: one whose servers acknowledge
--- a/components/keeper/src/group.rs
+++ b/components/keeper/src/group.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use base::mechanism::{Mechanism, Without};
 use base::prelude::*;
 use config::Declarations;
 use retry::Backoff;
@@ -41,6 +42,8 @@
     /// Primary named by the control log.
     pub(crate) control_primary: Option<Name>,
     pub(crate) starts: Starts,
+    /// Mechanisms that are turned off.
+    pub(crate) without: Without,
     /// Lease of the entry on the group.
     pub(crate) lease: Lease,
     /// Whether the entry holds its own lease.
@@ -89,6 +92,7 @@
             declared: 0,
             control_primary: None,
             starts: Starts::default(),
+            without: Without::default(),
             lease: Lease::None,
             leased: false,
             closing: false,
@@ -132,6 +136,11 @@
         cfg!(feature = "fault") && self.flaw == Some(flaw)
     }
 
+    /// Whether a mechanism is turned on.
+    pub(crate) fn uses(&self, mechanism: Mechanism) -> bool {
+        !self.without.has(mechanism)
+    }
+
     /// Whether no request is pending and no connection is open.
     pub fn is_drained(&self) -> bool {
         self.requests.is_empty() && self.conns.is_empty()
--- a/components/keeper/src/pace.rs
+++ b/components/keeper/src/pace.rs
@@ -3,6 +3,7 @@
 //!
 //! Applies only to unfenced groups with a database that declares an objective.
 
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use pace::Answer;
 use plain::ErrorKind;
@@ -273,6 +274,7 @@
         if self.has_flaw(Flaw::MostFree) || !self.starts.judges {
             return;
         }
+        let (chooses, ejects) = (self.uses(Mechanism::ReadChoice), self.uses(Mechanism::Probation));
         let alone = !found.iter().any(|found| trusted(found.server));
         let slowness = |key| gauge(key).map_or(1.0, pace::Gauge::slowness);
         let fastest = found.iter().map(|found| slowness(found.server)).fold(f64::MAX, f64::min);
@@ -281,9 +283,11 @@
             let due = gauge(key).is_some_and(|gauge| gauge.is_probe_due(now));
             let idle = self.running(key) == 0;
             let suspect = !trusted(key) || slowness(key) > fastest * EQUAL_FACTOR;
-            candidate.cost = self.cost(now, key, fastest);
-            candidate.probe = suspect && due && idle && !alone;
-            if !trusted(key) && !alone {
+            if chooses {
+                candidate.cost = self.cost(now, key, fastest);
+                candidate.probe = suspect && due && idle && !alone;
+            }
+            if ejects && !trusted(key) && !alone {
                 candidate.free = candidate.free.min(u32::from(candidate.probe));
             }
         }
@@ -292,7 +296,9 @@
     /// Whether a candidate is on probation while another candidate is not.
     pub(crate) fn is_ejected(&self, server: Key<Server>, found: &[Candidate<Key<Server>>]) -> bool {
         let trusted = |key| self.servers.get(key).is_some_and(|s| !s.gauge.is_on_probation());
-        !trusted(server) && found.iter().any(|other| trusted(other.server))
+        self.uses(Mechanism::Probation)
+            && !trusted(server)
+            && found.iter().any(|other| trusted(other.server))
     }
 
     /// Sends a failed read to another server, once and within the retry budget. Returns
@@ -308,7 +314,8 @@
         };
         let server = request.attempt.server;
         let tried = request.avoided.is_some() || request.parts > 0 || request.orphan;
-        let tried = tried || self.has_flaw(Flaw::KeepFailed) || !self.starts.judges;
+        let off = self.has_flaw(Flaw::KeepFailed) || !self.uses(Mechanism::ReadRetry);
+        let tried = tried || off || !self.starts.judges;
         if tried || !request.is_read() || request.is_fresh() || now >= request.deadline {
             return false;
         }
--- a/components/keeper/src/place.rs
+++ b/components/keeper/src/place.rs
@@ -1,6 +1,7 @@
 //! The place of a request among the waiting ones.
 
 use admit::{INITIAL_COST, Place, Rank, Schedule};
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use wire::data::Class;
 
@@ -54,7 +55,7 @@
         if !self.is_unfenced() {
             return (Rank::default(), Flow::Service(service));
         }
-        if self.has_flaw(Flaw::ArrivalOrder) {
+        if self.has_flaw(Flaw::ArrivalOrder) || !self.uses(Mechanism::Order) {
             return (Rank::default(), Flow::Service(Key::from_bits(0)));
         }
         let priority = self.services.get(service).map_or(0, |service| service.priority);
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -1,6 +1,7 @@
 //! Verified samples of the primary's position, and the choice of a server for
 //! reads.
 
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use route::{Candidate, Need, Sample, qualify};
 use smallvec::SmallVec;
@@ -295,7 +296,8 @@
     /// primary is waiting and this keeper's share has room. Reads beyond the
     /// share would take slots granted to other keepers.
     fn spare_primary(&self, now: Instant) -> Option<Key<Server>> {
-        let (key, _) = self.usable_control_primary(now)?;
+        let (key, _) =
+            self.usable_control_primary(now).filter(|_| self.uses(Mechanism::PrimaryReads))?;
         let room = self.running(key) < self.spare_slots(key);
         (room && !self.awaits_primary()).then_some(key)
     }
--- a/components/keeper/src/setup.rs
+++ b/components/keeper/src/setup.rs
@@ -1,6 +1,7 @@
 //! Changes of servers, leases and declarations in the control log, and the
 //! release of a lease.
 
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use wire::data::{Outcome, Reason};
 
@@ -26,7 +27,8 @@
         let promoted = setup.primary.clone().filter(|name| self.replaces_primary(name));
         self.control_primary = setup.primary;
         self.declarations = setup.declarations;
-        self.set_slow_start(setup.slow_start);
+        self.without = setup.without;
+        self.set_slow_start(!setup.without.has(Mechanism::SlowStart));
         self.update_servers(now, setup.servers, out);
         self.update_teams();
         if let Some(server) = promoted.and_then(|name| self.server_named(&name)) {
--- a/components/keeper/src/shedding.rs
+++ b/components/keeper/src/shedding.rs
@@ -12,6 +12,7 @@
 //! requests that run. Requests that wait because no server is usable, as during a change
 //! of primary, are not refused for load.
 
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use smallvec::SmallVec;
 use wire::data::{Class, Outcome, Reason, Run};
@@ -61,7 +62,8 @@
     /// Refuses a new request that still waits after requests were dispatched and
     /// would be answered too late, or requests of lower priority that would because of it.
     pub(crate) fn shed(&mut self, now: Instant, key: Key<Request>, out: &mut Vec<Effect>) {
-        if !self.is_unfenced() || self.has_flaw(Flaw::AdmitAll) {
+        let off = self.has_flaw(Flaw::AdmitAll) || !self.uses(Mechanism::Admission);
+        if !self.is_unfenced() || off {
             return;
         }
         if self.exceeds_retry_budget(key) {
@@ -97,7 +99,8 @@
             return false;
         };
         let waits = matches!(request.stage, Stage::Queued(_) | Stage::Parked);
-        if !waits || self.has_flaw(Flaw::UnlimitedRetries) {
+        let off = self.has_flaw(Flaw::UnlimitedRetries) || !self.uses(Mechanism::RetryBudget);
+        if !waits || off {
             return false;
         }
         self.services.get_mut(request.service).is_none_or(|service| !service.budget.withdraw())
--- a/components/keeper/src/teams.rs
+++ b/components/keeper/src/teams.rs
@@ -8,6 +8,7 @@
 use std::collections::{HashMap, HashSet};
 
 use admit::Verdict;
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use base::rendezvous;
 use config::Declarations;
@@ -435,7 +436,8 @@
         if error_kind != ErrorKind::Full || others == 0 {
             return;
         }
-        let cap = others.saturating_sub(CONTROL_CONNECTIONS).max(1);
+        let room = if self.uses(Mechanism::ControlRoom) { CONTROL_CONNECTIONS } else { 0 };
+        let cap = others.saturating_sub(room).max(1);
         if let Some(server) = self.servers.get_mut(key) {
             server.cap = Some((cap, now + CAP_DURATION));
         }
--- a/components/local/src/cluster.rs
+++ b/components/local/src/cluster.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use base::clock::Clock;
+use base::mechanism::Without;
 use base::prelude::*;
 use reqwest::StatusCode;
 use slog::{Logger, info};
@@ -203,7 +204,7 @@
             key: self.key.clone(),
             users: None,
             tls: None,
-            slow_start: true,
+            without: Without::default(),
             dialect: None,
             quota: quota::Bounds::default(),
             log: self.settings.log.clone(),
@@ -347,6 +348,7 @@
             seed: settings.seed.wrapping_add(index as u64),
             beacons: true,
             adapter: None,
+            without: base::mechanism::Without::default(),
         });
         let member = member.await.change_context(Failure::Member)?;
         let addresses = member.addresses();
--- a/components/member/src/follower.rs
+++ b/components/member/src/follower.rs
@@ -1,6 +1,7 @@
 //! Entries (proxy processes) that follow the log through this member.
 
 use ::link::Frame;
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use bytes::Bytes;
 use control::{Phase, State};
@@ -268,6 +269,9 @@
         sequence: u64,
         heartbeat: Heartbeat,
     ) {
+        if self.control_leadership.without.has(Mechanism::HeldHeartbeats) {
+            return self.retain_returned(key, heartbeat);
+        }
         if let Some(follower) = self.followers.get_mut(key) {
             follower.held = Some((sequence, heartbeat));
         }
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -9,6 +9,7 @@
 
 use backend::Adapter;
 use base::clock::Clock;
+use base::mechanism::Without;
 use base::prelude::*;
 use quorum::Replica;
 use rand::Rng;
@@ -61,6 +62,8 @@
     pub beacons: bool,
     /// Access to the servers of unfenced groups, if any exist.
     pub adapter: Option<Arc<dyn Adapter>>,
+    /// Mechanisms that are turned off.
+    pub without: Without,
 }
 
 /// Source of the membership for a member without a log.
@@ -84,6 +87,26 @@
     pub tolerance: usize,
 }
 
+impl Origin {
+    /// Number of members that may be lost at once, where it is known.
+    fn tolerance(&self) -> Option<usize> {
+        match self {
+            Self::Peers(_) => None,
+            Self::Seeds(seeds) => Some(seeds.tolerance),
+        }
+    }
+}
+
+fn quorum_settings(
+    id: u64,
+    seed: u64,
+    tolerance: Option<usize>,
+    without: Without,
+) -> quorum::Settings {
+    let max_voters = tolerance.map_or(usize::MAX, roster::voters);
+    quorum::Settings { max_voters, without, ..quorum::Settings::new(id, seed) }
+}
+
 impl From<Vec<Peer>> for Origin {
     fn from(peers: Vec<Peer>) -> Self {
         Self::Peers(peers)
@@ -219,12 +242,9 @@
         })?;
         let now = settings.clock.now();
         let seed = settings.seed ^ random_id();
-        let tolerance = match &origin {
-            Origin::Peers(_) => None,
-            Origin::Seeds(seeds) => Some(seeds.tolerance),
-        };
-        let voters = tolerance.map_or(usize::MAX, roster::voters);
-        let quorum = quorum::Settings { max_voters: voters, ..quorum::Settings::new(own.id, seed) };
+        let tolerance = origin.tolerance();
+        let without = settings.without;
+        let quorum = quorum_settings(own.id, seed, tolerance, without);
         let replica = Replica::new(now, quorum, opened.stored);
         let fresh = Arc::new(AtomicBool::new(replica.is_fresh()));
         let isolated = Arc::new(AtomicBool::new(false));
@@ -289,7 +309,7 @@
             quorum_events: std::collections::VecDeque::new(),
             leader_events: Vec::new(),
             leaderless_since: Some(now),
-            control_leadership: control::Leadership { token: 0, last_chosen: Some(now) },
+            control_leadership: control::Leadership { token: 0, last_chosen: Some(now), without },
             roster: Roster::new(tolerance),
             waits: Waits::default(),
             wants_to_join,
--- a/components/member/tests/cluster/mod.rs
+++ b/components/member/tests/cluster/mod.rs
@@ -29,6 +29,7 @@
         seed: 7,
         beacons: true,
         adapter: None,
+        without: base::mechanism::Without::default(),
     }
 }
 
--- a/components/member/tests/seeds.rs
+++ b/components/member/tests/seeds.rs
@@ -37,6 +37,7 @@
         seed: 7,
         beacons: false,
         adapter: None,
+        without: base::mechanism::Without::default(),
     });
     bound.await.unwrap()
 }
--- a/components/quorum/src/event.rs
+++ b/components/quorum/src/event.rs
@@ -1,5 +1,6 @@
 //! Events, effects and settings of a replica.
 
+use base::mechanism::Without;
 use bytes::Bytes;
 use wire::quorum::{Entry, Member, Members, Message, Refusal};
 
@@ -38,6 +39,8 @@
     pub piece_bytes: usize,
     /// Maximum number of voters. Further learners are promoted only after a voter has left.
     pub max_voters: usize,
+    /// Mechanisms that are turned off.
+    pub without: Without,
     /// Rule to violate; set in tests only.
     pub flaw: Option<Flaw>,
 }
@@ -52,6 +55,7 @@
             batch_entries: BATCH_ENTRIES,
             piece_bytes: PIECE_BYTES,
             max_voters: usize::MAX,
+            without: Without::default(),
             flaw: None,
         }
     }
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use bytes::Bytes;
 use rand::{RngExt, SeedableRng};
@@ -95,7 +96,9 @@
         };
         // a member that starts knows of no leader; the pre-vote tells whether there is one
         replica.reset_deadline(now);
-        replica.retry_soon(now);
+        if !replica.settings.without.has(Mechanism::EarlyElection) {
+            replica.retry_soon(now);
+        }
         replica
     }
 
--- a/components/telemetry/src/cli.rs
+++ b/components/telemetry/src/cli.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::process::ExitCode;
 
+use base::mechanism::Without;
 use bpaf::{ParseFailure, Parser, long};
 
 use crate::log::{Format, Level};
@@ -75,3 +76,13 @@
         .fallback(Format::Auto)
         .display_fallback()
 }
+
+/// Parser of `--without`, or the given variable: mechanisms to turn off, for measurements.
+pub fn without(variable: &'static str) -> impl Parser<Without> {
+    long("without")
+        .env(variable)
+        .help("mechanisms to turn off, separated by commas; for measurements only")
+        .argument::<String>("NAMES")
+        .parse(|text| text.parse::<Without>())
+        .fallback(Without::default())
+}
--- a/programs/trefoil-control/src/cli.rs
+++ b/programs/trefoil-control/src/cli.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use base::mechanism::Without;
 use base::prelude::*;
 use bpaf::Bpaf;
 use member::Peer;
@@ -49,6 +50,8 @@
     /// The first membership, this host included: NAME=LINK/WEB,NAME=LINK/WEB,..
     #[bpaf(long, env("TREFOIL_PEERS"), argument("PEERS"))]
     peers: String,
+    #[bpaf(external(without))]
+    without: Without,
     #[bpaf(external(level))]
     level: Level,
     #[bpaf(external(cli::format))]
@@ -84,10 +87,15 @@
     pub(crate) web: SocketAddr,
     pub(crate) key: link::Key,
     pub(crate) peers: Vec<Peer>,
+    pub(crate) without: Without,
     pub(crate) level: Level,
     pub(crate) format: Format,
 }
 
+fn without() -> impl bpaf::Parser<Without> {
+    cli::without("TREFOIL_WITHOUT")
+}
+
 fn level() -> impl bpaf::Parser<Level> {
     cli::level(Level::Info)
 }
@@ -123,6 +131,7 @@
             name,
             key,
             peers,
+            without: self.without,
             level: self.level,
             format: self.format,
         })
--- a/programs/trefoil-control/src/cmd/run.rs
+++ b/programs/trefoil-control/src/cmd/run.rs
@@ -28,6 +28,7 @@
         seed: 0,
         beacons: true,
         adapter: None,
+        without: settings.without,
     });
     let bound = bound.await.change_context(Failure::Start)?;
     let started = bound.start(settings.peers, axum::Router::new());
--- a/programs/trefoil-entry/src/cli.rs
+++ b/programs/trefoil-entry/src/cli.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use base::mechanism::Without;
 use base::name::Name;
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long, positional};
 use link::Key;
@@ -41,8 +42,8 @@
     pub users: Option<PathBuf>,
     /// Paths of the TLS certificate for callers and of its private key.
     pub tls: Option<(PathBuf, PathBuf)>,
-    /// Whether servers of unfenced groups begin with slow start.
-    pub slow_start: bool,
+    /// Mechanisms that are turned off.
+    pub without: Without,
     /// Time limits of a graceful stop.
     pub stop: entry::Stop,
     /// Minimum severity of logged messages.
@@ -81,7 +82,7 @@
     let link = address("link", "TREFOIL_LINK", "where other entries connect");
     let web = address("web", "TREFOIL_WEB", "where health and metrics are served");
     let (controls, key, users, tls) = (controls(), key(), users(), tls());
-    let slow_start = slow_start();
+    let without = cli::without("TREFOIL_WITHOUT");
     let stop = stop();
     let level = cli::level(Level::Info);
     let format = cli::format();
@@ -95,7 +96,7 @@
         key,
         users,
         tls,
-        slow_start,
+        without,
         stop,
         level,
         format
@@ -146,11 +147,6 @@
     construct!(cert, key).optional()
 }
 
-fn slow_start() -> impl Parser<bool> {
-    let help = "use servers that have started, recovered or been promoted fully at once";
-    long("no-slow-start").env("TREFOIL_NO_SLOW_START").help(help).switch().map(|off| !off)
-}
-
 fn stop() -> impl Parser<entry::Stop> {
     let default = entry::Stop::default();
     let help = "time in which the balancer notices a stop, in milliseconds";
--- a/programs/trefoil-entry/src/cmd/run.rs
+++ b/programs/trefoil-entry/src/cmd/run.rs
@@ -84,7 +84,7 @@
         tls: run.tls.map(|(cert, key)| Tls { cert, key }),
         dialect: None,
         quota: quota::Bounds::default(),
-        slow_start: run.slow_start,
+        without: run.without,
         log,
         clock: Clock::start(),
     }
