--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -16,7 +16,8 @@
 //!
 //! A leader that finds an unfinished change continues at the phase in the log.
 
-pub mod successor;
+mod cause;
+mod successor;
 pub mod wait;
 
 use std::collections::BTreeMap;
@@ -24,7 +25,7 @@
 use base::mechanism::Mechanism;
 use base::prelude::*;
 use smallvec::SmallVec;
-use wire::control::{Condition, Seal, Symptom};
+use wire::control::{Seal, Symptom};
 use wire::log::{Choose, Establish, Intend, command};
 
 use self::successor::{Position, Survey};
@@ -70,13 +71,6 @@
 /// takes an old primary that came back.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(600);
 
-/// Time without an answer to the leader after which a primary that all keepers
-/// report as unhealthy counts as silent.
-const SHORT_SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// Time after a primary was established during which it is not considered cut off.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
-
 /// The last proposal, and the state of the group that it was based on. While the group
 /// is in that state, the proposal may still be applied.
 #[derive(Debug)]
@@ -251,15 +245,6 @@
         }
     }
 
-    fn is_healthy(&self, context: &Context<'_>) -> bool {
-        let group = context.group;
-        let Some(primary) = &group.primary else { return false };
-        let server = context.state.servers.get(primary);
-        group.phase == Phase::Settled
-            && server.is_some_and(|server| !server.leaving && !server.expired)
-            && !self.symptoms.has_unhealthy(context.now, primary, group.term)
-    }
-
     fn settled(&mut self, context: &Context<'_>, primary: &Name, out: &mut Vec<Effect>) {
         let (now, term) = (context.now, context.group.term);
         if self.established.is_none_or(|(known, _)| known < term) {
@@ -274,71 +259,6 @@
         }
     }
 
-    /// The cause for which the primary must be replaced, if any.
-    fn replacement_cause(&mut self, context: &Context<'_>, primary: &Name) -> Option<Cause> {
-        let (now, group) = (context.now, context.group);
-        let Some(server) = context.state.servers.get(primary) else {
-            return Some(Cause::Refused);
-        };
-        let unhealthy = self.symptoms.has_unhealthy(now, primary, group.term);
-        let unhealthy_to_all = self.is_unhealthy_to_all(context, primary);
-        let cut_off = self.is_cut_off(context, primary, unhealthy_to_all);
-        let watch = self.watches.get_or_insert(primary);
-        let refusals = watch.refusals();
-        if refusals >= SUFFICIENT_REFUSALS || (refusals > 0 && unhealthy) {
-            return Some(Cause::Refused);
-        }
-        // the leader's own short timeout confirms the symptoms of all keepers
-        if unhealthy_to_all && watch.waiting_time(now) >= SHORT_SILENCE_TIMEOUT {
-            return Some(Cause::Silent);
-        }
-        // if the group has keepers and none reports a symptom, only the leader is
-        // partitioned from the primary
-        if watch.is_silent(now) && (unhealthy || group.leases.is_empty()) {
-            return Some(Cause::Silent);
-        }
-        let fresh = watch.fresh(now);
-        if fresh.is_some_and(|status| status.role == Role::Replica) {
-            return Some(Cause::Demoted);
-        }
-        if cut_off {
-            return Some(Cause::CutOff);
-        }
-        (server.leaving && self.has_successor(context, primary)).then_some(Cause::Leaving)
-    }
-
-    /// Whether, for [`CONFIRMATION_TIME`], all keepers have reported the
-    /// primary as unhealthy or any keeper has reported it cut off from its replicas.
-    fn is_cut_off(&mut self, context: &Context<'_>, primary: &Name, by_all: bool) -> bool {
-        let (now, group) = (context.now, context.group);
-        let settling = self.established.is_some_and(|(_, at)| now.since(at) < SETTLE_TIME);
-        let mut unhealthy = self.symptoms.unhealthy(now, primary, group.term);
-        let cut_off = unhealthy.any(|(_, condition)| condition == Condition::CutOff);
-        if settling || !(cut_off || by_all) || !self.has_successor(context, primary) {
-            self.unhealthy_since = None;
-            return false;
-        }
-        let since = *self.unhealthy_since.get_or_insert(now);
-        now.since(since) >= CONFIRMATION_TIME
-    }
-
-    /// Whether all keepers of the group report the primary as unhealthy.
-    fn is_unhealthy_to_all(&self, context: &Context<'_>, primary: &Name) -> bool {
-        let (now, group) = (context.now, context.group);
-        let reports = |entry: &str| {
-            self.symptoms
-                .unhealthy(now, primary, group.term)
-                .any(|(name, _)| name.as_str() == entry)
-        };
-        !group.leases.is_empty() && group.leases.iter().all(|lease| reports(&lease.entry))
-    }
-
-    /// Whether another server that is not leaving is reachable.
-    fn has_successor(&self, context: &Context<'_>, primary: &Name) -> bool {
-        let stays = |name: &Name| context.state.servers.get(name).is_some_and(|s| !s.leaving);
-        self.watches.fresh(context.now).any(|(name, _)| name != primary && stays(name))
-    }
-
     /// Waits for a server that reports itself as the primary and establishes the
     /// first one; begins a change if none appears in time.
     fn bootstrap(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
