--- a/components/base/src/mechanism.rs
+++ b/components/base/src/mechanism.rs
@@ -37,8 +37,6 @@
     EarlyUnready,
     /// Idle callers are disconnected when no lease is to be expected.
     IdleDisconnect,
-    /// Callers wait for the first lease of an entry.
-    FirstLeaseWait,
     /// A member that starts calls its first election early.
     EarlyElection,
     /// Heartbeats that found no leader are confirmed once there is one.
--- a/components/entry/src/front/dispatch.rs
+++ b/components/entry/src/front/dispatch.rs
@@ -246,7 +246,7 @@
 /// Whether a missing lease is expected soon, so that a request should wait instead of being
 /// refused.
 pub(super) fn expects_lease(front: &Front, now: Instant) -> bool {
-    Outlook::new(front.view.lease_until(), front.without).is_expected(now)
+    Outlook::new(front.view.lease_until()).is_expected(now)
 }
 
 /// Converts a duration to whole milliseconds, as messages carry it.
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -342,8 +342,8 @@
         // then on must not be disconnected because of the old phase
         front.view.wait_for_extension(LEASE_CHECK_INTERVAL).await;
         let (now, until) = (front.clock.now(), front.view.lease_until());
-        let lost = Outlook::new(until, front.without).is_lost(now)
-            && !front.without.has(Mechanism::IdleDisconnect);
+        let lost =
+            Outlook::new(until).is_lost(now) && !front.without.has(Mechanism::IdleDisconnect);
         let next = if lost { Phase::Unleased } else { Phase::Open };
         let changed = front.phase.send_if_modified(|phase| {
             let changes = *phase != Phase::Closing && *phase != next;
--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -34,8 +34,8 @@
 const START_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Longest delay of the answer to a caller's first message while the entry waits
-/// for its lease. Callers may give up after two seconds.
-const READY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// for its lease.
+const READY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Serves one connection until it ends.
 pub(super) async fn serve(front: Arc<Front>, io: TcpStream, dialect: Arc<dyn Dialect>) {
@@ -83,7 +83,7 @@
     }
 }
 
-/// Waits for a lease that is expected soon.
+/// Waits for the renewal of a lease that expired a moment ago.
 async fn wait_for_lease(front: &Front) {
     let until = front.clock.now() + READY_TIMEOUT;
     loop {
--- a/components/member/src/follower.rs
+++ b/components/member/src/follower.rs
@@ -1,5 +1,7 @@
 //! Entries (proxy processes) that follow the log through this member.
 
+use std::sync::atomic::Ordering;
+
 use ::link::Frame;
 use base::mechanism::Mechanism;
 use base::prelude::*;
@@ -62,7 +64,8 @@
 }
 
 impl Core {
-    /// Registers an entry as a follower and sends it the missing part of the log.
+    /// Registers an entry as a follower and sends it the missing part of the log. A member
+    /// that belongs to no membership yet can confirm nothing, and refuses it.
     pub(crate) fn add_follower(
         &mut self,
         follow: Follow,
@@ -86,6 +89,11 @@
             drop(self.followers.remove(key));
             return;
         }
+        if self.fresh.load(Ordering::Acquire) {
+            self.send_down(key, down::Body::Refuse(Refuse {}));
+            drop(self.followers.remove(key));
+            return;
+        }
         self.send_members(key);
         self.catch_up(key);
         self.notify_leader(control::Event::Joined(join));
--- a/components/member/tests/seeds.rs
+++ b/components/member/tests/seeds.rs
@@ -5,10 +5,15 @@
 
 use base::clock::Clock;
 use base::name::Name;
+use link::{Peer, Purpose};
 use member::{Api, Handle, Origin, Seeds, Settings};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use wire::log::Replace;
+use wire::control::{Down, Follow, Up, down, up};
+use wire::log::{Join, Replace};
+
+/// Time within which a member that can serve no entry says so.
+const REFUSAL_LIMIT: Duration = Duration::from_millis(400);
 
 fn key() -> link::Key {
     link::Key::new(b"a key for the tests only").unwrap()
@@ -217,3 +222,22 @@
     }
     assert!(files > 0);
 }
+
+/// A host that lost its disk comes back with all others: entries that dial it would wait for a
+/// lease that it can't confirm.
+#[tokio::test]
+async fn a_member_without_a_membership_refuses_entries_at_once() {
+    let data = tempfile::tempdir().unwrap();
+    let bound = bind("a", data.path()).await;
+    let address = bound.addresses().link;
+    let member = start(bound, &[], false);
+    let peer = Peer::new("entry", 1, Purpose::Control);
+    let (_, mut reader, mut writer) = link::dial(address, &peer, &key()).await.unwrap();
+    let join = Join { entry: "entry".to_owned(), incarnation: 1, ..Join::default() };
+    let follow = Follow { join: Some(join), ..Follow::default() };
+    writer.send(&Up { body: Some(up::Body::Follow(follow)) }).await.unwrap();
+    let first = tokio::time::timeout(REFUSAL_LIMIT, reader.next::<Down>()).await;
+    let first = first.expect("long before the member gives up on a leader");
+    assert!(matches!(first, Ok(Some(Down { body: Some(down::Body::Refuse(_)) }))), "{first:?}");
+    member.handle.stop().await;
+}
