--- a/components/base/src/mechanism.rs
+++ b/components/base/src/mechanism.rs
@@ -39,8 +39,6 @@
     IdleDisconnect,
     /// A member that starts calls its first election early.
     EarlyElection,
-    /// Heartbeats that found no leader are confirmed once there is one.
-    HeldHeartbeats,
     /// The servers of a suspected keeper are probed.
     SuspectProbes,
     /// Keepers that have joined again get their leases at once.
--- a/components/member/src/effects.rs
+++ b/components/member/src/effects.rs
@@ -79,9 +79,6 @@
         // the control leader is created once a log entry of the new term is applied
         self.leader = None;
         self.leadership = leadership;
-        if has_leader {
-            self.confirm_held_heartbeats();
-        }
     }
 
     /// Name of a member.
--- a/components/member/src/follower.rs
+++ b/components/member/src/follower.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::Ordering;
 
 use ::link::Frame;
-use base::mechanism::Mechanism;
 use base::prelude::*;
 use bytes::Bytes;
 use control::{Phase, State};
@@ -59,8 +58,6 @@
     seals: Vec<Seal>,
     /// Unconfirmed heartbeats that contain returned leases.
     returned: Vec<Heartbeat>,
-    /// Sequence number and content of the last heartbeat, if it found no leader.
-    held: Option<(u64, Heartbeat)>,
 }
 
 impl Core {
@@ -82,7 +79,6 @@
             symptoms: Vec::new(),
             seals: Vec::new(),
             returned: Vec::new(),
-            held: None,
         };
         let key = self.followers.insert(follower);
         if reply.send(key).is_err() {
@@ -238,9 +234,6 @@
     /// Starts the read that confirms a heartbeat. The leader receives the heartbeat in
     /// the same message as the read.
     pub(crate) fn on_heartbeat(&mut self, key: Key<Follower>, received: wire::control::Heartbeat) {
-        if let Some((_, held)) = self.followers.get_mut(key).and_then(|known| known.held.take()) {
-            self.retain_returned(key, held);
-        }
         let Some(follower) = self.followers.get_mut(key) else { return };
         let returned = std::mem::take(&mut follower.returned);
         let heartbeat = Heartbeat {
@@ -269,34 +262,6 @@
         }
     }
 
-    /// Keeps a heartbeat that no leader could confirm, so that its entry need not wait for
-    /// its next one once there is a leader.
-    pub(crate) fn hold_heartbeat(
-        &mut self,
-        key: Key<Follower>,
-        sequence: u64,
-        heartbeat: Heartbeat,
-    ) {
-        if self.control_leadership.without.has(Mechanism::HeldHeartbeats) {
-            return self.retain_returned(key, heartbeat);
-        }
-        if let Some(follower) = self.followers.get_mut(key) {
-            follower.held = Some((sequence, heartbeat));
-        }
-    }
-
-    /// Starts the reads that confirm the heartbeats kept until there is a leader. A lease
-    /// counts from the time at which its heartbeat was sent, however late it is confirmed.
-    pub(crate) fn confirm_held_heartbeats(&mut self) {
-        let followers = self.followers.iter_mut();
-        let held: Vec<_> =
-            followers.filter_map(|(key, follower)| Some((key, follower.held.take()?))).collect();
-        for (key, (sequence, heartbeat)) in held {
-            let note = heartbeat.encode_to_vec().into();
-            self.read(Read::Heartbeat { key, sequence, heartbeat }, Some(note));
-        }
-    }
-
     /// Forwards a keeper's symptom to the leader at once, and repeats it with each heartbeat
     /// until the keeper reports that the server is healthy.
     pub(crate) fn report_symptom(&mut self, key: Key<Follower>, symptom: Symptom) {
--- a/components/member/src/pending.rs
+++ b/components/member/src/pending.rs
@@ -110,10 +110,11 @@
     pub(crate) fn reject_read(&mut self, token: u64) {
         match self.reads.remove(&token) {
             Some(Read::Config(reply)) => drop(reply.send(Err(NoLeader))),
-            Some(Read::Heartbeat { key, sequence, heartbeat }) => {
-                self.hold_heartbeat(key, sequence, heartbeat);
+            Some(
+                Read::Heartbeat { key, heartbeat, .. } | Read::ReturnedLeases { key, heartbeat },
+            ) => {
+                self.retain_returned(key, heartbeat);
             }
-            Some(Read::ReturnedLeases { key, heartbeat }) => self.retain_returned(key, heartbeat),
             // the control leader requests the designation again if it still leads
             Some(Read::Designate(_)) | None => {}
         }
