--- a/components/keeper/src/lib.rs
+++ b/components/keeper/src/lib.rs
@@ -21,6 +21,7 @@
 //! - `health`: symptoms of a failed primary.
 //! - `teams`: connections of teams.
 //! - `opening`: the time that opening a connection takes.
+//! - `full`: servers that have too many connections.
 //! - `setup`: servers, leases and declarations from the control log.
 //! - `request`, `conn`, `server` and `service`: state of one of each.
 //! - `uptime`: suspensions of the process.
@@ -34,6 +35,7 @@
 pub mod event;
 mod finish;
 mod flaw;
+mod full;
 mod group;
 mod health;
 mod opening;
--- a/deploy/rounds.py
+++ b/deploy/rounds.py
@@ -25,13 +25,13 @@
     return [day["name"] for day in days if day.get("slot") != "quiet"]
 
 
-def play(bench, site, checkout, day, seed, why):
-    """Plays one day, and returns its report; None if the day broke a rule or failed."""
+def play(options, day, seed, checkout):
+    """Plays one day, and returns its report, or None if there is none. Prints broken rules."""
     name, directory = checkout
     with tempfile.NamedTemporaryFile(suffix=".json") as report:
-        command = [bench, "run", site, day, "--report", report.name]
+        command = [options.bench, "run", options.site, day, "--report", report.name]
         command += ["--seed", str(seed)] if seed else []
-        command += ["--why", f"{why} ({name})"]
+        command += ["--why", f"{options.why} ({name})"]
         ran = subprocess.run(command, cwd=directory, capture_output=True, text=True)
         try:
             with open(report.name) as file:
@@ -84,8 +84,8 @@
     ]
     worth = {(name, day): [] for name, _ in checkouts for day in days}
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
-        run = lambda entry: play(options.bench, options.site, entry[2], entry[0], entry[1], options.why)
-        for (day, _, (name, _)), report in zip(plays, pool.map(run, plays)):
+        reports = pool.map(lambda entry: play(options, *entry), plays)
+        for (day, _, (name, _)), report in zip(plays, reports):
             if report:
                 worth[name, day].append(report["G"])
     base = checkouts[0][0]
@@ -97,7 +97,8 @@
             values = worth[name, day]
             if not values:
                 continue
-            line = f"{day:10} {name:12} {statistics.mean(values):.4f} [{min(values):.3f} {max(values):.3f}] n={len(values)}"
+            span = f"[{min(values):.3f} {max(values):.3f}] n={len(values)}"
+            line = f"{day:10} {name:12} {statistics.mean(values):.4f} {span}"
             if name != base and worth[base, day]:
                 line += " " + compare(worth[base, day], values)
             print(line, flush=True)
