--- a/components/control/src/designation/wait.rs
+++ b/components/control/src/designation/wait.rs
@@ -1,5 +1,5 @@
-//! What a change of primary in an unfenced group waits for, so that logs and the status
-//! report can name it.
+//! What a change of primary in an unfenced group waits for, so that the log can
+//! name it.
 
 use base::prelude::*;
 use smallvec::SmallVec;
@@ -30,7 +30,7 @@
 }
 
 impl Wait {
-    /// Text for logs and the status report.
+    /// Text for the log.
     pub fn describe(&self) -> String {
         let names = |names: &[Name]| names.iter().map(Name::as_str).collect::<Vec<_>>().join(", ");
         let mark = |mark: &Option<Mark>| mark.map_or("none".to_owned(), |mark| mark.to_string());
--- a/components/entry/src/front/dispatch.rs
+++ b/components/entry/src/front/dispatch.rs
@@ -17,7 +17,6 @@
 use super::choose::{self, Caller, Keeper, TEAM_AFFINITY};
 use super::conn::Disconnect;
 use super::link::{Event, Link, Request};
-use super::outlook::Outlook;
 use super::patience::Patience;
 
 /// Shortest delay before the keepers are tried again.
@@ -26,6 +25,9 @@
 /// Longest random addition to [`RETRY_DELAY_MIN`].
 const RETRY_JITTER: Duration = Duration::from_millis(30);
 
+/// Time after the expiry of the lease in which it is still expected to be renewed.
+const LEASE_RENEWAL_GRACE: Duration = Duration::from_millis(300);
+
 /// Longest wait for a renewed lease before the deadline is checked again.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -243,10 +245,10 @@
     }
 }
 
-/// Whether a missing lease is expected soon, so that a request should wait instead of being
-/// refused.
+/// Whether the lease expired so recently that it is likely to be renewed soon, so
+/// that a request should wait instead of being refused.
 pub(super) fn expects_lease(front: &Front, now: Instant) -> bool {
-    Outlook::new(front.view.lease_until()).is_expected(now)
+    now.since(front.view.lease_until()) < LEASE_RENEWAL_GRACE
 }
 
 /// Converts a duration to whole milliseconds, as messages carry it.
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -17,7 +17,6 @@
 //! - `local`: cycles that the front answers without a keeper.
 //! - [`choose`]: the order in which keepers are tried.
 //! - [`keepers`], [`link`]: the links to keepers.
-//! - [`outlook`]: whether an entry without a lease may expect one soon.
 //! - [`patience`]: how long a read waits for a silent keeper.
 //! - `counts`: requests counted against the objectives of services.
 //! - [`cancels`]: cancel requests.
@@ -37,7 +36,6 @@
 mod local;
 pub mod login;
 pub mod metrics;
-pub mod outlook;
 pub mod patience;
 mod plain;
 mod run;
@@ -63,11 +61,14 @@
 use tokio_util::task::TaskTracker;
 
 use crate::View;
-use outlook::Outlook;
 
 /// Time between a failed accept and the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time without a lease after which idle callers are disconnected: an entry that
+/// is cut off from control can't serve them, and other entries can.
+const UNLEASED_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time for which an idle caller may still send a request after the front has begun to
 /// stop or lost its lease: a request that is on its way is answered, not cut off.
 const IDLE_GRACE: Duration = Duration::from_millis(100);
@@ -334,16 +335,16 @@
     }
 }
 
-/// Sets the phase when no lease is to be expected any more, and when a lease is held
-/// again.
+/// Sets the phase when the lease has been missing for [`UNLEASED_TIMEOUT`], and
+/// when a lease is held again.
 async fn watch_lease(front: Arc<Front>) {
     loop {
         // returns at once when the lease is extended, since callers that are accepted from
         // then on must not be disconnected because of the old phase
         front.view.wait_for_extension(LEASE_CHECK_INTERVAL).await;
-        let (now, until) = (front.clock.now(), front.view.lease_until());
-        let lost =
-            Outlook::new(until).is_lost(now) && !front.without.has(Mechanism::IdleDisconnect);
+        let missing = front.clock.now().since(front.view.lease_until());
+        let disconnects = !front.without.has(Mechanism::IdleDisconnect);
+        let lost = missing > UNLEASED_TIMEOUT && disconnects;
         let next = if lost { Phase::Unleased } else { Phase::Open };
         let changed = front.phase.send_if_modified(|phase| {
             let changes = *phase != Phase::Closing && *phase != next;
@@ -354,7 +355,7 @@
         });
         if changed {
             info!(front.log, "lease was lost or regained"; "leased" => next == Phase::Open,
-                "gone_ms" => now.since(until).as_millis() as u64);
+                "gone_ms" => missing.as_millis() as u64);
         }
     }
 }
--- a/components/keeper/src/full.rs
+++ b/components/keeper/src/full.rs
@@ -9,7 +9,7 @@
 use crate::group::Group;
 
 /// Time after which the full number of connections is tried again with a server that
-/// refused a session because it has too many, if no connection closes before.
+/// refused a session because it has too many, if it closes none before.
 const CAP_DURATION: Duration = Duration::from_secs(1);
 
 /// Connections to a full server that a keeper leaves to control.
--- a/components/keeper/src/pace.rs
+++ b/components/keeper/src/pace.rs
@@ -282,11 +282,11 @@
             let key = candidate.server;
             let due = gauge(key).is_some_and(|gauge| gauge.is_probe_due(now));
             let idle = self.running(key) == 0;
-            let suspect = !trusted(key) || slowness(key) > fastest * EQUAL_FACTOR;
-            if chooses {
-                candidate.cost = self.cost(now, key, fastest);
-                candidate.probe = suspect && due && idle && !alone;
-            }
+            let slow = chooses && slowness(key) > fastest * EQUAL_FACTOR;
+            let suspect = slow || (ejects && !trusted(key));
+            candidate.cost = if chooses { self.cost(now, key, fastest) } else { 0 };
+            // only probes end a probation
+            candidate.probe = suspect && due && idle && !alone;
             if ejects && !trusted(key) && !alone {
                 candidate.free = candidate.free.min(u32::from(candidate.probe));
             }
--- a/components/keeper/src/reads.rs
+++ b/components/keeper/src/reads.rs
@@ -296,8 +296,7 @@
     /// primary is waiting and this keeper's share has room. Reads beyond the
     /// share would take slots granted to other keepers.
     fn spare_primary(&self, now: Instant) -> Option<Key<Server>> {
-        let (key, _) =
-            self.usable_control_primary(now).filter(|_| self.uses(Mechanism::PrimaryReads))?;
+        let (key, _) = self.usable_control_primary(now)?;
         let room = self.running(key) < self.spare_slots(key);
         (room && !self.awaits_primary()).then_some(key)
     }
@@ -310,8 +309,11 @@
     }
 
     /// Number of slots on a primary that this keeper may use for reads: its
-    /// share, but at least one.
+    /// share, but at least one; none if such reads are turned off.
     pub(crate) fn spare_slots(&self, primary: Key<Server>) -> u32 {
+        if !self.uses(Mechanism::PrimaryReads) {
+            return 0;
+        }
         self.servers.get(primary).map_or(0, |server| server.share).max(1)
     }
 
--- a/components/keeper/tests/unfenced/balance.rs
+++ b/components/keeper/tests/unfenced/balance.rs
@@ -1,6 +1,7 @@
 //! Choice of the server for a read: servers that fail or are slow although they are
 //! reachable.
 
+use base::mechanism::Mechanism;
 use base::prelude::*;
 use keeper::Flaw;
 
@@ -57,6 +58,21 @@
     assert!(failures > 0.01, "{failures}");
 }
 
+/// Guards against a switch that also stops the probes by which a probation ends.
+#[test]
+fn a_probation_ends_although_reads_are_not_chosen_by_answers() {
+    let mut world = World::new(0, true, None);
+    world.turn_off(Mechanism::ReadChoice);
+    let start = world.now;
+    world.servers[2].failing = Some((When::Share(0.4), How::Error));
+    world.run(5_000);
+    assert!(world.probations(start) > 0);
+    world.servers[2].failing = None;
+    world.run(4_000);
+    let share = world.share(2, world.now - ms(2_000), world.now);
+    assert!(share >= 0.4, "{share}");
+}
+
 /// Load or failure: 3% of the statements on each server take 7 times as long, for 20 s.
 #[test]
 fn slow_single_statements_put_no_server_on_probation_and_divert_no_reads() {
--- a/components/keeper/tests/unfenced/servers.rs
+++ b/components/keeper/tests/unfenced/servers.rs
@@ -184,6 +184,14 @@
         world
     }
 
+    /// Turns a mechanism off at both keepers.
+    pub fn turn_off(&mut self, mechanism: Mechanism) {
+        for keeper in &mut self.keepers {
+            keeper.without = keeper.without.and(mechanism);
+            keeper.set_up(Some("server-0"), 1, 12);
+        }
+    }
+
     /// Declares a team to which all callers belong from now on.
     pub fn declare_team(&mut self, team: &'static str) {
         self.team = team;
--- a/components/member/src/waits.rs
+++ b/components/member/src/waits.rs
@@ -23,7 +23,7 @@
         self.logged.retain(|group, known| {
             let current = pending.get(group).is_some_and(|pending| pending.since == known.since);
             if !current {
-                info!(log, "a change of primary no longer waits"; "group" => %group,
+                info!(log, "a change of primary went on"; "group" => %group,
                     "waited_for" => known.wait.as_ref(),
                     "waited_ms" => now.since(known.since).as_millis() as u64);
             }
@@ -34,7 +34,7 @@
             if waited < LOGGED_FROM || self.logged.contains_key(group) {
                 continue;
             }
-            info!(log, "a change of primary waits"; "group" => %group,
+            info!(log, "a change of primary had to wait"; "group" => %group,
                 "waits_for" => pending.wait.as_ref(), "detail" => pending.wait.describe(),
                 "waited_ms" => waited.as_millis() as u64);
             self.logged.insert(group.clone(), pending.clone());
