--- a/review/rig/src/case_lost.rs
+++ b/review/rig/src/case_lost.rs
@@ -13,7 +13,7 @@
 const CRASH: Duration = Duration::from_secs(6);
 
 pub fn run(record: Record, trouble: bool) -> Outcome<bool> {
-    let world = World::start(6, 3, record.clone(), trouble)?;
+    let world = World::start(6, 3, record.clone())?;
     let keepers = world.keepers();
     let (stopped, other) = (keepers[0], keepers[1]);
     record.line("case", &format!("keepers: machines {stopped} and {other}"));
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -2,6 +2,7 @@
 //! it held, and 2 if the case could not run.
 
 mod case_lost;
+mod case_stop;
 mod client;
 mod group;
 mod net;
@@ -27,6 +28,7 @@
     };
     let played = match case.as_str() {
         "lost" => case_lost::run(record.clone(), trouble),
+        "stop" => case_stop::run(record.clone(), trouble),
         _ => world::unable("unknown case"),
     };
     let (text, code) = match played {
--- a/review/rig/src/world.rs
+++ b/review/rig/src/world.rs
@@ -33,8 +33,14 @@
     pub system: Shared,
     pub group: Arc<Group>,
     pub record: Record,
-    /// Whether the disruptions of the case take place.
-    pub trouble: bool,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if let Ok(mut system) = self.system.lock() {
+            system.end();
+        }
+    }
 }
 
 const CONFIG: &str = r#"{"version":1,"routes":[
@@ -45,7 +51,7 @@
 
 impl World {
     /// Starts everything, and waits until the service is served by two keepers.
-    pub fn start(machines: usize, controls: usize, record: Record, trouble: bool) -> Outcome<Self> {
+    pub fn start(machines: usize, controls: usize, record: Record) -> Outcome<Self> {
         let mut system = System::new(machines, controls, &record);
         let controls = system.control_list();
         let place = |at: usize| {
@@ -66,7 +72,7 @@
         record.line("operator", "version 1 of the configuration is acknowledged");
         let group = Group::start(SERVICE, &places, controls.clone(), record.clone());
         groups.lock().unwrap().push(Arc::clone(&group));
-        let world = Self { system, group, record, trouble };
+        let world = Self { system, group, record };
         if !wait_until(Duration::from_secs(15), || world.keepers().len() == 2) {
             return unable("the service has no two keepers");
         }
