--- a/review/rig/src/case_stop.rs
+++ b/review/rig/src/case_stop.rs
@@ -64,12 +64,12 @@
     for session in sessions {
         let _ = session.join();
     }
-    let ran = world.group.ran.lock().unwrap().clone();
+    let runs = world.group.runs.lock().unwrap().clone();
     let mut broken = false;
     for (id, sent, ended) in cuts.lock().unwrap().iter() {
         let sent = sent.saturating_duration_since(signalled);
         let ended = ended.saturating_duration_since(signalled);
-        let reached = ran.contains(id);
+        let reached = runs.iter().any(|(run, ..)| run == id);
         // the excuse of the rule: the server still at work in the last sixth of the grace period
         let counts = reached && sent <= GRACE / 2 && ended < GRACE * 5 / 6;
         let text = format!(
--- a/review/rig/src/group.rs
+++ b/review/rig/src/group.rs
@@ -48,7 +48,7 @@
     pub deaf: bool,
     pub up: bool,
     pub draining: bool,
-    born: u64,
+    pub born: u64,
     sequence: u64,
     streams: Vec<TcpStream>,
 }
@@ -87,8 +87,8 @@
     /// Time that a read takes, in milliseconds.
     pub read_ms: AtomicU64,
     pub state: Mutex<State>,
-    /// Ids of the statements that ran.
-    pub ran: Mutex<Vec<String>>,
+    /// Statements that ran: id, server, and time.
+    pub runs: Mutex<Vec<(String, usize, Instant)>>,
     changed: Condvar,
     controls: Vec<SocketAddr>,
     record: Record,
@@ -125,7 +125,7 @@
         let group = Arc::new(Self {
             name: name.to_owned(),
             read_ms: AtomicU64::new(2),
-            ran: Mutex::default(),
+            runs: Mutex::default(),
             state: Mutex::new(state),
             changed: Condvar::new(),
             controls,
@@ -178,14 +178,17 @@
         self.record.line(&state.servers[at].id, text);
     }
 
-    /// The server reports that it is leaving.
-    pub fn drain(self: &Arc<Self>, at: usize) {
-        {
+    /// The server reports that it is leaving; returns when that was acknowledged.
+    pub fn drain(&self, at: usize) -> Option<Instant> {
+        let id = {
             let mut state = self.state.lock().unwrap();
             state.servers[at].draining = true;
-            self.record.line(&state.servers[at].id, "is to be replaced, reports draining");
-        }
-        self.beat(at);
+            state.servers[at].id.clone()
+        };
+        self.record.line(&id, "is to be replaced, reports draining");
+        let acknowledged = self.beat(at).then(Instant::now);
+        self.record.line(&id, &format!("draining acknowledged: {}", acknowledged.is_some()));
+        acknowledged
     }
 
     /// Promotes a server, as the platform does after `POST /promotion`; false if it is down.
@@ -277,13 +280,14 @@
         }
     }
 
-    /// Sends one heartbeat, to the first control node that acknowledges it.
-    fn beat(&self, at: usize) {
+    /// Sends one heartbeat, to the first control node that acknowledges it. Returns whether one
+    /// did.
+    fn beat(&self, at: usize) -> bool {
         let (id, body) = {
             let mut state = self.state.lock().unwrap();
             let server = &mut state.servers[at];
             if !server.up {
-                return;
+                return false;
             }
             server.sequence += 1;
             let role = if server.primary { "primary" } else { "replica" };
@@ -300,9 +304,10 @@
             if let Ok((status, _)) = call(*control, "PUT", &format!("/instances/{id}"), &body)
                 && (200..300).contains(&status)
             {
-                return;
+                return true;
             }
         }
+        false
     }
 
     fn accept(self: Arc<Self>, at: usize, listener: &TcpListener) {
@@ -457,7 +462,7 @@
     }
 
     fn note(&self, id: &str, text: &str) {
-        self.group.ran.lock().unwrap().push(id.to_owned());
+        self.group.runs.lock().unwrap().push((id.to_owned(), self.at, Instant::now()));
         let state = self.group.state.lock().unwrap();
         self.group.record.line(&state.servers[self.at].id, &format!("runs {id} {text}"));
     }
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -1,6 +1,7 @@
 //! Plays the cases of the review that are scripts. Exits with 1 if the rule was broken, 0 if
 //! it held, and 2 if the case could not run.
 
+mod case_drain;
 mod case_lost;
 mod case_stop;
 mod client;
@@ -29,6 +30,7 @@
     let played = match case.as_str() {
         "lost" => case_lost::run(record.clone(), trouble),
         "stop" => case_stop::run(record.clone(), trouble),
+        "drain" => case_drain::run(record.clone(), trouble),
         _ => world::unable("unknown case"),
     };
     let (text, code) = match played {
