--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review/release/rig ] || exit 2
-exec target/review/release/rig drain "$here"
+exec target/review/release/rig stop "$here"
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -3,6 +3,7 @@
 
 mod case_drain;
 mod case_lost;
+mod case_one;
 mod case_stop;
 mod client;
 mod group;
@@ -31,6 +32,7 @@
         "lost" => case_lost::run(record.clone(), trouble),
         "stop" => case_stop::run(record.clone(), trouble),
         "drain" => case_drain::run(record.clone(), trouble),
+        "one" => case_one::run(record.clone(), trouble),
         _ => world::unable("unknown case"),
     };
     let (text, code) = match played {
--- a/review/rig/src/world.rs
+++ b/review/rig/src/world.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::client::Client;
 use crate::group::Group;
@@ -52,6 +52,16 @@
 impl World {
     /// Starts everything, and waits until the service is served by two keepers.
     pub fn start(machines: usize, controls: usize, record: Record) -> Outcome<Self> {
+        Self::start_in_order(machines, controls, record, [Duration::ZERO; 3])
+    }
+
+    /// As [`World::start`], with a delay before each server announces itself.
+    pub fn start_in_order(
+        machines: usize,
+        controls: usize,
+        record: Record,
+        delays: [Duration; 3],
+    ) -> Outcome<Self> {
         let mut system = System::new(machines, controls, &record);
         let controls = system.control_list();
         let place = |at: usize| {
@@ -70,7 +80,7 @@
             return unable("the first configuration was not accepted");
         }
         record.line("operator", "version 1 of the configuration is acknowledged");
-        let group = Group::start(SERVICE, &places, controls.clone(), record.clone());
+        let group = Group::start(SERVICE, delays, &places, controls.clone(), record.clone());
         groups.lock().unwrap().push(Arc::clone(&group));
         let world = Self { system, group, record };
         if !wait_until(Duration::from_secs(15), || world.keepers().len() == 2) {
@@ -112,6 +122,17 @@
         unable(format!("write {id} did not succeed"))
     }
 
+    /// Ids of commits that an old primary made after a promotion had taken effect, and that it
+    /// answered.
+    pub fn stale(&self) -> Vec<String> {
+        let state = self.group.state.lock().unwrap();
+        let is_stale = |(_, server, at): &&(String, usize, Instant)| {
+            let before = state.promotions.iter().rev().find(|promotion| promotion.at < *at);
+            before.is_some_and(|promotion| promotion.server != *server)
+        };
+        state.commits.iter().filter(is_stale).map(|(id, ..)| id.clone()).collect()
+    }
+
     /// Ids of acknowledged commits that the log of a promoted server lacked when it was
     /// promoted, although they were committed before.
     pub fn lost(&self) -> Vec<String> {
