--- a/review/rig/src/case_one.rs
+++ b/review/rig/src/case_one.rs
@@ -18,9 +18,10 @@
     let last = Duration::from_millis(200);
     let delays = [last, Duration::ZERO, Duration::ZERO];
     let world = World::start_in_order(6, 3, record.clone(), delays)?;
-    let machine = world.keepers()[0];
+    let keepers = world.keepers();
+    let machine = keepers[0];
     world.write("warm-1", machine, "w1")?;
-    world.write("warm-2", world.keepers()[1], "w2")?;
+    world.write("warm-2", keepers[1], "w2")?;
     thread::sleep(Duration::from_millis(500));
 
     let group = &world.group;
@@ -46,6 +47,11 @@
         thread::sleep(UNTIL_CRASH);
         group.crash(first);
         group.set_cut(0, false);
+        // only keepers connect to servers, so no other entry was cut off
+        record.line("case", &format!("keepers: machines {keepers:?}, after the partition {:?}", world.keepers()));
+        if world.keepers() != keepers {
+            return unable("the keepers changed during the partition");
+        }
         let crashed = Instant::now();
         while crashed.elapsed() < CRASH {
             number += 1;
