--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -80,6 +80,7 @@
             Some(Body::Establish(establish)) => self.establish(establish),
             Some(Body::Drain(drain)) => self.drain(drain),
             Some(Body::Replace(replace)) => self.replace(replace),
+            Some(Body::Cover(cover)) => self.cover(cover),
             None => Ok(Outcome::Unchanged),
         };
         applied.unwrap_or_else(Outcome::Refused)
@@ -145,7 +146,11 @@
         for (name, declared) in &self.declarations.groups {
             let group = self.groups.entry(name.clone()).or_default();
             let seats = declared.servers as usize;
+            let held = group.seats.len();
             group.shrink(seats, |seat| self.servers.get(seat).is_none_or(|server| server.expired));
+            if declared.acknowledges && group.seats.len() < held {
+                group.uncovered_index = self.index;
+            }
             for &server in wanting.get(name).into_iter().flatten() {
                 if group.seats.len() < seats && !group.seats.contains(server) {
                     group.seats.push(server.clone());
@@ -167,6 +172,11 @@
                 group.seats.push(name.clone());
             }
         }
+        let known = self.servers.get(&name);
+        if known.is_some_and(|known| known.incarnation < server.incarnation) {
+            // the new incarnation may have started without the log of the earlier one
+            self.record_lost_log(&name);
+        }
         self.servers.insert(name, server);
         Ok(Outcome::Applied)
     }
@@ -184,11 +194,25 @@
     }
 
     fn unseat(&mut self, server: &Name) {
+        self.record_lost_log(server);
         for group in self.groups.values_mut() {
             group.seats.retain(|seat| seat != server);
         }
     }
 
+    /// Records that the log of a server may be gone. All that a primary has acknowledged is
+    /// held by another server too, so the loss of its own log uncovers nothing.
+    fn record_lost_log(&mut self, server: &Name) {
+        for (name, group) in &mut self.groups {
+            let declared = self.declarations.groups.get(name);
+            let acknowledges = declared.is_some_and(|declared| declared.acknowledges);
+            let replica = group.seats.contains(server) && group.primary.as_ref() != Some(server);
+            if acknowledges && replica {
+                group.uncovered_index = self.index;
+            }
+        }
+    }
+
     /// The server that an announcement would store; `None` if it changes nothing.
     ///
     /// # Errors
@@ -309,11 +333,12 @@
         let seat = group.seats.iter().find(|seat| seat.as_str() == choose.server);
         let server = seat.cloned().ok_or(Refusal::Unknown)?;
         let start = choose.start.map(Mark::from).ok_or(Refusal::Malformed)?;
-        group.phase = Phase::Chosen { server, start };
+        group.phase = Phase::Chosen { server, start, incarnation: choose.incarnation };
         Ok(Outcome::Applied)
     }
 
     fn establish(&mut self, establish: &log::Establish) -> Result<Outcome, Refusal> {
+        let acknowledges = self.acknowledges(&establish.group);
         let group = self.groups.get_mut(establish.group.as_str()).ok_or(Refusal::Unknown)?;
         let term = Term(establish.term);
         let seat = group.seats.iter().find(|seat| seat.as_str() == establish.server);
@@ -323,7 +348,7 @@
         }
         if term == group.term {
             match &group.phase {
-                Phase::Chosen { server: chosen, start } if *chosen == server => {
+                Phase::Chosen { server: chosen, start, .. } if *chosen == server => {
                     group.history.begin(term, start.position);
                 }
                 Phase::Settled if group.primary.as_ref() == Some(&server) => {
@@ -333,12 +358,26 @@
                 _ => return Err(Refusal::Term),
             }
         }
+        let replaces = group.primary.as_ref().is_some_and(|old| *old != server);
+        if acknowledges && replaces {
+            // other servers may lack records that the new primary had received
+            group.uncovered_index = self.index;
+        }
         group.term = term;
         group.phase = Phase::Settled;
         group.primary = Some(server);
         Ok(Outcome::Applied)
     }
 
+    fn cover(&mut self, cover: &log::Cover) -> Result<Outcome, Refusal> {
+        let group = self.groups.get_mut(cover.group.as_str()).ok_or(Refusal::Unknown)?;
+        if group.uncovered_index != cover.index {
+            return Ok(Outcome::Unchanged);
+        }
+        group.uncovered_index = 0;
+        Ok(Outcome::Applied)
+    }
+
     fn drain(&mut self, drain: &log::Drain) -> Result<Outcome, Refusal> {
         let name = Name::new(&drain.entry).map_err(|_malformed| Refusal::Malformed)?;
         let changed =
--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -17,6 +17,7 @@
 //! A leader that finds an unfinished change continues at the phase in the log.
 
 mod cause;
+mod cover;
 mod successor;
 pub mod wait;
 
@@ -26,9 +27,10 @@
 use base::prelude::*;
 use smallvec::SmallVec;
 use wire::control::{Seal, Symptom};
-use wire::log::{Choose, Establish, Intend, command};
+use wire::log::{self, Choose, Establish, Intend, command};
 
-use self::successor::{Position, Survey};
+use self::cover::Cover;
+use self::successor::{Progress, Survey};
 use self::wait::{Pending, Wait};
 use crate::context::Context;
 use crate::detector::{Cause, Symptoms, Watches};
@@ -93,11 +95,11 @@
     watches: Watches,
     symptoms: Symptoms,
     seals: BTreeMap<(Name, u64), Seal>,
-    /// When each status probe in flight was sent, by server.
-    asked: BTreeMap<Name, Instant>,
+    /// When each status probe in flight was sent, and to which incarnation, by server.
+    asked: BTreeMap<Name, (Instant, u64)>,
     /// When the last status probe was sent, by server.
     probed: BTreeMap<Name, Instant>,
-    positions: BTreeMap<Name, Position>,
+    positions: BTreeMap<Name, Progress>,
     /// Last proposal of this leader.
     proposed: Option<Proposal>,
     /// Whether this leader has looked at the group before.
@@ -125,6 +127,10 @@
     trace: Option<Trace>,
     /// What the change in progress waits for.
     pending: Option<Pending>,
+    /// Newest loss of a log after which the primary may hold records alone.
+    cover: Option<Cover>,
+    /// Time since which the primary is known to leave.
+    leaving_since: Option<Instant>,
 }
 
 impl Designation {
@@ -181,20 +187,28 @@
             return;
         }
         let sent = self.asked.remove(server);
-        if let (Some(sent), Ok(status)) = (sent, result) {
-            let mark = status.last();
-            self.positions.insert(server.clone(), Position { mark, role: status.role, sent });
+        if let (Some((sent, incarnation)), Ok(status)) = (sent, result) {
+            let (mark, role) = (status.last(), status.role);
+            let earlier = self.positions.get(server).map(|known| (known.mark, known.sent));
+            let position = Progress { mark, earlier, role, sent, incarnation };
+            self.positions.insert(server.clone(), position);
         }
     }
 
     /// Sends the probes that are due and proposes the next command.
     pub fn step(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
         self.watches.retain(&context.group.seats);
-        self.positions.retain(|server, _| context.group.seats.contains(server));
+        // a server that has started again may have lost the log that it reported
+        self.positions.retain(|name, position| {
+            let server = context.state.servers.get(name);
+            context.group.seats.contains(name)
+                && server.is_some_and(|server| server.incarnation == position.incarnation)
+        });
         let chosen = matches!(context.group.phase, Phase::Chosen { .. });
         if !std::mem::replace(&mut self.seen, true) && chosen {
             self.inherited_at = Some(context.now);
         }
+        self.cover = Cover::follow(self.cover, context);
         self.probe_seats(context, out);
         let wait = match (&context.group.phase, &context.group.primary) {
             (Phase::Settled, Some(primary)) => {
@@ -224,13 +238,15 @@
             Name::new(&lease.entry)
                 .is_ok_and(|entry| context.liveness.is_suspected(now, &entry, lease.incarnation))
         };
-        let healthy = self.is_healthy(context);
+        let uncovered = self.cover.is_some_and(|cover| cover.is_due(now));
+        let healthy = self.is_healthy(context) && !uncovered;
         let suspects = !context.leadership.without.has(Mechanism::SuspectProbes)
             && context.group.leases.iter().any(is_suspected);
         let skips = healthy && !suspects;
         let settled = context.group.phase == Phase::Settled;
-        let began = self.trace.as_ref().map(|trace| trace.noticed);
-        let is_fast = !settled && began.is_some_and(|began| now.since(began) < FAST_PROBE_TIME);
+        let began = self.trace.as_ref().map(|trace| trace.noticed).filter(|_| !settled);
+        let began = began.or(self.leaving_since);
+        let is_fast = began.is_some_and(|began| now.since(began) < FAST_PROBE_TIME);
         let interval = if is_fast { FAST_PROBE_INTERVAL } else { SLOW_PROBE_INTERVAL };
         for seat in &context.group.seats {
             let recent = self.probed.get(seat).is_some_and(|&at| now.since(at) < interval);
@@ -239,7 +255,7 @@
                 continue;
             }
             self.watches.get_or_insert(seat).record_ask(now);
-            self.asked.insert(seat.clone(), now);
+            self.asked.insert(seat.clone(), (now, server.incarnation));
             self.probed.insert(seat.clone(), now);
             out.push(probe(context, seat, server.address, Ask::Status));
         }
@@ -253,12 +269,24 @@
                 trace.established.get_or_insert(now);
             }
         }
+        let leaves = context.state.servers.get(primary).is_some_and(|server| server.leaving);
+        self.leaving_since = leaves.then(|| self.leaving_since.unwrap_or(now));
+        self.propose_cover(context, primary, out);
         match self.replacement_cause(context, primary) {
             Some(cause) => self.intend(context, cause, out),
             None => self.trace = self.trace.take().filter(|trace| trace.established.is_some()),
         }
     }
 
+    /// Proposes to record that another server holds what the primary may have held alone.
+    fn propose_cover(&mut self, context: &Context<'_>, primary: &Name, out: &mut Vec<Effect>) {
+        let Some(cover) = &mut self.cover else { return };
+        if let Some(index) = cover.covered(context.now, primary, self.positions.iter()) {
+            let group = context.name.to_string();
+            out.push(Effect::propose(command::Body::Cover(log::Cover { group, index })));
+        }
+    }
+
     /// Waits for a server that reports itself as the primary and establishes the
     /// first one; begins a change if none appears in time.
     fn bootstrap(&mut self, context: &Context<'_>, out: &mut Vec<Effect>) {
@@ -318,6 +346,7 @@
             term: term.0,
             server: chosen.server.to_string(),
             start: Some(chosen.start.into()),
+            incarnation: self.positions.get(&chosen.server).map_or(0, |known| known.incarnation),
         };
         self.propose(context, command::Body::Choose(choose), out);
         Ok(())
@@ -363,6 +392,9 @@
             }
             return self.establish(context, term, server, out);
         }
+        if has_started_again(context, server) {
+            return self.intend(context, Cause::Unfinished, out);
+        }
         let failed = !context.state.servers.contains_key(server)
             || self.rejections >= SUFFICIENT_REFUSALS
             || self.watches.get(server).is_some_and(|watch| watch.is_down(now));
@@ -402,3 +434,11 @@
     let (group, server) = (context.name.clone(), server.clone());
     Effect::Probe { group, server, address, ask }
 }
+
+/// Whether the chosen server has started again since its log was compared, and may have lost
+/// that log.
+fn has_started_again(context: &Context<'_>, server: &Name) -> bool {
+    let Phase::Chosen { incarnation, .. } = context.group.phase else { return false };
+    let known = context.state.servers.get(server).map(|server| server.incarnation);
+    incarnation > 0 && known.is_some_and(|known| known != incarnation)
+}
--- a/components/control/src/designation/cause.rs
+++ b/components/control/src/designation/cause.rs
@@ -12,6 +12,10 @@
 /// report as unhealthy counts as silent.
 const SHORT_SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time for which a primary that leaves must report its position before it is replaced by a
+/// server that may lack some of its records.
+const LEAVING_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Time after a primary was established during which it is not considered cut off.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
@@ -60,7 +64,7 @@
         if cut_off {
             return Some(Cause::CutOff);
         }
-        (server.leaving && self.has_successor(context, primary)).then_some(Cause::Leaving)
+        (server.leaving && self.can_hand_over(context, primary)).then_some(Cause::Leaving)
     }
 
     /// Whether, for [`CONFIRMATION_TIME`], all keepers have reported the
@@ -89,9 +93,36 @@
         !group.leases.is_empty() && group.leases.iter().all(|lease| reports(&lease.entry))
     }
 
+    /// Whether a primary that leaves can be replaced: a server that stays has received what
+    /// the primary had reported in its report before the last. A primary that is replaced while
+    /// all others are behind would serve nothing until one of them has its records. A primary
+    /// that reports nothing to the leader is replaced after [`LEAVING_PATIENCE`].
+    fn can_hand_over(&self, context: &Context<'_>, primary: &Name) -> bool {
+        let Some(since) = self.leaving_since else { return false };
+        let reported = |name| self.positions.get(name).filter(|position| position.sent >= since);
+        let Some(led) = reported(primary) else {
+            let waited = context.now.since(since) >= LEAVING_PATIENCE;
+            return waited && self.has_successor(context, primary);
+        };
+        let before = led.earlier.filter(|(_, sent)| *sent >= since);
+        let needed = before.map_or(led.mark, |(mark, _)| mark);
+        let holds = |name| reported(name).is_some_and(|position| position.mark >= needed);
+        self.successors(context, primary).any(holds)
+    }
+
     /// Whether another server that is not leaving is reachable.
     fn has_successor(&self, context: &Context<'_>, primary: &Name) -> bool {
+        self.successors(context, primary).next().is_some()
+    }
+
+    /// Reachable servers besides the primary that are not leaving.
+    fn successors<'a>(
+        &'a self,
+        context: &'a Context<'_>,
+        primary: &'a Name,
+    ) -> impl Iterator<Item = &'a Name> {
         let stays = |name: &Name| context.state.servers.get(name).is_some_and(|s| !s.leaving);
-        self.watches.fresh(context.now).any(|(name, _)| name != primary && stays(name))
+        let reachable = self.watches.fresh(context.now).map(|(name, _)| name);
+        reachable.filter(move |name| *name != primary && stays(name))
     }
 }
--- a/components/control/src/designation/wait.rs
+++ b/components/control/src/designation/wait.rs
@@ -18,12 +18,14 @@
     Records {
         /// Servers that have not reported.
         silent: SmallVec<[Name; 2]>,
-        /// Highest mark that the holders of leases have acknowledged.
-        needed: Option<Mark>,
+        /// Position that covers what was acknowledged, as far as it is known.
+        needed: Mark,
         /// Highest position that was reported.
         best: Option<Mark>,
-        /// Whether `needed` covers the records acknowledged by holders that have vanished.
+        /// Whether `needed` is proved to cover all that was acknowledged.
         precise: bool,
+        /// Whether a log that may have held some of these records has left the group.
+        uncovered: bool,
     },
     /// The chosen server does not lead yet.
     Promotion(Name),
@@ -33,18 +35,18 @@
     /// Text for the log.
     pub fn describe(&self) -> String {
         let names = |names: &[Name]| names.iter().map(Name::as_str).collect::<Vec<_>>().join(", ");
-        let mark = |mark: &Option<Mark>| mark.map_or("none".to_owned(), |mark| mark.to_string());
         match self {
             Self::Seals(entries) => format!("seals of {}", names(entries)),
             Self::Leases => "leases of removed entries".to_owned(),
             Self::Positions(servers) => format!("positions of {}", names(servers)),
-            Self::Records { silent, needed, best, precise } => {
+            Self::Records { silent, needed, best, precise, uncovered } => {
                 let bound = if *precise { "needed" } else { "needed at least" };
+                let lost = if *uncovered { ", a log has left the group" } else { "" };
+                let best = best.map_or("none".to_owned(), |mark| mark.to_string());
+                let silent = names(silent);
                 format!(
-                    "a server with all acknowledged records: {bound} {}, best {}, silent: {}",
-                    mark(needed),
-                    mark(best),
-                    names(silent)
+                    "a server with all acknowledged records: {bound} {needed}, best {best}, \
+                     silent: {silent}{lost}"
                 )
             }
             Self::Promotion(server) => format!("{server} to lead"),
--- a/components/control/src/failover/takeover.rs
+++ b/components/control/src/failover/takeover.rs
@@ -108,6 +108,7 @@
             term: term.0,
             server: choice.server.to_string(),
             start: Some(choice.start.into()),
+            incarnation: 0,
         };
         out.push(Effect::propose(command::Body::Choose(choose)));
     }
--- a/components/control/src/feed.rs
+++ b/components/control/src/feed.rs
@@ -152,6 +152,7 @@
             Some(Body::Intend(intend)) => self.compare_group(now, state, &intend.group),
             Some(Body::Choose(choose)) => self.compare_group(now, state, &choose.group),
             Some(Body::Establish(establish)) => self.compare_group(now, state, &establish.group),
+            Some(Body::Cover(cover)) => self.compare_group(now, state, &cover.group),
             None => {}
         }
     }
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -100,6 +100,8 @@
     pub(crate) reduced_index: u64,
     #[prost(uint64, tag = "11")]
     pub(crate) ended_index: u64,
+    #[prost(uint64, tag = "12")]
+    pub(crate) uncovered_index: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -257,11 +259,12 @@
 
 pub(crate) fn write_group((name, group): (&Name, &Group)) -> GroupImage {
     let chosen = match &group.phase {
-        Phase::Chosen { server, start } => Some(log::Choose {
+        Phase::Chosen { server, start, incarnation } => Some(log::Choose {
             group: name.to_string(),
             term: group.term.0,
             server: server.to_string(),
             start: Some((*start).into()),
+            incarnation: *incarnation,
         }),
         Phase::Settled | Phase::Intended => None,
     };
@@ -277,6 +280,7 @@
         generation: group.generation,
         reduced_index: group.reduced_index,
         ended_index: group.ended_index,
+        uncovered_index: group.uncovered_index,
     }
 }
 
@@ -284,7 +288,8 @@
     let phase = match &image.chosen {
         Some(chosen) => {
             let start = chosen.start.ok_or(Malformed)?.into();
-            Phase::Chosen { server: name(&chosen.server)?, start }
+            let (server, incarnation) = (name(&chosen.server)?, chosen.incarnation);
+            Phase::Chosen { server, start, incarnation }
         }
         None if image.intended => Phase::Intended,
         None => Phase::Settled,
@@ -304,6 +309,7 @@
         generation: image.generation,
         reduced_index: image.reduced_index,
         ended_index: image.ended_index,
+        uncovered_index: image.uncovered_index,
     };
     Ok((name(&image.name)?, group))
 }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -76,6 +76,11 @@
     /// Index of the last command that ended a lease. The holder of that lease no
     /// longer reports what it has acknowledged.
     pub ended_index: u64,
+    /// Index of the last command since which the primary of an unfenced group may be the only
+    /// server that holds some acknowledged records: another server took over as the primary,
+    /// or the log of a replica left the group. Zero once another server is known to hold what
+    /// was acknowledged until then.
+    pub uncovered_index: u64,
 }
 
 /// Phase of a failover.
@@ -93,6 +98,8 @@
         server: Name,
         /// Last record of the server's log when it was chosen.
         start: Mark,
+        /// Incarnation of the server with that log; zero in a fenced group.
+        incarnation: u64,
     },
 }
 
--- /dev/null
+++ b/components/control/tests/acknowledged.rs
@@ -0,0 +1,149 @@
+//! A change of primary loses no record that was acknowledged, whatever servers answer.
+
+mod unfenced;
+
+use control::Phase;
+use wire::control::Condition;
+
+use unfenced::{Health, World};
+
+impl World {
+    /// The keeper `e1`, which has acknowledged nothing for long, seals, and `e2` ends without a
+    /// seal: what it acknowledged is unknown.
+    fn lose_a_seal(&mut self) {
+        self.seal_at("e1", 90, 1);
+        self.lose_keeper("e2");
+    }
+}
+
+/// review/1: the answer of a replica that was leaving counted, but not its position.
+#[test]
+fn records_that_only_a_leaving_replica_holds_are_kept() {
+    let mut world = World::new();
+    world.set_position("s2", 90);
+    world.announce("s1", true);
+    world.crash();
+    world.lose_a_seal();
+    world.pass(900);
+    assert_eq!(world.primary(), Some("s1"), "it alone holds all that was acknowledged");
+    world.catch_up();
+    world.pass(1_500);
+    world.seal("e1", 90);
+    world.pass(1_500);
+    assert_eq!(world.primary(), Some("s2"), "it has caught up, and stays");
+}
+
+/// A primary that left was replaced by a replica that received nothing.
+#[test]
+fn a_leaving_primary_leads_until_a_replica_that_stays_has_its_records() {
+    let mut world = World::new();
+    world.set_position("s2", 90);
+    world.announce("s1", true);
+    world.announce("s0", true);
+    world.pass(3_000);
+    assert_eq!(world.primary(), Some("s0"));
+    world.catch_up();
+    world.pass(500);
+    assert_eq!(world.phase(), Phase::Intended);
+}
+
+/// The old primary counted as an answer, but not its position.
+#[test]
+fn records_that_only_the_old_primary_holds_are_kept() {
+    let mut world = World::new();
+    world.set_position("s1", 90);
+    world.set("s2", Health::Silent);
+    world.crash();
+    world.lose_a_seal();
+    world.set("s0", Health::Up);
+    world.pass(2_000);
+    assert_eq!(world.primary(), Some("s0"));
+}
+
+/// The answers of the servers that were left proved what one that had left had received.
+#[test]
+fn records_that_a_replica_took_with_it_are_kept() {
+    let mut world = World::new();
+    world.set_position("s2", 90);
+    world.announce("s1", true);
+    world.depart("s1");
+    world.start_empty("s3");
+    world.crash();
+    world.lose_a_seal();
+    world.pass(3_000);
+    assert_eq!(world.phase(), Phase::Intended, "only the old primary holds all records");
+    world.set("s0", Health::Up);
+    world.pass(2_000);
+    assert_eq!(world.primary(), Some("s0"));
+}
+
+/// A replica that came back without its log counted as one that had none of the records.
+#[test]
+fn records_of_a_replica_that_came_back_empty_are_kept() {
+    let mut world = World::new();
+    world.set_position("s2", 90);
+    world.start_empty("s1");
+    world.crash();
+    world.lose_a_seal();
+    world.pass(3_000);
+    assert_eq!(world.phase(), Phase::Intended, "only the old primary holds all records");
+    world.set("s0", Health::Up);
+    world.pass(2_000);
+    assert_eq!(world.primary(), Some("s0"));
+}
+
+/// An old primary that came back without its log was taken again.
+#[test]
+fn an_old_primary_that_came_back_empty_is_not_chosen() {
+    let mut world = World::new();
+    world.set_position("s1", 90);
+    world.set("s2", Health::Silent);
+    world.crash();
+    world.lose_a_seal();
+    world.set_position("s0", 0);
+    world.set("s0", Health::Up);
+    world.pass(3_000);
+    assert_eq!(world.phase(), Phase::Intended, "only the silent replica holds all records");
+    world.set("s2", Health::Up);
+    world.pass(2_000);
+    assert_eq!(world.primary(), Some("s2"));
+}
+
+#[test]
+fn a_loss_that_another_replica_has_covered_delays_no_change() {
+    let mut world = World::new();
+    world.announce("s1", true);
+    world.depart("s1");
+    world.start_empty("s3");
+    assert!(world.state.groups["g"].uncovered_index > 0);
+    world.pass(2_000);
+    assert_eq!(world.state.groups["g"].uncovered_index, 0, "s2 holds all records");
+    world.crash();
+    world.lose_a_seal();
+    world.pass(1_500);
+    assert_eq!(world.primary(), Some("s2"));
+}
+
+/// The records that a new primary had received alone counted as held by another server.
+#[test]
+fn records_that_only_a_new_primary_holds_are_kept() {
+    let mut world = World::new();
+    world.set_position("s2", 90);
+    world.crash();
+    world.depart("s0");
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    world.pass(1_000);
+    assert_eq!(world.primary(), Some("s1"));
+    world.start_empty("s3");
+    world.set("s1", Health::Refusing);
+    world.symptom("e1", Condition::Refused);
+    world.symptom("e2", Condition::Refused);
+    world.pass(300);
+    world.lose_a_seal();
+    world.pass(3_000);
+    assert_eq!(world.phase(), Phase::Intended, "only the primary that crashed holds all records");
+    world.set("s1", Health::Up);
+    world.pass(2_000);
+    assert_eq!(world.primary(), Some("s1"));
+}
--- a/components/member/src/event.rs
+++ b/components/member/src/event.rs
@@ -24,6 +24,7 @@
             Some(Body::Establish(_)) => "establish",
             Some(Body::Drain(_)) => "drain",
             Some(Body::Replace(_)) => "replace",
+            Some(Body::Cover(_)) => "cover",
             None => "none",
         }
     }
@@ -69,6 +70,7 @@
             }
             Some(Body::Drain(drain)) => write!(f, "{} {}", drain.entry, drain.on),
             Some(Body::Replace(replace)) => write!(f, "edition {}", replace.edition),
+            Some(Body::Cover(cover)) => write!(f, "{} index {}", cover.group, cover.index),
             None => Ok(()),
         }
     }
--- a/components/wire/src/log.rs
+++ b/components/wire/src/log.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Command {
     /// Body of the command.
-    #[prost(oneof = "command::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "command::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<command::Body>,
 }
 
@@ -54,6 +54,9 @@
         /// Replaces the declarations by a complete edition.
         #[prost(message, tag = "11")]
         Replace(super::Replace),
+        /// The records of a server that left a group are held by another one.
+        #[prost(message, tag = "12")]
+        Cover(super::Cover),
     }
 }
 
@@ -285,6 +288,9 @@
     /// unfenced group, reported its position.
     #[prost(message, optional, tag = "4")]
     pub start: Option<Mark>,
+    /// Incarnation of the server that reported its position; zero in a fenced group.
+    #[prost(uint64, tag = "5")]
+    pub incarnation: u64,
 }
 
 /// Records that the new primary leads: a majority of a fenced group follows it, or the
@@ -313,3 +319,15 @@
     #[prost(bool, tag = "2")]
     pub on: bool,
 }
+
+/// Records that a server of an unfenced group holds all records that a server which left
+/// the group may have held alone beside the primary.
+#[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
+pub struct Cover {
+    /// Name of the group.
+    #[prost(string, tag = "1")]
+    pub group: String,
+    /// Index of the command by which the last such server left.
+    #[prost(uint64, tag = "2")]
+    pub index: u64,
+}
--- a/programs/trefoil-slope/src/cmd/traffic.rs
+++ b/programs/trefoil-slope/src/cmd/traffic.rs
@@ -315,7 +315,7 @@
         Some(Body::Join(_)) => "join",
         Some(Body::Leave(_)) => "leave",
         Some(Body::Assign(_)) => "assign",
-        Some(Body::Intend(_) | Body::Choose(_) | Body::Establish(_)) => "primary",
+        Some(Body::Intend(_) | Body::Choose(_) | Body::Establish(_) | Body::Cover(_)) => "primary",
         Some(Body::Drain(_)) | None => "other",
     }
 }
