--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -14,7 +14,7 @@
 use wire::pack;
 
 use crate::changes::Answer;
-use crate::state::{Entry, Group, Phase, Server, State};
+use crate::state::{Candidate, Entry, Group, Phase, Server, State};
 
 /// Outcome of a command.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -333,6 +333,7 @@
         let seat = group.seats.iter().find(|seat| seat.as_str() == choose.server);
         let server = seat.cloned().ok_or(Refusal::Unknown)?;
         let start = choose.start.map(Mark::from).ok_or(Refusal::Malformed)?;
+        group.follow_candidate(&server, Term(choose.reported_term));
         group.phase = Phase::Chosen { server, start, incarnation: choose.incarnation };
         Ok(Outcome::Applied)
     }
@@ -365,6 +366,7 @@
         }
         group.term = term;
         group.phase = Phase::Settled;
+        group.follow_candidate(&server, Term(0));
         group.primary = Some(server);
         Ok(Outcome::Applied)
     }
@@ -390,6 +392,14 @@
 }
 
 impl Group {
+    /// Records that a server was chosen or established. The term before its promotion is kept
+    /// while no other server is chosen.
+    fn follow_candidate(&mut self, server: &Name, above: Term) {
+        if self.candidate.as_ref().is_none_or(|candidate| candidate.server != *server) {
+            self.candidate = Some(Candidate { server: server.clone(), above });
+        }
+    }
+
     /// Drops the seats beyond `seats`: those of servers that are `gone` (unknown or
     /// expired) first, and that of the primary last.
     fn shrink(&mut self, seats: usize, gone: impl Fn(&Name) -> bool) {
--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -18,6 +18,7 @@
 
 mod cause;
 mod cover;
+mod promotion;
 mod successor;
 pub mod wait;
 
@@ -30,6 +31,7 @@
 use wire::log::{self, Choose, Establish, Intend, command};
 
 use self::cover::Cover;
+use self::promotion::Promotion;
 use self::successor::{Progress, Survey};
 use self::wait::{Pending, Wait};
 use crate::context::Context;
@@ -39,9 +41,6 @@
 use crate::state::Phase;
 use crate::trace::Trace;
 
-/// Time between two designations of a server.
-const DESIGNATE_INTERVAL: Duration = Duration::from_millis(400);
-
 /// Time for which a chosen server that can't be reached, or that rejects its
 /// designations, may still become the primary before another one is chosen.
 const DESIGNATE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -109,11 +108,8 @@
     inherited_at: Option<Instant>,
     /// Intended term, and the time since which no keeper works for the old primary.
     sealed_since: Option<(Term, Instant)>,
-    /// When the last designation was sent to the chosen server.
-    designated: Option<Instant>,
-    /// Term of the chosen server, and the time since which the leader waits for the
-    /// server to lead.
-    chosen: Option<(Term, Instant)>,
+    /// The promotion of the chosen server.
+    promotion: Promotion,
     /// Time since which servers of a new group report their status, none as the
     /// primary.
     bootstrap_since: Option<Instant>,
@@ -184,13 +180,14 @@
         if ask != Ask::Status {
             self.rejections =
                 if result == Err(ProbeError::Rejected) { self.rejections + 1 } else { 0 };
+            self.promotion.record_answer(result.is_ok());
             return;
         }
         let sent = self.asked.remove(server);
         if let (Some((sent, incarnation)), Ok(status)) = (sent, result) {
-            let (mark, role) = (status.last(), status.role);
+            let (mark, role, term) = (status.last(), status.role, status.term);
             let earlier = self.positions.get(server).map(|known| (known.mark, known.sent));
-            let position = Progress { mark, earlier, role, sent, incarnation };
+            let position = Progress { mark, earlier, role, term, sent, incarnation };
             self.positions.insert(server.clone(), position);
         }
     }
@@ -341,12 +338,14 @@
         }
         let survey = Survey { since, positions: &self.positions, seals: &self.seals };
         let chosen = survey.successor(context)?;
+        let progress = self.positions.get(&chosen.server);
         let choose = Choose {
             group: context.name.to_string(),
             term: term.0,
             server: chosen.server.to_string(),
             start: Some(chosen.start.into()),
-            incarnation: self.positions.get(&chosen.server).map_or(0, |known| known.incarnation),
+            incarnation: progress.map_or(0, |progress| progress.incarnation),
+            reported_term: progress.map_or(0, |progress| progress.term.0),
         };
         self.propose(context, command::Body::Choose(choose), out);
         Ok(())
@@ -373,20 +372,12 @@
 
     fn designate(&mut self, context: &Context<'_>, server: &Name, out: &mut Vec<Effect>) {
         let (now, term) = (context.now, context.group.term);
-        let since = match self.chosen {
-            Some((known, since)) if known == term => since,
-            _ => {
-                self.designated = None;
-                self.rejections = 0;
-                now
-            }
-        };
-        self.chosen = Some((term, since));
-        let leads = self
-            .positions
-            .get(server)
-            .is_some_and(|position| position.sent >= since && position.role == Role::Primary);
-        if leads {
+        if self.promotion.follow(now, term) {
+            self.rejections = 0;
+        }
+        let since = self.promotion.since();
+        let progress = self.positions.get(server).filter(|progress| progress.sent >= since);
+        if progress.is_some_and(|progress| self.promotion.has_taken_effect(context, progress)) {
             if let Some(trace) = &mut self.trace {
                 trace.promoted.get_or_insert(now);
             }
@@ -405,13 +396,15 @@
         // one of this leader; an earlier leader repeats them until it is replaced
         let is_early = |at: Option<Instant>| at.is_some_and(|at| now.since(at) <= LEASE_DURATION);
         let early = is_early(context.leadership.last_chosen) || is_early(self.inherited_at);
-        let recent = self.designated.is_some_and(|at| now.since(at) < DESIGNATE_INTERVAL);
-        if early || recent || !self.watches.get_or_insert(server).accepts_order(now) {
+        if early
+            || !self.promotion.is_due(now)
+            || !self.watches.get_or_insert(server).accepts_order(now)
+        {
             return;
         }
         if let Some(known) = context.state.servers.get(server) {
             let ask = Ask::Designate { token: context.leadership.token };
-            self.designated = Some(now);
+            self.promotion.record_call(now);
             self.watches.get_or_insert(server).record_order(now, ask);
             out.push(probe(context, server, known.address, ask));
         }
--- a/components/control/src/designation/successor.rs
+++ b/components/control/src/designation/successor.rs
@@ -37,6 +37,8 @@
     /// Position in the report before, and when that report was requested.
     pub(super) earlier: Option<(Mark, Instant)>,
     pub(super) role: Role,
+    /// Term of the server itself.
+    pub(super) term: Term,
     /// When the probe that returned this report was sent.
     pub(super) sent: Instant,
     /// Incarnation of the server as it was known then.
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -12,7 +12,7 @@
 use wire::{log, pack};
 
 use crate::changes::{Answer, Changes};
-use crate::state::{Entry, Group, Phase, Retired, Server, State};
+use crate::state::{Candidate, Entry, Group, Phase, Retired, Server, State};
 use crate::update::without_shares;
 
 /// Error for bytes that are no valid image.
@@ -102,6 +102,16 @@
     pub(crate) ended_index: u64,
     #[prost(uint64, tag = "12")]
     pub(crate) uncovered_index: u64,
+    #[prost(message, optional, tag = "13")]
+    pub(crate) candidate: Option<CandidateImage>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct CandidateImage {
+    #[prost(string, tag = "1")]
+    server: String,
+    #[prost(uint64, tag = "2")]
+    above: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -265,6 +275,7 @@
             server: server.to_string(),
             start: Some((*start).into()),
             incarnation: *incarnation,
+            reported_term: 0,
         }),
         Phase::Settled | Phase::Intended => None,
     };
@@ -281,6 +292,10 @@
         reduced_index: group.reduced_index,
         ended_index: group.ended_index,
         uncovered_index: group.uncovered_index,
+        candidate: group.candidate.as_ref().map(|candidate| CandidateImage {
+            server: candidate.server.to_string(),
+            above: candidate.above.0,
+        }),
     }
 }
 
@@ -288,8 +303,7 @@
     let phase = match &image.chosen {
         Some(chosen) => {
             let start = chosen.start.ok_or(Malformed)?.into();
-            let (server, incarnation) = (name(&chosen.server)?, chosen.incarnation);
-            Phase::Chosen { server, start, incarnation }
+            Phase::Chosen { server: name(&chosen.server)?, start, incarnation: chosen.incarnation }
         }
         None if image.intended => Phase::Intended,
         None => Phase::Settled,
@@ -310,10 +324,15 @@
         reduced_index: image.reduced_index,
         ended_index: image.ended_index,
         uncovered_index: image.uncovered_index,
+        candidate: image.candidate.as_ref().map(read_candidate).transpose()?,
     };
     Ok((name(&image.name)?, group))
 }
 
+fn read_candidate(image: &CandidateImage) -> Result<Candidate, Report<Malformed>> {
+    Ok(Candidate { server: name(&image.server)?, above: Term(image.above) })
+}
+
 pub(crate) fn write_server((name, server): (&Name, &Server)) -> ServerImage {
     ServerImage { announce: Some(server.to_announce(name)), expired: server.expired }
 }
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -81,6 +81,19 @@
     /// or the log of a replica left the group. Zero once another server is known to hold what
     /// was acknowledged until then.
     pub uncovered_index: u64,
+    /// Server of an unfenced group that was chosen or established last.
+    pub candidate: Option<Candidate>,
+}
+
+/// A server of an unfenced group that was chosen or established last. No other server was
+/// designated since then.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Name of the server.
+    pub server: Name,
+    /// The server's own term before its promotion: it leads if it reports the role of the
+    /// primary in a higher term. An old primary that was not stepped down has that role too.
+    pub above: Term,
 }
 
 /// Phase of a failover.
--- a/components/control/tests/designation.rs
+++ b/components/control/tests/designation.rs
@@ -258,3 +258,60 @@
     world.silence_a_keeper();
     assert_eq!(world.asked, Vec::<Name>::new());
 }
+
+/// The primary is cut off and replaced, and the next one crashes at once. The old primary,
+/// which was never stepped down, is chosen again.
+fn choose_the_old_primary_again() -> World {
+    let mut world = World::new();
+    world.set_position("s2", 90);
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    world.pass(500);
+    assert_eq!(world.primary(), Some("s1"));
+    world.set("s0", Health::Up);
+    world.set("s1", Health::Refusing);
+    world.symptom("e1", Condition::Refused);
+    world.symptom("e2", Condition::Refused);
+    world.accepts_designation = false;
+    world.pass(300);
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    world.pass(500);
+    assert!(matches!(world.phase(), Phase::Chosen { server, .. } if server.as_str() == "s0"));
+    world
+}
+
+/// review/2: an old primary that was chosen again counted as promoted by its role alone.
+#[test]
+fn an_old_primary_that_is_chosen_again_gets_no_work_before_it_is_promoted() {
+    let mut world = choose_the_old_primary_again();
+    assert_eq!(world.primary(), None, "it still leads its old term");
+    world.accepts_designation = true;
+    world.pass(1_000);
+    assert_eq!(world.primary(), Some("s0"));
+}
+
+/// A designation of the present primary changes nothing, so that its term never rises.
+#[test]
+fn a_server_whose_term_does_not_rise_is_the_present_primary_in_the_end() {
+    let mut world = choose_the_old_primary_again();
+    world.pass(3_000);
+    assert_eq!(world.primary(), None, "a designation of s1 may still take effect");
+    world.pass(2_500);
+    assert_eq!(world.primary(), Some("s0"));
+}
+
+#[test]
+fn a_primary_that_is_chosen_again_at_once_needs_no_new_term() {
+    let mut world = World::new();
+    world.set_position("s1", 90);
+    world.set_position("s2", 90);
+    world.crash();
+    world.seal("e1", 100);
+    world.seal("e2", 100);
+    world.accepts_designation = false;
+    world.set("s0", Health::Up);
+    world.pass(2_000);
+    assert_eq!(world.primary(), Some("s0"), "no other server was chosen");
+}
