--- a/components/entry/src/front/caller.rs
+++ b/components/entry/src/front/caller.rs
@@ -86,7 +86,7 @@
         }
         let message = match *self.phase.borrow() {
             Phase::Unleased => "the entry has lost touch with control; connect again",
-            Phase::Open | Phase::Closing => "the entry is stopping; connect again",
+            _ => "the entry is stopping; connect again",
         };
         self.conn.output.fatal(&Problem::new(Code::Shutdown, message));
         Ok(())
@@ -96,6 +96,9 @@
     /// or has lost its lease.
     async fn next_frame(&mut self) -> Result<Option<Frame>, Report<Disconnect>> {
         loop {
+            if self.phase.borrow().ends_transactions() && self.protocol.is_idle() {
+                return Ok(None);
+            }
             match pg::frame::take(&mut self.conn.input) {
                 Ok(Some(frame)) => return Ok(Some(frame)),
                 Ok(None) => {}
@@ -106,11 +109,8 @@
                 }
             }
             self.conn.flush().await?;
-            if !self.is_idle() {
-                self.conn.fill().await?;
-                continue;
-            }
-            if !wait_for_input(&mut self.phase, self.conn.fill()).await? {
+            let idle = self.is_idle();
+            if !wait_for_input(&mut self.phase, idle, self.conn.fill()).await? {
                 return Ok(None);
             }
         }
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -73,6 +73,9 @@
 /// stop or lost its lease: a request that is on its way is answered, not cut off.
 const IDLE_GRACE: Duration = Duration::from_millis(100);
 
+/// Time for the answers to statements that were still running at the end of a stop.
+const OVER_GRACE: Duration = Duration::from_millis(300);
+
 /// Time between two checks of the lease.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -121,6 +124,33 @@
     Unleased,
     /// The front is stopping and finishes open requests and transactions.
     Closing,
+    /// The time for open transactions is over: statements that run are answered, and the
+    /// next statement of a transaction is refused unless it ends the transaction.
+    Ending,
+    /// The time for statements is over too: those that still run are answered as unfinished.
+    Over,
+}
+
+impl Phase {
+    /// Whether the front is stopping.
+    pub fn is_stopping(self) -> bool {
+        matches!(self, Self::Closing | Self::Ending | Self::Over)
+    }
+
+    /// Whether the time for open transactions is over.
+    pub fn ends_transactions(self) -> bool {
+        matches!(self, Self::Ending | Self::Over)
+    }
+
+    /// Whether a caller that sends nothing is disconnected; `idle` is one without an open
+    /// transaction.
+    fn disconnects(self, idle: bool) -> bool {
+        match self {
+            Self::Open => false,
+            Self::Unleased | Self::Closing => idle,
+            Self::Ending | Self::Over => true,
+        }
+    }
 }
 
 /// State that all callers of a front share.
@@ -247,15 +277,21 @@
         Arc::clone(&self.front)
     }
 
-    /// Accepts no new callers, disconnects idle ones at once and every other one
-    /// when its transaction ends. Callers that are still active after `limit` are
-    /// disconnected then. Returns the number of these.
-    pub async fn close(&self, limit: Duration) -> usize {
+    /// Accepts no new callers, disconnects idle ones at once and every other one when its
+    /// transaction ends. After `transactions`, open transactions are ended at their next
+    /// pause. Statements that run go on for `statements` more, and are answered as
+    /// unfinished then. Returns the number of callers that were disconnected in a
+    /// transaction or without the result of their statement.
+    pub async fn close(&self, transactions: Duration, statements: Duration) -> usize {
         self.stop.cancel();
         self.front.phase.send_replace(Phase::Closing);
         self.callers.close();
-        drop(tokio::time::timeout(limit, self.callers.wait()).await);
+        drop(tokio::time::timeout(transactions, self.callers.wait()).await);
         let disconnected = self.callers.len();
+        self.front.phase.send_replace(Phase::Ending);
+        drop(tokio::time::timeout(statements, self.callers.wait()).await);
+        self.front.phase.send_replace(Phase::Over);
+        drop(tokio::time::timeout(OVER_GRACE, self.callers.wait()).await);
         self.kill.cancel();
         self.callers.wait().await;
         self.front.keepers.send_shutdown().await;
@@ -316,22 +352,34 @@
     }
 }
 
-/// Waits until a caller without an open request sends input or the front changes
-/// its phase. Returns whether the caller is still to be served.
+/// Waits until a caller without a running statement sends input, or is to be disconnected.
+/// `idle` is a caller without an open transaction. Returns whether the caller is still to be
+/// served.
 async fn wait_for_input(
     phase: &mut watch::Receiver<Phase>,
+    idle: bool,
     input: impl Future<Output = Result<(), Report<conn::Disconnect>>>,
 ) -> Result<bool, Report<conn::Disconnect>> {
-    if *phase.borrow_and_update() != Phase::Open {
-        return match tokio::time::timeout(IDLE_GRACE, input).await {
-            Ok(filled) => filled.map(|()| true),
-            Err(_elapsed) => Ok(false),
-        };
+    tokio::pin!(input);
+    while !phase.borrow_and_update().disconnects(idle) {
+        tokio::select! {
+            biased;
+            filled = &mut input => return filled.map(|()| true),
+            changed = phase.changed() => if changed.is_err() {
+                return Ok(false);
+            },
+        }
     }
-    tokio::select! {
-        biased;
-        filled = input => filled.map(|()| true),
-        changed = phase.changed() => Ok(changed.is_ok()),
+    match tokio::time::timeout(IDLE_GRACE, input).await {
+        Ok(filled) => filled.map(|()| true),
+        Err(_elapsed) => Ok(false),
+    }
+}
+
+/// Waits until statements that still run are to be answered as unfinished.
+async fn wait_until_over(mut phase: watch::Receiver<Phase>) {
+    if phase.wait_for(|phase| *phase == Phase::Over).await.is_err() {
+        std::future::pending::<()>().await;
     }
 }
 
@@ -347,7 +395,7 @@
         let lost = missing > UNLEASED_TIMEOUT && disconnects;
         let next = if lost { Phase::Unleased } else { Phase::Open };
         let changed = front.phase.send_if_modified(|phase| {
-            let changes = *phase != Phase::Closing && *phase != next;
+            let changes = !phase.is_stopping() && *phase != next;
             if changes {
                 *phase = next;
             }
--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -23,9 +23,9 @@
 use slog::debug;
 use tokio::net::TcpStream;
 
+use super::Front;
 use super::conn::Disconnect;
 use super::dispatch::expects_lease;
-use super::{Front, Phase};
 use caller::Caller;
 use conn::Conn;
 use login::Login;
@@ -60,7 +60,7 @@
         return Ok(None);
     };
     let found = front.view.read(|state| Login::new(&state.declarations, &database, &key));
-    if *front.phase.borrow() == Phase::Closing {
+    if front.phase.borrow().is_stopping() {
         // the session would be closed at once; another entry can serve the caller
         conn.put(&Answer::Problem(Problem::Busy));
         return Ok(None);
--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -11,18 +11,18 @@
 use slog::debug;
 use tokio::sync::watch;
 use wire::Message as _;
-use wire::data::{Leave, Run, ask};
+use wire::data::{Leave, Reason, Run, ask};
 use wire::plain::{Begin, Execute, Task, Value};
 
 use super::buffer::Buffer;
 use super::conn::Conn;
 use super::login::Login;
-use crate::front::attempt::Attempt;
+use crate::front::attempt::{Attempt, not_run};
 use crate::front::conn::Disconnect;
 use crate::front::dispatch::{Dispatch, millis};
 use crate::front::link::Link;
 use crate::front::patience::Patience;
-use crate::front::{Front, Phase, wait_for_input};
+use crate::front::{Front, Phase, wait_for_input, wait_until_over};
 
 /// Maximum number of session variables in one session, and likewise of prepared
 /// statements; each kind is counted separately.
@@ -128,8 +128,10 @@
             self.conn.flush().await?;
             let idle = matches!(self.transaction, Transaction::None);
             if !(idle && self.conn.is_input_empty()) {
-                self.conn.fill().await?;
-                continue;
+                if wait_for_input(&mut self.phase, false, self.conn.fill()).await? {
+                    continue;
+                }
+                return Ok(None);
             }
             if !self.wait_idle().await? {
                 return Ok(None);
@@ -144,7 +146,7 @@
         loop {
             tokio::select! {
                 biased;
-                served = wait_for_input(&mut self.phase, self.conn.fill()) => return served,
+                served = wait_for_input(&mut self.phase, true, self.conn.fill()) => return served,
                 Ok(()) = self.version.changed() => {
                     let identified = |state: &control::State| {
                         self.login.team(&state.declarations).is_ok()
@@ -165,6 +167,9 @@
         if matches!(self.transaction, Transaction::Failed) {
             return self.answer_failed(&statement).await;
         }
+        if self.phase.borrow().ends_transactions() && !self.ends(&statement) {
+            return self.fail(self.refusal()).await;
+        }
         match statement {
             Statement::Begin(access) => match self.transaction {
                 Transaction::None => {
@@ -227,6 +232,20 @@
         self.conn.flush().await
     }
 
+    /// Whether a statement ends the open transaction.
+    fn ends(&self, statement: &Statement) -> bool {
+        let is_open = !matches!(self.transaction, Transaction::None);
+        is_open && matches!(statement, Statement::Commit | Statement::Rollback)
+    }
+
+    /// Error for a statement that comes after the time for open transactions.
+    fn refusal(&self) -> Problem {
+        match self.transaction {
+            Transaction::None => Problem::Busy,
+            _ => Problem::Aborted,
+        }
+    }
+
     /// Access mode of the open transaction.
     pub(super) fn access(&self) -> Access {
         match &self.transaction {
@@ -373,18 +392,19 @@
                 None => dispatch.try_keepers().await,
             }
         };
-        let left = tokio::select! {
+        let ended = tokio::select! {
             biased;
-            ended = attempts => Ok(ended?),
-            report = self.conn.closed() => Err(report),
-        };
-        let (attempt, link) = match left {
-            Ok(ended) => ended,
-            Err(report) => {
+            ended = attempts => Some(ended?),
+            report = self.conn.closed() => {
                 let link = dispatch.sink.take_link();
                 self.leave(link).await;
                 return Err(report);
             }
+            () = wait_until_over(self.phase.clone()) => None,
+        };
+        let Some((attempt, link)) = ended else {
+            let link = dispatch.sink.take_link();
+            return self.end_unfinished(&work, link, group).await;
         };
         let reply = dispatch.sink.reply();
         if let Attempt::Ended { end, .. } = &attempt {
@@ -394,6 +414,23 @@
         self.finish(&work, &attempt, reply, link, group).await
     }
 
+    /// Answers a statement that has not ended when the front stops.
+    async fn end_unfinished(
+        &mut self,
+        work: &Work,
+        link: Option<Arc<Link>>,
+        group: Name,
+    ) -> Result<(), Report<Disconnect>> {
+        let attempt = match link {
+            Some(_) => Attempt::Broken { forwarded: false, own_answers: 0 },
+            None => Attempt::ended(not_run(Reason::Closing)),
+        };
+        if matches!(self.transaction, Transaction::None) {
+            self.leave(link.clone()).await;
+        }
+        self.finish(work, &attempt, None, link, group).await
+    }
+
     fn build_request(
         &self,
         work: &Work,
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -70,18 +70,31 @@
     pub clock: Clock,
 }
 
+/// Default of [`Stop::statements`].
+const STATEMENT_LIMIT: Duration = Duration::from_secs(5);
+
+/// Shortest time for the keeper to end what runs there for callers of other entries.
+const KEEPER_GRACE: Duration = Duration::from_millis(200);
+
 /// Time limits of a graceful stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stop {
     /// Wait for the load balancer to notice that the entry is not ready.
     pub balancer: Duration,
-    /// Time limit for running requests and open transactions to finish.
+    /// Time limit for open transactions to finish.
     pub limit: Duration,
+    /// Further time for statements that still run then. What remains is ended, so the
+    /// process must be left a little longer than both together.
+    pub statements: Duration,
 }
 
 impl Default for Stop {
     fn default() -> Self {
-        Self { balancer: Duration::from_secs(1), limit: Duration::from_secs(20) }
+        Self {
+            balancer: Duration::from_secs(1),
+            limit: Duration::from_secs(20),
+            statements: STATEMENT_LIMIT,
+        }
     }
 }
 
@@ -325,12 +338,16 @@
         self.health.set_ready(false);
         info!(self.log, "stopping"; "limit_ms" => stop.limit.as_millis() as u64);
         tokio::time::sleep(stop.balancer).await;
-        let disconnected = self.front.close(stop.limit).await;
+        let until = tokio::time::Instant::now() + stop.limit + stop.statements;
+        let disconnected = self.front.close(stop.limit, stop.statements).await;
         if disconnected > 0 {
             warn!(self.log, "time limit for stopping reached; remaining callers were disconnected";
                 "callers" => disconnected);
         }
-        self.keep.close().await;
+        let until = until.max(tokio::time::Instant::now() + KEEPER_GRACE);
+        if tokio::time::timeout_at(until, self.keep.close()).await.is_err() {
+            warn!(self.log, "time limit for stopping reached; the keeper's work was ended");
+        }
         self.front.close_links();
         self.follow.leave().await;
         self.ended.cancel();
--- a/components/entry/tests/fake/mod.rs
+++ b/components/entry/tests/fake/mod.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 use base::clock::Clock;
@@ -18,6 +19,7 @@
 use pg::answer::Status;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use wire::Message as _;
 use wire::data::{Answer, Ask, Closing, End, Outcome, Part, Pong, Reason, Run, answer, ask};
 use wire::log::Lease;
 
@@ -61,6 +63,8 @@
     pub run_counts: Mutex<HashMap<bytes::Bytes, usize>>,
     /// Position of the last mark that was given out.
     pub position: Mutex<u64>,
+    /// Whether the requests are plain statements, each of which succeeds.
+    pub plain: AtomicBool,
 }
 
 impl Shared {
@@ -185,6 +189,19 @@
         Some(Fault::Closing) => send(answer::Body::Closing(Closing {})),
         _ => {}
     }
+    if shared.plain.load(Ordering::Relaxed) {
+        let reply = wire::plain::Reply {
+            complete: Some(bytes::Bytes::from_static(b"done")),
+            ..wire::plain::Reply::default()
+        };
+        send(answer::Body::Part(part(0, reply.encode_to_vec().into())));
+        let task = wire::plain::Task::decode(run.payload.clone()).unwrap();
+        let open = task.begin != 0 || (run.in_transaction && !run.commits);
+        end.parts = 1;
+        end.outcome = Outcome::Done as i32;
+        end.status = u32::from(if open { b'T' } else { b'I' });
+        return send(answer::Body::End(end));
+    }
     let (mut payload, status) = shared.run(&run);
     if let Some(Fault::Large(bytes)) = fault {
         let mut out = pg::answer::Writer::new();
--- a/programs/trefoil-entry/src/cli.rs
+++ b/programs/trefoil-entry/src/cli.rs
@@ -153,7 +153,10 @@
     let balancer = millis("balancer-ms", "TREFOIL_BALANCER_MS", help, default.balancer);
     let help = "time in which transactions may end at a stop, in milliseconds";
     let limit = millis("stop-limit-ms", "TREFOIL_STOP_LIMIT_MS", help, default.limit);
-    construct!(entry::Stop { balancer, limit })
+    let help = "further time for statements that still run then, in milliseconds";
+    let statements =
+        millis("stop-statements-ms", "TREFOIL_STOP_STATEMENTS_MS", help, default.statements);
+    construct!(entry::Stop { balancer, limit, statements })
 }
 
 fn millis(
