--- a/components/control/src/apply.rs
+++ b/components/control/src/apply.rs
@@ -173,8 +173,8 @@
             }
         }
         let known = self.servers.get(&name);
-        if known.is_some_and(|known| known.incarnation < server.incarnation) {
-            // the new incarnation may have started without the log of the earlier one
+        if known.is_some_and(|known| known.incarnation != server.incarnation) {
+            // the other incarnation may have started without the log of this one
             self.record_lost_log(&name);
         }
         self.servers.insert(name, server);
@@ -228,9 +228,11 @@
         }
         if let Some(known) = self.servers.get(&name) {
             // a delayed announcement must not bring a leaving server back
-            let same = known.incarnation == server.incarnation;
-            server.leaving |= acknowledges && same && known.leaving;
-            if known.incarnation > server.incarnation {
+            let later = known.incarnation >= server.incarnation;
+            server.leaving |= acknowledges && later && known.leaving;
+            // a later incarnation that announces itself no more may never have been there
+            let gone = acknowledges && known.expired;
+            if known.incarnation > server.incarnation && !gone {
                 return Err(Refusal::Incarnation);
             }
             if known.incarnation == server.incarnation && known.address != server.address {
--- a/components/control/src/renewals.rs
+++ b/components/control/src/renewals.rs
@@ -1,6 +1,13 @@
 //! Tracks which backend servers still announce themselves.
 //!
-//! An announcement that changes nothing is not proposed to the log.
+//! An announcement that changes nothing is not proposed to the log. One that no server can
+//! have sent is dropped ([`is_valid`]): what is proposed is in the log from then on.
+//!
+//! A late announcement must not undo a newer one, so announcements with lower sequence numbers
+//! or of earlier incarnations are dropped. But an announcement by another writer may claim a
+//! number that hides all those of the server itself. The server goes on to announce itself, and
+//! the other number is not heard again: after [`ANNOUNCE_TIMEOUT`] without an announcement at or
+//! above the newest number, the next one counts, whatever its number.
 
 use std::collections::BTreeMap;
 
@@ -8,7 +15,7 @@
 use wire::log::{Announce, Expire, command};
 
 use crate::leader::{Effect, PROPOSAL_TIMEOUT};
-use crate::state::State;
+use crate::state::{Server, State};
 
 /// Time between two announcements of a backend server.
 pub const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -16,6 +23,28 @@
 /// Time without an announcement after which a backend server expires.
 pub const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Largest sequence number and incarnation: the largest whole number that each reader of JSON
+/// takes exactly.
+pub const MAX_NUMBER: u64 = (1 << 53) - 1;
+
+/// Largest number of slots and connections that a server may announce.
+pub const MAX_CAPACITY: u32 = 1 << 20;
+
+/// Whether a backend server can have sent an announcement: names and address can be read,
+/// the address can be reached, and the numbers are within their limits.
+pub fn is_valid(announce: &Announce) -> bool {
+    let Some((_, server)) = Server::from_announce(announce) else {
+        return false;
+    };
+    let is_reachable = server.address.port() > 0 && !server.address.ip().is_unspecified();
+    let capacity = 1..=MAX_CAPACITY;
+    is_reachable
+        && capacity.contains(&announce.slots)
+        && capacity.contains(&announce.connections)
+        && announce.incarnation <= MAX_NUMBER
+        && announce.sequence <= MAX_NUMBER
+}
+
 #[derive(Debug)]
 struct Renewal {
     /// When the newest announcement arrived.
@@ -48,6 +77,9 @@
         announce: Announce,
         out: &mut Vec<Effect>,
     ) {
+        if !is_valid(&announce) {
+            return;
+        }
         let checked = state.check_announce(&announce);
         let Ok(name) = Name::new(&announce.server) else {
             return;
@@ -60,7 +92,7 @@
         }
         let renewal = self.renewal(now, name);
         let newest = (announce.incarnation, announce.sequence);
-        if newest < renewal.newest {
+        if newest < renewal.newest && now.since(renewal.heard) <= ANNOUNCE_TIMEOUT {
             return;
         }
         renewal.newest = newest;
--- a/components/member/src/apply.rs
+++ b/components/member/src/apply.rs
@@ -66,6 +66,7 @@
             self.leader = Some(control::Leader::with_leadership(self.now(), leadership));
             info!(self.log, "became the control leader"; "term" => entry.term, "index" => index);
         }
+        self.leaves.answer(now, &self.state);
         self.notify_leader(control::Event::Applied { index });
     }
 
--- a/components/member/src/core.rs
+++ b/components/member/src/core.rs
@@ -21,6 +21,7 @@
 use crate::follower::Follower;
 use crate::host::STOP_TIMEOUT;
 use crate::input::Input;
+use crate::leaves::Leaves;
 use crate::meter::Meter;
 use crate::peers::Links;
 use crate::pending::{Pending, Read};
@@ -109,6 +110,8 @@
     pub(crate) roster: Roster,
     /// What changes of primaries wait for, as far as it is logged.
     pub(crate) waits: Waits,
+    /// Announcements of leaving servers that are not acknowledged yet.
+    pub(crate) leaves: Leaves,
     /// Whether this member asks to join a membership: set at the start if it has no
     /// log, and later whenever it has had no leader for too long.
     pub(crate) wants_to_join: Arc<AtomicBool>,
@@ -163,6 +166,7 @@
         self.process_events();
         if self.ticks.is_multiple_of(CONTROL_TICKS) {
             self.tick_leader();
+            self.leaves.answer(self.now(), &self.state);
         }
         if self.ticks.is_multiple_of(BEACON_TICKS) {
             self.publish();
--- a/components/member/src/host.rs
+++ b/components/member/src/host.rs
@@ -26,6 +26,7 @@
 use crate::core::Core;
 use crate::disk::{self, Disk};
 use crate::input::{self, Input};
+use crate::leaves::Leaves;
 use crate::meter::Meter;
 use crate::peers::Links;
 use crate::probe::Probes;
@@ -312,6 +313,7 @@
             control_leadership: control::Leadership { token: 0, last_chosen: Some(now), without },
             roster: Roster::new(tolerance),
             waits: Waits::default(),
+            leaves: Leaves::default(),
             wants_to_join,
         };
         let ended = scope.token.clone();
--- a/components/member/src/leader.rs
+++ b/components/member/src/leader.rs
@@ -12,6 +12,7 @@
 
 use crate::core::Core;
 use crate::input::NoLeader;
+use crate::leaves::Leaves;
 use crate::pending::{Designation, Read};
 use crate::permit::Permit;
 use crate::probe::Request;
@@ -69,13 +70,18 @@
         }
     }
 
-    /// Queues the announcement of a backend server for the leader.
+    /// Queues the announcement of a backend server for the leader. That of a server that
+    /// leaves is acknowledged once it has been applied.
     pub(crate) fn announce(
         &mut self,
         announce: Announce,
         reply: oneshot::Sender<Result<(), NoLeader>>,
     ) {
         let has_leader = self.leadership.leader.is_some();
+        if has_leader && Leaves::concerns(&self.state, &announce) {
+            self.leaves.add(self.now(), &announce, reply);
+            return self.forward.announces.push(announce);
+        }
         if has_leader {
             self.forward.announces.push(announce);
         }
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -42,6 +42,7 @@
 mod input;
 mod join;
 mod leader;
+mod leaves;
 mod link;
 mod meter;
 pub mod outbox;
--- a/components/member/src/web.rs
+++ b/components/member/src/web.rs
@@ -224,7 +224,7 @@
     Json(announce): Json<Announce>,
 ) -> Result<Json<Renew>, Failure> {
     let announce = log::Announce::from(announce);
-    if control::Server::from_announce(&announce).is_none() {
+    if !control::renewals::is_valid(&announce) {
         return Err(Failure::InvalidAnnounce);
     }
     shared.api.ask(|reply| Input::Announce { announce, reply }).await??;
