--- a/components/control/src/apply/primary.rs
+++ b/components/control/src/apply/primary.rs
@@ -25,7 +25,7 @@
         let seat = group.seats.iter().find(|seat| seat.as_str() == choose.server);
         let server = seat.cloned().ok_or(Refusal::Unknown)?;
         let start = choose.start.map(Mark::from).ok_or(Refusal::Malformed)?;
-        group.follow_candidate(&server, Term(choose.reported_term));
+        group.follow_candidate(&server, choose.reported_term.map(Term));
         group.phase = Phase::Chosen { server, start, incarnation: choose.incarnation };
         Ok(Outcome::Applied)
     }
@@ -58,7 +58,7 @@
         }
         group.term = term;
         group.phase = Phase::Settled;
-        group.follow_candidate(&server, Term(0));
+        group.follow_candidate(&server, None);
         group.primary = Some(server);
         Ok(Outcome::Applied)
     }
@@ -89,7 +89,7 @@
 impl Group {
     /// Records that a server was chosen or established. The term before its promotion is kept
     /// while no other server is chosen.
-    fn follow_candidate(&mut self, server: &Name, above: Term) {
+    fn follow_candidate(&mut self, server: &Name, above: Option<Term>) {
         if self.candidate.as_ref().is_none_or(|candidate| candidate.server != *server) {
             self.candidate = Some(Candidate { server: server.clone(), above });
         }
--- a/components/control/src/designation.rs
+++ b/components/control/src/designation.rs
@@ -301,7 +301,7 @@
             server: chosen.server.to_string(),
             start: Some(chosen.start.into()),
             incarnation: progress.map_or(0, |progress| progress.incarnation),
-            reported_term: progress.map_or(0, |progress| progress.term.0),
+            reported_term: progress.map(|progress| progress.term.0),
         };
         self.propose(context, command::Body::Choose(choose), out);
         Ok(())
--- a/components/control/src/designation/promotion.rs
+++ b/components/control/src/designation/promotion.rs
@@ -73,7 +73,8 @@
     /// Whether a report of the chosen server shows that it leads.
     pub(super) fn has_taken_effect(&self, context: &Context<'_>, progress: &Progress) -> bool {
         let candidate = context.group.candidate.as_ref();
-        let has_risen = candidate.is_some_and(|candidate| progress.term > candidate.above);
+        let has_risen = candidate
+            .is_some_and(|candidate| candidate.above.is_none_or(|above| progress.term > above));
         let is_unchanged =
             || self.accepted.is_some_and(|at| progress.sent.since(at) >= EFFECT_TIMEOUT);
         progress.role == Role::Primary && (has_risen || is_unchanged())
--- a/components/control/src/failover/takeover.rs
+++ b/components/control/src/failover/takeover.rs
@@ -109,7 +109,7 @@
             server: choice.server.to_string(),
             start: Some(choice.start.into()),
             incarnation: 0,
-            reported_term: 0,
+            reported_term: None,
         };
         out.push(Effect::propose(command::Body::Choose(choose)));
     }
--- a/components/control/src/image.rs
+++ b/components/control/src/image.rs
@@ -110,8 +110,8 @@
 pub(crate) struct CandidateImage {
     #[prost(string, tag = "1")]
     server: String,
-    #[prost(uint64, tag = "2")]
-    above: u64,
+    #[prost(uint64, optional, tag = "2")]
+    above: Option<u64>,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -275,7 +275,7 @@
             server: server.to_string(),
             start: Some((*start).into()),
             incarnation: *incarnation,
-            reported_term: 0,
+            reported_term: None,
         }),
         Phase::Settled | Phase::Intended => None,
     };
@@ -294,7 +294,7 @@
         uncovered_index: group.uncovered_index,
         candidate: group.candidate.as_ref().map(|candidate| CandidateImage {
             server: candidate.server.to_string(),
-            above: candidate.above.0,
+            above: candidate.above.map(|term| term.0),
         }),
     }
 }
@@ -330,7 +330,7 @@
 }
 
 fn read_candidate(image: &CandidateImage) -> Result<Candidate, Report<Malformed>> {
-    Ok(Candidate { server: name(&image.server)?, above: Term(image.above) })
+    Ok(Candidate { server: name(&image.server)?, above: image.above.map(Term) })
 }
 
 pub(crate) fn write_server((name, server): (&Name, &Server)) -> ServerImage {
--- a/components/control/src/state.rs
+++ b/components/control/src/state.rs
@@ -93,7 +93,8 @@
     pub server: Name,
     /// The server's own term before its promotion: it leads if it reports the role of the
     /// primary in a higher term. An old primary that was not stepped down has that role too.
-    pub above: Term,
+    /// `None` if the server was established without a choice.
+    pub above: Option<Term>,
 }
 
 /// Phase of a failover.
--- a/components/wire/src/log.rs
+++ b/components/wire/src/log.rs
@@ -291,10 +291,10 @@
     /// Incarnation of the server that reported its position; zero in a fenced group.
     #[prost(uint64, tag = "5")]
     pub incarnation: u64,
-    /// Term that the server reported as its own, which ends when the server is promoted; zero
+    /// Term that the server reported as its own, which ends when the server is promoted; none
     /// in a fenced group.
-    #[prost(uint64, tag = "6")]
-    pub reported_term: u64,
+    #[prost(uint64, optional, tag = "6")]
+    pub reported_term: Option<u64>,
 }
 
 /// Records that the new primary leads: a majority of a fenced group follows it, or the
