--- a/components/quorum/src/leader.rs
+++ b/components/quorum/src/leader.rs
@@ -254,6 +254,10 @@
     pub(crate) fn on_appended(&mut self, now: Instant, from: u64, appended: Appended) {
         let base = self.log.base();
         let last = self.log.last_index();
+        if appended.matched && appended.index > last {
+            // no member can hold entries that its leader lacks
+            return;
+        }
         let Some(lead) = self.leader_mut() else { return };
         let Some(peer) = lead.peers.get_mut(&from) else { return };
         peer.heard_at = Some(now);
--- a/components/quorum/src/lib.rs
+++ b/components/quorum/src/lib.rs
@@ -18,6 +18,7 @@
 //!   under the same id: the program starts from a random token and counts up.
 
 mod barrier;
+mod check;
 mod dedup;
 mod election;
 mod event;
--- a/components/quorum/src/replica.rs
+++ b/components/quorum/src/replica.rs
@@ -11,6 +11,7 @@
 use wire::quorum::{Entry, Members, Message, propose};
 
 use crate::barrier::{Action, Barrier, Hard};
+use crate::check::is_possible;
 use crate::event::{Effect, Event, Flaw, Leadership, Settings, Stored};
 use crate::leader::Leader;
 use crate::log::Log;
@@ -239,7 +240,7 @@
     }
 
     fn receive(&mut self, now: Instant, message: Message) {
-        if message.to != self.settings.id {
+        if message.to != self.settings.id || !is_possible(&message) {
             return;
         }
         let Some(body) = message.body else { return };
