--- a/components/entry/src/front/caller.rs
+++ b/components/entry/src/front/caller.rs
@@ -86,7 +86,9 @@
         }
         let message = match *self.phase.borrow() {
             Phase::Unleased => "the entry has lost touch with control; connect again",
-            _ => "the entry is stopping; connect again",
+            Phase::Open | Phase::Closing | Phase::Ending | Phase::Over => {
+                "the entry is stopping; connect again"
+            }
         };
         self.conn.output.fatal(&Problem::new(Code::Shutdown, message));
         Ok(())
--- a/components/entry/src/front/mod.rs
+++ b/components/entry/src/front/mod.rs
@@ -280,14 +280,14 @@
     /// Accepts no new callers, disconnects idle ones at once and every other one when its
     /// transaction ends. After `transactions`, open transactions are ended at their next
     /// pause. Statements that run go on for `statements` more, and are answered as
-    /// unfinished then. Returns the number of callers that were disconnected in a
-    /// transaction or without the result of their statement.
+    /// unfinished then. Returns the number of callers that were active when the time for
+    /// transactions ended.
     pub async fn close(&self, transactions: Duration, statements: Duration) -> usize {
         self.stop.cancel();
         self.front.phase.send_replace(Phase::Closing);
         self.callers.close();
         drop(tokio::time::timeout(transactions, self.callers.wait()).await);
-        let disconnected = self.callers.len();
+        let interrupted = self.callers.len();
         self.front.phase.send_replace(Phase::Ending);
         drop(tokio::time::timeout(statements, self.callers.wait()).await);
         self.front.phase.send_replace(Phase::Over);
@@ -295,7 +295,7 @@
         self.kill.cancel();
         self.callers.wait().await;
         self.front.keepers.send_shutdown().await;
-        disconnected
+        interrupted
     }
 
     /// Closes the links to keepers; to be called once no request is open any more.
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -339,10 +339,10 @@
         info!(self.log, "stopping"; "limit_ms" => stop.limit.as_millis() as u64);
         tokio::time::sleep(stop.balancer).await;
         let until = tokio::time::Instant::now() + stop.limit + stop.statements;
-        let disconnected = self.front.close(stop.limit, stop.statements).await;
-        if disconnected > 0 {
-            warn!(self.log, "time limit for stopping reached; remaining callers were disconnected";
-                "callers" => disconnected);
+        let interrupted = self.front.close(stop.limit, stop.statements).await;
+        if interrupted > 0 {
+            warn!(self.log, "time limit for open transactions reached; they were ended";
+                "callers" => interrupted);
         }
         let until = until.max(tokio::time::Instant::now() + KEEPER_GRACE);
         if tokio::time::timeout_at(until, self.keep.close()).await.is_err() {
