--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -127,13 +127,14 @@
             }
             self.conn.flush().await?;
             let idle = matches!(self.transaction, Transaction::None);
-            if !(idle && self.conn.is_input_empty()) {
-                if wait_for_input(&mut self.phase, false, self.conn.fill()).await? {
-                    continue;
-                }
-                return Ok(None);
-            }
-            if !self.wait_idle().await? {
+            let served = if idle && self.conn.is_input_empty() {
+                self.wait_idle().await?
+            } else {
+                wait_for_input(&mut self.phase, false, self.conn.fill()).await?
+            };
+            // a request that has arrived meanwhile is answered: with the close of the
+            // connection it would be discarded
+            if !served && !self.conn.fill_now() {
                 return Ok(None);
             }
         }
--- a/components/entry/src/front/plain/conn.rs
+++ b/components/entry/src/front/plain/conn.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Reads what has arrived and was not noticed yet. Returns whether there was any.
+    pub(super) fn fill_now(&mut self) -> bool {
+        let mut chunk = [0; INPUT_BYTES];
+        let read = link::socket::read_now(&self.io, &mut chunk);
+        self.input.extend_from_slice(&chunk[..read]);
+        read > 0
+    }
+
     /// Waits until the caller closes its connection, and reads ahead meanwhile. The close of
     /// a caller that has sent more than [`AHEAD_BYTES`] is not noticed. This method is cancel
     /// safe.
--- a/components/entry/tests/plain.rs
+++ b/components/entry/tests/plain.rs
@@ -6,6 +6,7 @@
 
 mod fake;
 
+use std::io::Read as _;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -281,3 +282,41 @@
         }
     }
 }
+
+/// Number of sessions that a stop closes in one burst.
+const IDLE_SESSIONS: usize = 40;
+
+/// A stop closed many idle sessions in one burst. Requests that arrived during the burst, after
+/// the runtime had looked for input, were discarded with the close of their connection.
+#[tokio::test]
+async fn a_request_that_arrives_while_many_sessions_are_closed_is_answered() {
+    for _ in 0..5 {
+        let bench = serving_bench().await;
+        let mut callers = Vec::new();
+        for _ in 0..IDLE_SESSIONS {
+            callers.push(connect(&bench).await);
+        }
+        let started = tokio::time::Instant::now();
+        let writes = callers.iter_mut().enumerate().map(|(at, caller)| async move {
+            // the grace of idle sessions ends at the same time as this wait, so that the
+            // request is written between the closes of other sessions
+            tokio::time::sleep_until(started + Duration::from_millis(99 + at as u64 % 4)).await;
+            let is_open = !is_closed(caller);
+            is_open && caller.try_write(b"R").is_ok_and(|written| written == 1)
+        });
+        let close = bench.front.close(Duration::from_secs(10), Duration::ZERO);
+        let (written, _) = tokio::join!(futures::future::join_all(writes), close);
+        for (mut caller, written) in callers.into_iter().zip(written) {
+            let mut answers = Vec::new();
+            let ended = caller.read_to_end(&mut answers).await;
+            let unanswered = written && ended.is_ok() && answers.is_empty();
+            assert!(!unanswered, "a request was discarded");
+        }
+    }
+}
+
+/// Whether the front has closed a connection, as the kernel knows it.
+fn is_closed(caller: &TcpStream) -> bool {
+    let socket = socket2::SockRef::from(caller);
+    matches!((&*socket).read(&mut [0; 1]), Ok(0))
+}
--- a/components/link/src/socket.rs
+++ b/components/link/src/socket.rs
@@ -1,10 +1,10 @@
 //! TCP socket options, set on links and on connections that use the plain protocol, the
 //! alternative to the PostgreSQL protocol.
 
-use std::io;
+use std::io::{self, Read as _};
+use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// Time for which sent data may stay unacknowledged before the connection is closed
@@ -32,3 +32,11 @@
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)
 }
+
+/// Reads what has arrived, whether the runtime has noticed it or not. Returns the number of
+/// bytes; zero if there are none. A busy runtime may look for input again only after it has run
+/// many other tasks.
+pub fn read_now(stream: &TcpStream, buffer: &mut [u8]) -> usize {
+    let socket = SockRef::from(stream);
+    (&*socket).read(buffer).unwrap_or_default()
+}
