--- a/components/control/src/apply/primary.rs
+++ b/components/control/src/apply/primary.rs
@@ -18,6 +18,7 @@
     }
 
     pub(super) fn choose(&mut self, choose: &log::Choose) -> Result<Outcome, Refusal> {
+        let acknowledges = self.acknowledges(&choose.group);
         let group = self.groups.get_mut(choose.group.as_str()).ok_or(Refusal::Unknown)?;
         if Term(choose.term) != group.term || group.phase != Phase::Intended {
             return Err(Refusal::Term);
@@ -25,7 +26,9 @@
         let seat = group.seats.iter().find(|seat| seat.as_str() == choose.server);
         let server = seat.cloned().ok_or(Refusal::Unknown)?;
         let start = choose.start.map(Mark::from).ok_or(Refusal::Malformed)?;
-        group.follow_candidate(&server, choose.reported_term.map(Term));
+        if acknowledges {
+            group.follow_candidate(&server, choose.reported_term.map(Term));
+        }
         group.phase = Phase::Chosen { server, start, incarnation: choose.incarnation };
         Ok(Outcome::Applied)
     }
@@ -51,14 +54,15 @@
                 _ => return Err(Refusal::Term),
             }
         }
-        let replaces = group.primary.as_ref().is_some_and(|old| *old != server);
-        if acknowledges && replaces {
-            // other servers may lack records that the new primary had received
-            group.uncovered_index = self.index;
+        if acknowledges {
+            if group.primary.as_ref().is_some_and(|old| *old != server) {
+                // other servers may lack records that the new primary had received
+                group.uncovered_index = self.index;
+            }
+            group.follow_candidate(&server, None);
         }
         group.term = term;
         group.phase = Phase::Settled;
-        group.follow_candidate(&server, None);
         group.primary = Some(server);
         Ok(Outcome::Applied)
     }
--- a/components/entry/src/front/plain.rs
+++ b/components/entry/src/front/plain.rs
@@ -9,12 +9,14 @@
 //! - `buffer`: buffers an answer until it is complete.
 //! - `finish`: the answer to a statement, and its effect on the session.
 //! - `login`: the database and the team of a caller.
+//! - `stop`: what a stop of the front ends.
 
 mod buffer;
 mod caller;
 mod conn;
 mod finish;
 mod login;
+mod stop;
 
 use std::sync::Arc;
 
--- a/components/entry/src/front/plain/caller.rs
+++ b/components/entry/src/front/plain/caller.rs
@@ -11,13 +11,13 @@
 use slog::debug;
 use tokio::sync::watch;
 use wire::Message as _;
-use wire::data::{Leave, Reason, Run, ask};
+use wire::data::{Leave, Run, ask};
 use wire::plain::{Begin, Execute, Task, Value};
 
 use super::buffer::Buffer;
 use super::conn::Conn;
 use super::login::Login;
-use crate::front::attempt::{Attempt, not_run};
+use crate::front::attempt::Attempt;
 use crate::front::conn::Disconnect;
 use crate::front::dispatch::{Dispatch, millis};
 use crate::front::link::Link;
@@ -130,11 +130,10 @@
             let served = if idle && self.conn.is_input_empty() {
                 self.wait_idle().await?
             } else {
-                wait_for_input(&mut self.phase, false, self.conn.fill()).await?
+                let served = wait_for_input(&mut self.phase, false, self.conn.fill()).await?;
+                served || self.conn.fill_now()
             };
-            // a request that has arrived meanwhile is answered: with the close of the
-            // connection it would be discarded
-            if !served && !self.conn.fill_now() {
+            if !served {
                 return Ok(None);
             }
         }
@@ -147,7 +146,9 @@
         loop {
             tokio::select! {
                 biased;
-                served = wait_for_input(&mut self.phase, true, self.conn.fill()) => return served,
+                served = wait_for_input(&mut self.phase, true, self.conn.fill()) => {
+                    return Ok(served? || self.conn.fill_now());
+                }
                 Ok(()) = self.version.changed() => {
                     let identified = |state: &control::State| {
                         self.login.team(&state.declarations).is_ok()
@@ -233,20 +234,6 @@
         self.conn.flush().await
     }
 
-    /// Whether a statement ends the open transaction.
-    fn ends(&self, statement: &Statement) -> bool {
-        let is_open = !matches!(self.transaction, Transaction::None);
-        is_open && matches!(statement, Statement::Commit | Statement::Rollback)
-    }
-
-    /// Error for a statement that comes after the time for open transactions.
-    fn refusal(&self) -> Problem {
-        match self.transaction {
-            Transaction::None => Problem::Busy,
-            _ => Problem::Aborted,
-        }
-    }
-
     /// Access mode of the open transaction.
     pub(super) fn access(&self) -> Access {
         match &self.transaction {
@@ -415,23 +402,6 @@
         self.finish(&work, &attempt, reply, link, group).await
     }
 
-    /// Answers a statement that has not ended when the front stops.
-    async fn end_unfinished(
-        &mut self,
-        work: &Work,
-        link: Option<Arc<Link>>,
-        group: Name,
-    ) -> Result<(), Report<Disconnect>> {
-        let attempt = match link {
-            Some(_) => Attempt::Broken { forwarded: false, own_answers: 0 },
-            None => Attempt::ended(not_run(Reason::Closing)),
-        };
-        if matches!(self.transaction, Transaction::None) {
-            self.leave(link.clone()).await;
-        }
-        self.finish(work, &attempt, None, link, group).await
-    }
-
     fn build_request(
         &self,
         work: &Work,
--- a/components/entry/src/front/plain/conn.rs
+++ b/components/entry/src/front/plain/conn.rs
@@ -66,7 +66,8 @@
         }
     }
 
-    /// Reads what has arrived and was not noticed yet. Returns whether there was any.
+    /// Reads what has arrived and was not noticed yet. Returns whether there was any: a request
+    /// that has arrived is answered, since the close of the connection would discard it.
     pub(super) fn fill_now(&mut self) -> bool {
         let mut chunk = [0; INPUT_BYTES];
         let read = link::socket::read_now(&self.io, &mut chunk);
--- a/components/wire/src/log.rs
+++ b/components/wire/src/log.rs
@@ -54,7 +54,7 @@
         /// Replaces the declarations by a complete edition.
         #[prost(message, tag = "11")]
         Replace(super::Replace),
-        /// The records of a server that left a group are held by another one.
+        /// Another server holds what the primary of a group may have held alone.
         #[prost(message, tag = "12")]
         Cover(super::Cover),
     }
@@ -324,14 +324,14 @@
     pub on: bool,
 }
 
-/// Records that a server of an unfenced group holds all records that a server which left
-/// the group may have held alone beside the primary.
+/// Records that another server of an unfenced group holds all records that its primary may
+/// have held alone, since a log left the group or since the primary took over.
 #[derive(Clone, PartialEq, Eq, Hash, prost::Message)]
 pub struct Cover {
     /// Name of the group.
     #[prost(string, tag = "1")]
     pub group: String,
-    /// Index of the command by which the last such server left.
+    /// Index of the command since which the primary may have held records alone.
     #[prost(uint64, tag = "2")]
     pub index: u64,
 }
