--- a/components/control/tests/acknowledged.rs
+++ b/components/control/tests/acknowledged.rs
@@ -147,3 +147,37 @@
     world.pass(2_000);
     assert_eq!(world.primary(), Some("s1"));
 }
+
+/// An old primary without any log counted as a proof that nothing had been acknowledged.
+#[test]
+fn an_empty_old_primary_and_an_empty_replica_prove_nothing() {
+    let mut world = World::new();
+    world.set_position("s1", 0);
+    world.set("s2", Health::Silent);
+    world.crash();
+    world.seal_at("e1", 0, 1);
+    world.lose_keeper("e2");
+    world.set_position("s0", 0);
+    world.set("s0", Health::Up);
+    world.pass(3_000);
+    assert_eq!(world.phase(), Phase::Intended, "the silent replica holds all records");
+}
+
+/// A report of a server counted after the server had started again without its log.
+#[test]
+fn a_report_of_an_earlier_start_is_not_believed() {
+    let mut world = World::new();
+    world.set_position("s2", 90);
+    world.set("s2", Health::Silent);
+    world.crash();
+    world.lose_a_seal();
+    world.pass(300);
+    let term = world.state.groups["g"].term;
+    world.set("s1", Health::Silent);
+    world.start_empty("s1");
+    world.set("s1", Health::Silent);
+    world.set("s0", Health::Up);
+    world.pass(2_000);
+    assert_eq!(world.state.groups["g"].term, term, "the change did not begin again");
+    assert_eq!(world.primary(), Some("s0"));
+}
